--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+GOLANGCI_LINT_VERSION := v2.15.0
+GOBIN ?= $(shell go env GOPATH)/bin
+GOLANGCI_LINT := $(GOBIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+
+.PHONY: test format vet lint race build fuzz golden
+
+## test runs everything that CI runs.
+test: format vet lint race build
+
+## format fails when a file isn't formatted.
+format:
+	@f=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$f" ]; then echo "not formatted: $$f"; exit 1; fi
+
+vet:
+	go vet ./...
+
+lint: $(GOLANGCI_LINT)
+	$(GOLANGCI_LINT) run ./...
+
+$(GOLANGCI_LINT):
+	GOBIN=$(GOBIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(GOBIN)/golangci-lint $@
+
+race:
+	go test -race -timeout 20m ./...
+
+build:
+	go build -o bin/cuminwick .
+
+## golden rewrites the golden files from the present output.
+golden:
+	go test ./... -update
--- /dev/null
+++ b/internal/admin/handler/routes.go
@@ -0,0 +1,122 @@
+package handler
+
+import (
+	"net/http"
+
+	"github.com/cuminwick/cuminwick/internal/config/applier"
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/differ"
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+	"github.com/cuminwick/cuminwick/internal/config/follower"
+	"github.com/cuminwick/cuminwick/internal/config/publisher"
+	"github.com/cuminwick/cuminwick/internal/settings/decoder"
+)
+
+// MediaYAML is the media type of configuration files.
+const MediaYAML = "application/yaml"
+
+// Parameter is one parameter in the path or the query of a route.
+type Parameter struct {
+	Name    string
+	In      string
+	Type    string
+	Summary string
+}
+
+// Route is one operation of the API.
+type Route struct {
+	Method  string
+	Path    string
+	Summary string
+	// Changes says that the route needs a token that may change things.
+	Changes    bool
+	Parameters []Parameter
+	// Body is the media type of the request's body, empty if it has none.
+	Body string
+	// Answer is a value of the type that the route answers with.
+	Answer any
+
+	serve func(request) (answer, error)
+}
+
+var (
+	fromParameter     = Parameter{Name: "from", In: "query", Type: "integer", Summary: "fail unless this revision is in force"}
+	dryRunParameter   = Parameter{Name: "dry-run", In: "query", Type: "boolean", Summary: "answer what would change and do nothing"}
+	noteParameter     = Parameter{Name: "note", In: "query", Type: "string", Summary: "kept with the revision"}
+	revisionParameter = Parameter{Name: "revision", In: "path", Type: "integer", Summary: "number of the revision"}
+)
+
+// Configuration is a revision's file, with verifiers hidden.
+type Configuration struct {
+	Revision declarer.Revision `json:"revision"`
+	// File is the file as YAML, ready to be edited and sent back.
+	File string `json:"file"`
+}
+
+// Findings is what the check of a file has found.
+type Findings struct {
+	Faults   decoder.Faults `json:"faults"`
+	Warnings decoder.Faults `json:"warnings"`
+}
+
+// Applied is the answer to a change.
+type Applied struct {
+	DryRun   bool            `json:"dry-run,omitempty"`
+	Changes  []differ.Change `json:"changes,omitempty"`
+	Warnings decoder.Faults  `json:"warnings,omitempty"`
+	Result   *applier.Result `json:"result,omitempty"`
+}
+
+// State is the state of the deployment and of the host that answers.
+type State struct {
+	publisher.Status
+	// Host is what the answering host says of its own configuration.
+	Host *follower.Status `json:"host,omitempty"`
+}
+
+// Routes returns all operations of the API.
+func Routes() []Route {
+	l := []Route{
+		{
+			Method: http.MethodGet, Path: "/v1/configuration",
+			Summary: "Read the configuration in force.",
+			Answer:  Configuration{}, serve: request.readConfiguration,
+		}, {
+			Method: http.MethodPut, Path: "/v1/configuration", Changes: true,
+			Summary:    "Bring a configuration into force, or leave everything as it is and say why.",
+			Parameters: []Parameter{fromParameter, dryRunParameter, noteParameter},
+			Body:       MediaYAML, Answer: Applied{}, serve: request.applyFile,
+		}, {
+			Method: http.MethodPost, Path: "/v1/configuration/validate",
+			Summary: "Check a configuration without applying it.",
+			Body:    MediaYAML, Answer: Findings{}, serve: request.validate,
+		}, {
+			Method: http.MethodPost, Path: "/v1/configuration/resume", Changes: true,
+			Summary: "Go on with what another operator has staged.",
+			Answer:  Applied{}, serve: request.resume,
+		}, {
+			Method: http.MethodPost, Path: "/v1/configuration/withdraw", Changes: true,
+			Summary: "Take back what is staged.",
+			Answer:  Applied{}, serve: request.withdraw,
+		}, {
+			Method: http.MethodGet, Path: "/v1/revisions",
+			Summary: "List the accepted revisions that are kept, the latest first.",
+			Answer:  []encoder.Entry{}, serve: request.history,
+		}, {
+			Method: http.MethodGet, Path: "/v1/revisions/{revision}",
+			Summary:    "Read an earlier configuration.",
+			Parameters: []Parameter{revisionParameter},
+			Answer:     Configuration{}, serve: request.readRevision,
+		}, {
+			Method: http.MethodPost, Path: "/v1/revisions/{revision}/apply", Changes: true,
+			Summary:    "Apply an earlier configuration again, as a new revision.",
+			Parameters: []Parameter{revisionParameter, fromParameter, dryRunParameter, noteParameter},
+			Answer:     Applied{}, serve: request.applyRevision,
+		}, {
+			Method: http.MethodGet, Path: "/v1/status",
+			Summary: "Read which host decides by which revision.",
+			Answer:  State{}, serve: request.status,
+		},
+	}
+	return append(l, hostRoutes()...)
+}
--- /dev/null
+++ b/internal/backend/dialer/login_test.go
@@ -0,0 +1,71 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// slow is a connection on which the first write takes long, as on a machine that
+// is short of processors.
+type slow struct {
+	net.Conn
+	written bool
+}
+
+func (s *slow) Write(b []byte) (int, error) {
+	if !s.written {
+		s.written = true
+		time.Sleep(100 * time.Millisecond)
+	}
+	return s.Conn.Write(b)
+}
+
+// A machine is so busy that the login's first write takes longer than 15 ms, and
+// the library begins to read in the background. That read went on after the login
+// and took the beginning of the first answer: the request waited until the
+// connection was taken for silent, and others hung behind a look at the socket.
+func TestLoginLeavesNoReadBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := net.Pipe()
+		done := make(chan struct{})
+		go serve(t, b, done)
+		d := &Dialer{User: "u", Timeout: time.Minute, Dial: func(context.Context, string, string) (net.Conn, error) {
+			return &slow{Conn: a}, nil
+		}}
+		c, err := d.Open(t.Context(), "127.0.0.1:1", "db")
+		if err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		close(done)
+		c.SetReadDeadline(time.Now().Add(time.Second))
+		f, err := c.Reader.Next()
+		if err != nil || f.Type != 'N' {
+			t.Errorf("first message after the login: %q, %v", f.Type, err)
+		}
+		c.Close()
+	})
+}
+
+// serve answers a login, and sends a notice once done is closed.
+func serve(t *testing.T, c net.Conn, done chan struct{}) {
+	b := pgproto3.NewBackend(c, c)
+	if _, err := b.ReceiveStartupMessage(); err != nil {
+		t.Error(err)
+		return
+	}
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{0, 0, 0, 1}})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if err := b.Flush(); err != nil {
+		t.Error(err)
+	}
+	<-done
+	b.Send(&pgproto3.NoticeResponse{Message: "hello"})
+	_ = b.Flush()
+}
--- /dev/null
+++ b/internal/bench/checker/checker_test.go
@@ -0,0 +1,239 @@
+package checker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const ms = time.Millisecond
+
+// whole is a history without a violation that touches every rule.
+func whole() *History {
+	return &History{
+		Requests: []Request{
+			{Name: "a", Session: "s", Group: "g", Kind: Note, Start: 1 * ms, End: 2 * ms, Outcome: Ran, Tag: "INSERT 0 1", EntryHost: "h1"},
+			{Name: "b", Session: "s", Group: "g", Kind: Booking, Number: 1, Start: 3 * ms, End: 4 * ms, Outcome: Ran, Tag: "INSERT 0 1", EntryHost: "h1"},
+			{Name: "c", Session: "s", Group: "g", Kind: Save, Number: 2, Start: 5 * ms, End: 6 * ms, Outcome: Ran, Tag: "INSERT 0 1", EntryHost: "h2"},
+			{Name: "d", Session: "s", Group: "g", Kind: Read, Start: 7 * ms, End: 8 * ms, Outcome: Ran, Value: 2, Names: []string{"d"}, Rows: 1, EntryHost: "h1"},
+			{Name: "e", Session: "s", Group: "g", Kind: Save, Number: 3, Start: 9 * ms, End: 10 * ms, Outcome: Cancelled, EntryHost: "h1"},
+			{Name: "f", Session: "t", Group: "g", Kind: Review, Of: "s", Age: 20 * ms, Start: 30 * ms, End: 31 * ms, Outcome: Ran, Value: 2, Names: []string{"f"}, EntryHost: "h1"},
+			{Name: "i", Session: "t", Group: "g", Kind: Note, Start: 32 * ms, End: 33 * ms, Outcome: NotRun, EntryHost: "h1"},
+			{Name: "j", Session: "t", Group: "g", Kind: Report, Start: 34 * ms, End: 35 * ms, Outcome: Ran, Names: []string{"j"}, Rows: 5, ExpectedRows: 5, EntryHost: "h1"},
+			{Name: "k", Session: "t", Group: "g", Kind: Note, Start: 36 * ms, End: 37 * ms, Outcome: Unknown, EntryHost: "h1"},
+		},
+		Groups: map[string]State{"g": {
+			Entries:   []Entry{{"a", 1}, {"b", 1}, {"b", 2}},
+			Registers: map[string]int64{"s": 2},
+			Log: []Transaction{
+				{Entries: []Entry{{"a", 1}}},
+				{Entries: []Entry{{"b", 1}, {"b", 2}}, Saves: []string{"b"}},
+				{Saves: []string{"c"}},
+			},
+			Dropped: []Transaction{{Entries: []Entry{{"k", 1}}}},
+		}},
+		Stops: []Stop{{EntryHost: "h1", From: 100 * ms, To: 200 * ms}},
+		Revisions: []Revision{
+			{"h1", 1 * ms, 1, "first"}, {"h2", 1 * ms, 1, "first"},
+			{"h1", 5 * ms, 3, "third"}, {"h2", 5 * ms, 1, "first"},
+			{"h1", 9 * ms, 3, "third"}, {"h2", 9 * ms, 3, "third"},
+		},
+		Applies: []Apply{
+			{Operator: "anna", Digest: "first", Revision: 1, Outcome: ApplyInForce},
+			{Operator: "anna", Base: 1, Digest: "second", Revision: 2, Outcome: ApplyRefused, From: 1 * ms, To: 4 * ms},
+			{Operator: "ewa", Base: 1, Digest: "third", Revision: 3, Outcome: ApplyInForce, From: 4 * ms, To: 6 * ms},
+			{Operator: "jan", Base: 1, Digest: "fourth", Outcome: ApplyRefused, From: 4 * ms, To: 6 * ms},
+			{Operator: "piotr", Base: 3, Digest: "fifth", Outcome: ApplyUnknown, From: 7 * ms, To: 8 * ms},
+			{Operator: "jan", Revision: 4, Outcome: ApplyRefused, From: 8 * ms, To: 9 * ms},
+		},
+	}
+}
+
+func TestWholeHistory(t *testing.T) {
+	if v := Check(whole()); v.Violations.Total() != 0 {
+		t.Error(v)
+	}
+}
+
+// request returns the request so named.
+func (h *History) request(name string) *Request {
+	for i := range h.Requests {
+		if h.Requests[i].Name == name {
+			return &h.Requests[i]
+		}
+	}
+	panic(name)
+}
+
+// Each case breaks one promise in an otherwise whole history; the checker must
+// count that one and no other, or the bench would prove nothing.
+func TestEachViolationIsFound(t *testing.T) {
+	for name, c := range map[string]struct {
+		breaks func(h *History, s *State)
+		want   Violations
+	}{
+		"a note is gone": {
+			func(_ *History, s *State) { s.Entries = s.Entries[1:] },
+			Violations{LostWrites: 1},
+		},
+		"a save is gone": {
+			func(h *History, s *State) { s.Registers["s"] = 1; h.request("f").Start = 20 * ms },
+			Violations{LostWrites: 1},
+		},
+		"a note was acknowledged by a superseded primary": {
+			func(_ *History, s *State) {
+				s.Entries = s.Entries[1:]
+				s.Dropped = append(s.Dropped, Transaction{Entries: []Entry{{"a", 1}}})
+			},
+			Violations{LostWrites: 1, SupersededAcknowledgements: 1},
+		},
+		"a note is there twice": {
+			func(_ *History, s *State) { s.Entries = append(s.Entries, Entry{"a", 1}) },
+			Violations{DoubledWrites: 1},
+		},
+		"a note of unknown outcome is there twice": {
+			func(_ *History, s *State) { s.Entries = append(s.Entries, Entry{"k", 1}, Entry{"k", 1}) },
+			Violations{DoubledWrites: 1},
+		},
+		"a session reads older than it wrote": {
+			func(h *History, _ *State) { h.request("d").Value = 1 },
+			Violations{ReadYourWrites: 1},
+		},
+		"a refused note is there": {
+			func(_ *History, s *State) { s.Entries = append(s.Entries, Entry{"i", 1}) },
+			Violations{FalseNotRun: 1},
+		},
+		"a cancelled save is there": {
+			func(_ *History, s *State) { s.Registers["s"] = 3 },
+			Violations{FalseNotRun: 1},
+		},
+		"a cancelled save was read and then overwritten": {
+			func(h *History, _ *State) {
+				h.Requests = append(h.Requests, Request{Name: "x", Session: "s", Group: "g", Kind: Read, Start: 11 * ms, End: 12 * ms, Outcome: Ran, Value: 3, Names: []string{"x"}})
+			},
+			Violations{FalseNotRun: 1},
+		},
+		"a key is said not to have run and its note is there": {
+			func(h *History, s *State) {
+				h.request("k").Settled = NotRun
+				s.Entries = append(s.Entries, Entry{"k", 1})
+			},
+			Violations{FalseNotRun: 1},
+		},
+		"a key is said to have run and its note isn't there": {
+			func(h *History, _ *State) { h.request("k").Settled = Ran },
+			Violations{LostWrites: 1},
+		},
+		"two requests in one transaction": {
+			func(_ *History, s *State) { s.Log[1].Entries[1].Request = "a" },
+			Violations{MixedTransactions: 1},
+		},
+		"half a booking": {
+			func(h *History, s *State) { s.Entries = s.Entries[:2]; h.request("b").Outcome = Unknown },
+			Violations{MixedTransactions: 1},
+		},
+		"another request's answer": {
+			func(h *History, _ *State) { h.request("d").Names = []string{"j"} },
+			Violations{WrongAnswers: 1},
+		},
+		"part of an answer": {
+			func(h *History, _ *State) { h.request("j").Rows = 4 },
+			Violations{WrongAnswers: 1},
+		},
+		"a write is acknowledged with another command's tag": {
+			func(h *History, _ *State) { h.request("a").Tag = "SELECT 1" },
+			Violations{WrongAnswers: 1},
+		},
+		"a value nobody wrote": {
+			func(h *History, _ *State) { h.request("d").Value = 9 },
+			Violations{WrongAnswers: 1},
+		},
+		"a planned stop cuts off a request": {
+			func(h *History, _ *State) {
+				r := h.request("k")
+				r.Start, r.End, r.Lost = 90*ms, 150*ms, true
+			},
+			Violations{CutOffRequests: 1},
+		},
+		"a configuration goes back": {
+			func(h *History, _ *State) {
+				h.Applies = nil
+				h.Revisions = append(h.Revisions, Revision{"h1", 10 * ms, 1, "first"}, Revision{"h1", 11 * ms, 3, "third"})
+			},
+			Violations{ConfigurationReversions: 1},
+		},
+		"one revision has two contents": {
+			func(h *History, _ *State) { h.Revisions[3] = Revision{"h2", 5 * ms, 1, "fifth"} },
+			// The first one's operator was told that it is in force, too.
+			Violations{ConfigurationReversions: 2},
+		},
+		"a content that nobody applied": {
+			func(h *History, _ *State) { h.Applies[0].Digest = "" },
+			Violations{ConfigurationReversions: 1},
+		},
+		"a configuration in force isn't everywhere at the end": {
+			func(h *History, _ *State) { h.Revisions[5] = Revision{"h2", 9 * ms, 1, "first"} },
+			// It is also a revision that only half of the hosts have.
+			Violations{ConfigurationReversions: 2},
+		},
+		"a configuration that stays isn't everywhere at the end": {
+			func(h *History, _ *State) {
+				h.Applies[2].Outcome = ApplyAccepted
+				h.Revisions = h.Revisions[:4]
+				h.Revisions[2] = Revision{"h1", 5 * ms, 1, "first"}
+			},
+			Violations{ConfigurationReversions: 2},
+		},
+		"an abandoned configuration is half in force": {
+			func(h *History, _ *State) { h.Revisions[5] = Revision{"h2", 9 * ms, 5, "fifth"} },
+			Violations{ConfigurationReversions: 1},
+		},
+		"a configuration is in force under another's number": {
+			func(h *History, _ *State) { h.Applies[4].Revision, h.Applies[4].Outcome = 3, ApplyInForce },
+			// Both hosts have it, from both bases.
+			Violations{ConfigurationReversions: 2},
+		},
+		"a withdrawn configuration is in force": {
+			func(h *History, _ *State) { h.Revisions[2] = Revision{"h1", 5 * ms, 2, "second"} },
+			Violations{ConfigurationReversions: 1},
+		},
+		"a withdrawn revision is in force, whoever brought it": {
+			func(h *History, _ *State) {
+				h.Revisions[2] = Revision{"h1", 5 * ms, 2, "fifth"}
+				h.Applies[1].Digest = ""
+			},
+			Violations{ConfigurationReversions: 1},
+		},
+		"a configuration that conflicted is in force": {
+			func(h *History, _ *State) {
+				h.Revisions[2] = Revision{"h1", 5 * ms, 2, "fourth"}
+				h.Applies[1].Revision = 0
+			},
+			Violations{ConfigurationReversions: 1},
+		},
+		"two changes from one revision": {
+			func(h *History, _ *State) { h.Applies[4].Base, h.Applies[4].Outcome = 1, ApplyInForce },
+			Violations{ConfigurationReversions: 1},
+		},
+		"work on a leaving server": {
+			func(h *History, _ *State) { h.WorkOnLeaving = 1 },
+			Violations{WorkOnLeaving: 1},
+		},
+		"a review older than its age": {
+			func(h *History, _ *State) { h.request("f").Value = 1 },
+			Violations{TooStaleReads: 1},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := whole()
+			s := h.Groups["g"]
+			c.breaks(h, &s)
+			h.Groups["g"] = s
+			v := Check(h)
+			if d := cmp.Diff(c.want, v.Violations); d != "" {
+				t.Errorf("%s\n%v", d, v.Examples)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/bench/checker/reads.go
@@ -0,0 +1,80 @@
+package checker
+
+// checkReads compares each answer with what its session was told before.
+func (c *check) checkReads() {
+	for n, l := range c.sessions {
+		before := c.verdict.Violations.Total()
+		c.checkSession(n, l)
+		if c.verdict.Violations.Total() > before {
+			c.tell(n)
+		}
+	}
+}
+
+// checkSession walks one session, whose requests follow each other.
+func (c *check) checkSession(name string, l []*Request) {
+	v := &c.verdict.Violations
+	var seen int64
+	refused := map[int64]bool{}
+	for _, r := range l {
+		if r.Outcome == Ran {
+			c.checkAnswer(r)
+		}
+		switch {
+		case r.Kind == Read && r.Outcome == Ran:
+			if r.Value < seen {
+				c.found(&v.ReadYourWrites, "%s of session %s read %d after %d at %v from %s", r.Name, name, r.Value, seen, r.End, r.EntryHost)
+			}
+			if refused[r.Value] {
+				c.found(&v.FalseNotRun, "%s read %d, which was said not to have run", r.Name, r.Value)
+			}
+			seen = max(seen, r.Value)
+		case r.Kind == Review && r.Outcome == Ran:
+			c.checkAge(r)
+		case r.Kind == Save || r.Kind == Booking:
+			if r.Outcome == Ran {
+				seen = max(seen, r.Number)
+			}
+			refused[r.Number] = r.Outcome == NotRun || r.Outcome == Cancelled
+		}
+	}
+}
+
+// checkAnswer finds answers that belong to another request, or aren't whole.
+func (c *check) checkAnswer(r *Request) {
+	v := &c.verdict.Violations
+	for _, n := range r.Names {
+		if n != r.Name {
+			c.found(&v.WrongAnswers, "%s got the answer of %s from %s", r.Name, n, r.EntryHost)
+			return
+		}
+	}
+	if r.Kind == Report && r.Rows != r.ExpectedRows {
+		c.found(&v.WrongAnswers, "%s got %d of %d rows from %s", r.Name, r.Rows, r.ExpectedRows, r.EntryHost)
+	}
+	if r.Kind == Read && r.Value > c.attempted(r.Session) {
+		c.found(&v.WrongAnswers, "%s read %d, which session %s never wrote", r.Name, r.Value, r.Session)
+	}
+}
+
+// attempted is the highest number that a session tried to write.
+func (c *check) attempted(session string) int64 {
+	var n int64
+	for _, r := range c.sessions[session] {
+		if r.Kind == Save || r.Kind == Booking {
+			n = max(n, r.Number)
+		}
+	}
+	return n
+}
+
+// checkAge finds a review that misses a save acknowledged longer ago than its age.
+func (c *check) checkAge(r *Request) {
+	for _, w := range c.sessions[r.Of] {
+		if (w.Kind == Save || w.Kind == Booking) && w.Outcome == Ran && w.End < r.Start-r.Age && w.Number > r.Value {
+			c.found(&c.verdict.Violations.TooStaleReads, "%s read %d of session %s, which was told %d at %v, more than %v before %v",
+				r.Name, r.Value, r.Of, w.Number, w.End, r.Age, r.Start)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/definer/definer_test.go
@@ -0,0 +1,89 @@
+package definer
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/bench/disturber"
+)
+
+func TestMixedDrawsTwoFaults(t *testing.T) {
+	seen := map[[2]Fault]bool{}
+	n := len(mixable)
+	for i := range n * (n - 1) {
+		s := Scenario{Mixed: true}
+		s.Draw(uint64(i))
+		if s.Faults[0] == s.Faults[1] {
+			t.Errorf("seed %d draws %s twice", i, s.Faults[0])
+		}
+		seen[[2]Fault{s.Faults[0], s.Faults[1]}] = true
+	}
+	if len(seen) != n*(n-1) {
+		t.Errorf("%d of %d pairs are drawn", len(seen), n*(n-1))
+	}
+}
+
+// The race is taken back last, so that operators meet what is left of the other fault.
+func TestRacedDrawsOneFaultBesideTheRace(t *testing.T) {
+	seen := map[Fault]bool{}
+	for i := range Raceable() {
+		s := Scenario{Raced: true}
+		s.Draw(i)
+		if len(s.Faults) != 2 || s.Faults[0] == OperatorsRace || s.Faults[1] != OperatorsRace {
+			t.Errorf("seed %d draws %v", i, s.Faults)
+		}
+		seen[s.Faults[0]] = true
+	}
+	if len(seen) != len(raceable) {
+		t.Errorf("%d of %d faults are drawn", len(seen), len(raceable))
+	}
+}
+
+func TestLatency(t *testing.T) {
+	for _, d := range Deployments() {
+		a, b, c := d.Places[0], d.Places[1], d.Places[2]
+		for name, e := range map[string]struct {
+			from, to disturber.Place
+			want     time.Duration
+		}{
+			"same zone":   {a, a, 0},
+			"same region": {a, b, d.ZoneLatency},
+			"region":      {a, c, d.RegionLatency},
+			"region back": {c, b, d.RegionLatency},
+			"caller":      {CallersPlace(), c, d.CallerLatency},
+		} {
+			t.Run(d.Name+" "+name, func(t *testing.T) {
+				if l := d.Latency(disturber.Path{From: e.from, To: e.to}); l != e.want {
+					t.Errorf("%v, want %v", l, e.want)
+				}
+			})
+		}
+	}
+}
+
+func TestLoadPercent(t *testing.T) {
+	d := Deployments()[0]
+	for name, e := range map[string]struct {
+		scenario Scenario
+		set      float64
+		want     float64
+	}{
+		"not set":            {Scenario{}, 0, 40},
+		"set by scenario":    {Scenario{Utilisation: 1.3}, 0, 130},
+		"set by command":     {Scenario{}, 90, 90},
+		"command goes first": {Scenario{Utilisation: 0.5}, 130, 130},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if e.set > 0 {
+				e.scenario.SetLoadPercent(e.set)
+			}
+			l := e.scenario.Load(&d)
+			full := d.Capacity(l.ServiceTime) * float64(len(d.Groups))
+			got := 100 * l.Rate * l.StatementsPerRequest() / full
+			if math.Abs(got-e.want) > 0.001 || math.Abs(e.scenario.LoadPercent()-e.want) > 0.001 {
+				t.Errorf("load of %f %%, said to be %f %%, want %f %%", got, e.scenario.LoadPercent(), e.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/bench/disturber/disturber_test.go
@@ -0,0 +1,202 @@
+package disturber
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+var (
+	here  = Place{AvailabilityZone: "ost-wien", Region: "ost"}
+	there = Place{AvailabilityZone: "west-ibk", Region: "west"}
+)
+
+// echo starts a server that sends back what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func network(t *testing.T) (*Network, string) {
+	t.Helper()
+	n := &Network{Latency: func(Path) time.Duration { return time.Millisecond }, BytesPerSecond: 4 << 20}
+	n.Open(t.Context())
+	a := echo(t)
+	n.Locate(a, there)
+	return n, a
+}
+
+func exchange(t *testing.T, c net.Conn) {
+	t.Helper()
+	b := make([]byte, 5)
+	if _, err := c.Write([]byte("hallo")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, b); err != nil || string(b) != "hallo" {
+		t.Fatalf("%q %v", b, err)
+	}
+}
+
+func dial(t *testing.T, n *Network, a string) net.Conn {
+	t.Helper()
+	c, err := n.Dialer(here)(t.Context(), "tcp", a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func TestCountsRegionBytes(t *testing.T) {
+	n, a := network(t)
+	exchange(t, dial(t, n, a))
+	if b := n.LinkBytes(); b != 10 {
+		t.Errorf("%d bytes between regions", b)
+	}
+}
+
+// A partition lets nothing through; afterwards open connections go on, because
+// TCP sends again what was lost.
+func TestCut(t *testing.T) {
+	n, a := network(t)
+	c := dial(t, n, a)
+	exchange(t, c)
+	n.Cut("ost-wien", "west-ibk", true)
+	x, stop := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer stop()
+	if _, err := n.Dialer(here)(x, "tcp", a); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("dialled through a partition: %v", err)
+	}
+	n.Cut("ost-wien", "west-ibk", false)
+	exchange(t, c)
+}
+
+// Something between the ends loses track of a connection: neither end notices,
+// nothing arrives any more, and a new connection works.
+func TestSilence(t *testing.T) {
+	n, a := network(t)
+	c := dial(t, n, a)
+	exchange(t, c)
+	if s := n.Silence("west-ibk", "ost-wien"); s != 1 {
+		t.Fatalf("%d connections went silent", s)
+	}
+	if _, err := c.Write([]byte("hallo")); err != nil {
+		t.Fatal(err)
+	}
+	exchange(t, dial(t, n, a))
+	c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	if k, err := c.Read(make([]byte, 1)); k != 0 || !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) {
+		t.Errorf("silent connection gave %d bytes, %v", k, err)
+	}
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// Many connections share one slow line: each byte waits for those before it.
+func TestLinkIsShared(t *testing.T) {
+	l := &Link{BytesPerSecond: 1000}
+	t0 := time.Unix(0, 0)
+	for i, want := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		n := []int{1000, 1000, 2000}[i]
+		if d := l.Reserve(n, t0).Sub(t0); d != want {
+			t.Errorf("chunk %d leaves after %v, want %v", i, d, want)
+		}
+	}
+	if d := l.Reserve(500, t0.Add(time.Minute)).Sub(t0); d != time.Minute+time.Second/2 {
+		t.Errorf("an idle line delays %v", d)
+	}
+}
+
+// Datagrams are lost in a partition and arrive again afterwards.
+func TestDatagrams(t *testing.T) {
+	n, _ := network(t)
+	loopback := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}
+	a, err := n.Listener(here)(loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	b, err := n.Listener(there)(loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	n.Cut("ost-wien", "west-ibk", true)
+	if _, err := a.WriteTo([]byte("lost"), b.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+	n.Cut("ost-wien", "west-ibk", false)
+	if _, err := a.WriteTo([]byte("hallo"), b.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+	m := make([]byte, 10)
+	k, _, err := b.ReadFrom(m)
+	if err != nil || string(m[:k]) != "hallo" {
+		t.Errorf("%q %v", m[:k], err)
+	}
+	if l := n.LinkBytes(); l != 5 {
+		t.Errorf("%d bytes between regions", l)
+	}
+}
+
+// One entry host is cut off while its neighbour in the zone isn't. Callers may
+// still reach it, and then it must not pass for one that everybody reaches.
+func TestIsolate(t *testing.T) {
+	n, a := network(t)
+	host := Place{AvailabilityZone: here.AvailabilityZone, Region: here.Region, EntryHost: "entry-a"}
+	callers := Place{AvailabilityZone: "callers"}
+	for name, c := range map[string]struct {
+		path  Path
+		until Isolation
+	}{
+		"to a backend server": {Path{From: host, To: there}, Joined},
+		"back":                {Path{From: there, To: host}, Joined},
+		"to its neighbour":    {Path{From: host, To: here}, Joined},
+		"from a caller":       {Path{From: callers, To: host}, ButForCallers},
+		"its neighbour's":     {Path{From: here, To: there}, Whole},
+		"to itself":           {Path{From: host, To: host}, Whole},
+	} {
+		for i := Joined; i <= Whole; i++ {
+			n.Isolate("entry-a", i)
+			if on, _ := n.state(c.path); on != (i > c.until) {
+				t.Errorf("%s, isolation %d: cut is %t", name, i, on)
+			}
+		}
+	}
+	x, stop := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer stop()
+	if _, err := n.Dialer(host)(x, "tcp", a); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("dialled while isolated: %v", err)
+	}
+	n.Isolate("entry-a", Joined)
+	d, err := n.Dialer(host)(t.Context(), "tcp", a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	exchange(t, d)
+}
--- /dev/null
+++ b/internal/bench/disturber/packet.go
@@ -0,0 +1,140 @@
+package disturber
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+)
+
+// packets is how many datagrams wait on one path; more are dropped, as a router does.
+const packets = 4096
+
+// Listener returns the function by which a part in the place opens UDP sockets.
+// What it sends takes the paths of the network; what is sent to it takes them at the sender.
+func (n *Network) Listener(at Place) func(a *net.UDPAddr) (net.PacketConn, error) {
+	l := &packetListener{network: n, at: at}
+	return l.listen
+}
+
+type packetListener struct {
+	network *Network
+	at      Place
+}
+
+func (l *packetListener) listen(a *net.UDPAddr) (net.PacketConn, error) {
+	c, err := net.ListenUDP("udp", a)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen for datagrams at %s", a)
+	}
+	l.network.Locate(c.LocalAddr().String(), l.at)
+	ctx, stop := context.WithCancel(l.network.context)
+	return &packetConn{PacketConn: c, socket: c, network: l.network, from: l.at, context: ctx, stop: stop, paths: map[Place]chan datagram{}}, nil
+}
+
+// datagram is one packet on its way.
+type datagram struct {
+	bytes []byte
+	to    net.Addr
+	due   time.Time
+}
+
+// packetConn is a UDP socket whose datagrams take the paths of the network.
+type packetConn struct {
+	net.PacketConn
+	socket  *net.UDPConn
+	network *Network
+	from    Place
+	context context.Context
+	stop    context.CancelFunc
+
+	mutex sync.Mutex
+	paths map[Place]chan datagram
+}
+
+// WriteTo implements net.PacketConn. What a partition or a full path drops
+// counts as sent, as with any datagram.
+func (c *packetConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	t := c.network.place(to.String())
+	p := Path{From: c.from, To: t}
+	if cut, _ := c.network.state(p); cut {
+		return len(b), nil
+	}
+	d := c.network.Latency(p)
+	k := c.network.linkOf(p)
+	if d == 0 && k == nil {
+		return c.PacketConn.WriteTo(b, to)
+	}
+	now := time.Now()
+	if k != nil {
+		now = k.Reserve(len(b), now)
+	}
+	select {
+	case c.path(t) <- datagram{bytes: append([]byte(nil), b...), to: to, due: now.Add(d)}:
+	default:
+	}
+	return len(b), nil
+}
+
+// path returns the queue towards a place.
+func (c *packetConn) path(to Place) chan datagram {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	q, ok := c.paths[to]
+	if !ok {
+		q = make(chan datagram, packets)
+		c.paths[to] = q
+		go c.loopSend(q)
+	}
+	return q
+}
+
+// loopSend sends datagrams when they are due, until the socket closes.
+func (c *packetConn) loopSend(q chan datagram) {
+	for {
+		select {
+		case d := <-q:
+			if scheduler.Pause(c.context, time.Until(d.due)) != nil {
+				return
+			}
+			// A datagram that can't be sent is lost, as any may be.
+			_, _ = c.PacketConn.WriteTo(d.bytes, d.to)
+		case <-c.context.Done():
+			return
+		}
+	}
+}
+
+// SetReadBuffer sets the size of the socket's receive buffer, as QUIC wishes.
+func (c *packetConn) SetReadBuffer(n int) error {
+	return c.socket.SetReadBuffer(n)
+}
+
+// SetWriteBuffer sets the size of the socket's send buffer, as QUIC wishes.
+func (c *packetConn) SetWriteBuffer(n int) error {
+	return c.socket.SetWriteBuffer(n)
+}
+
+// Close implements net.PacketConn.
+func (c *packetConn) Close() error {
+	c.stop()
+	return c.PacketConn.Close()
+}
+
+// place returns where an address is, the zero place if unknown.
+func (n *Network) place(address string) Place {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.places[address]
+}
+
+// linkOf returns the region link on a path, nil where there is none.
+func (n *Network) linkOf(p Path) *Link {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.link(p)
+}
--- /dev/null
+++ b/internal/bench/integrator/deployment_test.go
@@ -0,0 +1,194 @@
+package integrator
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/xdg-go/scram"
+
+	"github.com/cuminwick/cuminwick/internal/bench/disturber"
+	"github.com/cuminwick/cuminwick/internal/peer/certifier"
+)
+
+// deployment is a platform, one group of three backend servers and entry hosts, each a process.
+type deployment struct {
+	directory string
+	platform  string
+	network   *disturber.Network
+	authority *certifier.Authority
+	backends  []*process
+	hosts     []*process
+	addresses []string
+}
+
+var zones = []string{"a", "b", "c"}
+
+// deploy starts everything and applies a configuration.
+func deploy(t *testing.T, hosts int) *deployment {
+	t.Helper()
+	d := &deployment{directory: t.TempDir()}
+	d.network = &disturber.Network{Latency: func(disturber.Path) time.Duration { return 0 }}
+	d.network.Open(t.Context())
+	a, err := certifier.New("integration", time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.authority = a
+	d.platform = start(t, "stand-in", "platform", "--address", "127.0.0.1:0").word(t, "platform at ")
+	f := d.configuration(t, d.startBackends(t))
+	for i := range hosts {
+		d.startHost(t, i)
+	}
+	p := start(t, "apply", f, "--platform", d.platform, "--operator", "anna")
+	<-p.ended
+	if p.err != nil {
+		t.Fatalf("apply: %v\n%s", p.err, p.output)
+	}
+	return d
+}
+
+// startBackends starts the group and returns the proxied addresses.
+func (d *deployment) startBackends(t *testing.T) []string {
+	t.Helper()
+	var l []string
+	first := ""
+	for i, z := range zones {
+		args := []string{"stand-in", "backend", "--name", "db-" + z, "--address", "127.0.0.1:0", "--password-environment", "BACKEND_PASSWORD"}
+		if i == 0 {
+			args = append(args, "--primary")
+		} else {
+			args = append(args, "--follow", "db-a="+first)
+		}
+		p := start(t, args...)
+		a := p.word(t, "backend server db-"+z+" at ")
+		if i == 0 {
+			first = a
+		}
+		d.backends = append(d.backends, p)
+		d.network.Locate(a, disturber.Place{AvailabilityZone: z})
+		x, err := d.network.Proxy(disturber.Place{AvailabilityZone: "hosts"}, a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l = append(l, x)
+	}
+	return l
+}
+
+// configuration writes the file to apply.
+func (d *deployment) configuration(t *testing.T, backends []string) string {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString("database-groups:\n  - name: notes\n    service: notes\n    backend-servers:\n")
+	for i, z := range zones {
+		fmt.Fprintf(&b, "      - {name: db-%s, address: %q, availability-zone: %s, region: one, slots: 2, connections: 16}\n", z, backends[i], z)
+	}
+	fmt.Fprintf(&b, "teams:\n  - name: team\n    database-groups: [notes]\n    roles:\n      - {name: anna, verifier: %q}\n", verifier(t, "vorne"))
+	return d.write(t, "configuration.yaml", b.String())
+}
+
+func (d *deployment) write(t *testing.T, name, content string) string {
+	t.Helper()
+	f := filepath.Join(d.directory, name)
+	if err := os.MkdirAll(filepath.Dir(f), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(f, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// verifier returns a password's SCRAM verifier in PostgreSQL's form.
+func verifier(t *testing.T, password string) string {
+	t.Helper()
+	c, err := scram.SHA256.NewClient("", password, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := scram.KeyFactors{Salt: "integration-salt", Iters: 4096}
+	s, err := c.GetStoredCredentialsWithError(k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := base64.StdEncoding.EncodeToString
+	return fmt.Sprintf("SCRAM-SHA-256$4096:%s$%s:%s", e([]byte(k.Salt)), e(s.StoredKey), e(s.ServerKey))
+}
+
+// startHost starts entry host i in its own zone.
+func (d *deployment) startHost(t *testing.T, i int) {
+	t.Helper()
+	n := fmt.Sprintf("entry-%d", i)
+	c, err := d.authority.Issue(time.Now(), time.Hour, n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := filepath.Join(d.directory, n)
+	d.write(t, n+"/mark.key", "0123456789abcdef0123456789abcdef")
+	d.write(t, n+"/backend.password", "hinten")
+	if err := d.authority.WriteFiles(k, c); err != nil {
+		t.Fatal(err)
+	}
+	a := freePort(t, "tcp")
+	s := d.write(t, n+"/settings.yaml", fmt.Sprintf(`host-name: %s
+region: one
+availability-zone: %s
+deployment-id: integration
+callers: {address: %q}
+peers: {address: %q, authority-file: %s, certificate-file: %s, key-file: %s}
+administration: {address: "127.0.0.1:0"}
+platform: {address: %q}
+backend: {user: cuminwick, password-file: backend.password}
+mark-keys: [{id: one, file: mark.key}]
+`, n, zones[i%len(zones)], a, freePort(t, "udp"), certifier.AuthorityFile, certifier.CertificateFile, certifier.KeyFile, d.platform))
+	d.hosts = append(d.hosts, start(t, "serve", "--settings", s))
+	d.addresses = append(d.addresses, a)
+	until(t, n+" listens", func() bool {
+		x, err := net.Dial("tcp", a)
+		if err == nil {
+			x.Close()
+		}
+		return err == nil
+	})
+}
+
+func (d *deployment) connect(ctx context.Context, host int) (*pgx.Conn, error) {
+	return pgx.Connect(ctx, "postgres://anna:vorne@"+d.addresses[host]+"/notes?sslmode=disable")
+}
+
+// must connects, and waits until the host serves.
+func (d *deployment) must(t *testing.T, host int) *pgx.Conn {
+	t.Helper()
+	var c *pgx.Conn
+	until(t, "host serves", func() bool {
+		var err error
+		c, err = d.connect(t.Context(), host)
+		return err == nil
+	})
+	t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
+
+func execute(t *testing.T, c *pgx.Conn, sql string, args ...any) {
+	t.Helper()
+	if _, err := c.Exec(t.Context(), sql, args...); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+func count(t *testing.T, c *pgx.Conn, sql string) int {
+	t.Helper()
+	var n int
+	if err := c.QueryRow(t.Context(), sql).Scan(&n); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/bench/racer/racer_test.go
@@ -0,0 +1,121 @@
+package racer
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cuminwick/cuminwick/internal/bench/checker"
+	"github.com/cuminwick/cuminwick/internal/config/applier"
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/publisher"
+	"github.com/cuminwick/cuminwick/internal/platform/accessor"
+	"github.com/cuminwick/cuminwick/internal/standin/storekeeper"
+)
+
+// An operator's process ends after its first put, before it learns that its
+// configuration is staged. The next operator of the same revision is refused
+// until somebody takes back what was left, as it would be by a lasting change.
+func TestAbandonedApplyIsLeftStaged(t *testing.T) {
+	s := new(storekeeper.Store)
+	r := &Racer{Platform: func(int) accessor.Platform { return s }}
+	c := &contender{racer: r, name: "first", platform: s, file: change(declarer.File{}, "first", 0)}
+	abandon(c, 1)
+	ended := make(chan struct{})
+	k := &ending{contender: c, ctx: t.Context(), ended: ended}
+	go k.run()
+	<-ended
+	n := &contender{racer: r, name: "next", platform: s, file: change(declarer.File{}, "next", 1)}
+	n.run(t.Context())
+	z := &successor{racer: r, name: "successor"}
+	z.run(t.Context())
+	want := []checker.ApplyOutcome{checker.ApplyUnknown, checker.ApplyRefused, checker.ApplyRefused}
+	for i, a := range r.Applies() {
+		if a.Outcome != want[i] {
+			t.Errorf("%+v, want %s", a, want[i])
+		}
+	}
+	h, err := (&publisher.Operator{Platform: s}).Head(t.Context())
+	if err != nil || h.Staged != nil || h.Accepted != 0 {
+		t.Errorf("%+v, %v", h, err)
+	}
+}
+
+// ending runs a contender whose goroutine ends midway.
+type ending struct {
+	contender *contender
+	ctx       context.Context
+	ended     chan struct{}
+}
+
+func (e *ending) run() {
+	defer close(e.ended)
+	e.contender.run(e.ctx)
+}
+
+func TestTell(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome applier.Outcome
+		want    checker.ApplyOutcome
+		number  uint64
+	}{
+		"in force":       {applier.InForce, checker.ApplyInForce, 7},
+		"accepted":       {applier.Accepted, checker.ApplyAccepted, 7},
+		"withdrawn":      {applier.Withdrawn, checker.ApplyRefused, 7},
+		"conflict":       {applier.Conflict, checker.ApplyRefused, 0},
+		"left staged":    {applier.LeftStaged, checker.ApplyUnknown, 7},
+		"nothing staged": {applier.NothingStaged, checker.ApplyUnknown, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := applier.Result{Outcome: c.outcome}
+			x.Entry.Revision = 7
+			a := checker.Apply{Outcome: checker.ApplyUnknown}
+			tell(&a, x)
+			if a.Outcome != c.want || a.Revision != c.number {
+				t.Errorf("%+v", a)
+			}
+		})
+	}
+}
+
+// Two parts of a file belong together, and a mix of two files must not pass for
+// one that was applied.
+func TestDigestTellsFilesApart(t *testing.T) {
+	a, b := change(declarer.File{}, "a", 1), change(declarer.File{}, "b", 2)
+	m := a
+	m.Limits = b.Limits
+	seen := map[string]bool{}
+	for _, f := range []declarer.File{{}, a, b, m} {
+		seen[Digest(f)] = true
+	}
+	if len(seen) != 4 {
+		t.Errorf("%d digests of 4 files", len(seen))
+	}
+	a.EditedFrom = 9
+	if !seen[Digest(a)] {
+		t.Error("the revision that a file was edited from is no part of its content")
+	}
+}
+
+// In some rounds the files change a group's servers, so that hosts make the group
+// anew. A group must keep connections enough for its slots, and the file that all
+// changes are made to must stay as it was.
+func TestResize(t *testing.T) {
+	b := declarer.BackendServer{Slots: 2, Connections: 16}
+	f := declarer.File{DatabaseGroups: []declarer.DatabaseGroup{
+		{Name: "a", BackendServers: []declarer.BackendServer{b, b}},
+		{Name: "b", BackendServers: []declarer.BackendServer{b, b}},
+	}}
+	seen := map[string]bool{Digest(f): true}
+	for n := range 8 {
+		r := resize(f, n)
+		seen[Digest(r)] = true
+		for i, s := range r.DatabaseGroups[n%2].BackendServers {
+			if s.Connections >= b.Connections || s.Connections < 12 || s.Slots < 1 || s.Slots > b.Slots {
+				t.Errorf("server %d of change %d: %+v", i, n, s)
+			}
+		}
+	}
+	if f.DatabaseGroups[0].BackendServers[0] != b || len(seen) != 5 {
+		t.Errorf("%+v, %d contents", f, len(seen))
+	}
+}
--- /dev/null
+++ b/internal/caller/authenticator/wire.go
@@ -0,0 +1,47 @@
+package authenticator
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+)
+
+// saslType is the type byte of all messages that answer an authentication request.
+const saslType = 'p'
+
+// maximumMessageBytes bounds what a caller that isn't known yet may make us hold.
+const maximumMessageBytes = 4096
+
+// Wire is the conversation over a caller's connection. It reads no byte beyond
+// the messages that it returns; whoever uses it sets a deadline on the connection.
+type Wire struct {
+	Conn net.Conn
+}
+
+// Send sends m at once.
+func (w Wire) Send(m pgproto3.BackendMessage) error {
+	b, err := m.Encode(nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = w.Conn.Write(b)
+	return errors.Trace(err)
+}
+
+// ReceiveSASL returns the body of the next message, which must be a SASL one.
+func (w Wire) ReceiveSASL() ([]byte, error) {
+	var h [5]byte
+	if _, err := io.ReadFull(w.Conn, h[:]); err != nil {
+		return nil, errors.Trace(err)
+	}
+	n := binary.BigEndian.Uint32(h[1:])
+	if h[0] != saslType || n < 4 || n > maximumMessageBytes {
+		return nil, errors.Annotatef(ErrRejected, "message %q of %d bytes instead of a SASL response", h[0], n)
+	}
+	b := make([]byte, n-4)
+	_, err := io.ReadFull(w.Conn, b)
+	return b, errors.Trace(err)
+}
--- /dev/null
+++ b/internal/caller/greeter/fuzz_test.go
@@ -0,0 +1,95 @@
+package greeter
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"maps"
+	"net"
+	"testing"
+
+	"github.com/juju/errors"
+)
+
+// scripted is a connection whose caller sends the same bytes whatever it is answered.
+type scripted struct {
+	net.Conn
+	sent    bytes.Reader
+	answers bytes.Buffer
+}
+
+func (s *scripted) Read(p []byte) (int, error)  { return s.sent.Read(p) }
+func (s *scripted) Write(p []byte) (int, error) { return s.answers.Write(p) }
+func (s *scripted) RemoteAddr() net.Addr        { return &net.TCPAddr{} }
+
+func greet(b []byte) (Greeting, *scripted, error) {
+	s := &scripted{sent: *bytes.NewReader(b)}
+	g, err := Greet(s, nil)
+	return g, s, err
+}
+
+func startup(version uint32, body string) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(headerBytes+len(body)))
+	b = binary.BigEndian.AppendUint32(b, version)
+	return append(b, body...)
+}
+
+func TestGreet(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		sent []byte
+		want error
+	}{
+		{"parameters", startup(3<<16, "user\x00a\x00database\x00b\x00\x00"), nil},
+		{"empty value", startup(3<<16, "user\x00a\x00options\x00\x00\x00"), nil},
+		{"cancel key cut off", startup(codeCancel, "1234567"), ErrStartup},
+		{"older version", startup(2<<16, ""), ErrVersion},
+		{"length below the header's", []byte{0, 0, 0, 7, 0, 3, 0, 0}, ErrStartup},
+		{"length above the limit", []byte{0, 0, 0x27, 0x11, 0, 3, 0, 0}, ErrStartup},
+		{"no end", startup(3<<16, "user\x00a"), ErrStartup},
+		{"no value", startup(3<<16, "user\x00\x00"), ErrStartup},
+		{"no name", startup(3<<16, "user\x00a\x00\x00b\x00\x00"), ErrStartup},
+		{"cut off", startup(3<<16, "user\x00a\x00\x00")[:12], io.ErrUnexpectedEOF},
+		{"encryption asked for without end", bytes.Repeat(startup(codeTLS, ""), 9), ErrStartup},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if _, _, err := greet(c.sent); !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// What is accepted is read the same when encoded again, and nothing else than
+// a typed error or the stream's end refuses the rest.
+func FuzzGreet(f *testing.F) {
+	f.Add(startup(3<<16, "user\x00a\x00database\x00b\x00\x00"))
+	f.Add(append(startup(codeTLS, ""), startup(3<<16|2, "user\x00a\x00_pq_.x\x001\x00\x00")...))
+	f.Add(startup(codeCancel, "12345678"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		g, s, err := greet(b)
+		if s.answers.Len() > maximumRequests {
+			t.Errorf("%d bytes answered", s.answers.Len())
+		}
+		if err != nil {
+			if !errors.Is(err, ErrStartup) && !errors.Is(err, ErrVersion) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("untyped error %v", err)
+			}
+			return
+		}
+		if g.Cancel != nil {
+			return
+		}
+		var e []byte
+		for n, v := range g.Parameters {
+			e = append(e, n+"\x00"+v+"\x00"...)
+		}
+		for _, n := range g.Unknown {
+			e = append(e, n+"\x00\x00"...)
+		}
+		a, _, err := greet(startup(3<<16|uint32(g.Minor), string(e)+"\x00"))
+		if err != nil || !maps.Equal(a.Parameters, g.Parameters) || len(a.Unknown) != len(g.Unknown) {
+			t.Errorf("%q read again as %q, %v", g.Parameters, a.Parameters, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/clock/scheduler/scheduler_test.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// play runs f beside a scheduler, in virtual time.
+func play(t *testing.T, f func(s *Scheduler)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Scheduler{}
+		c, stop := context.WithCancel(t.Context())
+		defer stop()
+		go s.Run(c)
+		f(s)
+	})
+}
+
+func TestOrderAndTimes(t *testing.T) {
+	play(t, func(s *Scheduler) {
+		b := time.Now()
+		var got []time.Duration
+		note := func(now time.Time) { got = append(got, now.Sub(b)) }
+		s.After(30*time.Millisecond, note)
+		s.After(10*time.Millisecond, note)
+		p := s.Every(20*time.Millisecond, note)
+		time.Sleep(70 * time.Millisecond)
+		synctest.Wait()
+		if !p.Cancel() {
+			t.Error("a periodic subscription wasn't pending")
+		}
+		time.Sleep(time.Second)
+		w := []time.Duration{10e6, 20e6, 30e6, 40e6, 60e6}
+		if d := cmp.Diff(w, got); d != "" {
+			t.Errorf("notified at other times (-want +got):\n%s", d)
+		}
+	})
+}
+
+func TestCancelFromNotify(t *testing.T) {
+	play(t, func(s *Scheduler) {
+		n := 0
+		c := make(chan *Subscription, 1)
+		c <- s.Every(time.Second, func(time.Time) {
+			n++
+			(<-c).Cancel()
+		})
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if n != 1 {
+			t.Errorf("notified %d times, want once", n)
+		}
+	})
+}
+
+// A notify function that is held up for a while stands for a paused process.
+// Periods that passed meanwhile must not be made up for in one burst.
+func TestPauseMakesNoBurst(t *testing.T) {
+	play(t, func(s *Scheduler) {
+		n := 0
+		s.Every(time.Second, func(time.Time) { n++ })
+		s.After(1500*time.Millisecond, func(time.Time) { time.Sleep(time.Minute) })
+		time.Sleep(62 * time.Second)
+		synctest.Wait()
+		if n != 2 {
+			t.Errorf("notified %d times, want one before and one after the pause", n)
+		}
+	})
+}
+
+func TestTicksCoalesce(t *testing.T) {
+	play(t, func(s *Scheduler) {
+		c, x := s.Ticks(time.Second)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		x.Cancel()
+		<-c
+		if len(c) != 0 {
+			t.Error("a slow receiver found more than one tick")
+		}
+	})
+}
+
+// A part without a scheduler must see the same times, and its timers must end
+// when they are cancelled.
+func TestWithoutScheduler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s *Scheduler
+		b := time.Now()
+		c, x := s.Ticks(time.Second)
+		if d := (<-c).Sub(b); d != time.Second {
+			t.Errorf("ticked after %v", d)
+		}
+		x.Cancel()
+		n := make(chan time.Time, 1)
+		s.After(time.Second, func(now time.Time) { n <- now })
+		if d := (<-n).Sub(b); d != 2*time.Second {
+			t.Errorf("notified after %v", d)
+		}
+		if !s.After(time.Second, func(time.Time) { t.Error("notified after Cancel") }).Cancel() {
+			t.Error("what is due later wasn't pending")
+		}
+		time.Sleep(time.Minute)
+		if len(c) != 0 {
+			t.Error("ticked after Cancel")
+		}
+	})
+}
+
+func TestSleepEnds(t *testing.T) {
+	for _, s := range []*Scheduler{nil, {}} {
+		synctest.Test(t, func(t *testing.T) {
+			r, stop := context.WithCancel(t.Context())
+			defer stop()
+			if s != nil {
+				go s.Run(r)
+			}
+			c, cancel := context.WithTimeout(r, 1500*time.Millisecond)
+			defer cancel()
+			if !s.Sleep(c, time.Second) || s.Sleep(c, time.Second) {
+				t.Error("want one second slept and the next cut off")
+			}
+			if s != nil && s.queue.Len() != 0 {
+				t.Error("a sleep that was cut off is still due")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/command/runner/administration.go
@@ -0,0 +1,107 @@
+package runner
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/admin/handler"
+	"github.com/cuminwick/cuminwick/internal/fault/wrapper"
+)
+
+// administrationFlags say which entry host to ask.
+type administrationFlags struct {
+	Administration string `arg:"--administration,env:CUMINWICK_ADMINISTRATION" placeholder:"URL" default:"http://127.0.0.1:8432" help:"administration address of an entry host"`
+	TokenFile      string `arg:"--token-file,env:CUMINWICK_TOKEN_FILE" placeholder:"FILE" help:"file with the operator's token"`
+	AuthorityFile  string `arg:"--authority-file" placeholder:"FILE" help:"certificate authority of the administration address [default: the system's]"`
+}
+
+// Bounds of a call to an entry host.
+const (
+	administrationTimeout = 15 * time.Second
+	maximumAnswerBytes    = 16 << 20
+)
+
+// administration calls one entry host.
+type administration struct {
+	url    string
+	token  string
+	client *http.Client
+}
+
+func (f administrationFlags) open() (*administration, error) {
+	a := &administration{url: strings.TrimSuffix(f.Administration, "/"), client: &http.Client{Timeout: administrationTimeout}}
+	if f.TokenFile != "" {
+		b, err := os.ReadFile(f.TokenFile)
+		if err != nil {
+			return nil, errors.Annotate(err, "read token")
+		}
+		a.token = strings.TrimSpace(string(b))
+	}
+	if f.AuthorityFile == "" {
+		return a, nil
+	}
+	b, err := os.ReadFile(f.AuthorityFile)
+	if err != nil {
+		return nil, errors.Annotate(err, "read authority")
+	}
+	p := x509.NewCertPool()
+	if !p.AppendCertsFromPEM(b) {
+		return nil, errors.Errorf("no certificate in %s", f.AuthorityFile)
+	}
+	a.client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: p, MinVersion: tls.VersionTLS12}}
+	return a, nil
+}
+
+// call makes a request and decodes the answer into v.
+func (a *administration) call(ctx context.Context, method, path string, v any) error {
+	r, err := http.NewRequestWithContext(ctx, method, a.url+path, nil)
+	if err != nil {
+		return errors.Annotate(err, "make request")
+	}
+	r.Header.Set("Authorization", "Bearer "+a.token)
+	x, err := a.client.Do(r)
+	if err != nil {
+		return wrapper.Wrap(err, "call", a.url)
+	}
+	defer x.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(x.Body, maximumAnswerBytes))
+	if err != nil {
+		return wrapper.Wrap(err, "read answer of", a.url)
+	}
+	if x.StatusCode >= http.StatusMultipleChoices {
+		return wrapper.Wrap(refused(x.StatusCode, b), "call", a.url)
+	}
+	return wrapper.Wrap(json.Unmarshal(b, v), "decode answer of", a.url)
+}
+
+// refused returns the reason that an answer bears.
+func refused(status int, body []byte) error {
+	var f handler.Failure
+	if err := json.Unmarshal(body, &f); err != nil || f.Error == "" {
+		return errors.Errorf("%d %s", status, http.StatusText(status))
+	}
+	return errors.New(f.Error)
+}
+
+// isUp reports whether the host still answers on its administration address.
+func (a *administration) isUp(ctx context.Context) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, a.url+"/livez", nil)
+	if err != nil {
+		return false
+	}
+	x, err := a.client.Do(r)
+	if err != nil {
+		return ctx.Err() != nil
+	}
+	x.Body.Close()
+	return true
+}
--- /dev/null
+++ b/internal/config/adopter/adopter_test.go
@@ -0,0 +1,193 @@
+package adopter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/config/adopter"
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+)
+
+const lease = adopter.DefaultLease
+
+func staged(accepted, r declarer.Revision) encoder.Head {
+	return encoder.Head{Accepted: accepted, Highest: r, Staged: &encoder.Entry{Revision: r}}
+}
+
+func accepted(r declarer.Revision) encoder.Head {
+	return encoder.Head{Accepted: r, Highest: r}
+}
+
+// confirmed returns a host that decides by revision 1 and has just had it confirmed at 0.
+func confirmed(t *testing.T) *adopter.State {
+	t.Helper()
+	s := &adopter.State{}
+	s.See(accepted(1), 1, 0, 0)
+	s.Fetched(1)
+	report(s, 0)
+	expect(t, s, 1, adopter.Confirmed, 0)
+	return s
+}
+
+func report(s *adopter.State, now time.Duration) {
+	r, _ := s.Report()
+	s.Reported(r, now)
+}
+
+func expect(t *testing.T, s *adopter.State, r declarer.Revision, g adopter.Standing, now time.Duration) {
+	t.Helper()
+	if s.InForce != r || s.Standing(now) != g {
+		t.Errorf("revision %d is %s, want %d %s", s.InForce, s.Standing(now), r, g)
+	}
+}
+
+func TestChange(t *testing.T) {
+	s := confirmed(t)
+	s.See(staged(1, 2), 2, time.Second, time.Second)
+	expect(t, s, 1, adopter.Changing, time.Second)
+	if r := s.Wanted(); r != 2 {
+		t.Errorf("wants revision %d", r)
+	}
+	s.Fetched(2)
+	if r, due := s.Report(); !due || r.Ready != 2 || r.InForce != 1 {
+		t.Errorf("reports %+v, due %t", r, due)
+	}
+	report(s, time.Second)
+	s.See(accepted(2), 3, time.Second, time.Second)
+	expect(t, s, 2, adopter.Confirmed, time.Second)
+	if r, due := s.Report(); !due || r.InForce != 2 {
+		t.Errorf("reports %+v, due %t", r, due)
+	}
+}
+
+func TestWithdrawal(t *testing.T) {
+	s := confirmed(t)
+	s.See(staged(1, 2), 2, 0, 0)
+	s.Fetched(2)
+	report(s, 0)
+	s.See(encoder.Head{Accepted: 1, Highest: 2}, 3, 0, 0)
+	expect(t, s, 1, adopter.Confirmed, 0)
+}
+
+// A peer that heard of the acceptance first sends a request's message. The host
+// has the file already and moves up before it handles the message.
+func TestPeerIsAhead(t *testing.T) {
+	s := confirmed(t)
+	s.See(staged(1, 2), 2, 0, 0)
+	s.Fetched(2)
+	if v := adopter.Judge(s.InForce, 2); v != adopter.MoveUp {
+		t.Errorf("verdict %s", v)
+	}
+	if !s.Learn(2) {
+		t.Error("didn't move up")
+	}
+	if v := adopter.Judge(s.InForce, 1); v != adopter.Outdated {
+		t.Errorf("verdict %s on a message of an older revision", v)
+	}
+}
+
+// The platform's answer arrives eleven seconds after the call was sent, while
+// the host was paused or the network slow. Another revision may come into force
+// without the host soon after, so a lease counted from the answer would let it
+// call an old limit the present one.
+func TestLateAnswerConfirmsForShort(t *testing.T) {
+	s := confirmed(t)
+	s.See(accepted(1), 1, 0, lease-time.Second)
+	expect(t, s, 1, adopter.Confirmed, lease-time.Second)
+	expect(t, s, 1, adopter.Unconfirmed, lease)
+}
+
+// Two answers of the platform overtake each other. The older one doesn't show
+// the staged revision, which may have been accepted meanwhile.
+func TestOvertakenAnswerIsIgnored(t *testing.T) {
+	s := confirmed(t)
+	s.See(staged(1, 2), 2, 0, 0)
+	s.See(accepted(1), 1, time.Second, time.Second)
+	expect(t, s, 1, adopter.Changing, time.Second)
+}
+
+// A host reads the platform but can't write to it, so it never acknowledges the
+// staged revision. After a lapse the operator goes on without it and frees its
+// object; the next revision will not wait for it.
+func TestStageThatEndedWithoutAcknowledgement(t *testing.T) {
+	s := confirmed(t)
+	s.See(staged(1, 2), 2, time.Second, time.Second)
+	s.See(accepted(2), 3, 2*time.Second, 2*time.Second)
+	s.Fetched(2)
+	expect(t, s, 2, adopter.Unconfirmed, 2*time.Second)
+	report(s, 3*time.Second)
+	expect(t, s, 2, adopter.Unconfirmed, 3*time.Second)
+	s.See(accepted(2), 3, 4*time.Second, 4*time.Second)
+	expect(t, s, 2, adopter.Confirmed, 4*time.Second)
+}
+
+// An availability zone was cut off for an hour and comes back with an old
+// revision, of which one was staged when it was cut off.
+func TestComesBackWithOldRevision(t *testing.T) {
+	s := confirmed(t)
+	s.See(staged(1, 2), 2, 0, 0)
+	s.Fetched(2)
+	report(s, 0)
+	expect(t, s, 1, adopter.Unconfirmed, time.Hour)
+	s.See(accepted(7), 30, time.Hour, time.Hour)
+	expect(t, s, 1, adopter.Changing, time.Hour)
+	s.Fetched(7)
+	expect(t, s, 7, adopter.Unconfirmed, time.Hour)
+	report(s, time.Hour)
+	s.See(accepted(7), 30, time.Hour, time.Hour)
+	expect(t, s, 7, adopter.Confirmed, time.Hour)
+}
+
+// The platform was restored from a backup and shows a lower revision than the
+// hosts decide by. A host that followed it would bring old limits back.
+func TestLowerRevisionIsNotFollowed(t *testing.T) {
+	s := confirmed(t)
+	s.Learn(5)
+	s.Fetched(5)
+	s.See(accepted(3), 9, 0, 0)
+	s.Fetched(3)
+	if s.InForce != 5 {
+		t.Errorf("went down to %d", s.InForce)
+	}
+}
+
+// A zone can't reach the platform, but a confirmed peer in another zone.
+func TestPeerRenewsLease(t *testing.T) {
+	a, b := confirmed(t), confirmed(t)
+	a.See(accepted(1), 1, 10*time.Second, 10*time.Second)
+	c, ok := a.Claim(11 * time.Second)
+	if !ok {
+		t.Fatal("no claim")
+	}
+	b.Renew(c, 11*time.Second, 11*time.Second)
+	expect(t, b, 1, adopter.Confirmed, 20*time.Second)
+	expect(t, b, 1, adopter.Unconfirmed, 22*time.Second)
+	if _, ok := b.Claim(22 * time.Second); ok {
+		t.Error("an unconfirmed host passes on a claim")
+	}
+}
+
+func TestRefusedRevisionIsToldOnce(t *testing.T) {
+	s := confirmed(t)
+	s.See(staged(1, 2), 2, 0, 0)
+	s.Refuse(2, "unknown key")
+	r, due := s.Report()
+	if !due || r.Refused != 2 || r.Reason == "" {
+		t.Fatalf("reports %+v, due %t", r, due)
+	}
+	s.Reported(r, 0)
+	if _, due := s.Report(); due || s.Wanted() != 0 {
+		t.Error("goes on reporting")
+	}
+}
+
+// A host never acknowledged the staged revision and hears of it in force from a
+// peer. It was accepted without this host, so the next one may be as well.
+func TestMovedUpWithoutAcknowledgement(t *testing.T) {
+	s := confirmed(t)
+	s.See(staged(1, 2), 2, time.Second, time.Second)
+	s.Fetched(2)
+	s.Learn(2)
+	expect(t, s, 2, adopter.Unconfirmed, 2*time.Second)
+}
--- /dev/null
+++ b/internal/config/adopter/relay_test.go
@@ -0,0 +1,108 @@
+package adopter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/config/adopter"
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+)
+
+// An answer of a relay comes late, or says what was so before the host asked. A
+// host that counted on it could have been taken out of the relay's object
+// meanwhile: it would call its revision confirmed while another one is in force.
+func TestReceipts(t *testing.T) {
+	const asked = time.Second
+	for _, c := range []struct {
+		name       string
+		registered bool
+		receipt    adopter.Receipt
+		now        time.Duration
+		want       bool
+	}{
+		{"written since it asked", false, adopter.Receipt{Registrar: "r", Fresh: true}, asked, true},
+		{"written before it asked", false, adopter.Receipt{Registrar: "r"}, asked, false},
+		{"later than a lease", false, adopter.Receipt{Registrar: "r", Fresh: true}, asked + lease, false},
+		{"still registered", true, adopter.Receipt{Registrar: "first"}, asked, true},
+		{"another relay's old word", true, adopter.Receipt{Registrar: "r"}, asked, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &adopter.State{}
+			s.See(accepted(1), 1, 0, 0)
+			if c.registered {
+				s.ReportedThrough(adopter.Receipt{Registrar: "first", Fresh: true}, 0)
+			}
+			c.receipt.Asked = asked
+			s.ReportedThrough(c.receipt, c.now)
+			if id, ok := s.Registrar(); ok != c.want || ok && id != c.receipt.Registrar {
+				t.Errorf("registered %t at %q", ok, id)
+			}
+		})
+	}
+}
+
+// A host acknowledged through one relay, and the late answer of another one shows
+// it as before. That entry may have been taken out for lack of the acknowledgement.
+func TestReceiptBelowAcknowledgement(t *testing.T) {
+	s := confirmed(t)
+	s.See(staged(1, 2), 2, 0, 0)
+	s.Fetched(2)
+	report(s, 0)
+	s.ReportedThrough(adopter.Receipt{Registrar: "r", Report: adopter.Report{Ready: 1}, Fresh: true}, 0)
+	if id, ok := s.Registrar(); !ok || id != "" {
+		t.Errorf("registered %t at %q", ok, id)
+	}
+}
+
+// A host registers at the end of a stage and is held up. Its entry is taken out and
+// the stage withdrawn before it sees the head again.
+func TestRegistrationWithoutConfirmationEnds(t *testing.T) {
+	s := &adopter.State{}
+	s.See(accepted(1), 1, 0, 0)
+	s.Fetched(1)
+	s.See(accepted(1), 1, 2*time.Second, 2*time.Second)
+	s.ReportedThrough(adopter.Receipt{Asked: time.Second, Fresh: true}, 3*time.Second)
+	s.See(accepted(1), 3, time.Second+lease, time.Second+lease)
+	expect(t, s, 1, adopter.Unconfirmed, time.Second+lease)
+	if _, due := s.Report(); !due {
+		t.Error("doesn't register again")
+	}
+}
+
+// A relay's answer arrives late, or is passed on by a second one. The lease must
+// end as if the host had asked the platform before it asked the relay.
+func TestSightsAge(t *testing.T) {
+	const age = 5 * time.Second
+	r, s := confirmed(t), confirmed(t)
+	r.See(accepted(1), 2, 0, 0)
+	x, ok := r.Sight(1, age)
+	if !ok || x.Age != age || x.Head == nil {
+		t.Fatalf("sight %+v, %t", x, ok)
+	}
+	const asked = 7 * time.Second
+	s.SeeThrough(x, asked, asked+time.Second)
+	expect(t, s, 1, adopter.Confirmed, asked-age+lease-1)
+	expect(t, s, 1, adopter.Unconfirmed, asked-age+lease)
+	if y, _ := s.Sight(2, asked); y.Head != nil || y.Age != age {
+		t.Errorf("passes on %+v", y)
+	}
+	s.SeeThrough(adopter.Sight{Version: 2, Age: age}, asked+1, asked+time.Second)
+	expect(t, s, 1, adopter.Unconfirmed, asked+1-age+lease)
+	s.SeeThrough(adopter.Sight{Version: 1, Head: &encoder.Head{}, Age: 0}, asked, asked)
+	s.SeeThrough(adopter.Sight{Version: 3, Age: 0}, asked, asked)
+	expect(t, s, 1, adopter.Unconfirmed, asked+1-age+lease)
+}
+
+// A relay registers a host and shows the head as it was before. Another revision
+// may have been staged and accepted between the two without the host.
+func TestRegistrationIsConfirmedBySameAnswer(t *testing.T) {
+	const asked = 5 * time.Second
+	s := confirmed(t)
+	s.See(accepted(1), 1, 2*time.Second, 2*time.Second)
+	s.ReportedThrough(adopter.Receipt{Registrar: "r", Asked: asked, Fresh: true}, asked+time.Second)
+	expect(t, s, 1, adopter.Unconfirmed, asked+time.Second)
+	s.ConfirmedSince("r", asked, time.Second)
+	expect(t, s, 1, adopter.Unconfirmed, asked+time.Second)
+	s.SeeThrough(adopter.Sight{Version: 1, Age: time.Second}, asked, asked+time.Second)
+	expect(t, s, 1, adopter.Confirmed, asked+time.Second)
+}
--- /dev/null
+++ b/internal/config/adopter/sight.go
@@ -0,0 +1,76 @@
+package adopter
+
+import (
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+	"github.com/cuminwick/cuminwick/internal/platform/accessor"
+)
+
+// MaximumSightAge is how old a relay's sight may be to follow that relay. An
+// older one shows that the relay doesn't reach the platform either; what remains
+// of the lease is the time to turn to another relay or to the platform.
+const MaximumSightAge = DefaultLease / 2
+
+// Sight is the head as one host passes it on to another.
+type Sight struct {
+	Version accessor.Version `cbor:"1,keyasint"`
+	// Head is nil where the asking host has seen Version already. Of the staged and
+	// the accepted revision it holds number and digest alone, as each of a zone's
+	// hosts gets it at each change.
+	Head *encoder.Head `cbor:"2,keyasint,omitempty"`
+	// Age is how long ago, at the time of the answer and by the clock of the host
+	// that passes it on, the call was sent that showed Version last.
+	Age time.Duration `cbor:"3,keyasint"`
+}
+
+// Sight returns what a host that has seen known is to be told, false before
+// this host has seen anything.
+func (s *State) Sight(known accessor.Version, now time.Duration) (Sight, bool) {
+	if !s.hasSeen {
+		return Sight{}, false
+	}
+	x := Sight{Version: s.Version, Age: now - s.seen}
+	if s.Version != known {
+		h := s.head
+		x.Head = &h
+	}
+	return x, true
+}
+
+// SeeThrough takes in a peer's sight that answered a question sent at asked.
+//
+// The question was sent before the peer measured the sight's age, so the call
+// that showed the head was sent no earlier than the age before the question. The
+// lease therefore ends no later than if this host had made that call itself,
+// however long the answer took and however many hosts it came through.
+func (s *State) SeeThrough(x Sight, asked, now time.Duration) {
+	switch {
+	case x.Age < 0:
+	case x.Head != nil:
+		s.See(*x.Head, x.Version, asked-x.Age, now)
+	case x.Version == s.Version:
+		s.See(s.head, s.Version, asked-x.Age, now)
+	}
+}
+
+// keep notes the head to pass on; sent is when the call was sent that showed it.
+func (s *State) keep(h encoder.Head, v accessor.Version, sent time.Duration) {
+	h.History = h.History[:min(1, len(h.History))]
+	if len(h.History) > 0 {
+		h.History = []encoder.Entry{brief(h.History[0])}
+	}
+	if h.Staged != nil {
+		e := brief(*h.Staged)
+		h.Staged = &e
+	}
+	if !s.hasSeen || v > s.Version || sent > s.seen {
+		s.seen = sent
+	}
+	s.head = h
+	s.hasSeen = true
+}
+
+func brief(e encoder.Entry) encoder.Entry {
+	return encoder.Entry{Revision: e.Revision, Digest: e.Digest}
+}
--- /dev/null
+++ b/internal/config/applier/world_test.go
@@ -0,0 +1,378 @@
+package applier_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/config/adopter"
+	"github.com/cuminwick/cuminwick/internal/config/applier"
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+	"github.com/cuminwick/cuminwick/internal/platform/accessor"
+)
+
+// clock is one actor's own clock, with an offset and a rate of its own.
+type clock struct {
+	offset time.Duration
+	// rate is how far the clock goes in a thousand units of true time.
+	rate time.Duration
+}
+
+func (c clock) at(t time.Duration) time.Duration {
+	return c.offset + t*c.rate/1000
+}
+
+// call is one call to the store on its way: it is served at some moment, and
+// its answer arrives later or never.
+type call struct {
+	serve  func()
+	answer func(lost bool)
+	served bool
+	// waits says that whoever serves the call isn't ready to, unless it is nil.
+	waits func() bool
+	// orphan has no caller any more; it may still be served.
+	orphan bool
+}
+
+// event is one line of the trace, put into words only if it is needed.
+type event struct {
+	at        time.Duration
+	format    string
+	arguments []any
+}
+
+type body struct {
+	revision declarer.Revision
+	digest   string
+	version  accessor.Version
+}
+
+type host struct {
+	name    string
+	id      string
+	clock   clock
+	state   adopter.State
+	files   map[declarer.Revision]string
+	object  string
+	version accessor.Version
+	dead    bool
+	cut     bool
+	reading int
+	working *call
+	highest declarer.Revision
+	relay
+	taker
+}
+
+type operator struct {
+	applier.Operator
+	clock  clock
+	call   *call
+	dead   bool
+	listed []applier.HolderObject
+	result *applier.Result
+}
+
+// world is a plain fake of the store, the hosts, the operators and true time.
+type world struct {
+	now       time.Duration
+	head      encoder.Head
+	version   accessor.Version
+	bodies    map[string]body
+	holders   map[string]applier.HolderObject
+	hosts     []*host
+	operators []*operator
+	calls     []*call
+	// accepted holds the digest of every revision that was ever accepted.
+	accepted map[declarer.Revision]encoder.Entry
+	// names counts the names given to hosts' objects.
+	names int
+	fault string
+	// relays says that hosts may follow and report through each other.
+	relays bool
+	// changes says that files may travel as changes.
+	changes bool
+	// unlisted names hosts that the lagging host list lacks.
+	unlisted map[string]bool
+	// trace tells what happened, for the reader of a failure.
+	trace []event
+}
+
+func newWorld() *world {
+	return &world{
+		bodies:   map[string]body{},
+		holders:  map[string]applier.HolderObject{},
+		accepted: map[declarer.Revision]encoder.Entry{},
+	}
+}
+
+func (w *world) fail(format string, a ...any) {
+	if w.fault == "" {
+		w.fault = fmt.Sprintf(format, a...)
+	}
+}
+
+func (w *world) note(format string, a ...any) {
+	w.trace = append(w.trace, event{w.now, format, a})
+}
+
+func (w *world) story() string {
+	var s strings.Builder
+	for _, e := range w.trace {
+		fmt.Fprintf(&s, "%10s %s\n", e.at, fmt.Sprintf(e.format, e.arguments...))
+	}
+	return s.String()
+}
+
+func (w *world) send(c *call) *call {
+	w.calls = append(w.calls, c)
+	return c
+}
+
+func (w *world) remove(c *call) {
+	w.calls = slices.DeleteFunc(w.calls, func(x *call) bool { return x == c })
+}
+
+// putHead is the store's conditional put; it records what was accepted.
+func (w *world) putHead(h encoder.Head, v accessor.Version) bool {
+	if v != w.version {
+		return false
+	}
+	if h.Accepted < w.head.Accepted {
+		w.fail("accepted went down from %d to %d", w.head.Accepted, h.Accepted)
+	}
+	if h.Accepted != w.head.Accepted {
+		if e, ok := w.accepted[h.Accepted]; ok {
+			w.fail("revision %d accepted twice, first as %s", h.Accepted, e.ID)
+		}
+		w.accepted[h.Accepted] = h.Latest()
+	}
+	w.head = h
+	w.version++
+	w.note("store: head %d accepted %d staged %v", w.version, h.Accepted, h.Staged)
+	return true
+}
+
+func (w *world) putHolder(o applier.HolderObject) (accessor.Version, bool) {
+	if w.holders[o.Name].Version != o.Version {
+		return 0, false
+	}
+	o.Version++
+	w.holders[o.Name] = o
+	w.note("store: holder %s version %d %+v", o.Name, o.Version, o.Holder)
+	return o.Version, true
+}
+
+// read starts a host's reading of the head.
+func (w *world) read(h *host) {
+	if h.dead || h.reading >= 2 {
+		return
+	}
+	sent := h.clock.at(w.now)
+	var d encoder.Head
+	var v accessor.Version
+	c := &call{}
+	c.serve = func() { d, v = w.head, w.version }
+	c.answer = func(lost bool) {
+		h.reading--
+		if !lost {
+			h.hold(d)
+			h.state.See(d, v, sent, h.clock.at(w.now))
+			w.note("host %s/%s saw head %d", h.name, h.id, v)
+		}
+	}
+	h.reading++
+	w.send(c)
+}
+
+// work starts a host's next fetch or report.
+func (w *world) work(h *host) {
+	if h.dead || h.working != nil || w.leave(h) {
+		return
+	}
+	if r := h.state.Wanted(); r != 0 {
+		if !w.fetchChange(h, r) {
+			h.working = w.send(w.fetch(h, r))
+		}
+		return
+	}
+	if r, due := h.state.Report(); !h.relayed && h.due(due, h.clock.at(w.now)) {
+		h.working = w.send(w.report(h, r))
+	}
+}
+
+func (w *world) fetch(h *host, r declarer.Revision) *call {
+	var b body
+	return &call{
+		serve: func() { b = w.bodies[encoder.Slot(r)] },
+		answer: func(lost bool) {
+			h.working = nil
+			if lost || b.revision != r {
+				return
+			}
+			if w.changes {
+				h.keep(r, string(documents[b.digest].Text()))
+				return
+			}
+			h.files[r] = b.digest
+			h.state.Fetched(r)
+		},
+	}
+}
+
+// claim picks a retired object or a new one for a host that has none.
+func (w *world) claim(h *host) {
+	for _, n := range slices.Sorted(maps.Keys(w.holders)) {
+		if o := w.holders[n].Holder; o.Retired || o.Left {
+			h.object = n
+			h.version = w.holders[n].Version
+			h.take(o, h.clock.at(w.now))
+			return
+		}
+	}
+	w.names++
+	h.object = fmt.Sprint(w.names)
+	h.version = 0
+	h.take(encoder.Holder{}, h.clock.at(w.now))
+}
+
+// readBack finds out what a put did whose answer was a conflict or was lost.
+func (w *world) readBack(h *host) {
+	p := w.holders[h.object]
+	h.version = p.Version
+	h.state.Unregister()
+	if p.Holder.Retired || p.Holder.Left || p.Holder.Incarnation != h.id {
+		h.object = ""
+		h.summary.Lose()
+		return
+	}
+	h.summary.ReadBack(p.Holder.Members, h.clock.at(w.now))
+}
+
+func (w *world) report(h *host, r adopter.Report) *call {
+	if h.object == "" {
+		w.claim(h)
+	}
+	o := applier.HolderObject{Name: h.object, Version: h.version, Holder: encoder.Holder{
+		Host: h.name, Incarnation: h.id, Ready: r.Ready, InForce: r.InForce,
+		Refused: r.Refused, Reason: r.Reason, Members: h.summary.Begin(),
+	}}
+	sent := h.clock.at(w.now)
+	var v accessor.Version
+	var ok bool
+	return &call{
+		serve: func() { v, ok = w.putHolder(o) },
+		answer: func(lost bool) {
+			h.working = nil
+			if lost || !ok {
+				w.readBack(h)
+				w.note("host %s/%s report failed", h.name, h.id)
+				return
+			}
+			h.version = v
+			h.store(r, sent, h.clock.at(w.now))
+			w.note("host %s/%s reported %+v", h.name, h.id, r)
+		},
+	}
+}
+
+// step makes an operator's next call.
+func (w *world) step(o *operator) {
+	if o.dead || o.call != nil || o.result != nil {
+		return
+	}
+	t := o.clock.at(w.now)
+	s := o.Next(t)
+	w.note("%s %s: %s %s", o.Mode, o.ID, s.Action, s.Result.Outcome)
+	switch s.Action {
+	case applier.Wait:
+		o.Waited(t)
+	case applier.Done:
+		o.result = &s.Result
+		w.checkInForce(o)
+	default:
+		o.call = w.send(w.operate(o, s, t))
+	}
+}
+
+func (w *world) operate(o *operator, s applier.Step, sent time.Duration) *call {
+	c := &call{serve: func() {}}
+	done := func(f func()) func(bool) {
+		return func(lost bool) {
+			o.call = nil
+			if !lost {
+				f()
+				return
+			}
+			w.lost(o, s)
+		}
+	}
+	switch s.Action {
+	case applier.ReadHead:
+		var h encoder.Head
+		var v accessor.Version
+		c.serve = func() { h, v = w.head, w.version }
+		c.answer = done(func() { o.SawHead(h, v, sent, o.clock.at(w.now)) })
+	case applier.PutHead:
+		var ok bool
+		s.Head.Change = w.attach(o, s.Head)
+		c.serve = func() { ok = w.putHead(s.Head, s.Version) }
+		c.answer = done(func() {
+			if ok {
+				o.SawHead(s.Head, s.Version+1, sent, o.clock.at(w.now))
+				return
+			}
+			o.HeadDoubtful(false)
+		})
+	case applier.ReadBody:
+		var b body
+		c.serve = func() { b = w.bodies[encoder.Slot(s.Revision)] }
+		c.answer = done(func() { o.SawBody(b.revision == s.Revision, b.version) })
+	case applier.PutBody:
+		var ok bool
+		b := body{revision: s.Revision, digest: o.Entry.Digest, version: s.Version + 1}
+		c.serve = func() {
+			if ok = w.bodies[encoder.Slot(s.Revision)].version == s.Version; ok {
+				w.bodies[encoder.Slot(s.Revision)] = b
+			}
+		}
+		c.answer = done(func() { o.PutBodyAnswered(ok) })
+	case applier.ReadHolders:
+		var l []applier.HolderObject
+		m := map[string]bool{}
+		c.serve = func() {
+			l = slices.Collect(maps.Values(w.holders))
+			slices.SortFunc(l, func(a, b applier.HolderObject) int { return strings.Compare(a.Name, b.Name) })
+			for _, h := range w.hosts {
+				m[h.name] = m[h.name] || !h.dead && !w.unlisted[h.name]
+			}
+		}
+		c.answer = done(func() {
+			o.listed = l
+			o.SawHolders(l, m, sent)
+		})
+	case applier.PutHolder:
+		c.serve = func() { w.putHolder(s.Holder) }
+		c.answer = done(o.HoldersDoubtful)
+	case applier.RetireHolder:
+		h := s.Holder
+		h.Holder.Retired = true
+		c.serve = func() { w.putHolder(h) }
+		c.answer = done(o.HoldersDoubtful)
+	}
+	return c
+}
+
+func (w *world) lost(o *operator, s applier.Step) {
+	switch s.Action {
+	case applier.ReadHead, applier.PutHead:
+		o.HeadDoubtful(s.Action == applier.PutHead)
+	case applier.PutBody:
+		o.PutBodyAnswered(false)
+	case applier.ReadHolders, applier.RetireHolder, applier.PutHolder:
+		o.HoldersDoubtful()
+	}
+}
--- /dev/null
+++ b/internal/config/publisher/change_test.go
@@ -0,0 +1,84 @@
+package publisher_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/config/applier"
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+	"github.com/cuminwick/cuminwick/internal/config/publisher"
+	"github.com/cuminwick/cuminwick/internal/platform/accessor"
+	"github.com/cuminwick/cuminwick/internal/standin/storekeeper"
+)
+
+// reading counts the files that an operator reads, and looks into the head that it stages.
+type reading struct {
+	accessor.Platform
+	files, changes atomic.Int32
+}
+
+// Get implements accessor.Platform.
+func (p *reading) Get(ctx context.Context, kind, name string) (accessor.Object, error) {
+	o, err := p.Platform.Get(ctx, kind, name)
+	if kind == encoder.BodyKind && err == nil {
+		p.files.Add(1)
+	}
+	return o, err
+}
+
+// Put implements accessor.Platform.
+func (p *reading) Put(ctx context.Context, o accessor.Object) (accessor.Object, error) {
+	h, err := encoder.Decode[encoder.Head](accessor.Object{Version: 1, Value: o.Value})
+	switch {
+	case err != nil || o.Kind != encoder.HeadKind:
+	case h.Change.Leads(h.Accepted, h.Highest):
+		p.changes.Add(1)
+	case h.Change != nil:
+		return o, context.Canceled
+	}
+	return p.Platform.Put(ctx, o)
+}
+
+// An operator is shown what a file changes and applies it. Reading the file in force
+// once more would leave other operators the time to come first. The change may stand
+// in the head only as long as its revision is staged: an accepted or withdrawn one would
+// be read by each host at each report.
+func TestChangeStandsBesideItsStage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &storekeeper.Store{}
+		d := deploy(s, 3)
+		defer d.end()
+		time.Sleep(time.Second)
+		p := &reading{Platform: s}
+		o := &publisher.Operator{Platform: p, Name: "anna"}
+		f := grown(50)
+		for n, want := range []int32{0, 1, 2} {
+			f.Limits.QueueLength = n + 1
+			if _, _, err := o.Preview(t.Context(), f); err != nil {
+				t.Fatal(err)
+			}
+			p.files.Store(0)
+			if r, err := o.Apply(t.Context(), f, publisher.Options{}); err != nil || r.Outcome != applier.InForce {
+				t.Fatalf("got %+v, error %v", r, err)
+			}
+			if p.files.Load() != 0 || p.changes.Load() != want {
+				t.Errorf("%d files read, %d changes staged, want %d", p.files.Load(), p.changes.Load(), want)
+			}
+		}
+		c, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		d.ways[0].set(true)
+		f.Limits.QueueLength = 9
+		if r, err := o.Apply(c, f, publisher.Options{}); err != nil || r.Outcome != applier.Withdrawn {
+			t.Errorf("got %+v, error %v", r, err)
+		}
+		if b, err := s.Get(t.Context(), encoder.HeadKind, encoder.HeadName); err != nil {
+			t.Error(err)
+		} else if h, err := encoder.Decode[encoder.Head](b); err != nil || h.Change != nil || p.changes.Load() != 3 {
+			t.Errorf("%d changes staged, left %+v, error %v", p.changes.Load(), h.Change, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/publisher/run.go
@@ -0,0 +1,242 @@
+package publisher
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/config/applier"
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+	"github.com/cuminwick/cuminwick/internal/platform/accessor"
+)
+
+// run is one command under way.
+type run struct {
+	operator *Operator
+	decision applier.Operator
+	packed   []byte
+	// file is what is applied, nil where the run goes on with another one's.
+	file *declarer.File
+	// change is what differs from its Base, made for one revision at a time.
+	change *encoder.Change
+	watch  scheduler.Stopwatch
+	pause  time.Duration
+	last   Progress
+	// tried says that a put of the head was sent.
+	tried bool
+}
+
+// run takes one step after the other until the decision says that it is done.
+func (r *run) run(ctx context.Context) (applier.Result, error) {
+	work := ctx
+	for {
+		if ctx.Err() != nil && !r.tried && r.decision.Revision() == 0 {
+			return r.untried(context.Cause(ctx))
+		}
+		if ctx.Err() != nil && work == ctx {
+			r.decision.Abort("interrupted: " + context.Cause(ctx).Error())
+			c, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
+			defer cancel()
+			work = c
+		}
+		s := r.decision.Next(r.now())
+		if s.Action == applier.Done {
+			return s.Result, nil
+		}
+		err := r.take(work, s)
+		r.tell(err)
+		if err != nil && work.Err() != nil && work != ctx {
+			return applier.Result{}, errors.Annotate(err, "outcome unknown, see status")
+		}
+		if err != nil || s.Action == applier.Wait {
+			r.wait(work, err != nil)
+			continue
+		}
+		r.pause = 0
+	}
+}
+
+// untried ends a run that has sent no change. A file that was never staged is
+// surely not in force; of what another operator has staged nothing is known.
+func (r *run) untried(err error) (applier.Result, error) {
+	if r.decision.Mode != applier.Apply {
+		return applier.Result{}, errors.Annotate(err, "nothing was tried, see status")
+	}
+	return applier.Result{Outcome: applier.Withdrawn, Reason: "nothing was tried: " + err.Error()}, nil
+}
+
+// now returns the operator's clock. It is the monotonic one alone, so that a
+// jump of the wall clock can't shorten the wait for a lease.
+func (r *run) now() time.Duration {
+	return r.watch.Elapsed()
+}
+
+// wait pauses a little longer each time, and longer still while the platform fails.
+func (r *run) wait(ctx context.Context, failed bool) {
+	m := maximumPause
+	if failed {
+		m = maximumTroublePause
+	}
+	r.pause = min(max(r.pause*3/2, minimumPause), m)
+	_ = scheduler.Pause(ctx, r.pause)
+	r.decision.Waited(r.now())
+}
+
+// tell reports progress where it has changed.
+func (r *run) tell(err error) {
+	p := Progress{
+		Revision: r.decision.Revision(),
+		Accepted: r.decision.Accepted(),
+		Zones:    r.decision.Zones(),
+	}
+	if err != nil {
+		p.Trouble = err.Error()
+	}
+	if r.operator.Progress == nil || reflect.DeepEqual(p, r.last) {
+		return
+	}
+	r.last = p
+	r.operator.Progress(p)
+}
+
+func (r *run) take(ctx context.Context, s applier.Step) error {
+	switch s.Action {
+	case applier.ReadHead:
+		return r.readHead(ctx)
+	case applier.PutHead:
+		return r.putHead(ctx, s)
+	case applier.ReadBody:
+		return r.readBody(ctx, s)
+	case applier.PutBody:
+		return r.putBody(ctx, s)
+	case applier.ReadHolders:
+		return r.readHolders(ctx, s)
+	case applier.RetireHolder:
+		s.Holder.Holder.Retired = true
+		return r.putHolder(ctx, s)
+	case applier.PutHolder:
+		return r.putHolder(ctx, s)
+	}
+	return nil
+}
+
+func (r *run) readHead(ctx context.Context) error {
+	t := r.now()
+	h, v, err := r.operator.head(ctx)
+	if err != nil {
+		r.decision.HeadDoubtful(false)
+		return err
+	}
+	r.decision.SawHead(h, v, t, r.now())
+	return nil
+}
+
+func (r *run) putHead(ctx context.Context, s applier.Step) error {
+	if e := s.Head.Staged; e != nil && e.ID == r.decision.ID {
+		s.Head.Change = r.changeTo(ctx, *e)
+	}
+	t := r.now()
+	b, err := encoder.Encode(s.Head)
+	if err != nil {
+		return err
+	}
+	r.tried = true
+	o, err := r.operator.Platform.Put(ctx, accessor.Object{
+		Kind: encoder.HeadKind, Name: encoder.HeadName, Version: s.Version, Writer: r.decision.ID, Value: b,
+	})
+	if errors.Is(err, accessor.ErrConflict) {
+		// Somebody else was first; the head is read again.
+		r.decision.HeadDoubtful(false)
+		return nil
+	}
+	if err != nil {
+		r.decision.HeadDoubtful(true)
+		return errors.Trace(err)
+	}
+	r.decision.SawHead(s.Head, o.Version, t, r.now())
+	return nil
+}
+
+func (r *run) readBody(ctx context.Context, s applier.Step) error {
+	o, err := r.operator.Platform.Get(ctx, encoder.BodyKind, encoder.Slot(s.Revision))
+	if err != nil && !errors.Is(err, accessor.ErrNotFound) {
+		return errors.Trace(err)
+	}
+	b, err := encoder.Decode[encoder.Body](o)
+	r.decision.SawBody(err == nil && b.Revision == s.Revision, o.Version)
+	return nil
+}
+
+func (r *run) putBody(ctx context.Context, s applier.Step) error {
+	b, err := encoder.Encode(encoder.Body{Revision: s.Revision, Digest: r.decision.Entry.Digest, Packed: r.packed})
+	if err != nil {
+		return err
+	}
+	_, err = r.operator.Platform.Put(ctx, accessor.Object{
+		Kind: encoder.BodyKind, Name: encoder.Slot(s.Revision), Version: s.Version, Writer: r.decision.ID, Value: b,
+	})
+	r.decision.PutBodyAnswered(err == nil)
+	if errors.Is(err, accessor.ErrConflict) {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
+func (r *run) readHolders(ctx context.Context, s applier.Step) error {
+	t := r.now()
+	l, err := r.operator.Platform.List(ctx, encoder.HolderKind)
+	if err != nil {
+		r.decision.HoldersDoubtful()
+		return errors.Trace(err)
+	}
+	var n []applier.HolderObject
+	for _, o := range l {
+		h, err := encoder.Decode[encoder.Holder](o)
+		if err != nil {
+			return err
+		}
+		n = append(n, applier.HolderObject{Name: o.Name, Version: o.Version, Holder: h})
+	}
+	names, err := r.hosts(ctx, s)
+	if err != nil {
+		r.decision.HoldersDoubtful()
+		return err
+	}
+	r.decision.SawHolders(n, names, t)
+	return nil
+}
+
+// hosts reads the host list where the step asks for it.
+func (r *run) hosts(ctx context.Context, s applier.Step) (map[string]bool, error) {
+	if !s.Hosts {
+		return nil, nil
+	}
+	l, err := r.operator.Platform.Hosts(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	m := map[string]bool{}
+	for n := range listed(l) {
+		m[n] = true
+	}
+	return m, nil
+}
+
+func (r *run) putHolder(ctx context.Context, s applier.Step) error {
+	b, err := encoder.Encode(s.Holder.Holder)
+	if err != nil {
+		return err
+	}
+	_, err = r.operator.Platform.Put(ctx, accessor.Object{
+		Kind: encoder.HolderKind, Name: s.Holder.Name, Version: s.Holder.Version, Writer: r.decision.ID, Value: b,
+	})
+	r.decision.HoldersDoubtful()
+	if errors.Is(err, accessor.ErrConflict) {
+		return nil
+	}
+	return errors.Trace(err)
+}
--- /dev/null
+++ b/internal/config/sharer/region_test.go
@@ -0,0 +1,245 @@
+package sharer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/config/adopter"
+	"github.com/cuminwick/cuminwick/internal/config/applier"
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/follower"
+	"github.com/cuminwick/cuminwick/internal/config/publisher"
+	"github.com/cuminwick/cuminwick/internal/config/sharer"
+	"github.com/cuminwick/cuminwick/internal/member/arranger"
+	"github.com/cuminwick/cuminwick/internal/platform/accessor"
+	"github.com/cuminwick/cuminwick/internal/platform/watcher"
+	"github.com/cuminwick/cuminwick/internal/standin/storekeeper"
+)
+
+// way is one host's way to the platform, which can be cut.
+type way struct {
+	accessor.Platform
+	mu  sync.Mutex
+	cut bool
+}
+
+func (w *way) set(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+func (w *way) check() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut {
+		return errors.New("network unreachable")
+	}
+	return nil
+}
+
+func (w *way) Put(ctx context.Context, o accessor.Object) (accessor.Object, error) {
+	if err := w.check(); err != nil {
+		return o, err
+	}
+	return w.Platform.Put(ctx, o)
+}
+
+func (w *way) Watch(ctx context.Context, kind, name string, after accessor.Version) (accessor.Object, error) {
+	if err := w.check(); err != nil {
+		return accessor.Object{}, err
+	}
+	o, err := w.Platform.Watch(ctx, kind, name, after)
+	if e := w.check(); e != nil {
+		return accessor.Object{}, e
+	}
+	return o, err
+}
+
+// resident is one host of a zone.
+type resident struct {
+	host   *follower.Host
+	sharer *sharer.Sharer
+	way    *way
+	stop   context.CancelFunc
+	silent bool
+	// leaving says that others don't take the host for a relay any more.
+	leaving bool
+}
+
+// region is hosts in zones that ask each other directly and know who is live.
+type region struct {
+	store *storekeeper.Store
+	mu    sync.Mutex
+	all   map[string]*resident
+	wait  sync.WaitGroup
+	// meter counts how files travel, unless it is nil.
+	meter *meter
+}
+
+var errSilent = errors.New("peer is silent")
+
+func newRegion() *region {
+	return &region{store: &storekeeper.Store{}, all: map[string]*resident{}}
+}
+
+// zone returns the live hosts of a zone by name.
+func (r *region) zone(zone string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var l []string
+	for n, x := range r.all {
+		if x.host.AvailabilityZone == zone && !x.leaving {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+func (r *region) find(name string) (*resident, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x, ok := r.all[name]
+	return x, ok && !x.silent
+}
+
+func (r *region) silence(name string, silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all[name].silent = silent
+}
+
+// ask passes a question on, and the answer with the revision that it bears.
+func (r *region) ask(h *follower.Host) func(context.Context, string, sharer.Question) (sharer.Share, error) {
+	return func(ctx context.Context, to string, q sharer.Question) (sharer.Share, error) {
+		if _, ok := r.find(h.Name); !ok {
+			return sharer.Share{}, errSilent
+		}
+		x, ok := r.find(to)
+		if !ok {
+			return sharer.Share{}, errSilent
+		}
+		a := x.sharer.Answer(ctx, q)
+		if _, ok := r.find(to); !ok || ctx.Err() != nil {
+			return sharer.Share{}, errSilent
+		}
+		return a, h.Observe(ctx, uint64(a.InForce))
+	}
+}
+
+// platform returns the platform as hosts reach it.
+func (r *region) platform() accessor.Platform {
+	if r.meter != nil {
+		return &metered{Platform: r.store, meter: r.meter}
+	}
+	return r.store
+}
+
+func (r *region) start(name, incarnation, zone string) *resident {
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &resident{stop: cancel, way: &way{Platform: r.platform()}}
+	l := &log.Logger{Handler: json.New(io.Discard)}
+	n := rand.New(rand.NewPCG(1, uint64(len(name))))
+	var mu sync.Mutex
+	random := func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return n.Float64()
+	}
+	w := &watcher.Watcher{Platform: x.way, Random: random}
+	x.host = &follower.Host{Name: name, Incarnation: incarnation, AvailabilityZone: zone, Platform: x.way, Watcher: w, Random: random, Log: l}
+	x.sharer = &sharer.Sharer{
+		Host: x.host, Random: random, Log: l, Ask: r.ask(x.host),
+		Peers: func() []string { return r.zone(zone) },
+		Zone: func() []string {
+			l := r.zone(zone)
+			if !slices.Contains(l, name) {
+				l = append(l, name)
+			}
+			return l
+		},
+	}
+	if r.meter != nil {
+		x.sharer.Ask = r.meter.ask(x.sharer.Ask)
+	}
+	x.host.Peers, x.host.Relays = x.sharer, x.sharer
+	r.mu.Lock()
+	r.all[name] = x
+	r.mu.Unlock()
+	r.wait.Go(func() { _ = w.Run(ctx) })
+	r.wait.Go(func() { _ = x.host.Run(ctx) })
+	r.wait.Go(func() { _ = x.sharer.Run(ctx) })
+	return x
+}
+
+// settle starts three zones of n hosts and lets them come to rest.
+func (r *region) settle(n int) {
+	for i := range 3 * n {
+		r.start(fmt.Sprintf("h%d", i), "1", fmt.Sprintf("z%d", i%3))
+	}
+	time.Sleep(time.Minute)
+}
+
+func (r *region) end() {
+	for _, x := range r.all {
+		x.stop()
+	}
+	r.wait.Wait()
+}
+
+// remove takes a host out of what the others know.
+func (r *region) remove(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.all, name)
+}
+
+func (r *region) leave(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all[name].leaving = true
+}
+
+func (r *region) apply(t *testing.T, queue int, want applier.Outcome) (applier.Result, time.Duration) {
+	t.Helper()
+	s := time.Now()
+	o := &publisher.Operator{Platform: r.store, Name: "anna"}
+	x, err := o.Apply(t.Context(), declarer.File{Limits: declarer.Limits{QueueLength: queue}}, publisher.Options{})
+	if err != nil || x.Outcome != want {
+		t.Fatalf("got %+v, error %v, want %s", x, err, want)
+	}
+	return x, time.Since(s)
+}
+
+func (r *region) expect(t *testing.T, queue int, g adopter.Standing, except ...string) {
+	t.Helper()
+	for n, x := range r.all {
+		if s := x.host.Status(); !slices.Contains(except, n) && (queueOf(x) != queue || s.Standing != g) {
+			t.Errorf("host %s has queue length %d, %+v; want %d, %s", n, queueOf(x), s, queue, g)
+		}
+	}
+}
+
+func queueOf(x *resident) int { return queue(x.host) }
+
+// last returns a host of a zone that isn't a relay.
+func (r *region) last(zone string) string {
+	l := arranger.Rank(zone, r.zone(zone))
+	return l[len(l)-1]
+}
+
+// first returns the first relay of a zone.
+func (r *region) first(zone string) string {
+	return arranger.Rank(zone, r.zone(zone))[0]
+}
--- /dev/null
+++ b/internal/config/sharer/relay.go
@@ -0,0 +1,65 @@
+package sharer
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/follower"
+	"github.com/cuminwick/cuminwick/internal/config/summarizer"
+)
+
+// bodyWait is how long a relay waits for a file that it doesn't hold yet.
+const bodyWait = time.Second
+
+// Relays implements follower.Relays.
+func (s *Sharer) Relays() []string {
+	if s.Zone == nil {
+		return nil
+	}
+	return summarizer.Relays(s.Host.AvailabilityZone, s.Host.Name, s.Zone())
+}
+
+// Consult implements follower.Relays.
+func (s *Sharer) Consult(ctx context.Context, relay string, q follower.Consultation) (follower.Advice, error) {
+	a, err := s.Ask(follower.WithoutWaiting(ctx), relay, Question{Consultation: &q})
+	if err != nil {
+		return follower.Advice{}, errors.Trace(err)
+	}
+	if a.Advice == nil {
+		return follower.Advice{}, errors.Annotatef(ErrNobody, "relay %s gives no advice", relay)
+	}
+	return *a.Advice, nil
+}
+
+// FetchFrom implements follower.Relays.
+func (s *Sharer) FetchFrom(ctx context.Context, relay string, r, base declarer.Revision) (follower.Delivery, error) {
+	a, err := s.ask(ctx, relay, Question{Revision: r, Wait: bodyWait, Base: base})
+	if err != nil {
+		return follower.Delivery{}, err
+	}
+	if a.Change != nil || a.Body != nil && a.Body.Revision == r {
+		return follower.Delivery{Body: a.Body, Change: a.Change}, nil
+	}
+	return follower.Delivery{}, errors.Annotatef(ErrNobody, "revision %d at relay %s", r, relay)
+}
+
+// advise answers a host that takes this one for its relay.
+func (s *Sharer) advise(ctx context.Context, c follower.Consultation) Share {
+	a := s.Host.Advise(ctx, c)
+	r, _ := s.Host.Current()
+	return Share{InForce: declarer.Revision(r), Advice: &a}
+}
+
+// await waits until this host holds the file that is asked for, for as long as
+// the other one waits.
+func (s *Sharer) await(ctx context.Context, q Question) {
+	if q.Revision == 0 || q.Wait <= 0 {
+		return
+	}
+	c, cancel := context.WithTimeout(ctx, min(q.Wait, bodyWait))
+	defer cancel()
+	s.Host.Await(c, q.Revision)
+}
--- /dev/null
+++ b/internal/config/summarizer/summarizer.go
@@ -0,0 +1,217 @@
+// Package summarizer decides what a relay writes for the hosts of its zone and what
+// it may tell them about it.
+package summarizer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+)
+
+const (
+	// Gather is how long a change waits for those of other hosts, so that one
+	// write of the object holds them all.
+	Gather = 50 * time.Millisecond
+	// recent is how long ago a host was heard of at most to be waited for. It is
+	// above the time between two questions of a host at rest.
+	recent = 5 * time.Second
+)
+
+// State is what a relay knows of the hosts that report through it. It reads no
+// clock. The relay's object is written by one put after the other.
+type State struct {
+	// Self is the relay's own host and incarnation, which is no member of its own.
+	Self encoder.HostReport
+
+	members []member
+	// started and stored number the last put that was begun, and the last one
+	// that the platform is known to have taken.
+	started, stored uint64
+	dirty           bool
+	dirtySince      time.Duration
+}
+
+// member is one start of a host.
+type member struct {
+	// told is what the host reported, put what the put under way holds, and held
+	// what the object holds.
+	told, put, held encoder.HostReport
+	isPut, isHeld   bool
+	// fresh is the put that must have been stored before the host may be told
+	// that it is registered.
+	fresh uint64
+	// sequence numbers the host's last question.
+	sequence uint64
+	heard    time.Duration
+}
+
+// Tell takes in a host's report. A host that isn't registered here counts only
+// once the object was written after it asked: an operator may have taken it out
+// of the object meanwhile, which this relay learns by its next put.
+func (s *State) Tell(m encoder.HostReport, sequence uint64, registered bool, now time.Duration) {
+	i := s.find(m)
+	if i < 0 {
+		s.members = append(s.members, member{told: m})
+		i = len(s.members) - 1
+		registered = false
+	}
+	x := &s.members[i]
+	x.told = x.told.Merge(m)
+	x.sequence = max(x.sequence, sequence)
+	x.heard = now
+	if !registered && x.fresh <= s.started {
+		x.fresh = s.started + 1
+	}
+	if x.fresh > s.started || !x.isHeld || !x.told.Says(x.held) {
+		s.touch(now)
+	}
+}
+
+// Hear takes in that a host was heard of, so that it is waited for.
+func (s *State) Hear(m encoder.HostReport, now time.Duration) {
+	if i := s.find(m); i >= 0 {
+		s.members[i].heard = now
+	}
+}
+
+// Leave takes out a host that has stopped or is registered elsewhere. One that has
+// asked again since, by sequence, stays: it counts on being in the object.
+func (s *State) Leave(m encoder.HostReport, sequence uint64, now time.Duration) {
+	i := s.find(m)
+	if i < 0 || sequence <= s.members[i].sequence {
+		return
+	}
+	s.members = slices.Delete(s.members, i, i+1)
+	s.touch(now)
+}
+
+// Left reports whether the object as stored doesn't hold m any more.
+func (s *State) Left(m encoder.HostReport) bool {
+	return s.find(m) < 0 && !s.dirty && s.stored == s.started
+}
+
+func (s *State) touch(now time.Duration) {
+	if !s.dirty {
+		s.dirtySince = now
+	}
+	s.dirty = true
+}
+
+// Due reports whether the object should be written now for the hosts' sake, or
+// else how long to wait at most; zero if there is nothing to write. The relay
+// itself is ready for ready and decides by inForce; ownDue says that its own report
+// has changed.
+func (s *State) Due(ready, inForce declarer.Revision, ownDue bool, now time.Duration) (bool, time.Duration) {
+	if ownDue {
+		s.touch(now)
+	}
+	if !s.dirty {
+		return false, 0
+	}
+	w := s.dirtySince + Gather - now
+	if w <= 0 || !s.lagging(ready, inForce, now) {
+		return true, 0
+	}
+	return false, w
+}
+
+// lagging reports whether a host that was heard of lately is expected to report
+// soon, because the relay itself is further.
+func (s *State) lagging(ready, inForce declarer.Revision, now time.Duration) bool {
+	return slices.ContainsFunc(s.members, func(x member) bool {
+		if now-x.heard >= recent || x.told.Refused == ready && ready != 0 {
+			return false
+		}
+		return max(x.told.Ready, x.told.InForce) < ready || x.told.InForce < inForce
+	})
+}
+
+// Begin starts a put and returns the members that it has to hold.
+func (s *State) Begin() []encoder.HostReport {
+	s.started++
+	s.dirty = false
+	var l []encoder.HostReport
+	for i := range s.members {
+		x := &s.members[i]
+		x.put = x.told
+		x.isPut = true
+		l = append(l, x.put)
+	}
+	return l
+}
+
+// Stored takes in that the platform took the put that was begun last. It reports
+// whether that put registered a host.
+func (s *State) Stored() bool {
+	fresh := false
+	for i := range s.members {
+		x := &s.members[i]
+		fresh = fresh || x.isPut && x.fresh > s.stored && x.fresh <= s.started
+		x.held, x.isHeld = x.put, x.isPut
+	}
+	s.stored = s.started
+	return fresh
+}
+
+// ReadBack takes in which members the object holds, after a put that may have
+// failed or before the first one. Members that aren't in it any more were taken
+// out by an operator and know it; those that have asked since remain to be put.
+func (s *State) ReadBack(l []encoder.HostReport, now time.Duration) {
+	s.members = slices.DeleteFunc(s.members, func(x member) bool {
+		return x.fresh <= s.stored && !slices.ContainsFunc(l, x.told.Is)
+	})
+	for i := range s.members {
+		s.members[i].isHeld, s.members[i].isPut = false, false
+	}
+	for _, m := range l {
+		if m.Is(s.Self) {
+			continue
+		}
+		i := s.find(m)
+		if i < 0 {
+			s.members = append(s.members, member{told: m})
+			i = len(s.members) - 1
+		}
+		x := &s.members[i]
+		x.told = x.told.Merge(m)
+		x.held, x.isHeld = m, true
+	}
+	s.touch(now)
+}
+
+// Lose takes in that the object isn't this relay's any more. No host is
+// registered here until it asks again.
+func (s *State) Lose() {
+	s.members = nil
+	s.dirty = false
+}
+
+// Held returns what the object is known to hold of m, false if that can't be said.
+func (s *State) Held(m encoder.HostReport) (encoder.HostReport, bool) {
+	i := s.find(m)
+	if i < 0 || !s.members[i].isHeld || s.members[i].fresh > s.stored {
+		return encoder.HostReport{}, false
+	}
+	return s.members[i].held, true
+}
+
+// Answers reports whether m may be told: either its last report is held, or it
+// isn't to be expected any more.
+func (s *State) Answers(m encoder.HostReport) bool {
+	h, ok := s.Held(m)
+	if !ok {
+		return s.find(m) < 0
+	}
+	return h.Ready >= m.Ready && h.InForce >= m.InForce && h.Refused >= m.Refused
+}
+
+// Members returns how many hosts report through this relay.
+func (s *State) Members() int {
+	return len(s.members)
+}
+
+func (s *State) find(m encoder.HostReport) int {
+	return slices.IndexFunc(s.members, func(x member) bool { return x.told.Is(m) })
+}
--- /dev/null
+++ b/internal/config/summarizer/summarizer_test.go
@@ -0,0 +1,139 @@
+package summarizer_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+	"github.com/cuminwick/cuminwick/internal/config/summarizer"
+)
+
+func report(host string, ready declarer.Revision) encoder.HostReport {
+	return encoder.HostReport{Host: host, Incarnation: "1", Ready: ready}
+}
+
+// An operator took a host out of the object, and the relay hasn't noticed. The host
+// asks again: were it told what the relay remembers, it would count on an object
+// that doesn't hold it, and the next revision would be accepted without it.
+func TestRegistrationNeedsNewPut(t *testing.T) {
+	s := &summarizer.State{}
+	a := report("a", 1)
+	s.Tell(a, 1, false, 0)
+	s.Begin()
+	s.Stored()
+	if _, ok := s.Held(a); !ok {
+		t.Error("not held after the put")
+	}
+	s.Begin()
+	s.Tell(a, 2, false, 0)
+	s.Stored()
+	if _, ok := s.Held(a); ok {
+		t.Error("held by a put that was under way when the host asked")
+	}
+	s.Begin()
+	s.ReadBack(nil, 0)
+	s.Begin()
+	s.Stored()
+	if _, ok := s.Held(a); !ok {
+		t.Error("a host that asked was dropped with those taken out")
+	}
+	s.ReadBack(nil, 0)
+	if s.Members() != 0 {
+		t.Error("a host that was taken out is put back")
+	}
+}
+
+// A host acknowledges while a put is under way that doesn't hold it yet. Told that
+// it was held, it would count on an acknowledgement that no operator sees.
+func TestHoldsOnlyWhatWasStored(t *testing.T) {
+	s := &summarizer.State{}
+	s.Tell(report("a", 1), 1, false, 0)
+	s.Begin()
+	s.Tell(report("a", 2), 2, true, 0)
+	s.Stored()
+	if h, ok := s.Held(report("a", 2)); !ok || h.Ready != 1 || s.Answers(report("a", 2)) {
+		t.Errorf("holds %+v, %t", h, ok)
+	}
+	s.Lose()
+	if _, ok := s.Held(report("a", 2)); ok {
+		t.Error("held by an object that is lost")
+	}
+}
+
+// A relay that wrote its object for each acknowledgement would make as many calls
+// as its hosts; one that waited for a silent host would hold up each change.
+func TestGathersAcknowledgements(t *testing.T) {
+	s := &summarizer.State{}
+	for _, h := range []string{"a", "b", "silent"} {
+		s.Tell(report(h, 1), 1, true, 0)
+	}
+	s.Begin()
+	s.Stored()
+	const at = time.Minute
+	s.Tell(report("a", 1), 2, true, at)
+	s.Tell(report("b", 1), 2, true, at)
+	for _, c := range []struct {
+		name string
+		told encoder.HostReport
+		due  bool
+	}{
+		{"first acknowledgement", report("a", 2), false},
+		{"last acknowledgement", report("b", 2), true},
+	} {
+		s.Tell(c.told, 3, true, at)
+		if due, wait := s.Due(2, 0, true, at); due != c.due || due == (wait > 0) {
+			t.Errorf("%s: due %t, else in %s", c.name, due, wait)
+		}
+	}
+	s.Begin()
+	s.Stored()
+	if due, wait := s.Due(3, 0, true, at); due || wait != summarizer.Gather {
+		t.Errorf("due %t, else in %s", due, wait)
+	}
+	if due, _ := s.Due(3, 0, true, at+summarizer.Gather); !due {
+		t.Error("waits for ever")
+	}
+}
+
+// A host's word that it left arrives after it has come back.
+func TestLateLeaveIsIgnored(t *testing.T) {
+	s := &summarizer.State{}
+	a := report("a", 1)
+	s.Tell(a, 3, true, 0)
+	s.Leave(a, 2, 0)
+	if s.Members() != 1 {
+		t.Error("a late word took the host out")
+	}
+	s.Leave(a, 4, 0)
+	if s.Members() != 0 {
+		t.Error("still there")
+	}
+}
+
+func TestRelays(t *testing.T) {
+	for n, want := range map[int]int{1: 1, 2: 1, 3: 1, 4: 2, 100: 2} {
+		var l []string
+		for i := range n {
+			l = append(l, fmt.Sprintf("h%d", i))
+		}
+		relays, first := 0, map[string]int{}
+		for _, h := range l {
+			r := summarizer.Relays("z", h, l)
+			if len(r) == 0 {
+				relays++
+				continue
+			}
+			first[r[0]]++
+			if len(r) != want || slices.Contains(r, h) {
+				t.Errorf("host %s of %d asks %v", h, n, r)
+			}
+		}
+		if relays != want || n == 100 && first[slices.Sorted(maps.Keys(first))[0]] != (n-want)/want {
+			t.Errorf("%d hosts have %d relays, asked by %v", n, relays, first)
+		}
+	}
+}
--- /dev/null
+++ b/internal/group/driver/repointer.go
@@ -0,0 +1,55 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/group/promoter"
+)
+
+// loopRepoint brings back instances that don't follow the primary, after the
+// delay of this host's rank, so that usually one host does it.
+func (d *Driver) loopRepoint(ctx context.Context) {
+	defer d.calls.Done()
+	t, x := d.Clock.Ticks(d.Settings.StatusInterval)
+	defer x.Cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t:
+			d.repoint(ctx)
+		}
+	}
+}
+
+func (d *Driver) repoint(ctx context.Context) {
+	for _, x := range d.repointsDue() {
+		d.logger().WithField("backend-server", x.Server).WithField("primary", x.Primary).Info("repoint")
+		d.calls.Add(1)
+		c := &call{driver: d, action: x}
+		c.run(ctx)
+	}
+}
+
+// repointsDue returns the repointings of servers that have been astray long enough.
+func (d *Driver) repointsDue() []promoter.Action {
+	v := d.View()
+	w := d.Settings.RepointDelay + d.delay(v.Term)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.astray
+	d.astray = make(map[string]time.Duration)
+	var s []promoter.Action
+	for _, x := range promoter.Repoint(v) {
+		since, ok := old[x.Server]
+		if !ok {
+			since = v.At
+		}
+		d.astray[x.Server] = since
+		if v.At-since >= w {
+			s = append(s, x)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/group/pacer/join_test.go
@@ -0,0 +1,35 @@
+package pacer_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/cuminwick/cuminwick/internal/group/pacer"
+)
+
+// Reads that wait for an index are joined where they need the same polls. Were a
+// poll lost by it, such a read would wait until its time is over although all
+// servers answer.
+func TestJoinedDemandsNeedTheSamePolls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := drawTable(t)
+		var all, joined []pacer.Demand
+		for range rapid.IntRange(0, 12).Draw(t, "demands") {
+			d := pacer.Demand{
+				Kind:    pacer.Kind(rapid.IntRange(0, int(pacer.KindPrimary)).Draw(t, "kind")),
+				Since:   spans.Draw(t, "since"),
+				Arrived: uint64(rapid.IntRange(0, 3).Draw(t, "arrived")),
+			}
+			all, joined = append(all, d), pacer.Join(joined, d)
+		}
+		for i := range g.Servers {
+			g.Demands = all
+			want := pacer.Next(g, i)
+			g.Demands = joined
+			if got := pacer.Next(g, i); got != want {
+				t.Errorf("server %d polled at %v for %s, want %v for %s", i, got.At, got.Cause, want.At, want.Cause)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/group/pacer/pacer_test.go
@@ -0,0 +1,279 @@
+package pacer_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cuminwick/cuminwick/internal/group/pacer"
+)
+
+const ms = time.Millisecond
+
+var settings = pacer.Settings{Rest: 100 * ms, Failure: 50 * ms, Gap: 20 * ms, Held: 5 * ms, Busy: ms / 4}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set("rapid.seed", "1")
+	set("rapid.checks", "2000")
+	set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// set gives a flag its fixed value unless the command line gave another one.
+func set(name, value string) {
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+	if !given {
+		_ = flag.Set(name, value)
+	}
+}
+
+// group is a primary beside the host, a replica in the next zone and one in
+// another region, all polled last from 990 to 995 ms.
+func group() *pacer.Table {
+	t := &pacer.Table{Settings: settings}
+	for i, r := range []time.Duration{ms / 2, 3 * ms, 16 * ms} {
+		s := pacer.Server{Primary: i == 0, Known: true, Begun: uint64(i + 1), Began: 990 * ms, Ended: 995 * ms, Answered: uint64(i + 1), RoundTrip: r}
+		s.Delays[pacer.KindAcknowledgement] = time.Duration(i) * 4 * ms
+		t.Servers = append(t.Servers, s)
+	}
+	return t
+}
+
+func TestNext(t *testing.T) {
+	const now = 1000 * ms
+	read := pacer.Demand{Kind: pacer.KindIndex, Since: now, Arrived: 3}
+	commit := pacer.Demand{Kind: pacer.KindAcknowledgement, Since: now, Arrived: 3}
+	cover := pacer.Demand{Kind: pacer.KindCover, Since: now, Arrived: 3, Server: 2}
+	rest := pacer.Turn{At: 1095 * ms, Cause: pacer.CauseRest}
+	tests := []struct {
+		name    string
+		change  func(t *pacer.Table)
+		demands []pacer.Demand
+		want    [3]pacer.Turn
+	}{
+		{name: "nobody waits", want: [3]pacer.Turn{rest, rest, rest}},
+		{
+			name:   "primary of a busy group",
+			change: func(t *pacer.Table) { t.Busy = true },
+			want:   [3]pacer.Turn{{At: 1045 * ms}, rest, rest},
+		},
+		{
+			name:    "a read asks the two nearest, the third if they don't answer",
+			demands: []pacer.Demand{read},
+			want:    [3]pacer.Turn{{At: now, Cause: pacer.CauseIndex}, {At: now, Cause: pacer.CauseIndex}, {At: 1010 * ms, Cause: pacer.CauseIndex}},
+		},
+		{
+			name: "a read that came during a poll of the next zone",
+			change: func(t *pacer.Table) {
+				t.Servers[1].Polling, t.Servers[1].Began, t.Servers[1].Begun = true, 999*ms, 3
+			},
+			demands: []pacer.Demand{read},
+			want:    [3]pacer.Turn{{At: 1002 * ms, Cause: pacer.CauseIndex}, {At: pacer.Never}, {At: 1010 * ms, Cause: pacer.CauseIndex}},
+		},
+		{
+			name:    "a read while the nearest one fails",
+			change:  func(t *pacer.Table) { t.Servers[0].Failures = 2 },
+			demands: []pacer.Demand{read},
+			want:    [3]pacer.Turn{{At: 1045 * ms, Cause: pacer.CauseFailure}, {At: now, Cause: pacer.CauseIndex}, {At: now, Cause: pacer.CauseIndex}},
+		},
+		{
+			name:    "a read that has two answers",
+			change:  func(t *pacer.Table) { t.Servers[0].Answered, t.Servers[2].Answered = 4, 5 },
+			demands: []pacer.Demand{read},
+			want:    [3]pacer.Turn{rest, rest, rest},
+		},
+		{
+			name:    "a commit asks when the replica is expected to hold it, and the primary well before",
+			demands: []pacer.Demand{commit},
+			want:    [3]pacer.Turn{{At: 1003 * ms, Cause: pacer.CauseAcknowledgement}, {At: 1004 * ms, Cause: pacer.CauseAcknowledgement}, {At: 1018 * ms, Cause: pacer.CauseAcknowledgement}},
+		},
+		{
+			name: "a commit that the replica didn't hold yet",
+			change: func(t *pacer.Table) {
+				s := &t.Servers[1]
+				s.Begun, s.Answered, s.Began, s.Ended = 4, 4, 1005*ms, 1008*ms
+			},
+			demands: []pacer.Demand{{Kind: pacer.KindAcknowledgement, Since: now, Arrived: 3, Holders: pacer.Set(0).With(0)}},
+			want:    [3]pacer.Turn{rest, {At: 1010 * ms, Cause: pacer.CauseAcknowledgement}, {At: 1018 * ms, Cause: pacer.CauseAcknowledgement}},
+		},
+		{
+			name:    "a read that waits for one server",
+			demands: []pacer.Demand{cover},
+			want:    [3]pacer.Turn{rest, rest, {At: now, Cause: pacer.CauseCover}},
+		},
+		{
+			name:   "a server that fails for the first time and for the second",
+			change: func(t *pacer.Table) { t.Servers[0].Failures, t.Servers[1].Failures = 1, 2 },
+			want:   [3]pacer.Turn{{At: 1000 * ms, Cause: pacer.CauseFailure}, {At: 1045 * ms, Cause: pacer.CauseFailure}, rest},
+		},
+		{
+			name:    "no primary, and a request waits for one",
+			change:  func(t *pacer.Table) { t.Gap, t.Busy = true, true },
+			demands: []pacer.Demand{{Kind: pacer.KindPrimary, Since: now}},
+			want:    [3]pacer.Turn{{At: now, Cause: pacer.CauseGap}, {At: now, Cause: pacer.CauseGap}, {At: now, Cause: pacer.CauseGap}},
+		},
+		{
+			name:   "no primary, and nobody waits",
+			change: func(t *pacer.Table) { t.Gap = true },
+			want:   [3]pacer.Turn{{At: 1015 * ms, Cause: pacer.CauseGap}, {At: 1015 * ms, Cause: pacer.CauseGap}, {At: 1015 * ms, Cause: pacer.CauseGap}},
+		},
+		{
+			name:   "promoting, after a request has seen the primary fail",
+			change: func(t *pacer.Table) { t.Promoting, t.Servers[0].Hurried = true, true },
+			want:   [3]pacer.Turn{{At: 995 * ms, Cause: pacer.CauseHurry}, {At: 995250 * time.Microsecond, Cause: pacer.CausePromotion}, {At: 995250 * time.Microsecond, Cause: pacer.CausePromotion}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := group()
+			if tt.change != nil {
+				tt.change(g)
+			}
+			g.Demands = tt.demands
+			for i, want := range tt.want {
+				if got := pacer.Next(g, i); got != want {
+					t.Errorf("server %d: %v for %s, want %v for %s", i, got.At, got.Cause, want.At, want.Cause)
+				}
+			}
+		})
+	}
+}
+
+var spans = rapid.Custom(func(t *rapid.T) time.Duration {
+	return time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * ms
+})
+
+func drawServer(t *rapid.T) pacer.Server {
+	s := pacer.Server{
+		Known:     rapid.Bool().Draw(t, "known"),
+		Failures:  rapid.IntRange(0, 2).Draw(t, "failures"),
+		Begun:     uint64(rapid.IntRange(1, 20).Draw(t, "begun")),
+		Began:     spans.Draw(t, "began"),
+		RoundTrip: spans.Draw(t, "round trip"),
+	}
+	s.Ended = s.Began + spans.Draw(t, "took")
+	s.Answered = uint64(rapid.IntRange(0, int(s.Begun)).Draw(t, "answered"))
+	s.Polling = rapid.Bool().Draw(t, "polling")
+	for k := range s.Delays {
+		s.Delays[k] = min(spans.Draw(t, "delay"), settings.Gap)
+	}
+	return s
+}
+
+func drawTable(t *rapid.T) *pacer.Table {
+	g := &pacer.Table{Settings: settings, Busy: rapid.Bool().Draw(t, "busy"), Gap: rapid.Bool().Draw(t, "gap")}
+	for range rapid.IntRange(1, 5).Draw(t, "servers") {
+		g.Servers = append(g.Servers, drawServer(t))
+	}
+	return g
+}
+
+// A request waits, some servers lag, fail or are being asked. None of this may
+// keep it waiting for good: every server that could still contribute, answers
+// and is free is asked at the latest when the usual time has passed twice, or
+// again within the interval of a gap; and nobody is asked less often than at rest.
+func TestNoDemandIsForgotten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := drawTable(t)
+		d := pacer.Demand{
+			Kind:    pacer.Kind(rapid.IntRange(int(pacer.KindAcknowledgement), int(pacer.KindIndex)).Draw(t, "kind")),
+			Since:   spans.Draw(t, "since"),
+			Arrived: uint64(rapid.IntRange(0, 20).Draw(t, "arrived")),
+			Server:  rapid.IntRange(0, len(g.Servers)-1).Draw(t, "server"),
+			Holders: pacer.Set(rapid.IntRange(0, 1<<len(g.Servers)-1).Draw(t, "holders")),
+		}
+		g.Demands = []pacer.Demand{d}
+		var most time.Duration
+		done := 0
+		for i, s := range g.Servers {
+			most = max(most, s.RoundTrip+settings.Gap)
+			if contributed(d, s, i) {
+				done++
+			}
+		}
+		met := done >= len(g.Servers)/2+1 && d.Kind != pacer.KindCover
+		for i, s := range g.Servers {
+			n := pacer.Next(g, i)
+			if s.Polling || s.Failures > 0 {
+				continue
+			}
+			if n.At > s.Ended+settings.Rest {
+				t.Errorf("server %d polled at %v, more than the rest after %v", i, n.At, s.Ended)
+			}
+			if met || contributed(d, s, i) || d.Kind == pacer.KindCover && d.Server != i {
+				continue
+			}
+			if l := max(d.Since+2*most+16*settings.Busy, s.Ended+max(settings.Gap, most), d.Since+s.RoundTrip+maximumFlight(g)); n.At > l {
+				t.Errorf("server %d polled at %v, want %v at the latest", i, n.At, l)
+			}
+		}
+	})
+}
+
+// contributed reports whether server i has done for d what it can.
+func contributed(d pacer.Demand, s pacer.Server, i int) bool {
+	switch d.Kind {
+	case pacer.KindIndex:
+		return s.Answered > d.Arrived
+	case pacer.KindAcknowledgement:
+		return d.Holders.Has(i)
+	default:
+		return false
+	}
+}
+
+// maximumFlight is when the last poll under way is expected back.
+func maximumFlight(g *pacer.Table) time.Duration {
+	var m time.Duration
+	for _, s := range g.Servers {
+		if s.Polling {
+			m = max(m, s.Began+s.RoundTrip)
+		}
+	}
+	return m
+}
+
+// A demand that a server can do nothing more for doesn't have it polled.
+func TestNoNeedlessPoll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := drawTable(t)
+		g.Gap = false
+		i := rapid.IntRange(0, len(g.Servers)-1).Draw(t, "server")
+		without := pacer.Next(g, i)
+		g.Demands = []pacer.Demand{
+			{Kind: pacer.KindAcknowledgement, Since: spans.Draw(t, "commit"), Holders: pacer.Set(0).With(i)},
+			{Kind: pacer.KindCover, Since: spans.Draw(t, "cover"), Server: i + 1},
+			{Kind: pacer.KindPrimary, Since: spans.Draw(t, "write")},
+		}
+		if g.Servers[i].Answered > 0 {
+			g.Demands = append(g.Demands, pacer.Demand{Kind: pacer.KindIndex, Since: spans.Draw(t, "read"), Arrived: g.Servers[i].Answered - 1})
+		}
+		if got := pacer.Next(g, i); got != without {
+			t.Errorf("server %d polled at %v for %s, want %v for %s", i, got.At, got.Cause, without.At, without.Cause)
+		}
+	})
+}
+
+// A replica takes 6 ms to hold a commit. The delay that is learnt settles around
+// this from either side, whatever it was before.
+func TestLearn(t *testing.T) {
+	const actual, step = 6 * ms, ms
+	for _, first := range []time.Duration{0, 20 * ms} {
+		usual := first
+		for range 200 {
+			shown := usual
+			for shown < actual {
+				shown += step
+			}
+			usual = pacer.Learn(usual, shown, shown > usual, 20*ms)
+		}
+		if usual < actual-step || usual > actual+step {
+			t.Errorf("from %v: learnt %v, want about %v", first, usual, actual)
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/deployer/expire_test.go
@@ -0,0 +1,37 @@
+package deployer_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/outcome/inquirer"
+)
+
+// Keys are forgotten after their time, and the clock of the host that forgets
+// them may have jumped. Were they forgotten early, a booking that is sent again
+// would run a second time.
+func TestExpire(t *testing.T) {
+	d := start(t)
+	c := connect(t, d, 0, "")
+	exec(t, c, "CREATE TABLE t (id bigint PRIMARY KEY)")
+	exec(t, c, "/* key=one */ INSERT INTO t (id) VALUES (1)")
+	count := func() int64 { return query[int64](t, c, "SELECT count(*) FROM cuminwick_outcome") }
+	kept := count()
+	x := d.Hosts[0].Director()
+	if err := x.Expire(t.Context(), "db", time.Now().Add(time.Hour), time.Minute); !errors.Is(err, inquirer.ErrClock) {
+		t.Errorf("with a clock one hour ahead: %v", err)
+	}
+	if err := x.Expire(t.Context(), "db", time.Now(), time.Hour); err != nil {
+		t.Error(err)
+	}
+	if n := count(); n != kept || kept == 0 {
+		t.Errorf("%d rows before their time, want %d", n, kept)
+	}
+	if err := x.Expire(t.Context(), "db", time.Now(), -time.Minute); err != nil {
+		t.Error(err)
+	}
+	if n := count(); n != 0 {
+		t.Errorf("%d rows after their time", n)
+	}
+}
--- /dev/null
+++ b/internal/host/deployer/refusal_test.go
@@ -0,0 +1,108 @@
+package deployer_test
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/cuminwick/cuminwick/internal/host/deployer"
+)
+
+// waiting returns how many requests wait for backend servers at all entry hosts.
+func waiting(t *testing.T, d *deployer.Deployment) float64 {
+	t.Helper()
+	return total(t, d, "cuminwick_queued_requests{")
+}
+
+// total sums up the metrics that begin with prefix over all entry hosts.
+func total(t *testing.T, d *deployer.Deployment, prefix string) float64 {
+	t.Helper()
+	n := 0.0
+	for _, h := range d.Hosts {
+		r, err := http.Get("http://" + h.AdministrationAddress() + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Body.Close()
+		s := bufio.NewScanner(r.Body)
+		for s.Scan() {
+			name, v, _ := strings.Cut(s.Text(), " ")
+			if strings.HasPrefix(name, prefix) {
+				f, err := strconv.ParseFloat(v, 64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				n += f
+			}
+		}
+	}
+	return n
+}
+
+// All slots of the primary are taken when a caller sends its COMMIT, and it
+// cancels while it waits. It is told that nothing ran. If the transaction stayed
+// open, its next statements would be part of it: they would show the row that
+// didn't run, and what they write would be lost with the connection.
+func TestCommitRefusedEndsTransaction(t *testing.T) {
+	d := start(t)
+	c := connect(t, d, 0, "")
+	exec(t, c, "CREATE TABLE t (id bigint PRIMARY KEY)")
+	exec(t, c, "BEGIN")
+	exec(t, c, "INSERT INTO t (id) VALUES (1)")
+	// Up to twice as many requests as slots may be on the way, see watch.resize.
+	const sleepers = 5
+	done := make(chan struct{})
+	var w sync.WaitGroup
+	var l []*pgx.Conn
+	for range sleepers {
+		s := connect(t, d, 0, "")
+		exec(t, s, "BEGIN")
+		exec(t, s, "SELECT count(*) FROM t")
+		l = append(l, s)
+	}
+	for _, s := range l {
+		ended := make(chan struct{})
+		w.Go(func() {
+			defer close(ended)
+			_, _ = s.Exec(t.Context(), "SELECT pg_sleep(600)")
+		})
+		w.Go(func() {
+			<-done
+			for !closed(ended) {
+				_ = s.PgConn().CancelRequest(t.Context())
+			}
+		})
+	}
+	for waiting(t, d) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	answered := make(chan struct{})
+	w.Go(func() {
+		for !closed(answered) {
+			_ = c.PgConn().CancelRequest(t.Context())
+		}
+	})
+	_, err := c.Exec(t.Context(), "COMMIT")
+	close(answered)
+	close(done)
+	w.Wait()
+	if code(err) != "57014" || !strings.Contains(detail(err), "outcome=not-run") {
+		t.Fatalf("COMMIT: %v, detail %q", err, detail(err))
+	}
+	if s := c.PgConn().TxStatus(); s != 'I' {
+		t.Errorf("transaction status %q after the COMMIT", s)
+	}
+	if n := query[int64](t, c, "SELECT count(*) FROM t"); n != 0 {
+		t.Errorf("session sees %d rows that didn't run", n)
+	}
+	exec(t, c, "INSERT INTO t (id) VALUES (2)")
+	if n := query[int64](t, connect(t, d, 1, ""), "SELECT count(*) FROM t"); n != 1 {
+		t.Errorf("another session sees %d rows, want 1", n)
+	}
+}
--- /dev/null
+++ b/internal/host/runner/peers.go
@@ -0,0 +1,276 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cuminwick/cuminwick/internal/backend/relayer"
+	cancels "github.com/cuminwick/cuminwick/internal/cancel/forwarder"
+	"github.com/cuminwick/cuminwick/internal/certificate/reloader"
+	"github.com/cuminwick/cuminwick/internal/group/informer"
+	"github.com/cuminwick/cuminwick/internal/member/keeper"
+	"github.com/cuminwick/cuminwick/internal/peer/dialer"
+	"github.com/cuminwick/cuminwick/internal/peer/encoder"
+	"github.com/cuminwick/cuminwick/internal/peer/linker"
+	"github.com/cuminwick/cuminwick/internal/peer/listener"
+	"github.com/cuminwick/cuminwick/internal/peer/securer"
+	"github.com/cuminwick/cuminwick/internal/peer/witness"
+	"github.com/cuminwick/cuminwick/internal/pool/assigner"
+	"github.com/cuminwick/cuminwick/internal/pool/avoider"
+	"github.com/cuminwick/cuminwick/internal/pool/forwarder"
+	"github.com/cuminwick/cuminwick/internal/pool/granter"
+	"github.com/cuminwick/cuminwick/internal/pool/ranker"
+)
+
+// maximumPeerConnect bounds an attempt to connect to a peer, as a request may
+// wait for it and another host can take its place.
+const maximumPeerConnect = 500 * time.Millisecond
+
+// Hosts that didn't take a request on are avoided for this long.
+const (
+	firstAvoidance   = time.Second
+	maximumAvoidance = 16 * time.Second
+)
+
+// peers is this host's part in sharing pools with other entry hosts.
+type peers struct {
+	host      *Host
+	transport *quic.Transport
+	links     *linker.Table
+	dialer    *dialer.Dialer
+	listener  *listener.Listener
+	ranker    *ranker.Ranker
+	forwarder *forwarder.Forwarder
+	granter   *granter.Granter
+	avoider   avoider.Avoider
+	cancels   *cancels.Forwarder
+	witness   *witness.Witness
+	pools     pools
+	control   *relayer.Dialer
+	// live are the live entry hosts by name.
+	live atomic.Pointer[map[string]assigner.Host]
+	// keeper finds the other entry hosts, nil if the members are told.
+	keeper *keeper.Keeper
+}
+
+// listenPeers opens the address for peers.
+func (h *Host) listenPeers() error {
+	s, err := h.securer()
+	if err != nil {
+		return err
+	}
+	a, err := net.ResolveUDPAddr("udp", h.Settings.Peers.Address)
+	if err != nil {
+		return errors.Annotatef(err, "address for peers %s", h.Settings.Peers.Address)
+	}
+	u, err := h.listenPacket(a)
+	if err != nil {
+		return errors.Annotatef(err, "listen for peers at %s", h.Settings.Peers.Address)
+	}
+	h.peers = &peers{host: h, transport: &quic.Transport{Conn: u}}
+	if h.Members == nil {
+		h.peers.keeper = h.newKeeper(u.LocalAddr().String())
+		h.Members = h.peers.keeper
+	}
+	h.peers.assemble(s)
+	return nil
+}
+
+// listenPacket opens a UDP socket.
+func (h *Host) listenPacket(a *net.UDPAddr) (net.PacketConn, error) {
+	if h.ListenPacket != nil {
+		return h.ListenPacket(a)
+	}
+	return net.ListenUDP("udp", a)
+}
+
+// securer returns what was set, or reads the files that the settings name.
+func (h *Host) securer() (*securer.Securer, error) {
+	if h.Securer != nil {
+		return h.Securer, nil
+	}
+	p := h.Settings.Peers
+	r := &reloader.Reloader{CertificateFile: p.CertificateFile, KeyFile: p.KeyFile, AuthorityFile: p.AuthorityFile}
+	if err := r.Load(); err != nil {
+		return nil, errors.Annotate(err, "secure connections between entry hosts")
+	}
+	return &securer.Securer{Certificate: r.Certificate, Authority: r.Authority}, nil
+}
+
+// PeerAddress returns the address that other entry hosts dial, empty without peers.
+func (h *Host) PeerAddress() string {
+	if h.peers == nil {
+		return ""
+	}
+	return h.peers.transport.Conn.LocalAddr().String()
+}
+
+func (p *peers) assemble(s *securer.Securer) {
+	h := p.host
+	p.links = &linker.Table{Self: h.Settings.HostName}
+	p.granter = &granter.Granter{Pools: &p.pools}
+	p.ranker = &ranker.Ranker{Members: h.Members, Notify: p.membersChanged}
+	p.dialer = &dialer.Dialer{
+		Transport:      p.transport,
+		Listen:         h.ListenPacket,
+		Clock:          h.Clock,
+		Securer:        s,
+		Links:          p.links,
+		Self:           p.self,
+		Locate:         h.Members.Locate,
+		ConnectTimeout: max(min(h.Settings.Limits.ConnectTimeout, maximumPeerConnect), h.OwnerPatience),
+		PeerStreams:    h.Settings.Limits.PeerStreams,
+	}
+	p.avoider.FirstPause, p.avoider.MaximumPause = firstAvoidance, maximumAvoidance
+	p.forwarder = &forwarder.Forwarder{Peers: p.dialer, Avoider: &p.avoider, Forwards: h.collector.PeerForwards, Patience: h.OwnerPatience}
+	p.control = &relayer.Dialer{Dialer: p.dialer}
+	p.cancels = &cancels.Forwarder{
+		Self:    h.Settings.HostName,
+		Members: h.Members,
+		Dialer:  p.dialer,
+		Cancel:  h.listener.Cancel,
+		Log:     h.Log,
+	}
+	c := &relayer.Server{Find: p.pools.relayer}
+	p.listener = &listener.Listener{
+		Transport:        p.transport,
+		Securer:          s,
+		Links:            p.links,
+		Self:             p.self,
+		Forwards:         p.granter,
+		Routes:           []listener.Route{p.cancels.Route(), c.Route()},
+		HandshakeTimeout: h.Settings.Limits.HandshakeTimeout,
+		PeerStreams:      h.Settings.Limits.PeerStreams,
+		Log:              h.Log,
+	}
+	p.listener.Routes = append(p.listener.Routes, h.Routes...)
+	n := &informer.Informer{Find: h.driverOf, Clock: h.Clock}
+	p.listener.Routes = append(p.listener.Routes, n.Routes()...)
+	p.assembleWitness()
+	p.dialer.Serve = p.listener.Serve
+	if o, ok := h.Source.(Observer); ok {
+		a := &ascender{host: h, observer: o}
+		p.dialer.Heard = a.heard
+		p.listener.Heard = a.heard
+	}
+	if p.keeper != nil {
+		p.keeper.Dialer = p.dialer
+		p.listener.Routes = append(p.listener.Routes, p.keeper.Routes()...)
+	}
+}
+
+func (p *peers) self() encoder.Sender {
+	s := encoder.Sender{Host: p.host.Settings.HostName, Incarnation: p.incarnation()}
+	if r := p.host.runtime(); r != nil {
+		s.Revision = r.Revision
+	}
+	return s
+}
+
+// run serves peers until ctx ends.
+func (p *peers) run(ctx context.Context) error {
+	g, x := errgroup.WithContext(ctx)
+	g.Go(func() error { return p.listener.Run(x) })
+	g.Go(func() error { return p.dialer.Run(x) })
+	g.Go(func() error { return p.ranker.Run(x) })
+	g.Go(func() error { return p.witness.Run(x) })
+	g.Go(func() error { return p.loopYield(x) })
+	g.Go(func() error { return p.loopGauge(x) })
+	if p.keeper != nil {
+		g.Go(func() error { return p.keeper.Run(x) })
+		g.Go(func() error { return p.loopSight(x) })
+	}
+	err := g.Wait()
+	_ = p.transport.Close()
+	_ = p.transport.Conn.Close()
+	return err
+}
+
+// membersChanged ends what waits for hosts that are gone.
+func (p *peers) membersChanged(live []assigner.Host) {
+	l := make(map[string]bool, len(live))
+	m := make(map[string]assigner.Host, len(live))
+	for _, h := range live {
+		l[h.Name] = true
+		m[h.Name] = h
+	}
+	p.live.Store(&m)
+	p.reconsider()
+	p.avoider.Keep(l)
+	for _, n := range p.forwarder.Hosts() {
+		if !l[n] {
+			p.forwarder.Drop(n)
+		}
+	}
+}
+
+// yieldInterval is the time between two looks for connections to give up.
+const yieldInterval = 100 * time.Millisecond
+
+// loopYield closes, little by little, the idle connections of pools that this
+// host doesn't own any more. Closing them at once would have their successors
+// connect at once.
+func (p *peers) loopYield(ctx context.Context) error {
+	t, x := p.host.Clock.Ticks(yieldInterval)
+	defer x.Cancel()
+	for {
+		select {
+		case now := <-t:
+			p.pools.yield(ctx, now)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// leave hands over what this host owns. It comes before the wait for this
+// host's own callers, so that the next owners have their connections by then.
+func (p *peers) leave() {
+	p.granter.Leave()
+	if p.keeper != nil {
+		p.keeper.Leave()
+	}
+}
+
+// drain waits until other hosts have given back what they borrowed, or ctx
+// ends; it returns how many haven't.
+func (p *peers) drain(ctx context.Context) int {
+	if p.keeper != nil {
+		defer p.keeper.Depart(ctx)
+	}
+	t, x := p.host.Clock.Ticks(drainInterval)
+	defer x.Cancel()
+	for p.granter.Open() > 0 {
+		select {
+		case <-t:
+		case <-ctx.Done():
+			return p.granter.Open()
+		}
+	}
+	return 0
+}
+
+// drainInterval is the time between two looks for borrowed connections.
+const drainInterval = 10 * time.Millisecond
+
+// PeerTraffic returns what this host has sent to others and received from them.
+func (h *Host) PeerTraffic() linker.Traffic {
+	if h.peers == nil {
+		return linker.Traffic{}
+	}
+	return h.peers.links.Traffic()
+}
+
+// Vanish closes the socket for peers without a word, as the death of the
+// process does; Run must be ended afterwards.
+func (h *Host) Vanish() {
+	if h.peers != nil {
+		_ = h.peers.transport.Conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/limit/admitter/overload_test.go
@@ -0,0 +1,137 @@
+package admitter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// caller offers requests to a queue in virtual time; each service takes work.
+type caller struct {
+	name    string
+	class   Class
+	every   time.Duration
+	timeout time.Duration
+	start   time.Duration
+}
+
+// totals is what became of the requests of one team.
+type totals struct {
+	useful, late, refused int
+	worst                 time.Duration
+}
+
+// simulate runs callers against q for a while in steps of 100 microseconds.
+func simulate(q *Queue, work, length time.Duration, callers []caller) map[string]*totals {
+	r := rand.New(rand.NewPCG(1, 2))
+	sum := map[string]*totals{}
+	var running []*Entry
+	ends := map[*Entry]time.Duration{}
+	due := make([]time.Duration, len(callers))
+	for now := time.Duration(0); now < length; now += 100 * time.Microsecond {
+		take := func() {
+			for _, e := range q.Granted {
+				running = append(running, e)
+				ends[e] = now + time.Duration(float64(work)*(0.5+r.Float64()))
+				sum[e.Team].worst = max(sum[e.Team].worst, now-e.arrived)
+			}
+			for _, e := range q.Refused {
+				sum[e.Team].refused++
+			}
+		}
+		for i := 0; i < len(running); i++ {
+			e := running[i]
+			if ends[e] > now {
+				continue
+			}
+			running = append(running[:i], running[i+1:]...)
+			i--
+			if e.Deadline == 0 || ends[e] <= e.Deadline {
+				sum[e.Team].useful++
+			} else {
+				sum[e.Team].late++
+			}
+			q.Release(e, now)
+			take()
+		}
+		for i, c := range callers {
+			if sum[c.name] == nil {
+				sum[c.name] = &totals{}
+			}
+			if now < max(due[i], c.start) {
+				continue
+			}
+			due[i] = max(due[i], c.start)
+			due[i] += time.Duration(float64(c.every) * 2 * r.Float64())
+			e := &Entry{Team: c.name, Class: c.class}
+			if c.timeout > 0 {
+				e.Deadline = now + c.timeout
+			}
+			q.Offer(e, now)
+			take()
+		}
+	}
+	return sum
+}
+
+// All callers come at several times what the slots can do. A queue that takes
+// everybody in ends nearly every request too late, and the work is wasted.
+func TestOverloadKeepsUsefulThroughput(t *testing.T) {
+	useful := func(percent int) int {
+		q := &Queue{Slots: 2}
+		every := 4 * ms / 2 * 100 / time.Duration(percent)
+		s := simulate(q, 4*ms, 20*time.Second, []caller{{name: "a", class: ClassRead, every: every, timeout: 50 * ms}})
+		t.Logf("at %d%%: %+v", percent, *s["a"])
+		return s["a"].useful
+	}
+	peak := 0
+	for _, p := range []int{50, 90, 100, 110} {
+		peak = max(peak, useful(p))
+	}
+	for _, p := range []int{130, 200, 500} {
+		if u := useful(p); u*100 < peak*95 {
+			t.Errorf("useful requests at %d%% of capacity: %d, below 95%% of the peak %d", p, u, peak)
+		}
+	}
+}
+
+// One team sends ten times what the slots can do. Callers of the other teams
+// wait behind it for seconds although they ask for little.
+func TestShares(t *testing.T) {
+	q := &Queue{Slots: 2, Length: 60, Teams: map[string]TeamLimit{"double": {Share: 2}}}
+	s := simulate(q, 4*ms, 20*time.Second, []caller{
+		{name: "flood", class: ClassRead, every: ms / 5},
+		{name: "double", class: ClassWrite, every: ms / 2},
+		{name: "light", class: ClassRead, every: 40 * ms},
+	})
+	if d := float64(s["double"].useful) / float64(s["flood"].useful); d < 1.9 || d > 2.1 {
+		t.Errorf("share 2 got %.2f times the work of share 1, want 2 within 5%%", d)
+	}
+	if s["light"].refused > 0 || s["light"].worst > 40*ms {
+		t.Errorf("light team: %d refused, waited up to %v", s["light"].refused, s["light"].worst)
+	}
+}
+
+// A team that asked for nothing all day starts to send more than the slots can
+// do. If it had saved up its share, all others would now wait for hours.
+func TestIdleTeamsSaveUpNothing(t *testing.T) {
+	s := simulate(&Queue{Slots: 2, Length: 60}, 4*ms, 20*time.Second, []caller{
+		{name: "steady", class: ClassRead, every: ms},
+		{name: "late", class: ClassRead, every: ms, start: 18 * time.Second},
+	})
+	if n := s["late"].useful; n < 450 || n > 550 {
+		t.Errorf("late team: %d of about 1000 requests in the last two seconds, want half", n)
+	}
+}
+
+// Transactions follow each other so closely that one of their statements always
+// waits. Without a turn for the others, single reads would never run.
+func TestTransactionsDoNotStarveOthers(t *testing.T) {
+	s := simulate(&Queue{Slots: 2}, 4*ms, 5*time.Second, []caller{
+		{name: "transactions", class: ClassTransaction, every: ms},
+		{name: "reads", class: ClassRead, every: 100 * ms},
+	})
+	if s["reads"].refused > 0 || s["reads"].useful < 40 || s["reads"].worst > 100*ms {
+		t.Errorf("reads: %+v", *s["reads"])
+	}
+}
--- /dev/null
+++ b/internal/limit/retrier/retrier_test.go
@@ -0,0 +1,58 @@
+package retrier
+
+import "testing"
+
+func TestOnlySafeRetries(t *testing.T) {
+	tests := []struct {
+		name       string
+		o          Outcome
+		repeatable bool
+		want       bool
+	}{
+		{name: "not run", o: OutcomeNotRun, want: true},
+		{name: "unknown read", o: OutcomeUnknown, repeatable: true, want: true},
+		{name: "unknown write", o: OutcomeUnknown},
+		{name: "ran", o: OutcomeRan, repeatable: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := new(Budget).Allow(tt.o, tt.repeatable); got != tt.want {
+				t.Errorf("Allow = %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
+// A server refuses everything for a while and each refused request is tried
+// again. Without the budget the entry host doubles the load that broke it.
+func TestRetriesStayWithinTheirShare(t *testing.T) {
+	var b Budget
+	n := 0
+	for range 10000 {
+		b.Count()
+		for b.Allow(OutcomeNotRun, false) {
+			n++
+		}
+	}
+	if n < 1000 || n > 1000+DefaultBurst {
+		t.Errorf("%d retries of 10000 requests, want a tenth", n)
+	}
+}
+
+func TestSpare(t *testing.T) {
+	b := Budget{Share: 0.5, Burst: 4}
+	for n := range 3 {
+		if !b.Spare() {
+			t.Errorf("nothing to spare after %d of 4 retries", n)
+		}
+		b.Allow(OutcomeNotRun, true)
+	}
+	if b.Spare() {
+		t.Error("more than half is spent, and there is some to spare")
+	}
+	b.Count()
+	b.Count()
+	if !b.Spare() {
+		t.Error("nothing to spare after traffic has earned a retry")
+	}
+}
--- /dev/null
+++ b/internal/log/encoder/encoder_test.go
@@ -0,0 +1,134 @@
+package encoder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/fault/wrapper"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden file")
+
+func sample() *Decision {
+	return &Decision{
+		Kind: "route", Request: 7, Session: 3, DatabaseGroup: "kalkul-1", Team: "costing",
+		Rule: "past-submissions", Chosen: "kalkul-1-b", Why: "fresh enough, shortest wait",
+		PassedOver: []PassedOver{{Name: "kalkul-1-a", Why: "queue of 12"}, {Name: "kalkul-1-c", Why: "silent"}},
+	}
+}
+
+// run logs what f logs and returns the output once the encoder has ended.
+func run(t *testing.T, e *Encoder, f func(*log.Logger)) string {
+	t.Helper()
+	var b bytes.Buffer
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := context.WithCancel(t.Context())
+		e.Writer = &b
+		go e.Run(c)
+		f(&log.Logger{Handler: e, Level: log.DebugLevel})
+		synctest.Wait()
+		stop()
+		synctest.Wait()
+	})
+	return b.String()
+}
+
+func TestLines(t *testing.T) {
+	got := run(t, &Encoder{QueueBytes: 1 << 16}, func(l *log.Logger) {
+		e := wrapper.Wrap(errors.New("refused"), "dial", "kalkul-1-a")
+		Failed(l, errors.Annotate(e, "serve request"), "request failed")
+		l.WithFields(log.Fields{"wait": 3 * time.Millisecond, "count": 4, "open": true, "list": []int{1}}).Warn("quoted \"text\"\nšč")
+		l.Handler.(*Encoder).Decide(sample())
+		l.Handler.(*Encoder).Decide(&Decision{Kind: "route", Request: 8, Why: "queue full"})
+	})
+	for _, l := range bytes.Split(bytes.TrimSpace([]byte(got)), []byte("\n")) {
+		if !json.Valid(l) {
+			t.Errorf("not JSON: %s", l)
+		}
+	}
+	if *update {
+		os.WriteFile("testdata/lines.golden", []byte(got), 0o644)
+	}
+	w, err := os.ReadFile("testdata/lines.golden")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(string(w), got); d != "" {
+		t.Errorf("lines differ (-want +got):\n%s", d)
+	}
+}
+
+func TestSamplingKeepsRefusals(t *testing.T) {
+	got := run(t, &Encoder{QueueBytes: 1 << 16, SampleDebug: 10, SampleDecisions: 5}, func(l *log.Logger) {
+		for range 20 {
+			l.Debug("detail")
+			l.Handler.(*Encoder).Decide(sample())
+			l.Handler.(*Encoder).Decide(&Decision{Kind: "route", Why: "queue full"})
+		}
+	})
+	if n := bytes.Count([]byte(got), []byte("\n")); n != 2+4+20 {
+		t.Errorf("%d lines, want 2 debug, 4 decisions and 20 refusals", n)
+	}
+}
+
+// The output is a pipe whose reader has stopped. Requests must go on, and once
+// the reader is back the operator is told how many lines are missing.
+func TestStuckOutputDropsAndCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, w := io.Pipe()
+		e := &Encoder{Writer: w, QueueBytes: 1 << 10}
+		c, stop := context.WithCancel(t.Context())
+		go e.Run(c)
+		e.Decide(sample())
+		synctest.Wait()
+		for range 100 {
+			e.Decide(sample())
+		}
+		if e.Dropped() == 0 {
+			t.Error("nothing was dropped by a stuck output")
+		}
+		stop()
+		var b bytes.Buffer
+		go func() { io.Copy(&b, r) }()
+		synctest.Wait()
+		w.Close()
+		synctest.Wait()
+		if !bytes.Contains(b.Bytes(), []byte("log lines dropped")) {
+			t.Errorf("the output doesn't tell of dropped lines:\n%s", b.String())
+		}
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	e := &Encoder{Writer: io.Discard, QueueBytes: 4 << 20}
+	go e.Run(b.Context())
+	d := sample()
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			e.Decide(d)
+		}
+	})
+	b.ReportMetric(float64(e.Dropped())/float64(b.N), "dropped/op")
+}
+
+func BenchmarkDecideSampledOut(b *testing.B) {
+	e := &Encoder{Writer: io.Discard, QueueBytes: 4 << 20, SampleDecisions: 1000}
+	go e.Run(b.Context())
+	d := sample()
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Decide(d)
+	}
+}
--- /dev/null
+++ b/internal/member/gossiper/fleet_test.go
@@ -0,0 +1,227 @@
+package gossiper
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/member/declarer"
+	"github.com/cuminwick/cuminwick/internal/peer/encoder"
+)
+
+const (
+	interval  = 500 * time.Millisecond
+	latency   = 5 * time.Millisecond
+	tick      = 100 * time.Millisecond
+	overhead  = 28 + 30 + 45 // UDP and IP, QUIC, the sender in the envelope
+	ackPacket = 28 + 30
+)
+
+// fleet passes the actions of several gossipers on, in virtual time.
+type fleet struct {
+	now   time.Duration
+	queue events
+	hosts map[string]*node
+	names []string
+	// cut reports whether nothing passes from a to b.
+	cut func(a, b *node) bool
+	// lose reports whether the next datagram is lost.
+	lose  func() bool
+	order int
+	sent  int
+}
+
+type node struct {
+	*Gossiper
+	up    bool
+	bytes int
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].order < e[j].order)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	n := len(*e) - 1
+	x := (*e)[n]
+	*e = (*e)[:n]
+	return x
+}
+
+func newFleet(zones, perZone int) *fleet {
+	f := &fleet{
+		hosts: map[string]*node{},
+		cut:   func(_, _ *node) bool { return false },
+		lose:  func() bool { return false },
+	}
+	for z := range zones {
+		for h := range perZone {
+			f.start(fmt.Sprintf("host-%d-%d", z, h), fmt.Sprintf("zone-%d", z), 1)
+		}
+	}
+	return f
+}
+
+func (f *fleet) start(name, zone string, incarnation uint64) *node {
+	n := &node{up: true, Gossiper: &Gossiper{
+		Self: declarer.Member{
+			Host: name, AvailabilityZone: zone, Region: "region", Incarnation: incarnation,
+			Address: fmt.Sprintf("10.0.0.1:%d", incarnation),
+		},
+		Interval: interval, SuspectAfter: 3 * interval, ZoneInterval: 5 * time.Second, ForgetAfter: time.Hour,
+	}}
+	if f.hosts[name] == nil {
+		f.names = append(f.names, name)
+	}
+	f.hosts[name] = n
+	n.Start(f.now)
+	n.Hint(f.names)
+	f.later(tick, func() { f.tick(n) })
+	return n
+}
+
+func (f *fleet) tick(n *node) {
+	if !n.up {
+		return
+	}
+	f.do(n, n.Tick(f.now))
+	f.later(tick, func() { f.tick(n) })
+}
+
+func (f *fleet) later(d time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.queue, event{at: f.now + d, order: f.order, do: do})
+}
+
+func (f *fleet) run(d time.Duration) {
+	end := f.now + d
+	for len(f.queue) > 0 && f.queue[0].at <= end {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// reach returns the node of a host if a can exchange messages with it.
+func (f *fleet) reach(a *node, host string) *node {
+	b := f.hosts[host]
+	if b == nil || !b.up || !a.up || f.cut(a, b) || f.cut(b, a) {
+		return nil
+	}
+	return b
+}
+
+func (f *fleet) do(n *node, l []Action) {
+	for _, a := range l {
+		switch a.Kind {
+		case Send:
+			f.send(n, a)
+		case Sync:
+			f.sync(n, a.To)
+		case Probe:
+			m := f.reach(n, a.To)
+			isHeard := m != nil && m.Self.Incarnation >= a.Subject.Incarnation
+			f.later(time.Second/2, func() { f.do(n, n.Observed(f.now, a.Subject, n.Self.Host, isHeard)) })
+		case Observe:
+			f.observe(n, a)
+		}
+	}
+}
+
+func (f *fleet) send(n *node, a Action) {
+	b, err := encoder.Marshal(a.Message)
+	if err != nil {
+		panic(err)
+	}
+	f.sent++
+	n.bytes += len(b) + overhead
+	to := f.hosts[a.To]
+	if to == nil || !to.up || !n.up || f.cut(n, to) || f.lose() {
+		return
+	}
+	to.bytes += ackPacket
+	from, inc := n.Self.Host, n.Self.Incarnation
+	f.later(latency, func() {
+		if to.up && f.hosts[a.To] == to {
+			f.do(to, to.Receive(f.now, from, inc, a.Message))
+		}
+	})
+}
+
+func (f *fleet) sync(n *node, host string) {
+	q := n.SyncRequest()
+	f.later(latency, func() {
+		to := f.reach(n, host)
+		if to == nil {
+			return
+		}
+		a, l := to.AnswerSync(f.now, q)
+		f.do(to, l)
+		b, err := encoder.Marshal(a)
+		if err != nil {
+			panic(err)
+		}
+		to.bytes += len(b) + overhead
+		f.later(latency, func() { f.do(n, n.Synced(f.now, host, a)) })
+	})
+}
+
+func (f *fleet) observe(n *node, a Action) {
+	o := f.reach(n, a.To)
+	if o == nil {
+		return
+	}
+	m := f.reach(o, a.Subject.Host)
+	isHeard := m != nil && m.Self.Incarnation >= a.Subject.Incarnation
+	f.later(time.Second/2, func() { f.do(n, n.Observed(f.now, a.Subject, a.To, isHeard)) })
+}
+
+// mistake is an entry of a running host's view that is wrong.
+type mistake struct {
+	seer, subject string
+	entry         declarer.Member
+}
+
+func (f *fleet) wrong() []mistake {
+	var l []mistake
+	for _, a := range f.names {
+		n := f.hosts[a]
+		if !n.up {
+			continue
+		}
+		for _, b := range f.names {
+			m, ok := n.Find(b)
+			live := ok && m.State != declarer.Dead
+			if live != f.hosts[b].up || (live && m.Incarnation != f.hosts[b].Self.Incarnation) {
+				l = append(l, mistake{a, b, m})
+			}
+		}
+	}
+	return l
+}
+
+// settle runs until all views are right and returns how long it took.
+func (f *fleet) settle(t testing.TB, limit time.Duration) time.Duration {
+	t.Helper()
+	b := f.now
+	for len(f.wrong()) > 0 {
+		if f.now-b > limit {
+			w := f.wrong()
+			t.Fatalf("after %s %d entries are wrong, the first: %+v", limit, len(w), w[0])
+		}
+		f.run(tick)
+	}
+	return f.now - b
+}
--- /dev/null
+++ b/internal/peer/witness/witness_test.go
@@ -0,0 +1,67 @@
+package witness_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/group/observer"
+	"github.com/cuminwick/cuminwick/internal/peer/witness"
+)
+
+type group struct {
+	lost atomic.Bool
+}
+
+func (g *group) Word() observer.Word {
+	return observer.Word{Host: "a", Primary: "db-a", Term: 1, Lost: g.lost.Load()}
+}
+
+func (g *group) Hurry() {}
+
+// One host's way to the primary is broken, the others' aren't. Without their
+// word it would promote another primary, and all callers would notice a gap.
+func TestWords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		g := &group{}
+		var asked atomic.Int64
+		w := &witness.Witness{
+			Self:    "a",
+			Serving: func(string) []string { return []string{"a", "b", "c"} },
+			Groups:  func() map[string]witness.Group { return map[string]witness.Group{"db": g} },
+			Ask: func(_ context.Context, h string, _ witness.Question) (witness.Answer, error) {
+				if h == "c" {
+					return witness.Answer{}, errors.New("not reached")
+				}
+				asked.Add(1)
+				return witness.Answer{Known: true, Word: observer.Word{Host: h, Primary: "db-a", Term: 1}}, nil
+			},
+		}
+		ended := make(chan error)
+		go func() { ended <- w.Run(ctx) }()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if n := asked.Load(); n != 0 {
+			t.Errorf("asked %d times while nothing seems lost", n)
+		}
+		g.lost.Store(true)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		l := w.Words("db")
+		if len(l) != 1 || l[0].Host != "b" || l[0].Lost {
+			t.Errorf("words %v, want that of b alone, who still reaches the primary", l)
+		}
+		g.lost.Store(false)
+		time.Sleep(time.Second)
+		if l := w.Words("db"); len(l) != 0 {
+			t.Errorf("words %v outlive the suspicion", l)
+		}
+		stop()
+		<-ended
+	})
+}
--- /dev/null
+++ b/internal/platform/requester/requester.go
@@ -0,0 +1,181 @@
+// Package requester is the client of the platform's object service over HTTP and JSON.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/platform/accessor"
+)
+
+// Defaults of a Client.
+const (
+	// DefaultTimeout bounds each call but a watch.
+	DefaultTimeout = 5 * time.Second
+	// DefaultWait is how long the service may hold one watch.
+	DefaultWait = 4 * time.Second
+)
+
+// maximumAnswerBytes bounds what one answer may take up in memory.
+const maximumAnswerBytes = 64 << 20
+
+// Client is an accessor.Platform over HTTP.
+type Client struct {
+	// Address is the platform's URL, or its host and port for plain HTTP.
+	Address string
+	// Token is sent as a bearer token unless empty.
+	Token string
+	// HTTP carries the calls, http.DefaultClient if unset.
+	HTTP *http.Client
+	// Timeout bounds each call but a watch, DefaultTimeout if unset.
+	Timeout time.Duration
+	// Wait is how long the service may hold one watch, DefaultWait if unset.
+	Wait time.Duration
+}
+
+var _ accessor.Platform = (*Client)(nil)
+
+// Get returns one object, or accessor.ErrNotFound.
+func (c *Client) Get(ctx context.Context, kind, name string) (accessor.Object, error) {
+	var o accessor.Object
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, &o)
+	return o, errors.Annotatef(err, "get object %s/%s from platform %s", kind, name, c.Address)
+}
+
+// Put stores o if the stored version equals o.Version.
+func (c *Client) Put(ctx context.Context, o accessor.Object) (accessor.Object, error) {
+	if len(o.Value) > accessor.MaximumValueBytes {
+		return o, errors.Annotatef(accessor.ErrTooLarge, "put object %s/%s of %d bytes", o.Kind, o.Name, len(o.Value))
+	}
+	var p accessor.Object
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	err := c.call(ctx, http.MethodPut, objectPath(o.Kind, o.Name), o, &p)
+	return p, errors.Annotatef(err, "put object %s/%s at platform %s", o.Kind, o.Name, c.Address)
+}
+
+// List returns all objects of a kind, ordered by name.
+func (c *Client) List(ctx context.Context, kind string) ([]accessor.Object, error) {
+	var l []accessor.Object
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	err := c.call(ctx, http.MethodGet, "/objects/"+url.PathEscape(kind), nil, &l)
+	return l, errors.Annotatef(err, "list objects %s of platform %s", kind, c.Address)
+}
+
+// Watch waits until the object's version is above after, or returns
+// accessor.ErrUnchanged or accessor.ErrNotFound once the service ends the wait.
+func (c *Client) Watch(ctx context.Context, kind, name string, after accessor.Version) (accessor.Object, error) {
+	d := c.Wait
+	if d <= 0 {
+		d = DefaultWait
+	}
+	// A watch on a silent connection would last for ever: the service answers
+	// within d, so a call that takes longer than that and a timeout is dead.
+	ctx, cancel := context.WithTimeout(ctx, d+c.timeout())
+	defer cancel()
+	q := url.Values{
+		"after": {strconv.FormatUint(uint64(after), 10)},
+		"wait":  {d.String()},
+	}
+	p := "/watches/" + url.PathEscape(kind) + "/" + url.PathEscape(name) + "?" + q.Encode()
+	var o accessor.Object
+	err := c.call(ctx, http.MethodGet, p, nil, &o)
+	return o, errors.Annotatef(err, "watch object %s/%s of platform %s", kind, name, c.Address)
+}
+
+// Hosts returns the host list.
+func (c *Client) Hosts(ctx context.Context) ([]accessor.Host, error) {
+	var l []accessor.Host
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	err := c.call(ctx, http.MethodGet, "/hosts", nil, &l)
+	return l, errors.Annotatef(err, "get host list of platform %s", c.Address)
+}
+
+// call makes one HTTP call and decodes the answer into a.
+func (c *Client) call(ctx context.Context, method, path string, question, a any) error {
+	b, err := body(question)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.base()+path, b)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if c.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	p, err := c.client().Do(r)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer p.Body.Close()
+	l := io.LimitReader(p.Body, maximumAnswerBytes)
+	if p.StatusCode != http.StatusOK {
+		return failure(p.StatusCode, l)
+	}
+	return errors.Annotate(json.NewDecoder(l).Decode(a), "decode answer")
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
+
+// base returns the URL that all paths are appended to.
+func (c *Client) base() string {
+	if strings.Contains(c.Address, "://") {
+		return strings.TrimSuffix(c.Address, "/")
+	}
+	return "http://" + c.Address
+}
+
+func (c *Client) timeout() time.Duration {
+	if c.Timeout <= 0 {
+		return DefaultTimeout
+	}
+	return c.Timeout
+}
+
+func body(v any) (io.Reader, error) {
+	if v == nil {
+		return http.NoBody, nil
+	}
+	b, err := json.Marshal(v)
+	return bytes.NewReader(b), err
+}
+
+// failure returns the error for an HTTP status.
+func failure(status int, r io.Reader) error {
+	switch status {
+	case http.StatusNoContent:
+		return accessor.ErrUnchanged
+	case http.StatusNotFound:
+		return accessor.ErrNotFound
+	case http.StatusConflict:
+		return accessor.ErrConflict
+	case http.StatusRequestEntityTooLarge:
+		return accessor.ErrTooLarge
+	}
+	// The text is only for the log, a truncated one does.
+	t, _ := io.ReadAll(io.LimitReader(r, 512))
+	return errors.Errorf("status %d: %s", status, bytes.TrimSpace(t))
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
--- /dev/null
+++ b/internal/pool/granter/granter.go
@@ -0,0 +1,77 @@
+// Package granter lends the connections of this entry host's pools to other entry hosts.
+package granter
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/peer/encoder"
+	"github.com/cuminwick/cuminwick/internal/peer/listener"
+	"github.com/cuminwick/cuminwick/internal/pool/lessor"
+	"github.com/cuminwick/cuminwick/internal/pool/messenger"
+)
+
+// Pools finds the pool of a backend server.
+type Pools interface {
+	// Pool returns what lends its connections here, nil if this entry host
+	// isn't among its owners.
+	Pool(group, server string) lessor.Lessor
+}
+
+// Granter serves forwarded leases. Pools is set before use.
+type Granter struct {
+	Pools Pools
+
+	leaving atomic.Bool
+	open    atomic.Int64
+}
+
+var _ listener.ForwardHandler = (*Granter)(nil)
+
+// Leave refuses new leases; those that are open go on.
+func (g *Granter) Leave() { g.leaving.Store(true) }
+
+// Open returns how many leases other entry hosts hold or wait for.
+func (g *Granter) Open() int { return int(g.open.Load()) }
+
+// HandleForward implements listener.ForwardHandler. The request is taken on
+// before it is queued, so that the other host can tell a long queue from a
+// host that is gone.
+func (g *Granter) HandleForward(_ context.Context, f *listener.Forwarded) error {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	if g.leaving.Load() {
+		return &encoder.Refusal{Reason: encoder.ReasonLeaving}
+	}
+	p := g.Pools.Pool(f.DatabaseGroup, f.BackendServer)
+	if p == nil {
+		return &encoder.Refusal{Reason: encoder.ReasonNotOwner}
+	}
+	if err := f.Grant(encoder.Grant{}); err != nil {
+		return err
+	}
+	s := &service{
+		stream: f.Stream,
+		conn:   messenger.Conn{Stream: f.Stream},
+		pool:   p,
+		demand: demand(&f.Forward),
+		ask:    f.AskParameters,
+		callUp: f.CallUp,
+	}
+	return s.serve()
+}
+
+func demand(f *encoder.Forward) lessor.Demand {
+	d := lessor.Demand{
+		Session:  f.CancelKey,
+		Request:  f.Request,
+		Team:     f.Team,
+		Write:    f.Write,
+		Settings: messenger.DecodeSettings(f.Settings),
+	}
+	if f.Remaining > 0 {
+		d.Deadline = time.Now().Add(f.Remaining)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/pool/granter/granter_test.go
@@ -0,0 +1,213 @@
+package granter
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/cuminwick/cuminwick/internal/peer/encoder"
+	"github.com/cuminwick/cuminwick/internal/pool/exchanger"
+	"github.com/cuminwick/cuminwick/internal/pool/lessor"
+	"github.com/cuminwick/cuminwick/internal/pool/messenger"
+	"github.com/cuminwick/cuminwick/internal/wire/batcher"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.checks", "300")
+	os.Exit(m.Run())
+}
+
+// pool lends one fake connection, which echoes batches; a batch that begins
+// with "wait" ends only when it is cancelled, one with "hold" with a token. One
+// with "open" leaves a transaction open, so that its connection doesn't go back.
+type pool struct {
+	tokens    chan struct{}
+	mu        sync.Mutex
+	returns   []lessor.Return
+	cancelled []string
+	sent      []string
+}
+
+func (p *pool) Lease(ctx context.Context, _ lessor.Demand) (lessor.Lease, error) {
+	return p, ctx.Err()
+}
+
+func (p *pool) Parameters() map[string]string { return nil }
+
+func (p *pool) Release(r lessor.Return) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.returns = append(p.returns, r)
+}
+
+func (p *pool) Exchange(ctx context.Context, x lessor.Exchange) (exchanger.Result, error) {
+	q := strings.TrimRight(string(x.Batch.Body(0)), "\x00")
+	p.mu.Lock()
+	p.sent = append(p.sent, q)
+	p.mu.Unlock()
+	for i := range 3 {
+		if err := x.Output.Frame('D', []byte(q+strconv.Itoa(i)), true, true); err != nil {
+			return exchanger.Result{}, err
+		}
+	}
+	switch q[:4] {
+	case "wait":
+		<-ctx.Done()
+	case "hold":
+		<-p.tokens
+	}
+	if ctx.Err() != nil {
+		p.mu.Lock()
+		p.cancelled = append(p.cancelled, q)
+		p.mu.Unlock()
+		return exchanger.Result{Status: 'I', Code: "57014", Tag: q}, nil
+	}
+	r := exchanger.Result{Status: 'I', Tag: q, Returned: x.GiveBack}
+	if q == "open" {
+		r.Status, r.Returned = 'T', false
+	}
+	return r, nil
+}
+
+// asker is the other host's end of a lease.
+type asker struct {
+	*rapid.T
+	conn     messenger.Conn
+	sequence uint64
+}
+
+func (a *asker) send(q string) {
+	a.sequence++
+	var b batcher.Batch
+	b.AddQuery(batcher.Pass, q)
+	m := messenger.Items{Items: []messenger.Item{{Type: batcher.Query, Raw: b.Raw(0)}}}
+	a.must(a.conn.SendValue(messenger.KindItems, m))
+	a.must(a.conn.SendValue(messenger.KindExecute, messenger.Execute{Sequence: a.sequence}))
+}
+
+func (a *asker) cancel(n uint64) {
+	a.must(a.conn.SendValue(messenger.KindCancel, messenger.Cancel{Sequence: n}))
+}
+
+// begun reads the output of q, so that q is in progress.
+func (a *asker) begun(q string) {
+	for i := range 3 {
+		if k, b, err := a.conn.Read(); err != nil || k != messenger.KindOutput || string(b[2:]) != q+strconv.Itoa(i) {
+			a.Fatalf("output %q %q to %q, %v", k, b, q, err)
+		}
+	}
+}
+
+// receive reads the answer to q, which no other answer may be mixed with.
+func (a *asker) receive(q, code string) {
+	for i := 0; ; i++ {
+		k, b, err := a.conn.Read()
+		a.must(err)
+		if k == messenger.KindOutput {
+			if got := string(b[2:]); got != q+strconv.Itoa(i) {
+				a.Fatalf("output %q to %q", got, q)
+			}
+			continue
+		}
+		var r messenger.Result
+		a.must(encoder.Unmarshal(b, &r))
+		if r.Sequence != a.sequence || r.Tag != q && r.Failure == nil || r.Code != code && r.Failure == nil {
+			a.Fatalf("result %+v to %d %q, want code %q", r, a.sequence, q, code)
+		}
+		return
+	}
+}
+
+func (a *asker) must(err error) {
+	if err != nil {
+		a.Fatal(err)
+	}
+}
+
+// Most requests are cancelled, many so late that their answer is on its way,
+// and hosts die at any moment. A cancel that hit the next exchange would end a
+// request that nobody cancelled, and a lease that wasn't given back would keep
+// its connection and locks for good.
+func TestCancelsAndLossesOfLeases(t *testing.T) {
+	rapid.Check(t, checkLease)
+}
+
+func checkLease(t *rapid.T) {
+	near, far := net.Pipe()
+	p := &pool{tokens: make(chan struct{}, 1)}
+	s := &service{stream: far, conn: messenger.Conn{Stream: far}, pool: p}
+	done := make(chan error, 1)
+	go func() {
+		done <- s.serve()
+		far.Close()
+	}()
+	a := &asker{T: t, conn: messenger.Conn{Stream: near}}
+	if k, _, err := a.conn.Read(); err != nil || k != messenger.KindLeased {
+		t.Fatalf("message %q, %v", k, err)
+	}
+	want := 0
+	for i := range rapid.IntRange(0, 6).Draw(t, "exchanges") {
+		switch rapid.IntRange(0, 3).Draw(t, "kind") {
+		case 0:
+			q := fmt.Sprintf("echo%d-", i)
+			a.send(q)
+			a.receive(q, "")
+		case 1:
+			q := fmt.Sprintf("wait%d-", i)
+			a.send(q)
+			a.cancel(a.sequence)
+			a.receive(q, "57014")
+			want++
+		case 2:
+			q := fmt.Sprintf("echo%d-", i)
+			a.cancel(a.sequence)
+			a.send(q)
+			a.receive(q, "")
+		case 3:
+			q := fmt.Sprintf("hold%d-", i)
+			a.send(q)
+			a.begun(q)
+			a.cancel(a.sequence - 1)
+			// The pipe takes this one when the cancel before has been handled.
+			a.cancel(0)
+			p.tokens <- struct{}{}
+			a.receive(q, "")
+		}
+	}
+	ended := rapid.SampledFrom([]string{"release", "close", "close in exchange"}).Draw(t, "end")
+	switch ended {
+	case "release":
+		a.must(a.conn.SendValue(messenger.KindRelease, messenger.Release{Clean: true}))
+	case "close in exchange":
+		a.send("wait")
+	}
+	if ended != "release" {
+		near.Close()
+	}
+	err := <-done
+	near.Close()
+	if (err == nil) != (ended == "release") {
+		t.Errorf("%s: error %v", ended, err)
+	}
+	if len(p.returns) != 1 || p.returns[0].Clean != (ended == "release") {
+		t.Errorf("%s: returned %+v", ended, p.returns)
+	}
+	for _, q := range p.cancelled {
+		if !strings.HasPrefix(q, "wait") {
+			t.Errorf("%q was cancelled", q)
+		}
+	}
+	if n := len(p.cancelled); n > want+1 {
+		t.Errorf("%d exchanges cancelled, want %d", n, want)
+	}
+}
--- /dev/null
+++ b/internal/pool/keeper/alive.go
@@ -0,0 +1,32 @@
+package keeper
+
+import (
+	"net"
+	"syscall"
+)
+
+// alive reports whether an idle connection is still open as far as this host
+// has been told.
+//
+// A backend server that crashed or restarted has closed its idle connections.
+// A request sent over one would be lost with its outcome open, although a look
+// beforehand shows the end of the stream. An idle connection has nothing to
+// read, so anything that can be read is a reason not to use it.
+func alive(n net.Conn) bool {
+	s, ok := n.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	r, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = r.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = e == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/internal/route/director/ahead_test.go
@@ -0,0 +1,40 @@
+package director
+
+import (
+	"testing"
+
+	"github.com/cuminwick/cuminwick/internal/caller/server"
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+)
+
+// A replica that looked caught up lacks a write by the time of the read index,
+// again and again. Each such read is run twice and takes a slot from others, so
+// after a few of them reads wait for their index first.
+func TestReadsAheadEndWithTheirBudget(t *testing.T) {
+	d, _ := deploy(t, &declarer.File{})
+	q := server.Query{Group: "g", ReplicaSafe: true, Repeatable: true}
+	runs := 0
+	for range 2 * repeatBurst {
+		c, err := d.Choose(t.Context(), q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Ahead == nil {
+			break
+		}
+		runs++
+		a := c.Ahead.(*ahead)
+		index := a.known
+		a.known.Position--
+		if o := a.Confirm(t.Context(), a.known); o.Covered || !o.HasIndex || o.Index != index {
+			t.Fatalf("at %v: %+v", a.known, o)
+		}
+	}
+	if runs == 0 || runs > repeatBurst {
+		t.Errorf("%d reads ran ahead in vain", runs)
+	}
+	q.Repeatable = false
+	if c, err := d.Choose(t.Context(), q); err != nil || c.Ahead != nil {
+		t.Errorf("a read that can't be run again got %+v, %v", c, err)
+	}
+}
--- /dev/null
+++ b/internal/route/historian/historian_test.go
@@ -0,0 +1,71 @@
+package historian
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+)
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+	flag.Set("rapid.checks", "500")
+	os.Exit(m.Run())
+}
+
+// A replica is served as young enough although it misses an older write. A
+// reviewer with a rule of five seconds then signs off figures that were
+// replaced longer ago. The mark that is asked for must hold every write
+// acknowledged before the age began, and no more than what was observed.
+func TestNeedHoldsAllWritesOlderThanTheAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		maximum := 10 * time.Second
+		h := Historian{MaximumAge: maximum}
+		var all []Observation
+		now := time.Duration(0)
+		m := marker.Mark{Term: 1}
+		for range rapid.IntRange(1, 400).Draw(t, "observations") {
+			now += time.Duration(rapid.IntRange(1, 500).Draw(t, "gap")) * time.Millisecond
+			m.Position += marker.Position(rapid.IntRange(0, 9).Draw(t, "writes"))
+			if rapid.IntRange(0, 50).Draw(t, "change") == 0 {
+				m.Term++
+			}
+			all = append(all, Observation{Asked: now, Mark: m})
+			h.Add(all[len(all)-1])
+			age := time.Duration(rapid.IntRange(0, int(maximum/time.Millisecond)).Draw(t, "age")) * time.Millisecond
+			later := now + time.Duration(rapid.IntRange(0, 500).Draw(t, "later"))*time.Millisecond
+			got, ok := h.Need(later, age)
+			if (later-now <= age) != ok {
+				t.Fatalf("ok = %t with the latest observation %v ago and age %v", ok, later-now, age)
+			}
+			if !ok {
+				continue
+			}
+			// The best answer is the first observation within the age; a thinned
+			// ring may ask for one up to two of its steps later, never earlier.
+			for i, o := range all {
+				if o.Asked < later-age {
+					continue
+				}
+				if !got.Covers(o.Mark) {
+					t.Fatalf("need %v misses %v, observed within the age", got, o.Mark)
+				}
+				step := 2 * maximum / (size - 1)
+				for _, p := range all[i:] {
+					if p.Asked >= o.Asked+step {
+						if !p.Mark.Covers(got) {
+							t.Fatalf("need %v is above %v, observed %v later", got, p.Mark, p.Asked-o.Asked)
+						}
+						break
+					}
+				}
+				break
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/session/replayer/replayer_test.go
@@ -0,0 +1,211 @@
+package replayer
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/cuminwick/cuminwick/internal/statement/classifier"
+)
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+	flag.Set("rapid.checks", "500")
+	os.Exit(m.Run())
+}
+
+func apply(t testing.TB, s *Session, texts ...string) {
+	t.Helper()
+	var c classifier.Classifier
+	for _, q := range texts {
+		k, err := c.Classify(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range k.Parts {
+			s.Apply(p)
+		}
+	}
+}
+
+func TestPlan(t *testing.T) {
+	tests := []struct {
+		name         string
+		before, next []string
+		want         string
+	}{
+		{name: "nothing"},
+		{name: "same", before: []string{"SET search_path = a, b"}, next: []string{"SET search_path TO 'a', 'b'"}},
+		{name: "set", next: []string{"SET search_path = a", "SET statement_timeout = 5000"},
+			want: "SET search_path TO 'a'; SET statement_timeout TO 5000"},
+		{name: "reset what the other had", before: []string{"SET search_path = a", "SET geqo = off"}, next: []string{"SET geqo = on"},
+			want: "RESET search_path; SET geqo TO 'on'"},
+		{name: "reset undone by its own session", before: []string{"SET geqo = off", "RESET geqo", "SET geqo = off", "RESET ALL"}},
+		{name: "rights reset first and set last", before: []string{"SET ROLE low", "SET geqo = off"}, next: []string{"SET ROLE x", "SET SESSION AUTHORIZATION y", "SET work_mem = '1MB'"},
+			want: "RESET role; RESET geqo; SET work_mem TO '1MB'; SET session_authorization TO 'y'; SET role TO 'x'"},
+		{name: "reset all keeps the role", next: []string{"SET ROLE x", "SET geqo = off", "RESET ALL"}, want: "SET role TO 'x'"},
+		{name: "characteristics", next: []string{"SET SESSION CHARACTERISTICS AS TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY"},
+			want: "SET default_transaction_isolation TO 'serializable'; SET default_transaction_read_only TO 'on'"},
+		{name: "parts of a name are quoted", next: []string{`SET "App".tenant = 'it''s'`}, want: `SET "app"."tenant" TO 'it''s'`},
+		{name: "local settings end with their transaction", next: []string{"SET LOCAL geqo = off"}},
+		{name: "discard", next: []string{"SET geqo = off", "DISCARD ALL"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var a, b Session
+			var c Connection
+			apply(t, &a, tt.before...)
+			apply(t, &b, tt.next...)
+			c.Prepare(a.Settings())
+			c.Finish(a.Settings(), false)
+			if p := c.Prepare(b.Settings()); p.Text != tt.want || p.Discard {
+				t.Errorf("plan %+v, want %q", p, tt.want)
+			}
+			if p := c.Prepare(b.Settings()); p.Text != "" {
+				t.Errorf("second plan %+v, want nothing", p)
+			}
+		})
+	}
+}
+
+func TestTransactionsUndoSettings(t *testing.T) {
+	s := Session{Startup: Settings{{Name: "geqo", SQLValue: "'off'"}}}
+	s.Begin()
+	apply(t, &s, "SET geqo = on", "SET work_mem = 1")
+	s.Savepoint("x")
+	apply(t, &s, "SET work_mem = 2")
+	s.RollbackTo("x")
+	if v, _ := s.Settings().Get("work_mem"); v != "1" {
+		t.Errorf("after rollback to savepoint work_mem is %q, want 1", v)
+	}
+	s.End(false)
+	if d := cmp.Diff(s.Startup, s.Settings()); d != "" {
+		t.Errorf("after rollback (-want +got):\n%s", d)
+	}
+	s.Begin()
+	apply(t, &s, "SET geqo = on")
+	s.End(true)
+	s.End(false)
+	if v, _ := s.Settings().Get("geqo"); v != "'on'" {
+		t.Errorf("after commit geqo is %q", v)
+	}
+	apply(t, &s, "RESET geqo")
+	if v, _ := s.Settings().Get("geqo"); v != "'off'" {
+		t.Errorf("reset gives %q, want the startup value", v)
+	}
+}
+
+// server is a fake connection of a backend server that carries texts out.
+type server struct {
+	settings   map[string]string
+	statements map[StatementID]string
+	hidden     bool
+}
+
+func (s *server) run(text string) {
+	for _, q := range strings.Split(text, "; ") {
+		w := strings.Fields(q)
+		switch {
+		case q == DiscardText:
+			*s = server{settings: map[string]string{}, statements: map[StatementID]string{}}
+		case len(w) == 2:
+			delete(s.settings, w[1])
+		case len(w) == 4:
+			s.settings[w[1]] = w[3]
+		}
+	}
+}
+
+// Sessions of different callers take turns on a few connections, change
+// settings, roll back, prepare statements of the same name, and leave hidden
+// state. One that finds another's setting reads the wrong schema or acts in the
+// wrong role; one that finds another's statement gets a foreign answer.
+func TestNothingLeaksToTheNextSession(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c Connection
+		c.Maximum = 2
+		v := server{settings: map[string]string{}, statements: map[StatementID]string{}}
+		var l [3]Session
+		var in [3]map[string]string
+		l[0].Startup = Settings{{Name: "a", SQLValue: "1"}}
+		in[0] = map[string]string{"a": "1"}
+		in[1], in[2] = map[string]string{}, map[string]string{}
+		for range 40 {
+			i := rapid.IntRange(0, 2).Draw(t, "session")
+			s := &l[i]
+			p := c.Prepare(s.Settings())
+			if p.Discard {
+				v.run(DiscardText)
+			}
+			v.run(p.Text)
+			if v.hidden || !maps.Equal(v.settings, in[i]) {
+				t.Fatalf("session %d finds %v, hidden state %t, own settings %v", i, v.settings, v.hidden, in[i])
+			}
+			s.Begin()
+			n := rapid.SampledFrom([]string{"a", "b", "role"}).Draw(t, "name")
+			x := rapid.SampledFrom([]string{"1", "2"}).Draw(t, "value")
+			commit := rapid.Bool().Draw(t, "commit")
+			s.Apply(classifier.Part{Kind: classifier.KindSet, Name: n, SQLValue: x})
+			s.End(commit)
+			if commit {
+				in[i][n], v.settings[n] = x, x
+			}
+			text := fmt.Sprint("SELECT ", rapid.IntRange(0, 5).Draw(t, "text"))
+			name := rapid.SampledFrom([]string{"", "p"}).Draw(t, "statement")
+			s.CloseStatement(name)
+			if _, err := s.Parse(name, text, nil); err != nil {
+				t.Fatal(err)
+			}
+			d, _ := s.Statement(name)
+			u := c.Use(name, d)
+			if u.Close != "" {
+				delete(v.statements, u.Close)
+			}
+			if u.Parse {
+				v.statements[u.Name] = text
+			}
+			if v.statements[u.Name] != text || len(v.statements) > c.Maximum+1 {
+				t.Fatalf("statement %q is %q on the server, want %q; %d held", name, v.statements[u.Name], text, len(v.statements))
+			}
+			hidden := rapid.IntRange(0, 9).Draw(t, "hidden") == 0
+			v.hidden = v.hidden || hidden
+			c.Finish(s.Settings(), hidden)
+		}
+	})
+}
+
+func TestStatements(t *testing.T) {
+	s := Session{Maximum: 2}
+	a, _ := s.Parse("a", "SELECT $1", []uint32{23})
+	b, _ := s.Parse("b", "SELECT $1", []uint32{25})
+	if a.ID == b.ID || a.ID != Identify("SELECT $1", []uint32{23}) {
+		t.Errorf("ids %s and %s", a.ID, b.ID)
+	}
+	if _, err := s.Parse("a", "SELECT 2", nil); !errors.Is(err, ErrDuplicate) {
+		t.Errorf("error %v, want %v", err, ErrDuplicate)
+	}
+	if _, err := s.Parse("c", "SELECT 2", nil); !errors.Is(err, ErrTooMany) {
+		t.Errorf("error %v, want %v", err, ErrTooMany)
+	}
+	apply(t, &s, "DEALLOCATE ALL")
+	if _, ok := s.Statement("a"); ok {
+		t.Error("statement a outlives DEALLOCATE ALL")
+	}
+	var c Connection
+	c.Failed(c.Use("a", a))
+	if p := c.Use("a", a); !p.Parse {
+		t.Error("a statement that failed to parse is taken as known")
+	}
+	c.Discarded()
+	if p := c.Use("a", a); !p.Parse {
+		t.Error("a statement is taken as known after all were discarded")
+	}
+}
--- /dev/null
+++ b/internal/session/tracker/tracker_test.go
@@ -0,0 +1,43 @@
+package tracker
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+)
+
+func TestMarksOnlyMoveUp(t *testing.T) {
+	tests := []struct {
+		name string
+		m    marker.Mark
+		want marker.Mark
+	}{
+		{name: "first", m: marker.Mark{Term: 2, Position: 5}, want: marker.Mark{Term: 2, Position: 5}},
+		{name: "lower position", m: marker.Mark{Term: 2, Position: 4}, want: marker.Mark{Term: 2, Position: 5}},
+		{name: "lower term", m: marker.Mark{Term: 1, Position: 9}, want: marker.Mark{Term: 2, Position: 5}},
+		{name: "higher position", m: marker.Mark{Term: 2, Position: 6}, want: marker.Mark{Term: 2, Position: 6}},
+		{name: "higher term", m: marker.Mark{Term: 3, Position: 1}, want: marker.Mark{Term: 3, Position: 1}},
+	}
+	var r Tracker
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			before, _ := r.Get("g")
+			moved := r.Raise("g", tt.m)
+			got, ok := r.Get("g")
+			if got != tt.want || !ok || moved != (got != before) {
+				t.Errorf("mark %v, moved %t, want %v", got, moved, tt.want)
+			}
+		})
+	}
+}
+
+func TestGroupsAreBounded(t *testing.T) {
+	var r Tracker
+	for i := range MaximumGroups {
+		r.Raise(fmt.Sprint(i), marker.Mark{Term: 1})
+	}
+	if r.CanTouch("other") || !r.CanTouch("0") {
+		t.Errorf("other group %t, known group %t", r.CanTouch("other"), r.CanTouch("0"))
+	}
+}
--- /dev/null
+++ b/internal/standin/executor/order.go
@@ -0,0 +1,171 @@
+package executor
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgtype"
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+
+	"github.com/cuminwick/cuminwick/internal/standin/replicator"
+)
+
+// limited applies LIMIT and OFFSET.
+func (s *scope) limited(q *pgquery.SelectStmt, r rows) (rows, error) {
+	skip, err := s.count(q.LimitOffset, 0)
+	if err != nil {
+		return nil, err
+	}
+	left, err := s.count(q.LimitCount, -1)
+	if err != nil || (skip == 0 && left < 0) {
+		return r, err
+	}
+	return func(ctx context.Context) ([]any, error) {
+		for ; skip > 0; skip-- {
+			v, err := r(ctx)
+			if err != nil || v == nil {
+				return nil, err
+			}
+		}
+		if left == 0 {
+			return nil, nil
+		}
+		left--
+		return r(ctx)
+	}, nil
+}
+
+func (s *scope) count(n *pgquery.Node, otherwise int64) (int64, error) {
+	if n == nil {
+		return otherwise, nil
+	}
+	v, err := s.eval(n)
+	if err != nil {
+		return 0, err
+	}
+	v, err = Coerce(pgtype.Int8OID, v)
+	if err != nil || v == nil {
+		return otherwise, err
+	}
+	return v.(int64), nil
+}
+
+// ordered reads all rows and sorts them by the ORDER BY clause.
+func (s *scope) ordered(ctx context.Context, q *pgquery.SelectStmt, t []target, r rows) ([][]any, error) {
+	var l []entry
+	for {
+		v, err := r(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if v == nil {
+			break
+		}
+		s.row = v
+		k, err := s.sortKey(q, t)
+		if err != nil {
+			return nil, err
+		}
+		l = append(l, entry{row: v, by: k})
+	}
+	return sorted(q, l)
+}
+
+// entry is a row with the values that it is sorted by.
+type entry struct {
+	row, by []any
+}
+
+// sorted returns the rows in the order that the statement asks for.
+func sorted(q *pgquery.SelectStmt, l []entry) ([][]any, error) {
+	var failed error
+	slices.SortStableFunc(l, func(a, b entry) int {
+		n, err := compareKeys(q.SortClause, a.by, b.by)
+		if err != nil {
+			failed = err
+		}
+		return n
+	})
+	o := make([][]any, len(l))
+	for i := range l {
+		o[i] = l[i].row
+	}
+	return o, failed
+}
+
+// sortKey computes the ORDER BY expressions, which may name a result column or its number.
+func (s *scope) sortKey(q *pgquery.SelectStmt, t []target) ([]any, error) {
+	var k []any
+	for _, n := range q.SortClause {
+		v, err := s.evalOutput(n.GetSortBy().GetNode(), t)
+		if err != nil {
+			return nil, err
+		}
+		k = append(k, v)
+	}
+	return k, nil
+}
+
+// evalOutput computes an expression that may be a result column's name or number.
+func (s *scope) evalOutput(n *pgquery.Node, t []target) (any, error) {
+	if i, ok := outputIndex(n, t); ok {
+		if t[i].node == nil {
+			return s.row[t[i].index], nil
+		}
+		return s.eval(t[i].node)
+	}
+	return s.eval(n)
+}
+
+func outputIndex(n *pgquery.Node, t []target) (int, bool) {
+	if k := n.GetAConst().GetIval(); k != nil {
+		i := int(k.GetIval()) - 1
+		return i, i >= 0 && i < len(t)
+	}
+	f := n.GetColumnRef().GetFields()
+	if len(f) != 1 {
+		return 0, false
+	}
+	i := slices.IndexFunc(t, func(e target) bool { return e.column.Name == lastName(f) })
+	return i, i >= 0
+}
+
+func compareKeys(by []*pgquery.Node, a, b []any) (int, error) {
+	for i := range a {
+		n, err := compareNullable(a[i], b[i])
+		if err != nil {
+			return 0, err
+		}
+		if by[i].GetSortBy().GetSortbyDir() == pgquery.SortByDir_SORTBY_DESC {
+			n = -n
+		}
+		if n != 0 {
+			return n, nil
+		}
+	}
+	return 0, nil
+}
+
+// compareNullable orders null after every value.
+func compareNullable(a, b any) (int, error) {
+	if a == nil || b == nil {
+		return boolRank(a == nil) - boolRank(b == nil), nil
+	}
+	return compare(a, b)
+}
+
+// groupKey joins the GROUP BY values of the scope's row.
+func (s *scope) groupKey(q *pgquery.SelectStmt, t []target) (string, error) {
+	var b strings.Builder
+	for _, n := range q.GroupClause {
+		v, err := s.evalOutput(n, t)
+		if err != nil {
+			return "", err
+		}
+		e, ok := replicator.EncodeValue(v)
+		fmt.Fprintf(&b, "%t%d:%s", ok, len(e), e)
+	}
+	return b.String(), nil
+}
--- /dev/null
+++ b/internal/standin/replicator/replicator.go
@@ -0,0 +1,260 @@
+// Package replicator keeps one stand-in backend server's log, terms and tables in memory.
+package replicator
+
+import (
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/backend/controller"
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+)
+
+// Errors of the store.
+const (
+	// ErrReadOnly is returned for a write on a server that isn't primary, or no longer the same one.
+	ErrReadOnly = errors.ConstError("backend server accepts no writes")
+	// ErrTerm is returned for a control call whose term doesn't fit the accepted one.
+	ErrTerm = errors.ConstError("term refused")
+	// ErrDeadlock is returned to the transaction whose wait would close a cycle of waits.
+	ErrDeadlock = errors.ConstError("deadlock detected")
+	// ErrDiverged is returned for records that don't continue the log.
+	ErrDiverged = errors.ConstError("records do not continue the log")
+)
+
+// Leader names the primary that a replica follows.
+type Leader struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// Store is the durable state of one backend server; it outlives a crash.
+type Store struct {
+	// Name is the backend server's name in its group.
+	Name string
+
+	mutex     sync.RWMutex
+	ready     bool
+	role      controller.Role
+	term      marker.Term
+	leader    Leader
+	leaving   bool
+	epoch     uint64
+	log       []Record
+	dropped   []Record
+	tables    map[string]*table
+	sequence  uint64
+	rowNumber uint64
+	changed   chan struct{}
+
+	// following repeats leader and term for those who can't wait for mutex.
+	following following
+
+	lockMutex sync.Mutex
+	locks     map[string]*Transaction
+}
+
+// setUp makes the maps; the caller holds the mutex.
+func (s *Store) setUp() {
+	if s.ready {
+		return
+	}
+	s.ready = true
+	s.tables = map[string]*table{}
+	s.locks = map[string]*Transaction{}
+	s.changed = make(chan struct{})
+	s.following.reset(time.Now())
+	if s.role == "" {
+		s.role = controller.RoleReplica
+	}
+}
+
+// hold takes the mutex for a change.
+func (s *Store) hold() {
+	s.mutex.Lock()
+	s.setUp()
+}
+
+// announce wakes everyone who waits on Changed; the caller holds the mutex.
+func (s *Store) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change of log, role or leader.
+func (s *Store) Changed() <-chan struct{} {
+	s.hold()
+	defer s.mutex.Unlock()
+	return s.changed
+}
+
+// last returns the mark of the last entry; the caller holds the mutex.
+func (s *Store) last() marker.Mark {
+	if len(s.log) == 0 {
+		return marker.Mark{}
+	}
+	return s.log[len(s.log)-1].Mark
+}
+
+// Last returns the mark of the log's last entry.
+func (s *Store) Last() marker.Mark {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.last()
+}
+
+// Status returns the server's word about itself at now.
+func (s *Store) Status(now time.Time) controller.Status {
+	s.hold()
+	defer s.mutex.Unlock()
+	return s.status(now)
+}
+
+func (s *Store) status(now time.Time) controller.Status {
+	t := controller.Status{
+		BackendServer: s.Name,
+		Role:          s.role,
+		Term:          s.term,
+		Last:          s.last(),
+		Following:     s.leader.Name,
+		Leaving:       s.leaving,
+		Writing:       s.writing(),
+	}
+	if s.role != controller.RolePrimary {
+		t.SinceHeard = s.following.silence(now)
+	}
+	h := s.history()
+	if len(h) > 0 {
+		t.TermStart = h[len(h)-1].First
+	}
+	if len(h) > 1 {
+		t.PreviousTerm = h[len(h)-2].Term
+	}
+	return t
+}
+
+// writing counts the open transactions that hold locks, and so have written.
+func (s *Store) writing() int {
+	s.lockMutex.Lock()
+	defer s.lockMutex.Unlock()
+	m := map[*Transaction]bool{}
+	for _, t := range s.locks {
+		m[t] = true
+	}
+	return len(m)
+}
+
+// Start makes an empty server primary of term t, as the platform does for a new group.
+func (s *Store) Start(t marker.Term) {
+	s.hold()
+	defer s.mutex.Unlock()
+	s.term = t
+	s.lead()
+}
+
+// lead makes the server primary of its term and writes the term-start record.
+func (s *Store) lead() {
+	s.role = controller.RolePrimary
+	s.leader = Leader{}
+	s.following.set(s.leader, s.term)
+	s.epoch++
+	s.write(nil)
+}
+
+// RaiseTerm accepts term t, which must be above the accepted one, and stops writes under lower ones.
+func (s *Store) RaiseTerm(t marker.Term, now time.Time) (controller.Status, error) {
+	s.hold()
+	defer s.mutex.Unlock()
+	if t <= s.term {
+		return s.status(now), errors.Annotatef(ErrTerm, "raise to %d on %s at %d", t, s.Name, s.term)
+	}
+	s.accept(t, now)
+	return s.status(now), nil
+}
+
+// accept takes on the higher term t, which ends leading or following under a lower one.
+func (s *Store) accept(t marker.Term, now time.Time) {
+	s.term = t
+	s.epoch++
+	if s.role == controller.RolePrimary {
+		s.role = controller.RoleFenced
+		s.following.reset(now)
+	}
+	s.leader = Leader{}
+	s.following.set(s.leader, s.term)
+	s.announce()
+}
+
+// LearnTerm fences a primary that hears of a higher term from a peer.
+func (s *Store) LearnTerm(t marker.Term, now time.Time) {
+	s.hold()
+	defer s.mutex.Unlock()
+	if t > s.term && s.role == controller.RolePrimary {
+		s.accept(t, now)
+	}
+}
+
+// Promote makes the server primary of its accepted term t.
+func (s *Store) Promote(t marker.Term, now time.Time) (controller.Status, error) {
+	s.hold()
+	defer s.mutex.Unlock()
+	if t == s.term && s.role == controller.RolePrimary {
+		return s.status(now), nil
+	}
+	if t != s.term || s.leader != (Leader{}) {
+		return s.status(now), errors.Annotatef(ErrTerm, "promote to %d on %s at %d following %q", t, s.Name, s.term, s.leader.Name)
+	}
+	s.lead()
+	return s.status(now), nil
+}
+
+// Follow makes the server a replica of l under term t. A primary of t itself refuses.
+func (s *Store) Follow(t marker.Term, l Leader, now time.Time) (controller.Status, error) {
+	s.hold()
+	defer s.mutex.Unlock()
+	if t < s.term || (t == s.term && s.role == controller.RolePrimary) {
+		return s.status(now), errors.Annotatef(ErrTerm, "follow %s under %d on %s at %d", l.Name, t, s.Name, s.term)
+	}
+	if t > s.term {
+		s.accept(t, now)
+	}
+	s.role = controller.RoleReplica
+	s.leader = l
+	s.following.set(s.leader, s.term)
+	s.announce()
+	return s.status(now), nil
+}
+
+// SetLeaving says whether the server will stop soon.
+func (s *Store) SetLeaving(leaving bool) {
+	s.hold()
+	defer s.mutex.Unlock()
+	s.leaving = leaving
+}
+
+// Leader returns the primary that the server follows, with the term, empty if none.
+// It doesn't wait for changes in progress.
+func (s *Store) Leader() (Leader, marker.Term) {
+	return s.following.get()
+}
+
+// Leads reports whether the server is primary, and under which term.
+func (s *Store) Leads() (bool, marker.Term) {
+	s.hold()
+	defer s.mutex.Unlock()
+	return s.role == controller.RolePrimary, s.term
+}
+
+// Heard notes that the server heard its primary, if it still follows under t.
+// It doesn't wait for changes in progress.
+func (s *Store) Heard(t marker.Term, now time.Time) {
+	s.following.hear(t, now)
+}
+
+// Epoch counts the changes of role and log that end transactions in progress.
+func (s *Store) Epoch() uint64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.epoch
+}
--- /dev/null
+++ b/internal/standin/replicator/table.go
@@ -0,0 +1,213 @@
+package replicator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Column is one column of a table.
+type Column struct {
+	Name string `cbor:"1,keyasint" json:"name"`
+	// Type is the PostgreSQL type's object identifier.
+	Type    uint32 `cbor:"2,keyasint" json:"type"`
+	NotNull bool   `cbor:"3,keyasint,omitempty" json:"not-null,omitempty"`
+	// Default is a SELECT that gives the value, empty if none.
+	Default string `cbor:"4,keyasint,omitempty" json:"default,omitempty"`
+	// Serial columns take the next number if none is given.
+	Serial bool `cbor:"5,keyasint,omitempty" json:"serial,omitempty"`
+}
+
+// Unique is a set of columns whose values occur once.
+type Unique struct {
+	Name    string `cbor:"1,keyasint" json:"name"`
+	Columns []int  `cbor:"2,keyasint" json:"columns"`
+}
+
+// Definition describes one table.
+type Definition struct {
+	Name    string   `cbor:"1,keyasint" json:"name"`
+	Columns []Column `cbor:"2,keyasint" json:"columns"`
+	// Key is the primary key, nil if none.
+	Key *Unique `cbor:"3,keyasint,omitempty" json:"key,omitempty"`
+	// Uniques are the further unique constraints.
+	Uniques []Unique `cbor:"4,keyasint,omitempty" json:"uniques,omitempty"`
+}
+
+// Index returns the number of the column so named, or -1.
+func (d *Definition) Index(name string) int {
+	for i := range d.Columns {
+		if d.Columns[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Encode joins the values of the columns of u; ok is false if one of them is null.
+func (u *Unique) Encode(values []any) (key string, ok bool) {
+	if len(u.Columns) == 1 {
+		return EncodeValue(values[u.Columns[0]])
+	}
+	var b strings.Builder
+	for _, c := range u.Columns {
+		e, ok := EncodeValue(values[c])
+		if !ok {
+			return "", false
+		}
+		fmt.Fprintf(&b, "%d:%s", len(e), e)
+	}
+	return b.String(), true
+}
+
+// EncodeValue gives equal text for equal values; ok is false for null.
+func EncodeValue(v any) (text string, ok bool) {
+	switch v := v.(type) {
+	case nil:
+		return "", false
+	case string:
+		return v, true
+	case []byte:
+		return string(v), true
+	case time.Time:
+		return v.UTC().Format(time.RFC3339Nano), true
+	default:
+		return fmt.Sprint(v), true
+	}
+}
+
+// ChangeKind tells the kinds of change apart.
+type ChangeKind int
+
+// Kinds of change.
+const (
+	// CreateTable adds an empty table.
+	CreateTable ChangeKind = iota + 1
+	// DropTable removes a table.
+	DropTable
+	// PutRow sets one row.
+	PutRow
+	// DeleteRow removes one row.
+	DeleteRow
+)
+
+// Change is one step of a committed transaction.
+type Change struct {
+	Kind       ChangeKind  `cbor:"1,keyasint" json:"kind"`
+	Table      string      `cbor:"2,keyasint" json:"table"`
+	Definition *Definition `cbor:"3,keyasint,omitempty" json:"definition,omitempty"`
+	Key        string      `cbor:"4,keyasint,omitempty" json:"key,omitempty"`
+	Values     []any       `cbor:"5,keyasint,omitempty" json:"values,omitempty"`
+}
+
+// Row is one row version; it is never changed.
+type Row struct {
+	Key    string
+	Values []any
+	// order is the place among the table's rows, by first insertion.
+	order uint64
+}
+
+// table holds the committed rows of one table.
+type table struct {
+	definition *Definition
+	rows       map[string]*Row
+	indexes    []map[string]string
+	nextSerial int64
+}
+
+// apply carries out a committed change; the caller holds the mutex.
+func (s *Store) apply(c *Change) {
+	switch c.Kind {
+	case CreateTable:
+		s.tables[c.Table] = newTable(c.Definition)
+	case DropTable:
+		delete(s.tables, c.Table)
+	case PutRow:
+		s.sequence++
+		s.tables[c.Table].put(c.Key, c.Values, s.sequence)
+	case DeleteRow:
+		s.tables[c.Table].remove(c.Key)
+	}
+}
+
+func newTable(d *Definition) *table {
+	t := &table{definition: d, rows: map[string]*Row{}, nextSerial: 1}
+	for range d.Uniques {
+		t.indexes = append(t.indexes, map[string]string{})
+	}
+	return t
+}
+
+func (t *table) put(key string, values []any, order uint64) {
+	if o, ok := t.rows[key]; ok {
+		order = o.order
+		t.remove(key)
+	}
+	t.rows[key] = &Row{Key: key, Values: values, order: order}
+	for i := range t.indexes {
+		if e, ok := t.definition.Uniques[i].Encode(values); ok {
+			t.indexes[i][e] = key
+		}
+	}
+	for i := range t.definition.Columns {
+		if n, ok := values[i].(int64); ok && t.definition.Columns[i].Serial && n >= t.nextSerial {
+			t.nextSerial = n + 1
+		}
+	}
+}
+
+func (t *table) remove(key string) {
+	r, ok := t.rows[key]
+	if !ok {
+		return
+	}
+	for i := range t.indexes {
+		if e, ok := t.definition.Uniques[i].Encode(r.Values); ok {
+			delete(t.indexes[i], e)
+		}
+	}
+	delete(t.rows, key)
+}
+
+// sorted returns the rows in the order of their first insertion.
+func (t *table) sorted() []*Row {
+	r := make([]*Row, 0, len(t.rows))
+	for _, e := range t.rows {
+		r = append(r, e)
+	}
+	slices.SortFunc(r, func(a, b *Row) int { return cmp.Compare(a.order, b.order) })
+	return r
+}
+
+// TableDump is the whole content of one table.
+type TableDump struct {
+	Definition Definition `json:"definition"`
+	Rows       [][]any    `json:"rows"`
+}
+
+// Dump is all that a server holds, for a checker to compare.
+type Dump struct {
+	BackendServer string               `json:"backend-server"`
+	Tables        map[string]TableDump `json:"tables"`
+	Log           []Record             `json:"log"`
+	// Dropped are the records that the server threw away to follow a later primary.
+	Dropped []Record `json:"dropped,omitempty"`
+}
+
+// Dump returns the server's tables and log at one moment.
+func (s *Store) Dump() Dump {
+	s.hold()
+	defer s.mutex.Unlock()
+	d := Dump{BackendServer: s.Name, Tables: map[string]TableDump{}, Log: slices.Clone(s.log), Dropped: slices.Clone(s.dropped)}
+	for n, t := range s.tables {
+		u := TableDump{Definition: *t.definition}
+		for _, r := range t.sorted() {
+			u.Rows = append(u.Rows, r.Values)
+		}
+		d.Tables[n] = u
+	}
+	return d
+}
