--- /dev/null
+++ b/internal/standin/replicator/transaction.go
@@ -0,0 +1,311 @@
+package replicator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/backend/controller"
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+)
+
+// Transaction is one transaction's pending changes and locks. It reads what is
+// committed at each statement (read committed) and its own changes.
+type Transaction struct {
+	// Store is the server's store.
+	Store *Store
+
+	changes []Change
+	pending map[rowName]*Row // nil for a deleted row
+	catalog map[string]*Definition
+	epoch   uint64
+	locked  []string
+	waiting *Transaction
+	done    chan struct{}
+}
+
+type rowName struct {
+	table string
+	key   string
+}
+
+// Begin starts a transaction.
+func (s *Store) Begin() *Transaction {
+	s.hold()
+	defer s.mutex.Unlock()
+	return &Transaction{Store: s, epoch: s.epoch, done: make(chan struct{})}
+}
+
+// Table returns the definition of the table so named, nil if there is none.
+func (t *Transaction) Table(name string) *Definition {
+	if d, ok := t.catalog[name]; ok {
+		return d
+	}
+	t.Store.mutex.RLock()
+	defer t.Store.mutex.RUnlock()
+	if c, ok := t.Store.tables[name]; ok {
+		return c.definition
+	}
+	return nil
+}
+
+// committed returns the committed table; the caller holds the store's mutex.
+func (t *Transaction) committed(name string) *table {
+	if d, ok := t.catalog[name]; ok && (d == nil || t.Store.tables[name] == nil || t.Store.tables[name].definition != d) {
+		return nil
+	}
+	return t.Store.tables[name]
+}
+
+// Get returns the row so keyed, nil if there is none.
+func (t *Transaction) Get(name, key string) *Row {
+	if r, ok := t.pending[rowName{name, key}]; ok {
+		return r
+	}
+	t.Store.mutex.RLock()
+	defer t.Store.mutex.RUnlock()
+	if c := t.committed(name); c != nil {
+		return c.rows[key]
+	}
+	return nil
+}
+
+// Scan returns all rows of a table as they are now.
+func (t *Transaction) Scan(name string) []*Row {
+	t.Store.mutex.RLock()
+	var r []*Row
+	if c := t.committed(name); c != nil {
+		r = c.sorted()
+	}
+	t.Store.mutex.RUnlock()
+	if len(t.pending) == 0 {
+		return r
+	}
+	return t.overlay(name, r)
+}
+
+// overlay replaces rows by the transaction's own versions and adds its new ones.
+func (t *Transaction) overlay(name string, rows []*Row) []*Row {
+	seen := map[string]bool{}
+	var r []*Row
+	for _, e := range rows {
+		seen[e.Key] = true
+		if p, ok := t.pending[rowName{name, e.Key}]; ok {
+			e = p
+		}
+		if e != nil {
+			r = append(r, e)
+		}
+	}
+	for _, c := range t.changes {
+		if c.Table != name || c.Kind != PutRow || seen[c.Key] {
+			continue
+		}
+		seen[c.Key] = true
+		if p := t.pending[rowName{name, c.Key}]; p != nil {
+			r = append(r, p)
+		}
+	}
+	return r
+}
+
+// FindUnique returns the key of the row that holds the encoded value in unique constraint i.
+func (t *Transaction) FindUnique(d *Definition, i int, value string) (key string, ok bool) {
+	for n, r := range t.pending {
+		if n.table != d.Name || r == nil {
+			continue
+		}
+		if e, ok := d.Uniques[i].Encode(r.Values); ok && e == value {
+			return n.key, true
+		}
+	}
+	t.Store.mutex.RLock()
+	defer t.Store.mutex.RUnlock()
+	c := t.committed(d.Name)
+	if c == nil {
+		return "", false
+	}
+	k, ok := c.indexes[i][value]
+	if _, own := t.pending[rowName{d.Name, k}]; !ok || own {
+		return "", false
+	}
+	return k, true
+}
+
+// NextSerial returns the next number of a table's serial column.
+func (t *Transaction) NextSerial(name string) int64 {
+	t.Store.hold()
+	defer t.Store.mutex.Unlock()
+	c := t.Store.tables[name]
+	if c == nil {
+		return int64(len(t.changes))
+	}
+	n := c.nextSerial
+	c.nextSerial++
+	return n
+}
+
+// NewKey returns a key for a row of a table without primary key.
+func (t *Transaction) NewKey() string {
+	t.Store.hold()
+	defer t.Store.mutex.Unlock()
+	t.Store.rowNumber++
+	return fmt.Sprintf("%s.%d.%d", t.Store.Name, t.Store.term, t.Store.rowNumber)
+}
+
+// Writable returns ErrReadOnly if the server can't commit this transaction's writes.
+func (t *Transaction) Writable() error {
+	t.Store.mutex.RLock()
+	defer t.Store.mutex.RUnlock()
+	return t.writable()
+}
+
+func (t *Transaction) writable() error {
+	s := t.Store
+	if s.role != controller.RolePrimary {
+		return errors.Annotatef(ErrReadOnly, "%s is %s", s.Name, s.role)
+	}
+	if t.epoch != s.epoch {
+		return errors.Annotatef(ErrReadOnly, "%s changed its role since the transaction began", s.Name)
+	}
+	return nil
+}
+
+// Add takes one change into the transaction.
+func (t *Transaction) Add(c Change) {
+	t.changes = append(t.changes, c)
+	t.overlayChange(c)
+}
+
+func (t *Transaction) overlayChange(c Change) {
+	if t.pending == nil {
+		t.pending = map[rowName]*Row{}
+		t.catalog = map[string]*Definition{}
+	}
+	switch c.Kind {
+	case CreateTable:
+		t.catalog[c.Table] = c.Definition
+	case DropTable:
+		t.catalog[c.Table] = nil
+	case PutRow:
+		t.pending[rowName{c.Table, c.Key}] = &Row{Key: c.Key, Values: c.Values}
+	case DeleteRow:
+		t.pending[rowName{c.Table, c.Key}] = nil
+	}
+}
+
+// Savepoint returns the present length of the changes, for RollbackTo.
+func (t *Transaction) Savepoint() int {
+	return len(t.changes)
+}
+
+// RollbackTo drops the changes since Savepoint returned n; locks stay.
+func (t *Transaction) RollbackTo(n int) {
+	c := slices.Clone(t.changes[:n])
+	t.changes, t.pending, t.catalog = nil, nil, nil
+	for _, e := range c {
+		t.Add(e)
+	}
+}
+
+// Empty reports whether the transaction has changed nothing.
+func (t *Transaction) Empty() bool {
+	return len(t.changes) == 0
+}
+
+// Commit writes the changes as one log record, which readers see at once.
+//
+// A server that was fenced since the transaction began refuses, so that nothing
+// commits under a term that is already closed.
+func (t *Transaction) Commit() (marker.Mark, error) {
+	defer t.finish()
+	if len(t.changes) == 0 {
+		return marker.Mark{}, nil
+	}
+	s := t.Store
+	s.hold()
+	defer s.mutex.Unlock()
+	if err := t.writable(); err != nil {
+		return marker.Mark{}, err
+	}
+	return s.write(t.changes), nil
+}
+
+// Rollback drops the transaction.
+func (t *Transaction) Rollback() {
+	t.finish()
+}
+
+// finish gives back the locks, once.
+func (t *Transaction) finish() {
+	s := t.Store
+	s.lockMutex.Lock()
+	defer s.lockMutex.Unlock()
+	select {
+	case <-t.done:
+		return
+	default:
+	}
+	for _, n := range t.locked {
+		delete(s.locks, n)
+	}
+	t.locked = nil
+	close(t.done)
+}
+
+// TryLock takes the lock so named unless another transaction holds it, which it then returns.
+func (t *Transaction) TryLock(name string) (*Transaction, error) {
+	s := t.Store
+	s.lockMutex.Lock()
+	defer s.lockMutex.Unlock()
+	o := s.locks[name]
+	if o == t {
+		return nil, nil
+	}
+	if o == nil {
+		t.waiting = nil
+		s.locks[name] = t
+		t.locked = append(t.locked, name)
+		return nil, nil
+	}
+	for w := o; w != nil; w = w.waiting {
+		if w == t {
+			return nil, errors.Annotatef(ErrDeadlock, "lock %s", name)
+		}
+	}
+	t.waiting = o
+	return o, nil
+}
+
+// Lock takes the lock so named, waiting for the transaction that holds it.
+func (t *Transaction) Lock(ctx context.Context, name string) error {
+	for {
+		o, err := t.TryLock(name)
+		if err != nil || o == nil {
+			return err
+		}
+		err = t.wait(ctx, o)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// wait returns when o has ended.
+func (t *Transaction) wait(ctx context.Context, o *Transaction) error {
+	defer t.stopWaiting()
+	select {
+	case <-o.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (t *Transaction) stopWaiting() {
+	t.Store.lockMutex.Lock()
+	defer t.Store.lockMutex.Unlock()
+	t.waiting = nil
+}
--- /dev/null
+++ b/internal/standin/responder/authenticate.go
@@ -0,0 +1,96 @@
+package responder
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+	"github.com/xdg-go/scram"
+)
+
+// SCRAM settings.
+const (
+	mechanism  = "SCRAM-SHA-256"
+	salt       = "cuminwick-stand-in"
+	iterations = 4096
+)
+
+// authenticate asks for the password, if one is set.
+func (c *connection) authenticate() error {
+	if c.server.Password == "" {
+		return nil
+	}
+	c.backend.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	if err := c.askSASL(pgproto3.AuthTypeSASL); err != nil {
+		return err
+	}
+	m, err := c.backend.Receive()
+	if err != nil {
+		return errors.Annotate(err, "receive first SASL message")
+	}
+	i, ok := m.(*pgproto3.SASLInitialResponse)
+	if !ok || i.AuthMechanism != mechanism {
+		return c.refuse("08P01", "expected a SASL response with "+mechanism)
+	}
+	v, err := c.conversation()
+	if err != nil {
+		return err
+	}
+	return c.converse(v, string(i.Data))
+}
+
+// askSASL sends what is queued and sets how the answer is decoded.
+func (c *connection) askSASL(kind uint32) error {
+	if err := c.backend.Flush(); err != nil {
+		return errors.Annotate(err, "ask for password")
+	}
+	return c.backend.SetAuthType(kind)
+}
+
+func (c *connection) conversation() (*scram.ServerConversation, error) {
+	s, err := scram.SHA256.NewServer(c.credentials)
+	if err != nil {
+		return nil, errors.Annotate(err, "make SCRAM server")
+	}
+	return s.NewConversation(), nil
+}
+
+// credentials are the same for every user.
+func (c *connection) credentials(string) (scram.StoredCredentials, error) {
+	u, err := scram.SHA256.NewClient("", c.server.Password, "")
+	if err != nil {
+		return scram.StoredCredentials{}, err
+	}
+	return u.GetStoredCredentialsWithError(scram.KeyFactors{Salt: salt, Iters: iterations})
+}
+
+// converse runs the two steps of SCRAM.
+func (c *connection) converse(v *scram.ServerConversation, first string) error {
+	r, err := v.Step(first)
+	if err != nil {
+		return c.rejectPassword(err)
+	}
+	c.backend.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(r)})
+	if err := c.askSASL(pgproto3.AuthTypeSASLContinue); err != nil {
+		return err
+	}
+	m, err := c.backend.Receive()
+	if err != nil {
+		return errors.Annotate(err, "receive second SASL message")
+	}
+	a, ok := m.(*pgproto3.SASLResponse)
+	if !ok {
+		return c.refuse("08P01", "expected a SASL response")
+	}
+	r, err = v.Step(string(a.Data))
+	if err != nil || !v.Valid() {
+		return c.rejectPassword(err)
+	}
+	c.backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(r)})
+	return nil
+}
+
+func (c *connection) rejectPassword(err error) error {
+	if e := c.refuse("28P01", "password authentication failed"); e != nil {
+		return e
+	}
+	return errors.Annotate(err, "check password")
+}
--- /dev/null
+++ b/internal/standin/responder/messages.go
@@ -0,0 +1,238 @@
+package responder
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+
+	"github.com/cuminwick/cuminwick/internal/standin/executor"
+)
+
+// portal is a bound statement and, once it runs, the rest of its rows.
+type portal struct {
+	prepared *executor.Prepared
+	params   []any
+	formats  []int16
+	result   *executor.Result
+	sent     int
+}
+
+// loopMessages answers messages until the connection ends.
+func (c *connection) loopMessages(ctx context.Context) error {
+	for {
+		m, err := c.backend.Receive()
+		if err != nil {
+			return errors.Annotate(err, "receive message")
+		}
+		if err := c.server.faults.Wait(ctx); err != nil {
+			return err
+		}
+		if _, ok := m.(*pgproto3.Terminate); ok {
+			return nil
+		}
+		if err := c.handle(ctx, m); err != nil {
+			return err
+		}
+	}
+}
+
+// handle answers one message; the errors that it returns end the connection.
+func (c *connection) handle(ctx context.Context, m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		return c.query(ctx, m.String)
+	case *pgproto3.Sync:
+		return c.sync(ctx)
+	case *pgproto3.Flush:
+		return c.flush(ctx)
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		// The rest of a COPY that failed is dropped, as PostgreSQL does.
+		return nil
+	}
+	if c.skipping {
+		return nil
+	}
+	err := c.extended(ctx, m)
+	if err == nil {
+		return nil
+	}
+	var p *pgconn.PgError
+	if !errors.As(err, &p) {
+		return err
+	}
+	c.fail(p)
+	c.skipping = true
+	return nil
+}
+
+// extended handles a message of the extended protocol.
+func (c *connection) extended(ctx context.Context, m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		return c.parse(m)
+	case *pgproto3.Bind:
+		return c.bind(m)
+	case *pgproto3.Describe:
+		return c.describe(m)
+	case *pgproto3.Execute:
+		return c.execute(ctx, m)
+	case *pgproto3.Close:
+		return c.close(m)
+	}
+	return errors.Errorf("unexpected message %T", m)
+}
+
+// fail sends an error and ends an implicit transaction.
+func (c *connection) fail(p *pgconn.PgError) {
+	c.session.Fail()
+	c.backend.Send(&pgproto3.ErrorResponse{
+		Severity:            p.Severity,
+		SeverityUnlocalized: p.Severity,
+		Code:                p.Code,
+		Message:             p.Message,
+		Detail:              p.Detail,
+		Position:            p.Position,
+	})
+}
+
+func (c *connection) flush(ctx context.Context) error {
+	if err := c.server.faults.Wait(ctx); err != nil {
+		return err
+	}
+	c.gathered = 0
+	return errors.Annotate(c.backend.Flush(), "send answer")
+}
+
+// sync ends an implicit transaction and says that the server is ready.
+func (c *connection) sync(ctx context.Context) error {
+	c.skipping = false
+	if err := c.finishImplicit(); err != nil {
+		return err
+	}
+	return c.ready(ctx)
+}
+
+// finishImplicit commits an implicit transaction; an error of the commit goes to the caller.
+func (c *connection) finishImplicit() error {
+	if c.session.Status() == 'I' {
+		clear(c.portals)
+	}
+	err := c.session.Finish()
+	var p *pgconn.PgError
+	if errors.As(err, &p) {
+		c.fail(p)
+		return nil
+	}
+	return err
+}
+
+func (c *connection) ready(ctx context.Context) error {
+	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.session.Status()})
+	return c.flush(ctx)
+}
+
+// query runs a query string of the simple protocol.
+func (c *connection) query(ctx context.Context, sql string) error {
+	c.skipping = false
+	err := c.statements(ctx, sql)
+	var p *pgconn.PgError
+	if errors.As(err, &p) {
+		c.fail(p)
+	} else if err != nil {
+		return err
+	}
+	return c.ready(ctx)
+}
+
+// statements runs the statements of a query string, in one implicit transaction.
+func (c *connection) statements(ctx context.Context, sql string) error {
+	l, err := c.server.parser.Parse(sql)
+	if err != nil {
+		return err
+	}
+	if len(l) == 0 {
+		c.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	for i, n := range l {
+		if err := c.simple(ctx, n, i == len(l)-1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// simple runs one statement and sends its whole answer. The last one commits
+// before its command tag is sent, so that the tag is true.
+func (c *connection) simple(ctx context.Context, n *pgquery.Node, last bool) error {
+	ctx, stop := c.begin(ctx)
+	defer c.finish(stop)
+	defer c.yield()
+	if err := c.takeSlot(ctx, n); err != nil {
+		return err
+	}
+	r, err := c.session.Execute(ctx, n, nil)
+	if err != nil {
+		return err
+	}
+	p := &portal{prepared: &executor.Prepared{Node: n, Columns: r.Columns}, result: r}
+	if r.Columns != nil && !r.CopyOut {
+		c.backend.Send(describeRows(r.Columns, nil))
+	}
+	if _, err := c.rows(ctx, p, 0); err != nil {
+		return err
+	}
+	if last {
+		if err := c.session.Finish(); err != nil {
+			return err
+		}
+	}
+	c.complete(p)
+	return nil
+}
+
+// complete sends the notice and the command tag.
+func (c *connection) complete(p *portal) {
+	if p.result.Notice != "" {
+		c.backend.Send(&pgproto3.NoticeResponse{Severity: "WARNING", SeverityUnlocalized: "WARNING", Code: "01000", Message: p.result.Notice})
+	}
+	t := p.result.Tag
+	if t == "" {
+		t = fmt.Sprintf("SELECT %d", p.sent)
+	}
+	if p.result.CopyOut {
+		t = fmt.Sprintf("COPY %d", p.sent)
+	}
+	c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(t)})
+}
+
+func describeRows(l []executor.Column, formats []int16) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for i, k := range l {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{
+			Name:         []byte(k.Name),
+			DataTypeOID:  k.Type,
+			DataTypeSize: k.Size(),
+			TypeModifier: -1,
+			Format:       formatOf(formats, i),
+		})
+	}
+	return d
+}
+
+// formatOf applies the rule that one code counts for all columns, and none means text.
+func formatOf(formats []int16, i int) int16 {
+	switch {
+	case len(formats) == 0:
+		return 0
+	case len(formats) == 1:
+		return formats[0]
+	case i < len(formats):
+		return formats[i]
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/standin/responder/registry.go
@@ -0,0 +1,78 @@
+package responder
+
+import (
+	"bytes"
+	"sync"
+)
+
+// registry finds sessions by the process number of their cancel keys.
+type registry struct {
+	mutex    sync.Mutex
+	last     uint32
+	sessions map[uint32]*connection
+}
+
+// add gives a connection its number.
+func (r *registry) add(c *connection) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.sessions == nil {
+		r.sessions = map[uint32]*connection{}
+	}
+	r.last++
+	c.process = r.last
+	r.sessions[r.last] = c
+}
+
+func (r *registry) remove(c *connection) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.sessions, c.process)
+}
+
+// cancel ends the running statement of the session whose key it is.
+func (r *registry) cancel(process uint32, secret []byte) {
+	r.mutex.Lock()
+	c := r.sessions[process]
+	r.mutex.Unlock()
+	if c != nil && bytes.Equal(c.secret, secret) {
+		c.cancelStatement()
+	}
+}
+
+// activity returns the process number and state of each session.
+func (r *registry) activity() [][]any {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var l [][]any
+	for n, c := range r.sessions {
+		l = append(l, []any{int64(n), c.state()})
+	}
+	return l
+}
+
+// terminate ends the session with this process number.
+func (r *registry) terminate(process uint32) bool {
+	r.mutex.Lock()
+	c := r.sessions[process]
+	r.mutex.Unlock()
+	if c == nil {
+		return false
+	}
+	c.conn.Close()
+	c.cancelStatement()
+	return true
+}
+
+// closeCallers ends all sessions but those for control.
+func (r *registry) closeCallers() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, c := range r.sessions {
+		if c.control {
+			continue
+		}
+		c.conn.Close()
+		c.cancelStatement()
+	}
+}
--- /dev/null
+++ b/internal/standin/responder/work.go
@@ -0,0 +1,67 @@
+package responder
+
+import (
+	"strings"
+	"sync/atomic"
+
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+)
+
+// ownPrefix starts the names of tables that cuminwick keeps for itself.
+const ownPrefix = "cuminwick_"
+
+// Work counts the statements that worked in a slot.
+type Work struct {
+	// PrimaryReads and ReplicaReads are SELECTs by the server's role at the time.
+	PrimaryReads int64
+	ReplicaReads int64
+	// Others are all other statements, and SELECTs of cuminwick's own tables.
+	Others int64
+}
+
+// Total is the number of statements.
+func (w Work) Total() int64 {
+	return w.PrimaryReads + w.ReplicaReads + w.Others
+}
+
+// work holds the counters behind Work.
+type work struct {
+	primaryReads atomic.Int64
+	replicaReads atomic.Int64
+	others       atomic.Int64
+}
+
+// Work returns the statements counted so far.
+func (s *Server) Work() Work {
+	return Work{
+		PrimaryReads: s.work.primaryReads.Load(),
+		ReplicaReads: s.work.replicaReads.Load(),
+		Others:       s.work.others.Load(),
+	}
+}
+
+// Statements counts the statements that worked in a slot so far.
+func (s *Server) Statements() int64 {
+	return s.Work().Total()
+}
+
+// count adds one statement that takes a slot.
+func (s *Server) count(n *pgquery.Node) {
+	q := n.GetSelectStmt()
+	if q == nil || readsOwn(q) {
+		s.work.others.Add(1)
+		return
+	}
+	if l, _ := s.store.Leads(); l {
+		s.work.primaryReads.Add(1)
+		return
+	}
+	s.work.replicaReads.Add(1)
+}
+
+func readsOwn(q *pgquery.SelectStmt) bool {
+	if len(q.FromClause) == 0 {
+		return false
+	}
+	return strings.HasPrefix(q.FromClause[0].GetRangeVar().GetRelname(), ownPrefix)
+}
--- /dev/null
+++ b/internal/standin/storekeeper/store.go
@@ -0,0 +1,217 @@
+package storekeeper
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/platform/accessor"
+)
+
+// Errors of the stand-in beside those of accessor.
+const (
+	// ErrOutage is returned by every call while an outage is set.
+	ErrOutage = errors.ConstError("platform outage")
+	// ErrAnswerLost is returned by a put that took effect and whose answer is dropped.
+	ErrAnswerLost = errors.ConstError("answer lost")
+)
+
+// DefaultWait is how long a watch waits if nobody says otherwise.
+const DefaultWait = 4 * time.Second
+
+// Calls counts the calls of each operation since the start.
+type Calls struct {
+	Get   int `json:"get"`
+	Put   int `json:"put"`
+	List  int `json:"list"`
+	Watch int `json:"watch"`
+	Hosts int `json:"hosts"`
+}
+
+// Total returns the number of all calls.
+func (c Calls) Total() int {
+	return c.Get + c.Put + c.List + c.Watch + c.Hosts
+}
+
+type key struct {
+	kind, name string
+}
+
+// Store keeps objects in memory and injects faults. It is itself an
+// accessor.Platform, so that tests can do without sockets.
+type Store struct {
+	// Wait is how long a watch waits at most, DefaultWait if unset.
+	Wait time.Duration
+
+	mu      sync.Mutex
+	objects map[key]accessor.Object
+	changed chan struct{}
+	calls   Calls
+	faults  Faults
+	hosts   hostList
+}
+
+var _ accessor.Platform = (*Store)(nil)
+
+// Get returns one object.
+func (s *Store) Get(ctx context.Context, kind, name string) (accessor.Object, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Get++ }); err != nil {
+		return accessor.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key{kind, name}]
+	if !ok {
+		return accessor.Object{}, accessor.ErrNotFound
+	}
+	return o, nil
+}
+
+// Put stores o if its version is the stored one.
+func (s *Store) Put(ctx context.Context, o accessor.Object) (accessor.Object, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Put++ }); err != nil {
+		return accessor.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, err := s.store(o)
+	if err != nil {
+		return accessor.Object{}, err
+	}
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return accessor.Object{}, ErrAnswerLost
+	}
+	return o, nil
+}
+
+func (s *Store) store(o accessor.Object) (accessor.Object, error) {
+	if len(o.Value) > accessor.MaximumValueBytes {
+		return o, accessor.ErrTooLarge
+	}
+	k := key{o.Kind, o.Name}
+	if s.objects[k].Version != o.Version {
+		return o, accessor.ErrConflict
+	}
+	if s.objects == nil {
+		s.objects = map[key]accessor.Object{}
+	}
+	o.Version++
+	o.Value = slices.Clone(o.Value)
+	s.objects[k] = o
+	s.wake()
+	return o, nil
+}
+
+// List returns all objects of a kind, ordered by name.
+func (s *Store) List(ctx context.Context, kind string) ([]accessor.Object, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.List++ }); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := []accessor.Object{}
+	for k, o := range s.objects {
+		if k.kind == kind {
+			l = append(l, o)
+		}
+	}
+	slices.SortFunc(l, func(a, b accessor.Object) int { return cmp.Compare(a.Name, b.Name) })
+	return l, nil
+}
+
+// Watch waits until the object's version is above after, or for s.Wait.
+func (s *Store) Watch(ctx context.Context, kind, name string, after accessor.Version) (accessor.Object, error) {
+	d := s.Wait
+	if d <= 0 {
+		d = DefaultWait
+	}
+	return s.watch(ctx, kind, name, after, d)
+}
+
+func (s *Store) watch(ctx context.Context, kind, name string, after accessor.Version, d time.Duration) (accessor.Object, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Watch++ }); err != nil {
+		return accessor.Object{}, err
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	for {
+		o, c, err := s.look(key{kind, name})
+		if err != nil {
+			return accessor.Object{}, err
+		}
+		if o.Version > after {
+			return o, nil
+		}
+		select {
+		case <-c:
+		case <-t.C:
+			return accessor.Object{}, unchanged(o)
+		case <-ctx.Done():
+			return accessor.Object{}, ctx.Err()
+		}
+	}
+}
+
+// look returns the object, zero if absent, and a channel closed at the next change.
+func (s *Store) look(k key) (accessor.Object, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return accessor.Object{}, nil, ErrOutage
+	}
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.objects[k], s.changed, nil
+}
+
+// unchanged tells an absent object from one that didn't change during a watch.
+func unchanged(o accessor.Object) error {
+	if o.Version == 0 {
+		return accessor.ErrNotFound
+	}
+	return accessor.ErrUnchanged
+}
+
+// wake lets all watches look again; the caller holds the lock.
+func (s *Store) wake() {
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+// Calls returns the counts since the start or the last ResetCalls.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ResetCalls sets all counts to zero.
+func (s *Store) ResetCalls() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = Calls{}
+}
+
+// enter counts a call and applies slowness and outage to it.
+func (s *Store) enter(ctx context.Context, count func(*Calls)) error {
+	s.mu.Lock()
+	count(&s.calls)
+	f := s.faults
+	s.mu.Unlock()
+	if err := scheduler.Pause(ctx, f.Latency); err != nil {
+		return err
+	}
+	if f.Outage {
+		return ErrOutage
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/streamer/puller.go
@@ -0,0 +1,267 @@
+package streamer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/standin/injector"
+	"github.com/cuminwick/cuminwick/internal/standin/replicator"
+)
+
+// Dial opens a connection to a peer, by name and the address that Follow gave.
+type Dial func(ctx context.Context, name, address string) (net.Conn, error)
+
+// Puller takes over the records of the primary that its store follows.
+type Puller struct {
+	// Store is the replica's store.
+	Store *replicator.Store
+	// Faults are the replica's faults.
+	Faults *injector.Faults
+	// Dial opens connections, plain TCP if nil.
+	Dial Dial
+	// Truncated is called after records were dropped.
+	Truncated func()
+}
+
+// Run follows whichever primary the store names, until ctx ends.
+func (p *Puller) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c := p.Store.Changed()
+		l, t := p.Store.Leader()
+		if l == (replicator.Leader{}) {
+			select {
+			case <-c:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if p.Faults.Connected(ctx) != nil {
+			return
+		}
+		s := &stream{puller: p, leader: l, term: t, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+		err := s.run(ctx)
+		log.WithFields(log.Fields{"backend-server": p.Store.Name, "primary": l.Name, "term": t}).WithError(err).Debug("replication stream ended")
+		_ = scheduler.Pause(ctx, retryDelay)
+	}
+}
+
+// stream is one connection to one primary under one term.
+type stream struct {
+	puller *Puller
+	leader replicator.Leader
+	term   marker.Term
+	front  *pgproto3.Frontend
+	ear    *ear
+	// parts are those that came of records that haven't come whole.
+	parts []byte
+	wake  chan struct{}
+	queue delayed
+	// ended is closed when loopApply has returned.
+	ended chan struct{}
+}
+
+// run opens the stream and takes records until something ends it. It returns
+// only when nothing is applied any more: otherwise the next stream could drop a
+// record as diverged that this one applied after the next one's hello, and a
+// write that a majority held would be held by one fewer.
+func (s *stream) run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go s.loopWatch(ctx, stop)
+	c, err := s.dial(ctx)
+	if err != nil {
+		return errors.Annotatef(err, "dial primary %s at %s", s.leader.Name, s.leader.Address)
+	}
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	s.ear = &ear{Conn: c, stream: s}
+	s.front = pgproto3.NewFrontend(s.ear, c)
+	err = s.open()
+	if err != nil {
+		return errors.Annotatef(err, "open stream from %s", s.leader.Name)
+	}
+	go s.loopApply(ctx, stop)
+	err = s.loopReceive(ctx)
+	stop()
+	<-s.ended
+	return err
+}
+
+func (s *stream) dial(ctx context.Context) (net.Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, silenceLimit)
+	defer stop()
+	if s.puller.Dial != nil {
+		return s.puller.Dial(ctx, s.leader.Name, s.leader.Address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", s.leader.Address)
+}
+
+// open sends the startup message and what the replica has.
+func (s *stream) open() error {
+	s.front.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": "replication", "application_name": ApplicationName},
+	})
+	b, err := encode(hello{Name: s.puller.Store.Name, Term: s.term, History: s.puller.Store.History()})
+	if err != nil {
+		return err
+	}
+	s.front.Send(&pgproto3.CopyData{Data: b})
+	return errors.Trace(s.front.Flush())
+}
+
+// loopWatch ends the stream, or the attempt to open it, when the store is told to
+// follow another primary. A primary that is paused or cut off sends nothing, and
+// without this the replica would wait for it until the silence limit before it
+// turned to the new one.
+func (s *stream) loopWatch(ctx context.Context, stop context.CancelFunc) {
+	for {
+		c := s.puller.Store.Changed()
+		l, t := s.puller.Store.Leader()
+		if l != (replicator.Leader{}) && (l != s.leader || t != s.term) {
+			stop()
+			return
+		}
+		select {
+		case <-c:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// loopReceive queues records and notes that the primary was heard.
+//
+// Before each frame it looks whether the store still follows this primary under
+// this term: a server that accepted a higher term takes nothing more from a
+// lower one, and tells it so, which fences a primary that lost the group.
+func (s *stream) loopReceive(ctx context.Context) error {
+	for {
+		f, err := s.receive()
+		if err != nil {
+			return err
+		}
+		if err := s.puller.Faults.Wait(ctx); err != nil {
+			return err
+		}
+		l, t := s.puller.Store.Leader()
+		if l != s.leader || t != s.term || f.Term != s.term {
+			return errors.Annotatef(replicator.ErrTerm, "stream under %d ends at %d, reported %v", s.term, t, s.tell(t))
+		}
+		g, _ := s.puller.Faults.Get()
+		if g.Isolated {
+			return errors.Errorf("%s is isolated", s.puller.Store.Name)
+		}
+		s.ear.open.Store(true)
+		s.hear()
+		s.take(f)
+	}
+}
+
+// hear notes that the primary was heard, if this server could hear anything: a
+// paused one's kernel goes on taking bytes.
+func (s *stream) hear() {
+	f, _ := s.puller.Faults.Get()
+	if f.Paused || f.Isolated {
+		return
+	}
+	s.puller.Store.Heard(s.term, time.Now())
+}
+
+// take queues what f brings, records only once they are whole. They are decoded
+// by loopApply, since nothing is heard of the primary meanwhile.
+func (s *stream) take(f frame) {
+	if f.First {
+		s.queue.push(entry{first: true, common: f.Common, came: time.Now()})
+		s.nudge()
+		return
+	}
+	s.parts = append(s.parts, f.Part...)
+	if !f.Ends {
+		return
+	}
+	s.queue.push(entry{records: s.parts, came: time.Now()})
+	s.parts = nil
+	s.nudge()
+}
+
+func (s *stream) receive() (frame, error) {
+	var f frame
+	m, err := s.front.Receive()
+	if err != nil {
+		return f, errors.Annotate(err, "receive records")
+	}
+	d, ok := m.(*pgproto3.CopyData)
+	if !ok {
+		return f, errors.Errorf("receive records: got %T", m)
+	}
+	return f, decode(d.Data, &f)
+}
+
+// tell reports the accepted term to the primary.
+func (s *stream) tell(t marker.Term) error {
+	b, err := encode(report{Term: t})
+	if err != nil {
+		return err
+	}
+	s.front.Send(&pgproto3.CopyData{Data: b})
+	return errors.Trace(s.front.Flush())
+}
+
+func (s *stream) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loopApply takes over queued records when they are due.
+func (s *stream) loopApply(ctx context.Context, stop context.CancelFunc) {
+	defer close(s.ended)
+	defer stop()
+	for {
+		e, ok := s.queue.pop()
+		if !ok {
+			select {
+			case <-s.wake:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		if s.puller.Faults.Lagged(ctx, e.came) != nil || s.puller.Faults.Running(ctx) != nil {
+			return
+		}
+		if err := s.apply(e); err != nil {
+			log.WithField("backend-server", s.puller.Store.Name).WithError(err).Debug("apply records")
+			return
+		}
+	}
+}
+
+func (s *stream) apply(e entry) error {
+	if !e.first {
+		return s.appendRecords(e.records)
+	}
+	d, err := s.puller.Store.Truncate(s.term, e.common)
+	if d && s.puller.Truncated != nil {
+		s.puller.Truncated()
+	}
+	return err
+}
+
+func (s *stream) appendRecords(b []byte) error {
+	var r []replicator.Record
+	if err := decode(b, &r); err != nil {
+		return err
+	}
+	return s.puller.Store.Append(s.term, r)
+}
--- /dev/null
+++ b/internal/standin/streamer/sender.go
@@ -0,0 +1,163 @@
+package streamer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/standin/injector"
+	"github.com/cuminwick/cuminwick/internal/standin/replicator"
+)
+
+// Sender serves one replica's stream on the primary.
+type Sender struct {
+	// Store is the primary's store.
+	Store *replicator.Store
+	// Faults are the primary's faults.
+	Faults *injector.Faults
+	// Conn is the replica's connection, after authentication; Backend its codec.
+	Conn    net.Conn
+	Backend *pgproto3.Backend
+
+	term     marker.Term
+	position marker.Position
+}
+
+// Run sends records until the connection or the primary's term ends.
+func (s *Sender) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer s.Conn.Close()
+	h, err := s.receiveHello()
+	if err != nil {
+		return err
+	}
+	err = s.open(ctx, h)
+	if err != nil {
+		return err
+	}
+	go s.loopReports(stop)
+	return s.loopRecords(ctx)
+}
+
+func (s *Sender) receiveHello() (hello, error) {
+	var h hello
+	m, err := s.Backend.Receive()
+	if err != nil {
+		return h, errors.Annotate(err, "receive hello")
+	}
+	d, ok := m.(*pgproto3.CopyData)
+	if !ok {
+		return h, errors.Errorf("receive hello: got %T", m)
+	}
+	return h, decode(d.Data, &h)
+}
+
+// open refuses a replica under another term, or sends the position where the logs part.
+func (s *Sender) open(ctx context.Context, h hello) error {
+	s.Store.LearnTerm(h.Term, time.Now())
+	leads, t := s.Store.Leads()
+	if !leads || h.Term != t {
+		return errors.Annotatef(replicator.ErrTerm, "replica %s under %d, %s under %d leads %t", h.Name, h.Term, s.Store.Name, t, leads)
+	}
+	s.term = t
+	s.position = replicator.Common(h.History, s.Store.History())
+	return s.send(ctx, frame{Term: t, First: true, Common: s.position})
+}
+
+func (s *Sender) send(ctx context.Context, f frame) error {
+	if err := s.Faults.Wait(ctx); err != nil {
+		return err
+	}
+	b, err := encode(f)
+	if err != nil {
+		return err
+	}
+	s.Backend.Send(&pgproto3.CopyData{Data: b})
+	return errors.Annotate(s.Backend.Flush(), "send records")
+}
+
+// loopRecords sends what is new, and a heartbeat where nothing is.
+func (s *Sender) loopRecords(ctx context.Context) error {
+	t := time.NewTicker(HeartbeatInterval)
+	defer t.Stop()
+	for {
+		f, g := s.Faults.Get()
+		if f.Isolated {
+			return errors.Errorf("%s is isolated", s.Store.Name)
+		}
+		a := &gathering{store: s.Store, term: s.term, from: s.position, done: make(chan struct{})}
+		go a.run()
+		err := s.sendGathered(ctx, a, t.C)
+		if err != nil {
+			return err
+		}
+		if a.count == batch {
+			continue
+		}
+		select {
+		case <-a.changed:
+		case <-g:
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// sendGathered sends the records of a, and heartbeats until they are there.
+func (s *Sender) sendGathered(ctx context.Context, a *gathering, tick <-chan time.Time) error {
+	for {
+		select {
+		case <-a.done:
+			if a.err != nil {
+				return a.err
+			}
+			s.position += marker.Position(a.count)
+			return s.sendParts(ctx, a.bytes)
+		case <-tick:
+			if err := s.send(ctx, frame{Term: s.term}); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// sendParts sends encoded records, or a heartbeat where there are none.
+func (s *Sender) sendParts(ctx context.Context, b []byte) error {
+	for {
+		n := min(len(b), partBytes)
+		f := frame{Term: s.term, Part: b[:n], Ends: n > 0 && n == len(b)}
+		b = b[n:]
+		err := s.send(ctx, f)
+		if err != nil || len(b) == 0 {
+			return err
+		}
+	}
+}
+
+// loopReports learns of higher terms and ends the stream with the connection.
+func (s *Sender) loopReports(stop context.CancelFunc) {
+	defer stop()
+	for {
+		m, err := s.Backend.Receive()
+		if err != nil {
+			return
+		}
+		d, ok := m.(*pgproto3.CopyData)
+		if !ok {
+			return
+		}
+		var r report
+		if err := decode(d.Data, &r); err != nil {
+			return
+		}
+		s.Store.LearnTerm(r.Term, time.Now())
+	}
+}
--- /dev/null
+++ b/internal/statement/classifier/comment.go
@@ -0,0 +1,105 @@
+package classifier
+
+import (
+	"strings"
+	"time"
+)
+
+// Keys of the leading comment, as in /* tag=report key=abc123 maximum-age=5s */.
+const (
+	commentTag        = "tag"
+	commentKey        = "key"
+	commentMaximumAge = "maximum-age"
+)
+
+// MaximumKeyBytes is the longest idempotency key.
+const MaximumKeyBytes = 128
+
+// header is what a leading comment says.
+type header struct {
+	tag, key  string
+	age       time.Duration
+	hasAge    bool
+	hasKey    bool
+	malformed bool
+}
+
+// splitComment returns what the leading comment says, and the text behind it.
+func splitComment(sql string) (header, string) {
+	var h header
+	t := strings.TrimLeft(sql, " \t\r\n")
+	if !strings.HasPrefix(t, "/*") {
+		return h, sql
+	}
+	e := strings.Index(t, "*/")
+	// A nested comment is left to the parser.
+	if e < 2 || strings.Contains(t[2:e], "/*") {
+		return h, sql
+	}
+	h.read(t[2:e])
+	return h, t[e+2:]
+}
+
+func (h *header) read(c string) {
+	for c != "" {
+		var f string
+		f, c = cutField(c)
+		k, v, ok := strings.Cut(f, "=")
+		if ok {
+			h.set(k, strings.Trim(v, `'"`))
+		}
+	}
+}
+
+func cutField(c string) (field, rest string) {
+	c = strings.TrimLeft(c, " \t\r\n,")
+	i := strings.IndexAny(c, " \t\r\n,")
+	if i < 0 {
+		return c, ""
+	}
+	return c[:i], c[i+1:]
+}
+
+func (h *header) set(k, v string) {
+	switch k {
+	case commentTag:
+		h.tag = v
+	case commentKey:
+		h.key = v
+		h.hasKey = true
+		h.malformed = !ValidKey(v)
+	case commentMaximumAge:
+		d, err := time.ParseDuration(v)
+		// An age that can't be read is left out, which asks for the latest data.
+		h.hasAge = err == nil && d >= 0
+		h.age = max(d, 0)
+	}
+}
+
+// ValidKey reports whether k can be an idempotency key: printable ASCII without
+// space, quotes or backslash, and of bounded length.
+func ValidKey(k string) bool {
+	if k == "" || len(k) > MaximumKeyBytes {
+		return false
+	}
+	for i := range len(k) {
+		if k[i] <= ' ' || k[i] > '~' || strings.IndexByte(`'"\`, k[i]) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *header) addTo(s *Statement) {
+	s.Tag = h.tag
+	s.MaximumAge = h.age
+	s.HasMaximumAge = h.hasAge
+	if !h.hasKey {
+		return
+	}
+	s.IdempotencyKey = h.key
+	// A request whose key got lost could run twice, so it isn't run at all.
+	if h.malformed {
+		s.Refusal = RefusalKey
+	}
+}
--- /dev/null
+++ b/internal/wire/batcher/batcher.go
@@ -0,0 +1,167 @@
+// Package batcher collects the messages that go to a backend server together.
+package batcher
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cuminwick/cuminwick/internal/wire/framer"
+)
+
+// Types of message that a caller sends.
+const (
+	Query    byte = 'Q'
+	Parse    byte = 'P'
+	Bind     byte = 'B'
+	Describe byte = 'D'
+	Execute  byte = 'E'
+	Close    byte = 'C'
+	Sync     byte = 'S'
+	Flush    byte = 'H'
+	CopyData byte = 'd'
+	CopyDone byte = 'c'
+	CopyFail byte = 'f'
+)
+
+// Answer says what becomes of the backend server's answer to an item.
+type Answer uint8
+
+const (
+	// Pass hands the answer to the caller.
+	Pass Answer = iota
+	// Swallow drops the answer, since the caller didn't send the message.
+	Swallow
+	// Inject makes up the answer, since the message isn't sent.
+	Inject
+	// Drop neither sends the message nor answers it.
+	Drop
+)
+
+// Item is one message of a batch.
+type Item struct {
+	Type   byte
+	Answer Answer
+	// Name is the prepared statement that a Parse defines.
+	Name string
+	// Begins says that a Query opens with a BEGIN that the caller didn't send,
+	// whose CommandComplete is dropped.
+	Begins bool
+
+	start, end int
+}
+
+// Batch holds messages in the order in which they are sent.
+type Batch struct {
+	Items []Item
+
+	raw []byte
+}
+
+// Reset empties the batch and keeps its memory up to limit bytes.
+func (b *Batch) Reset(limit int) {
+	b.Items = b.Items[:0]
+	b.raw = b.raw[:0]
+	if cap(b.raw) > limit {
+		b.raw = nil
+		b.Items = nil
+	}
+}
+
+// Grow makes room for a number of items and their bytes.
+func (b *Batch) Grow(items, bytes int) {
+	b.Items = slices.Grow(b.Items, items)
+	b.raw = slices.Grow(b.raw, bytes)
+}
+
+// Bytes returns the size of all messages.
+func (b *Batch) Bytes() int {
+	return len(b.raw)
+}
+
+// Add appends a message with its header.
+func (b *Batch) Add(t byte, a Answer, raw []byte) {
+	s := len(b.raw)
+	b.raw = append(b.raw, raw...)
+	b.Items = append(b.Items, Item{Type: t, Answer: a, start: s, end: len(b.raw)})
+}
+
+// AddBody appends a message made of the parts of a body.
+func (b *Batch) AddBody(t byte, a Answer, parts ...[]byte) {
+	s := len(b.raw)
+	b.raw = append(b.raw, t, 0, 0, 0, 0)
+	for _, p := range parts {
+		b.raw = append(b.raw, p...)
+	}
+	binary.BigEndian.PutUint32(b.raw[s+1:], uint32(len(b.raw)-s-1))
+	b.Items = append(b.Items, Item{Type: t, Answer: a, start: s, end: len(b.raw)})
+}
+
+// AddParse appends a Parse of a named statement; tail is the message after the name.
+func (b *Batch) AddParse(a Answer, name string, tail []byte) {
+	b.AddBody(Parse, a, []byte(name), []byte{0}, tail)
+	b.Items[len(b.Items)-1].Name = name
+}
+
+// AddQuery appends a simple query.
+func (b *Batch) AddQuery(a Answer, sql string) {
+	b.AddBody(Query, a, []byte(sql), []byte{0})
+}
+
+// EncodeQuery returns the message of a simple query.
+func EncodeQuery(sql string) []byte {
+	var b Batch
+	b.AddQuery(Swallow, sql)
+	return b.raw
+}
+
+// Raw returns the message of item i with its header.
+func (b *Batch) Raw(i int) []byte {
+	return b.raw[b.Items[i].start:b.Items[i].end]
+}
+
+// Body returns the message of item i without its header.
+func (b *Batch) Body(i int) []byte {
+	return b.Raw(i)[framer.HeaderBytes:]
+}
+
+// Append appends to p the messages that are sent.
+func (b *Batch) Append(p []byte) []byte {
+	for i := range b.Items {
+		if a := b.Items[i].Answer; a == Pass || a == Swallow {
+			p = append(p, b.Raw(i)...)
+		}
+	}
+	return p
+}
+
+// Ends reports whether the batch ends the request, so that the backend server
+// answers it with ReadyForQuery.
+func (b *Batch) Ends() bool {
+	if len(b.Items) == 0 {
+		return false
+	}
+	t := b.Items[len(b.Items)-1].Type
+	return t == Sync || t == Query
+}
+
+// Begun returns a batch that runs sql, a BEGIN, before the items of b.
+//
+// BEGIN stands in the same text, or before the same Sync, as what follows it:
+// were it a request of its own and cancelled, the rest would run outside a
+// transaction, and a ROLLBACK could not undo it.
+func (b *Batch) Begun(sql string) *Batch {
+	n := &Batch{}
+	if b.Items[0].Type == Query {
+		n.AddBody(Query, Pass, []byte(sql), []byte("; "), b.Body(0))
+		n.Items[0].Begins = true
+		return n
+	}
+	n.AddBody(Parse, Swallow, []byte{0}, []byte(sql), []byte{0, 0, 0})
+	n.AddBody(Bind, Swallow, make([]byte, 2+2+2+2))
+	n.AddBody(Execute, Swallow, make([]byte, 1+4))
+	for i, t := range b.Items {
+		n.Add(t.Type, t.Answer, b.Raw(i))
+		n.Items[len(n.Items)-1].Name = t.Name
+	}
+	return n
+}
