fix(config): count the age of a relay's sight up to the question

A relay makes a held answer anew at any news, also at another host's report, and measured the age of its sight at that moment. The asking host counts the age back from its question, so the time held back counted twice: sights of 6.4 to 8 s, over the 6 s at which a relay counts as cut off from the platform. All hosts that waited left the relay at once and turned to the platform.

Ruled out: load (the test runs in virtual time; an idle machine fails as well), the first question that doesn't wait (its failures at the start settle within a minute), a bound that is too low (without the fault a minute at rest takes 102 calls).

Change: the age counts up to the arrival of the question, and is zero for a later sight. The property test of relays holds questions back in the same way.

--- a/internal/config/adopter/relay_test.go
+++ b/internal/config/adopter/relay_test.go
@@ -93,6 +93,22 @@
 	expect(t, s, 1, adopter.Unconfirmed, asked+1-age+lease)
 }
 
+// A relay holds a question back and answers it late. The asking host counts from
+// when it asked, so the time in between must not make the sight older, and a sight
+// from after the question must not make it newer than the question.
+func TestSightOfHeldQuestion(t *testing.T) {
+	const age = 5 * time.Second
+	r := confirmed(t)
+	r.See(accepted(1), 2, 0, 0)
+	x, _ := r.Sight(1, age)
+	if y := x.Held(2 * time.Second); y.Age != age-2*time.Second {
+		t.Errorf("age %s at the question, %s at the answer 2 s later", y.Age, age)
+	}
+	if y := x.Held(age + time.Second); y.Age != 0 {
+		t.Errorf("age %s of a sight from after the question", y.Age)
+	}
+}
+
 // A relay registers a host and shows the head as it was before. Another revision
 // may have been staged and accepted between the two without the host.
 func TestRegistrationIsConfirmedBySameAnswer(t *testing.T) {
--- a/internal/config/adopter/sight.go
+++ b/internal/config/adopter/sight.go
@@ -19,8 +19,8 @@
 	// the accepted revision it holds number and digest alone, as each of a zone's
 	// hosts gets it at each change.
 	Head *encoder.Head `cbor:"2,keyasint,omitempty"`
-	// Age is how long ago, at the time of the answer and by the clock of the host
-	// that passes it on, the call was sent that showed Version last.
+	// Age is how long before the question arrived, by the clock of the host that passes
+	// it on, the call was sent that showed Version last; zero if it was sent later.
 	Age time.Duration `cbor:"3,keyasint"`
 }
 
@@ -38,10 +38,21 @@
 	return x, true
 }
 
+// Held returns the sight for a question that arrived at d before the sight was taken.
+//
+// The asking host counts the age back from when it asked. Were it measured at the
+// answer instead, the time that the question was held back would count twice, and a
+// relay that reaches the platform would seem not to: any news that isn't a new
+// sight, such as another host's report, has the relay make its answer anew.
+func (x Sight) Held(d time.Duration) Sight {
+	x.Age = max(x.Age-d, 0)
+	return x
+}
+
 // SeeThrough takes in a peer's sight that answered a question sent at asked.
 //
-// The question was sent before the peer measured the sight's age, so the call
-// that showed the head was sent no earlier than the age before the question. The
+// The question was sent before it arrived at the peer, up to where the age counts,
+// so the call that showed the head was sent no earlier than the age before the question. The
 // lease therefore ends no later than if this host had made that call itself,
 // however long the answer took and however many hosts it came through.
 func (s *State) SeeThrough(x Sight, asked, now time.Duration) {
--- a/internal/config/applier/relay_test.go
+++ b/internal/config/applier/relay_test.go
@@ -106,16 +106,18 @@
 	id, registered := a.state.Registrar()
 	fresh := !registered || !strings.HasPrefix(id, b.name+"/")
 	c := &call{}
+	var arrived time.Duration
 	c.serve = func() {
+		arrived = b.clock.at(w.now)
 		if !b.dead && b.object != "" {
-			b.summary.Tell(m, n, !fresh && id == b.registrar(), b.clock.at(w.now))
+			b.summary.Tell(m, n, !fresh && id == b.registrar(), arrived)
 		}
 	}
 	c.answer = func(lost bool) {
 		a.asking--
 		if !lost && !b.dead {
 			a.asking++
-			w.send(w.reply(a, b, m, adopter.Receipt{Asked: asked, Fresh: fresh}, known))
+			w.send(w.reply(a, b, question{member: m, receipt: adopter.Receipt{Asked: asked, Fresh: fresh}, known: known, arrived: arrived}))
 		}
 	}
 	w.send(c)
@@ -149,25 +151,35 @@
 	confirmed bool
 }
 
-func (w *world) reply(a, b *host, m encoder.HostReport, x adopter.Receipt, known accessor.Version) *call {
+// question is what a host asked its relay.
+type question struct {
+	member  encoder.HostReport
+	receipt adopter.Receipt
+	known   accessor.Version
+	// arrived is when the question came, by the relay's clock.
+	arrived time.Duration
+}
+
+func (w *world) reply(a, b *host, q question) *call {
 	var y answer
 	waits := 0
 	return &call{
 		waits: func() bool {
 			waits++
-			return waits < maximumWaits && b.object != "" && !b.summary.Answers(m)
+			return waits < maximumWaits && b.object != "" && !b.summary.Answers(q.member)
 		},
 		serve: func() {
 			t := b.clock.at(w.now)
-			y.sight, y.seen = b.state.Sight(known, t)
-			y.held, y.isHeld = b.summary.Held(m)
+			y.sight, y.seen = b.state.Sight(q.known, t)
+			y.held, y.isHeld = b.summary.Held(q.member)
 			y.registrar = b.registrar()
 			y.confirmed = y.sight.Age <= t-b.storedAt
+			y.sight = y.sight.Held(t - q.arrived)
 		},
 		answer: func(lost bool) {
 			a.asking--
 			if !lost {
-				w.hear(a, y, x)
+				w.hear(a, y, q.receipt)
 			}
 		},
 	}
--- a/internal/config/follower/advise.go
+++ b/internal/config/follower/advise.go
@@ -28,11 +28,11 @@
 // returns once there is something to tell, or after the time that the other one waits.
 func (h *Host) Advise(ctx context.Context, q Consultation) Advice {
 	h.once.Do(h.init)
-	h.hear(q)
+	arrived := h.hear(q)
 	t, x := h.Clock.Timer(min(max(q.Wait, 0), maximumWait))
 	defer x.Cancel()
 	for {
-		a, news := h.advice(q)
+		a, news := h.advice(q, arrived)
 		if news == nil {
 			return a
 		}
@@ -46,17 +46,18 @@
 	}
 }
 
-// hear takes in another host's sign of life, and its report.
-func (h *Host) hear(q Consultation) {
+// hear takes in another host's sign of life, and its report. It returns when.
+func (h *Host) hear(q Consultation) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.now()
 	if q.Report == nil {
 		h.summary.Hear(encoder.HostReport{Host: q.Host, Incarnation: q.Incarnation}, now)
-		return
+		return now
 	}
 	h.tell(*q.Report, now)
 	signal(h.wake)
+	return now
 }
 
 // tell takes in another host's report; the caller holds the lock.
@@ -70,16 +71,17 @@
 	}
 }
 
-// advice returns what can be said by now, and a channel that closes when there
-// is more to say; nil if the answer needn't wait.
-func (h *Host) advice(q Consultation) (Advice, <-chan struct{}) {
+// advice returns what can be said by now to a question that has arrived, and
+// a channel that closes when there is more to say; nil if the answer needn't wait.
+func (h *Host) advice(q Consultation, arrived time.Duration) (Advice, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var a Advice
 	now := h.clock.now()
 	x, seen := h.state.Sight(q.Known, now)
 	if seen {
-		a.Sight = &x
+		held := x.Held(now - arrived)
+		a.Sight = &held
 	}
 	if q.Report == nil {
 		if seen && x.Version > q.Known {
--- a/internal/config/sharer/relay_test.go
+++ b/internal/config/sharer/relay_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/cuminwick/cuminwick/internal/config/adopter"
 	"github.com/cuminwick/cuminwick/internal/config/applier"
+	"github.com/cuminwick/cuminwick/internal/config/declarer"
+	"github.com/cuminwick/cuminwick/internal/config/encoder"
+	"github.com/cuminwick/cuminwick/internal/config/follower"
 	"github.com/cuminwick/cuminwick/internal/member/arranger"
 	"github.com/cuminwick/cuminwick/internal/platform/accessor"
 )
@@ -39,6 +42,67 @@
 	}
 }
 
+// A zone is at rest, and hosts report to their relay while it holds back the
+// questions of others. Such news must not make the relay's answer look as if it
+// didn't reach the platform: the hosts would all turn to the platform at once,
+// several calls each, and back again.
+func TestReportsLeaveSightsAsTheyAre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion()
+		defer r.end()
+		for n := range 3 {
+			r.start(fmt.Sprintf("h%d", n), "1", "z0")
+		}
+		time.Sleep(time.Minute)
+		x, _ := r.find(r.first("z0"))
+		m := &member{relay: x.host}
+		m.report(t)
+		for n := range 9 {
+			time.Sleep(500 * time.Millisecond)
+			g := m.reportAfter(t, 2900*time.Millisecond)
+			a := x.host.Advise(t.Context(), follower.Consultation{Wait: 3 * time.Second, Host: "f", Incarnation: "1"})
+			<-g
+			if a.Sight == nil || a.Sight.Age > adopter.MaximumSightAge {
+				t.Errorf("answer %d shows %+v, want a sight of at most %s", n, a.Sight, adopter.MaximumSightAge)
+			}
+		}
+	})
+}
+
+// member is a host that reports to a relay again and again.
+type member struct {
+	relay     *follower.Host
+	registrar string
+	reports   uint64
+}
+
+// report tells the relay of a further revision.
+func (m *member) report(t *testing.T) {
+	m.reports++
+	r := &follower.MemberReport{
+		Member:    encoder.HostReport{Host: "g", Incarnation: "1", Ready: declarer.Revision(m.reports)},
+		Registrar: m.registrar,
+		Sequence:  m.reports,
+	}
+	a := m.relay.Advise(t.Context(), follower.Consultation{Wait: time.Second, Host: "g", Incarnation: "1", Report: r})
+	if a.Held == nil {
+		t.Errorf("relay doesn't hold report %d", m.reports)
+		return
+	}
+	m.registrar = a.Held.Registrar
+}
+
+// reportAfter does so after d, and closes what it returns when the relay has answered.
+func (m *member) reportAfter(t *testing.T, d time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		time.Sleep(d)
+		m.report(t)
+	}()
+	return done
+}
+
 // A relay's process is killed. Its zone's hosts must turn to another one, and an
 // operator mustn't wait for it longer than for any dead host, nor twice.
 func TestRelayDies(t *testing.T) {
