fix(backend): refuse another group's server at a taken-over address

Both replicas were down, and the port of one had gone to a primary of another process's group, also named db-3, of term 1. No poll checked which server answers, so the entry host counted it: a commit on one server alone would have been acknowledged. Without the check the host also fences and promotes the stranger.

Change: the control client compares name and system identifier of whoever answers, and asks for them before any command over a new connection; it ends lost sessions only after that. The driver logs a stranger. The stand-in tells an identifier a group, and keeps its port while it is down; its Crash returns at the end.

--- a/internal/backend/commander/ask.go
+++ b/internal/backend/commander/ask.go
@@ -70,15 +70,25 @@
 		return controller.Status{}, c.failed(r.Err, statusCall)
 	}
 	c.columns = r.FieldDescriptions
-	return c.read(r)
+	s, err := c.read(r)
+	if err == nil {
+		c.endLost(ctx)
+	}
+	return s, err
 }
 
 // call runs one command over the kept connection, which it opens where there is
-// none. It takes the place of the unnamed statement.
+// none. It takes the place of the unnamed statement. Over a new connection the status
+// is asked first, since a command to a stranger can't be taken back.
 func (c *Client) call(ctx context.Context, sql string, args []string) (controller.Status, error) {
 	if err := c.connect(ctx); err != nil {
 		return controller.Status{}, err
 	}
+	if !c.verified {
+		if s, err := c.askWhole(ctx); err != nil {
+			return s, err
+		}
+	}
 	var v [][]byte
 	for _, a := range args {
 		v = append(v, []byte(a))
--- a/internal/backend/commander/commander.go
+++ b/internal/backend/commander/commander.go
@@ -57,6 +57,10 @@
 	prepared *pgconn.Config
 	// columns are those of the status row, nil until connection has asked for it once.
 	columns []pgconn.FieldDescription
+	// identifier is the system identifier that the server told first, zero until then.
+	identifier uint64
+	// verified says that connection has shown that it leads to the right server.
+	verified bool
 	// lost is the process id of a connection that stopped answering, zero if none.
 	lost uint32
 
@@ -311,7 +315,7 @@
 	}
 	c.connection = n
 	c.columns = nil
-	c.endLost(ctx)
+	c.verified = false
 	return nil
 }
 
@@ -327,11 +331,14 @@
 
 // endLost has the server end the session of a connection that stopped
 // answering: the server may not have noticed and counts it for good, until
-// there is no connection left for control.
+// there is no connection left for control. It is called only where the connection
+// leads to that very server: at another one the process id is that of somebody else's
+// session. The call takes the place of the unnamed statement.
 func (c *Client) endLost(ctx context.Context) {
 	if c.lost == 0 {
 		return
 	}
+	c.columns = nil
 	q := "SELECT pg_terminate_backend(" + strconv.FormatUint(uint64(c.lost), 10) + ")"
 	if _, err := c.connection.Exec(ctx, q).ReadAll(); err == nil {
 		c.lost = 0
--- a/internal/backend/commander/read.go
+++ b/internal/backend/commander/read.go
@@ -42,7 +42,11 @@
 	}
 	s.PreviousTerm = marker.Term(w.optional("previous_term"))
 	s.Writing = int(w.optional("writing"))
-	return s, errors.Annotatef(w.err, "read status of backend server %s", c.Name)
+	id := w.optional("system_identifier")
+	if w.err != nil {
+		return s, errors.Annotatef(w.err, "read status of backend server %s", c.Name)
+	}
+	return s, c.verify(s.BackendServer, id)
 }
 
 // find returns the value of a column; ok is false if there is no such column.
--- a/internal/backend/controller/controller.go
+++ b/internal/backend/controller/controller.go
@@ -15,6 +15,12 @@
 // silence: the server has ended.
 const ErrRefused = errors.ConstError("no server takes connections")
 
+// ErrStranger says that another server answers at a backend server's address: its own
+// process has ended, and one of another database group has taken the address over.
+// Taken for the group's, that server would count towards a majority that doesn't hold
+// the group's records, and be fenced or promoted in place of the right one.
+const ErrStranger = errors.ConstError("another server answers at the address")
+
 // Role is what a backend server does in its database group.
 type Role string
 
--- a/internal/group/driver/poller.go
+++ b/internal/group/driver/poller.go
@@ -105,6 +105,7 @@
 	if err != nil {
 		i.observation.Failures++
 		i.observation.Refused = errors.Is(err, controller.ErrRefused)
+		d.logStranger(i, err)
 		d.observe()
 		return
 	}
@@ -119,6 +120,14 @@
 	d.observe()
 }
 
+// logStranger names a server that answers in place of the instance, once for each time
+// that the instance is lost: operators see an address that was given out twice.
+func (d *Driver) logStranger(i *instance, err error) {
+	if i.observation.Failures == 1 && errors.Is(err, controller.ErrStranger) {
+		d.logger().WithError(err).WithField("backend-server", i.name).Error("backend server's address taken over")
+	}
+}
+
 // smooth returns the mean with one more sample in it.
 func smooth(mean, sample time.Duration) time.Duration {
 	const weight = 8
--- a/internal/standin/executor/control.go
+++ b/internal/standin/executor/control.go
@@ -24,6 +24,7 @@
 	{Name: "leaving", Type: pgtype.BoolOID},
 	{Name: "previous_term", Type: pgtype.Int8OID},
 	{Name: "writing", Type: pgtype.Int8OID},
+	{Name: "system_identifier", Type: pgtype.Int8OID},
 }
 
 // controlFunction is one function that answers with the server's status.
@@ -82,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return statusRow(t), nil
+	return append(statusRow(t), int64(s.session.Store.SystemIdentifier)), nil
 }
 
 func statusRow(t controller.Status) []any {
--- a/internal/standin/grouper/grouper.go
+++ b/internal/standin/grouper/grouper.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/juju/errors"
@@ -13,7 +14,7 @@
 )
 
 // Group is a database group. The first server starts as primary of term 1, the
-// others follow it.
+// others follow it. All tell one system identifier, which is drawn at the start.
 type Group struct {
 	// Servers are the group's backend servers.
 	Servers []*responder.Server
@@ -40,8 +41,10 @@
 func (g *Group) Run(ctx context.Context) error {
 	g.setUp()
 	w, ctx := errgroup.WithContext(ctx)
+	id := uint64(rand.Int64())
 	for i, s := range g.Servers {
 		s.Primary = i == 0
+		s.SystemIdentifier = id
 		if i > 0 {
 			f := g.Servers[0]
 			s.Following = replicator.Leader{Name: f.Name, Address: f.Addr()}
--- a/internal/standin/replicator/replicator.go
+++ b/internal/standin/replicator/replicator.go
@@ -33,6 +33,8 @@
 type Store struct {
 	// Name is the backend server's name in its group.
 	Name string
+	// SystemIdentifier is that of the group's data, zero if the server doesn't tell it.
+	SystemIdentifier uint64
 
 	mutex     sync.RWMutex
 	ready     bool
--- a/internal/standin/responder/faults.go
+++ b/internal/standin/responder/faults.go
@@ -62,15 +62,26 @@
 	s.Store().SetLeaving(on)
 }
 
-// Crash drops all connections and listens no more; the log is kept.
+// Crash drops all connections and listens no more; the log is kept. It returns once
+// nothing is answered any more: on a busy machine the server would otherwise go on
+// answering for a while, and look alive to whoever has just crashed it.
 func (s *Server) Crash() {
+	if e := s.beginCrash(); e != nil {
+		<-e
+	}
+}
+
+// beginCrash returns a channel that closes at the end of the crash, nil if there is
+// nothing to crash.
+func (s *Server) beginCrash() <-chan struct{} {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.crash == nil || s.down {
-		return
+		return nil
 	}
 	s.down = true
 	s.crash()
+	return s.ended
 }
 
 // Restart starts a crashed server again at its address.
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -26,6 +26,8 @@
 type Server struct {
 	// Name is the server's name in its group.
 	Name string
+	// SystemIdentifier is what the servers of one group share; not told if zero.
+	SystemIdentifier uint64
 	// Address is where it listens; port 0 picks one, see Addr.
 	Address string
 	// Slots is how many statements work at a time, no limit if zero.
@@ -56,10 +58,12 @@
 	work        work
 	sessions    registry
 
-	mutex    sync.Mutex
-	address  string
-	admin    string
-	crash    context.CancelFunc
+	mutex   sync.Mutex
+	address string
+	admin   string
+	crash   context.CancelFunc
+	// ended is closed once nothing of the present life answers any more.
+	ended    chan struct{}
 	restarts chan struct{}
 	down     bool
 }
@@ -92,6 +96,12 @@
 	return s.address
 }
 
+func (s *Server) setAddress(a string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.address = a
+}
+
 // AdminAddr returns the address of the HTTP side, final once Ready is closed.
 func (s *Server) AdminAddr() string {
 	s.mutex.Lock()
@@ -113,6 +123,13 @@
 // Run serves until ctx ends; a crash ends what is open, and Restart begins anew with the log kept.
 func (s *Server) Run(ctx context.Context) error {
 	s.setUp()
+	s.store.SystemIdentifier = s.SystemIdentifier
+	p, err := reserve(s.Address)
+	if err != nil {
+		return errors.Annotatef(err, "reserve the port of backend server %s", s.Name)
+	}
+	defer p.release()
+	s.setAddress(p.address)
 	if s.Primary {
 		s.store.Start(1)
 	} else if s.Following != (replicator.Leader{}) {
@@ -144,9 +161,12 @@
 	if err != nil {
 		return errors.Annotatef(err, "listen for backend server %s", s.Name)
 	}
+	e := make(chan struct{})
+	defer close(e)
 	s.mutex.Lock()
 	s.address = l.Addr().String()
 	s.crash = stop
+	s.ended = e
 	s.down = false
 	s.mutex.Unlock()
 	s.announceReady()
