--- a/internal/command/runner/demo.go
+++ b/internal/command/runner/demo.go
@@ -12,10 +12,11 @@
 	"github.com/cuminwick/cuminwick/internal/demo/presenter"
 )
 
-// demo runs a small deployment in one process.
+// demo runs a small deployment in one process and takes a scripted tour of it as a
+// caller, which fails unless every promise held.
 type demo struct {
-	Check bool   `arg:"--check" help:"take a scripted tour as a caller, and exit 0 only if every promise held"`
-	Log   string `arg:"--log" placeholder:"FILE" help:"write the entry hosts' log lines to FILE [default: cuminwick-demo.log in the directory for temporary files]"`
+	Stay bool   `arg:"--stay" help:"serve until interrupted in place of the tour"`
+	Log  string `arg:"--log" placeholder:"FILE" help:"write the entry hosts' log lines to FILE [default: cuminwick-demo.log in the directory for temporary files]"`
 }
 
 func (d *demo) run(ctx context.Context, r *Runner) error {
@@ -30,10 +31,10 @@
 	defer f.Close()
 	x, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	p := &presenter.Presenter{Output: r.Output, LogOutput: f, Check: d.Check}
+	p := &presenter.Presenter{Output: r.Output, LogOutput: f, Stay: d.Stay}
 	return p.Run(x)
 }
 
 func (d *demo) example() string {
-	return "cuminwick demo --check"
+	return "cuminwick demo"
 }
--- /dev/null
+++ b/internal/command/runner/demo_test.go
@@ -0,0 +1,20 @@
+package runner
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// A newcomer's first command runs everything in one process. Did it fail silently, or
+// leave out a promise, nobody would trust what it shows.
+func TestDemo(t *testing.T) {
+	const promises = 8
+	c, o, e := invoke(t, "demo", "--log", filepath.Join(t.TempDir(), "demo.log"))
+	if c != ExitDone || e != "" {
+		t.Errorf("exit code %d, errors %q", c, e)
+	}
+	if n := strings.Count(o, "held "); n != promises || n != strings.Count(o, "\n") {
+		t.Errorf("%d promises held, want %d and nothing else:\n%s", n, promises, o)
+	}
+}
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -23,8 +23,6 @@
 
 // Errors of subcommands.
 const (
-	// ErrNotBuilt is returned by a subcommand whose engine doesn't exist yet.
-	ErrNotBuilt = errors.ConstError("not built yet")
 	// ErrUsage is the cause of errors in what the command line asks for.
 	ErrUsage = errors.ConstError("usage")
 )
@@ -55,7 +53,7 @@
 	Drain    *drain    `arg:"subcommand:drain" help:"stop an entry host without cutting off a request"`
 	Outcome  *outcome  `arg:"subcommand:outcome" help:"tell whether a request ran"`
 	Bench    *bench    `arg:"subcommand:bench" help:"measure a scenario against the stand-ins"`
-	Demo     *demo     `arg:"subcommand:demo" help:"run a small deployment in one process"`
+	Demo     *demo     `arg:"subcommand:demo" help:"run a small deployment in one process, and check its promises as a caller"`
 	StandIn  *standIn  `arg:"subcommand:stand-in" help:"run a stand-in of the platform or of a backend server"`
 }
 
--- a/internal/demo/presenter/presenter.go
+++ b/internal/demo/presenter/presenter.go
@@ -37,12 +37,12 @@
 
 // Presenter is one demo. The exported fields are set before Run.
 type Presenter struct {
-	// Output gets addresses and, with Check, a line for each promise.
+	// Output gets a line for each promise, or the addresses with Stay.
 	Output io.Writer
 	// LogOutput gets the log lines of all entry hosts.
 	LogOutput io.Writer
-	// Check takes the tour instead of waiting for ctx to end.
-	Check bool
+	// Stay waits for ctx to end instead of taking the tour.
+	Stay bool
 
 	deployment *deployer.Deployment
 }
@@ -102,7 +102,7 @@
 }
 
 func (p *Presenter) present(ctx context.Context) error {
-	if p.Check {
+	if !p.Stay {
 		t := &tourist.Tourist{Database: database, Surroundings: p, Output: p.Output}
 		return t.Run(ctx)
 	}
--- a/internal/demo/tourist/tourist.go
+++ b/internal/demo/tourist/tourist.go
@@ -13,9 +13,6 @@
 	"github.com/juju/errors"
 )
 
-// ErrNotBuilt is returned by a step whose subject doesn't exist yet.
-const ErrNotBuilt = errors.ConstError("not built")
-
 // errBroken is the cause of a promise that didn't hold.
 const errBroken = errors.ConstError("promise broken")
 
@@ -94,10 +91,7 @@
 	b := time.Now()
 	err := s.check(x)
 	r := "held"
-	switch {
-	case errors.Is(err, ErrNotBuilt):
-		r = "NOT BUILT"
-	case err != nil:
+	if err != nil {
 		r = "BROKEN"
 	}
 	_, _ = fmt.Fprintf(t.Output, "%-9s %6d ms  %s\n", r, time.Since(b).Milliseconds(), s.promise)
