--- a/internal/bench/checker/checker_test.go
+++ b/internal/bench/checker/checker_test.go
@@ -67,7 +67,7 @@
 }
 
 // Each case breaks one promise in an otherwise whole history; the checker must
-// count that one and no other, or the bench would prove nothing.
+// count that one and no other, or no run would prove anything.
 func TestEachViolationIsFound(t *testing.T) {
 	for name, c := range map[string]struct {
 		breaks func(h *History, s *State)
--- a/internal/bench/definer/definer.go
+++ b/internal/bench/definer/definer.go
@@ -1,4 +1,4 @@
-// Package definer holds the bench's deployments, scenarios and policies as plain data.
+// Package definer holds the deployments, scenarios and policies as plain data.
 package definer
 
 import (
--- a/internal/bench/loader/loader_test.go
+++ b/internal/bench/loader/loader_test.go
@@ -17,7 +17,7 @@
 
 // A caller leaves between two statements of a transaction. The driver keeps
 // such a connection open; if the next request used it, it would run within the
-// transaction that was left, and the bench would blame the proxy for its loss.
+// transaction that was left, and a run would blame the proxy for its loss.
 func TestWhoLeavesClosesTheConnection(t *testing.T) {
 	s := &responder.Server{Name: "a", Address: "127.0.0.1:0", Primary: true}
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/bench/runner/baseline_test.go
+++ b/internal/bench/runner/baseline_test.go
@@ -12,7 +12,7 @@
 
 // Sessions move before each request between entry hosts that tell each other
 // nothing, while one replica of each group stands still. A caller saves, moves,
-// and reads what was there before. The bench must find this in the baseline,
+// and reads what was there before. A run must find this in the baseline,
 // otherwise its zero for cuminwick would mean nothing.
 func TestStickySessionsLoseTheirWrites(t *testing.T) {
 	for n := range uint64(stickyRounds) {
--- a/internal/bench/runner/bench.go
+++ b/internal/bench/runner/bench.go
@@ -12,7 +12,7 @@
 	"github.com/cuminwick/cuminwick/internal/log/encoder"
 )
 
-// ErrUnknown is the cause of an error about a name that the bench doesn't know.
+// ErrUnknown is the cause of an error about an unknown name.
 const ErrUnknown = errors.ConstError("unknown name")
 
 // Bench is one run as asked for on the command line.
@@ -34,7 +34,7 @@
 // callersUser is the role of the load's callers.
 const callersUser = "caller"
 
-// Run runs the bench.
+// Run runs the experiment.
 func (b *Bench) Run(ctx context.Context) (*reporter.Result, error) {
 	s, ok := definer.Find(definer.Scenarios(), b.Scenario)
 	if !ok {
--- a/internal/session/replayer/connection.go
+++ b/internal/session/replayer/connection.go
@@ -110,7 +110,7 @@
 	return name == nameRole || name == nameAuthorization
 }
 
-// quoteName quotes each part of a name such as app.tenant where it needs it.
+// quoteName quotes each part of a name such as app.customer where it needs it.
 func quoteName(n string) string {
 	if isPlain(n) {
 		return n
--- a/internal/session/replayer/replayer_test.go
+++ b/internal/session/replayer/replayer_test.go
@@ -54,7 +54,7 @@
 		{name: "reset all keeps the role", next: []string{"SET ROLE x", "SET geqo = off", "RESET ALL"}, want: "SET role TO 'x'"},
 		{name: "characteristics", next: []string{"SET SESSION CHARACTERISTICS AS TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY"},
 			want: "SET default_transaction_isolation TO 'serializable'; SET default_transaction_read_only TO 'on'"},
-		{name: "parts of a name are quoted", next: []string{`SET "App".tenant = 'it''s'`}, want: `SET "app"."tenant" TO 'it''s'`},
+		{name: "parts of a name are quoted", next: []string{`SET "App".customer = 'it''s'`}, want: `SET "app"."customer" TO 'it''s'`},
 		{name: "local settings end with their transaction", next: []string{"SET LOCAL geqo = off"}},
 		{name: "discard", next: []string{"SET geqo = off", "DISCARD ALL"}},
 	}
