fix(standin): wait for a port that isn't free at once

Cause: found on the read-through. Since the stand-in reserves its port, a port still held by a process that was just killed failed the start at once; before, the listener tried for a second.

Result: the packages of the stand-ins and of the control client pass with the race detector; nothing was seen to fail because of it.

--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -124,7 +124,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	s.setUp()
 	s.store.SystemIdentifier = s.SystemIdentifier
-	p, err := reserve(s.Address)
+	p, err := s.reserve(ctx)
 	if err != nil {
 		return errors.Annotatef(err, "reserve the port of backend server %s", s.Name)
 	}
@@ -180,16 +180,32 @@
 	return nil
 }
 
-// listen retries for a while, since the port of a crashed life may not be free at once.
+// A port may not be free at once: a process that was just killed had it, or a crashed
+// life of this server. The server gives up after a second.
+const (
+	portAttempts = 50
+	portPause    = 20 * time.Millisecond
+)
+
+// reserve keeps the server's port for as long as it runs.
+func (s *Server) reserve(ctx context.Context) (*reservation, error) {
+	return retryPort(ctx, func() (*reservation, error) { return reserve(s.Address) })
+}
+
+// listen listens on the reserved port.
 func (s *Server) listen(ctx context.Context) (net.Listener, error) {
 	var c net.ListenConfig
-	const attempts = 50
+	return retryPort(ctx, func() (net.Listener, error) { return c.Listen(ctx, "tcp", s.Addr()) })
+}
+
+// retryPort calls f until it succeeds, the attempts are used up or ctx ends.
+func retryPort[T any](ctx context.Context, f func() (T, error)) (T, error) {
 	for i := 0; ; i++ {
-		l, err := c.Listen(ctx, "tcp", s.Addr())
-		if err == nil || i == attempts || ctx.Err() != nil {
-			return l, err
+		v, err := f()
+		if err == nil || i == portAttempts || ctx.Err() != nil {
+			return v, err
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(portPause)
 	}
 }
 
