--- a/internal/bench/runner/race_test.go
+++ b/internal/bench/runner/race_test.go
@@ -25,7 +25,7 @@
 	changed chan struct{}
 }
 
-// pollPause is several times the pause between two samples of the bench.
+// pollPause is several times the pause between two samples of a run.
 const pollPause = 10 * samplePause
 
 // Run implements host.Source.
@@ -62,7 +62,7 @@
 
 // Entry hosts take up an accepted configuration some time later, each at its own
 // moment, and nobody waits for them. Operators are told that theirs is in force
-// while callers are still served by the one before. The bench must find this,
+// while callers are still served by the one before. A run must find this,
 // otherwise it would find nothing in operators who wait.
 func TestConfigurationNotInForceIsFound(t *testing.T) {
 	for _, s := range []string{"apply-race", "apply-race-faults"} {
@@ -95,7 +95,7 @@
 
 // An entry host takes up a new file and goes on with the pools, queues and control
 // connections of the servers that the file before declared. Its revision is right,
-// and callers are still served by what was withdrawn. The bench must find this.
+// and callers are still served by what was withdrawn. A run must find this.
 func TestGroupsFromBeforeAreFound(t *testing.T) {
 	f := declarer.File{DatabaseGroups: []declarer.DatabaseGroup{{
 		Name:           "kalkul-1",
--- a/internal/bench/runner/runner_test.go
+++ b/internal/bench/runner/runner_test.go
@@ -129,7 +129,7 @@
 
 // Callers go to the primary directly, and it is superseded while cut off from
 // its peers: it acknowledged writes that nobody else held, and they are gone.
-// The bench must find this, otherwise it would find nothing in a proxy either.
+// A run must find this, otherwise it would find nothing in a proxy either.
 func TestSupersededPrimaryIsFound(t *testing.T) {
 	d := &direct{server: first}
 	isolated, promoted := false, false
--- a/internal/clock/scheduler/wall_test.go
+++ b/internal/clock/scheduler/wall_test.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// ofTheBench reports whether the file belongs to the stand-ins or the bench.
+// ofTheBench reports whether the file belongs to the stand-ins or to package bench.
 func ofTheBench(name string) bool {
 	return strings.HasPrefix(name, "standin/") || strings.HasPrefix(name, "bench/")
 }
--- a/internal/group/follower/follower.go
+++ b/internal/group/follower/follower.go
@@ -146,7 +146,7 @@
 	return !f.wanted.Load() && f.now()-time.Duration(f.demanded.Load()) > linger
 }
 
-// Want has the view kept up though no request comes, or no longer.
+// Want has the view kept up though no request comes, or ends that.
 func (f *Follower) Want(on bool) {
 	f.init()
 	f.wanted.Store(on)
