fix(pool): close a connection whose cancel may still arrive

A cancel request that was sent and not seen to end may reach the server at any later time. The exchange dropped that error, made one round trip and let the pool give the connection to the next caller, whose request the cancel could break off.

Change: the dialer tells ErrUnseen from a cancel that wasn't sent; the exchange closes the connection after it.

--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -25,6 +25,10 @@
 	cancelRequestBytes = 16
 )
 
+// ErrUnseen says that a cancel request was sent and that the server wasn't seen to have
+// acted on it, so that it may take effect at any later time.
+const ErrUnseen = errors.ConstError("cancel may still arrive")
+
 // Dialer opens connections under the role that cuminwick uses at backend servers.
 type Dialer struct {
 	User     string
@@ -107,7 +111,8 @@
 //
 // It returns once the server has closed the cancel connection, which it does
 // after it has signalled the connection's process; an effect that is seen
-// later than that and a following round trip can't belong to this request.
+// later than that and a following round trip can't belong to this request. ErrUnseen
+// says that it didn't come to that after the request was sent.
 func (d *Dialer) Cancel(ctx context.Context, address string, processID, secretKey uint32) error {
 	x, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
@@ -119,10 +124,10 @@
 	t, _ := x.Deadline()
 	n.SetDeadline(t)
 	if _, err := n.Write(cancelRequest(processID, secretKey)); err != nil {
-		return errors.Annotatef(err, "send cancel to backend server %s", address)
+		return errors.WithType(errors.Annotatef(err, "send cancel to backend server %s", address), ErrUnseen)
 	}
 	if _, err := io.Copy(io.Discard, n); err != nil {
-		return errors.Annotatef(err, "await cancel at backend server %s", address)
+		return errors.WithType(errors.Annotatef(err, "await cancel at backend server %s", address), ErrUnseen)
 	}
 	return nil
 }
--- a/internal/cancel/matcher/key.go
+++ b/internal/cancel/matcher/key.go
@@ -1,4 +1,4 @@
-// Package matcher finds what a cancel request is for, and keeps it from hitting anything else.
+// Package matcher makes the cancel keys that callers get, and tells from a key which entry host holds its session.
 package matcher
 
 import "github.com/cespare/xxhash/v2"
@@ -17,11 +17,10 @@
 type HostID uint16
 
 const (
-	// slotBits of the process id number the session, the rest above it the host.
+	// sessionBits of the process id number the session, the rest above it the host.
 	// The topmost bit stays clear, as drivers take the id as a signed number.
-	slotBits = 15
-	// MaximumSessions is how many sessions one entry host can hold.
-	MaximumSessions = 1<<slotBits - 1
+	sessionBits = 15
+	sessionMask = 1<<sessionBits - 1
 )
 
 // IDOf returns the id of an entry host's name.
@@ -31,18 +30,10 @@
 
 // Host returns the id of the host that holds the key's session.
 func (k Key) Host() HostID {
-	return HostID(k.ProcessID >> slotBits)
-}
-
-func (k Key) slot() uint32 {
-	return k.ProcessID & MaximumSessions
+	return HostID(k.ProcessID >> sessionBits)
 }
 
 // NewKey makes a key of a session number, of which the low bits count.
 func NewKey(h HostID, session, secret uint32) Key {
-	return keyOf(h, session&MaximumSessions, secret)
-}
-
-func keyOf(h HostID, slot, secret uint32) Key {
-	return Key{ProcessID: uint32(h)<<slotBits | slot, Secret: secret}
+	return Key{ProcessID: uint32(h)<<sessionBits | session&sessionMask, Secret: secret}
 }
--- a/internal/pool/exchanger/cancelling.go
+++ b/internal/pool/exchanger/cancelling.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/backend/dialer"
 	"github.com/cuminwick/cuminwick/internal/pool/keeper"
 	"github.com/cuminwick/cuminwick/internal/wire/batcher"
 	"github.com/cuminwick/cuminwick/internal/wire/follower"
@@ -23,7 +24,8 @@
 //
 // A cancel request that arrives before the statement has started does nothing,
 // so it is repeated until the answer has come. One that arrives after the
-// answer could hit the next use of the connection; settle prevents that.
+// answer could hit the next use of the connection; settle prevents that, or closes the
+// connection where it can't.
 type cancelling struct {
 	Conn      *keeper.Conn
 	Canceller Canceller
@@ -31,6 +33,8 @@
 	once  sync.Once
 	done  chan struct{}
 	ended chan struct{}
+	// unseen says that a request may still arrive; it is final once ended is closed.
+	unseen bool
 }
 
 func (c *cancelling) run() {
@@ -48,7 +52,8 @@
 		default:
 		}
 		// A failed attempt is repeated; the answer may come without it.
-		_ = c.Canceller.Cancel(context.Background(), c.Conn.Address, c.Conn.ProcessID, c.Conn.SecretKey)
+		err := c.Canceller.Cancel(context.Background(), c.Conn.Address, c.Conn.ProcessID, c.Conn.SecretKey)
+		c.unseen = c.unseen || errors.Is(err, dialer.ErrUnseen)
 		select {
 		case <-c.done:
 			return
@@ -58,13 +63,19 @@
 }
 
 // settle waits for the last cancel request to have been delivered and makes
-// one round trip on the connection, which takes up any late effect.
+// one round trip on the connection, which takes up any late effect. A request that
+// wasn't seen to arrive may do so at any time, after the round trip as well, and would
+// break off the request of whoever has the connection then; so the connection is closed.
 func (c *cancelling) settle(ctx context.Context) error {
 	select {
 	case <-c.ended:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	if c.unseen {
+		c.Conn.Close()
+		return errors.Trace(dialer.ErrUnseen)
+	}
 	return RoundTrip(c.Conn, settleTimeout)
 }
 
