refactor: leave out what the program never reaches

The design of configurations said that a host that is ahead refuses a message of one that is behind, but only tests call that decision (adopter.Judge).

Judge stays, as the model of configurations calls it.

Result: no behaviour changes. Of the functions that the program doesn't reach, Judge and the makers of the two committed schemas are left.

--- a/internal/config/applier/applier.go
+++ b/internal/config/applier/applier.go
@@ -256,11 +256,6 @@
 	return o.acceptedSeen
 }
 
-// Head returns the head as last seen.
-func (o *Operator) Head() encoder.Head {
-	return o.head
-}
-
 func (o *Operator) lapse() time.Duration {
 	if o.Lapse <= 0 {
 		return DefaultLapse
--- a/internal/pool/exchanger/exchanger.go
+++ b/internal/pool/exchanger/exchanger.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"strconv"
 
 	"github.com/juju/errors"
@@ -326,9 +325,3 @@
 	}
 	return ""
 }
-
-// IsTimeout reports whether err is a network timeout.
-func IsTimeout(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
-}
--- a/internal/pool/keeper/keeper.go
+++ b/internal/pool/keeper/keeper.go
@@ -27,9 +27,6 @@
 // Conn is a pooled connection, owned by one request or transaction at a time.
 type Conn struct {
 	*dialer.Conn
-	// Generation counts the uses of the connection, so that a cancel or an
-	// answer that belongs to an earlier use is told from the present one.
-	Generation atomic.Uint64
 	// Replay knows the settings and prepared statements at the server.
 	Replay replayer.Connection
 	// Settle, if set, must succeed before the connection is used again.
@@ -110,11 +107,7 @@
 func (k *Keeper) Idle() *Conn {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	c := k.take()
-	if c != nil {
-		c.Generation.Add(1)
-	}
-	return c
+	return k.take()
 }
 
 // Acquire returns an idle connection or waits for one, be it given back or new.
@@ -129,7 +122,6 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "wait for connection to backend server %s", k.Server.Name)
 	}
-	c.Generation.Add(1)
 	return c, nil
 }
 
@@ -138,7 +130,6 @@
 // A connection is clean only if its last answer was read to a ReadyForQuery
 // outside a transaction.
 func (k *Keeper) Release(c *Conn, clean bool) {
-	c.Generation.Add(1)
 	c.Since = time.Now()
 	if !clean {
 		k.discard(c)
