--- a/internal/group/promoter/fence.go
+++ b/internal/group/promoter/fence.go
@@ -116,7 +116,7 @@
 // hear of the move, and their callers would be told that the outcome of a write
 // isn't known though nothing failed.
 func (a *Attempt) candidates() []controller.Status {
-	if s := a.others(); a.majority(s) && !(a.Planned && a.ahead(s)) {
+	if s := a.others(); a.majority(s) && (!a.Planned || !a.ahead(s)) {
 		return s
 	}
 	return a.accepted
