--- /dev/null
+++ b/internal/proxy/assembler/assembler.go
@@ -0,0 +1,84 @@
+// Package assembler builds an entry host that serves on the platform from its settings.
+package assembler
+
+import (
+	"context"
+	"io"
+	"net"
+	"runtime/debug"
+
+	"github.com/apex/log"
+
+	"github.com/cuminwick/cuminwick/internal/log/encoder"
+	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/executor"
+	"github.com/cuminwick/cuminwick/internal/proxy/reporter"
+	"github.com/cuminwick/cuminwick/internal/proxy/runner"
+	"github.com/cuminwick/cuminwick/platform"
+)
+
+const (
+	// sample writes the line of one in so many statements that ran: writing takes
+	// processor time from serving.
+	sample = 100
+	// queueBytes bounds the log lines that wait for the output.
+	queueBytes = 256 << 10
+	// memoryShare is the part of the process's memory, in tenths, at which the
+	// collector works harder rather than let it grow.
+	memoryShare = 7
+)
+
+// Assembler runs an entry host. Its fields are set before Run.
+type Assembler struct {
+	Settings  platform.Settings
+	LogOutput io.Writer
+}
+
+// Run serves until drain is closed and the host has drained.
+func (a *Assembler) Run(ctx context.Context, drain <-chan struct{}) error {
+	debug.SetMemoryLimit(a.Settings.MemoryBytes * memoryShare / 10)
+	e := &encoder.Encoder{Writer: a.LogOutput, QueueBytes: queueBytes, SampleDecisions: sample}
+	c, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go (&writer{encoder: e, done: done}).run(c)
+	err := a.host(e).Run(ctx, drain)
+	stop()
+	<-done
+	return err
+}
+
+// writer writes the log's lines until the process ends.
+type writer struct {
+	encoder *encoder.Encoder
+	done    chan struct{}
+}
+
+func (w *writer) run(ctx context.Context) {
+	defer close(w.done)
+	_ = w.encoder.Run(ctx)
+}
+
+func (a *Assembler) host(e *encoder.Encoder) *runner.Host {
+	s := a.Settings
+	l := &log.Logger{Handler: e, Level: log.InfoLevel}
+	store := platform.NewStore(s.StoreAddress)
+	faulty := func(err error) { l.WithError(err).Warn("object left out") }
+	return &runner.Host{
+		Name:             s.HostName,
+		CallerAddress:    s.CallerAddress,
+		ReadinessAddress: s.ReadinessAddress,
+		ReadinessPath:    platform.ReadinessPath,
+		Grace:            s.Grace,
+		Heartbeat:        s.Heartbeat,
+		Board:            &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
+		Configurations:   &platform.Source[*declarer.Configuration]{Store: store, Kind: platform.KindConfiguration, Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true},
+		Servers:          &platform.Source[declarer.Server]{Store: store, Kind: platform.KindServers, Parse: platform.ParseServer, Faulty: faulty},
+		Dialer:           platform.Dialer{},
+		Prober:           platform.Prober{},
+		Orderer:          &platform.Orderer{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
+		Accept:           func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
+		Reporter:         &reporter.Reporter{Lines: e},
+		Log:              l,
+	}
+}
--- /dev/null
+++ b/internal/proxy/blackboard/blackboard.go
@@ -0,0 +1,135 @@
+// Package blackboard holds what one entry host believes, for its parts to read and write.
+package blackboard
+
+import (
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/steady"
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+	"github.com/cuminwick/cuminwick/internal/route/chooser"
+)
+
+// Board is the blackboard. Its exported fields are set before use.
+type Board struct {
+	// Zone and Region are this host's, Regions tells where the zones are.
+	Zone    string
+	Region  string
+	Regions map[string]string
+
+	configuration atomic.Pointer[declarer.Configuration]
+
+	mu      sync.Mutex
+	groups  map[string]*viewer.Group
+	changed chan struct{}
+}
+
+// Configuration returns the one in force, nil before the first.
+func (b *Board) Configuration() *declarer.Configuration { return b.configuration.Load() }
+
+// Configure takes c into force unless a newer one is, and reports whether it did.
+func (b *Board) Configure(c *declarer.Configuration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if o := b.configuration.Load(); o != nil && o.Version >= c.Version {
+		return false
+	}
+	b.configuration.Store(c)
+	return true
+}
+
+// TakeServers replaces the servers of all groups.
+func (b *Board) TakeServers(l []declarer.Server) {
+	now := steady.Now()
+	by := make(map[string][]declarer.Server)
+	for _, s := range l {
+		by[s.Group] = append(by[s.Group], s)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name := range by {
+		b.group(name)
+	}
+	for name, g := range b.groups {
+		g.Take(by[name], now)
+	}
+	b.announce()
+}
+
+// group returns the group, which it makes if it isn't there. The mutex is held.
+func (b *Board) group(name string) *viewer.Group {
+	if b.groups == nil {
+		b.groups = make(map[string]*viewer.Group)
+	}
+	g := b.groups[name]
+	if g == nil {
+		g = &viewer.Group{Name: name, Zone: b.Zone, Region: b.Region, Regions: b.Regions, Chooser: chooser.Chooser{}}
+		b.groups[name] = g
+	}
+	return g
+}
+
+// Do runs f on the group alone. f must not wait for anything.
+func (b *Board) Do(group string, f func(*viewer.Group)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(b.group(group))
+}
+
+// Groups returns the names of all groups.
+func (b *Board) Groups() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := make([]string, 0, len(b.groups))
+	for n := range b.groups {
+		l = append(l, n)
+	}
+	return l
+}
+
+// Led notes a proof that the server leads its group.
+func (b *Board) Led(group, server string, asked time.Duration, m marker.Mark) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(group)
+	before := g.Primary()
+	g.Led(server, asked, m)
+	if g.Primary() != before {
+		b.announce()
+	}
+}
+
+// Changed returns a channel that is closed with the next change of a primary or of
+// the list of servers.
+func (b *Board) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
+	return b.changed
+}
+
+func (b *Board) announce() {
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
+}
+
+// Unreachable notes that a connection to the server failed by err.
+func (b *Board) Unreachable(group, server string, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		b.group(group).Absent(server, steady.Now())
+		return
+	}
+	b.group(group).Failed(server, steady.Now())
+}
--- /dev/null
+++ b/internal/proxy/executor/exchange.go
@@ -0,0 +1,94 @@
+package executor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+)
+
+// exchange gathers requests, sends them at once and reads their answers.
+type exchange struct {
+	lease    *keeper.Lease
+	deadline time.Time
+	requests []declarer.Request
+	// setup is how many of the requests prepare the connection for the session.
+	setup int
+}
+
+// errSetup is a connection that can't be given the session's values.
+const errSetup = errors.ConstError("connection can't be set up")
+
+func (e *exchange) add(q declarer.Request) {
+	e.requests = append(e.requests, q)
+}
+
+// dress gives the connection the session's values and the statement that it prepared,
+// as far as they differ from what the connection has of its last use.
+func (e *exchange) dress(s *Session, q *request) {
+	l := e.lease
+	for name := range l.Values {
+		if _, ok := s.values[name]; !ok {
+			// There is no way to take back one value.
+			e.add(declarer.Request{Verb: declarer.VerbReset})
+			clear(l.Values)
+			clear(l.Prepared)
+			break
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.values)) {
+		if v, ok := l.Values[name]; !ok || v != s.values[name] {
+			l.Values[name] = s.values[name]
+			e.add(declarer.Request{Verb: declarer.VerbSet, Name: name, Argument: s.values[name]})
+		}
+	}
+	if q.prepared != nil {
+		e.prepare(q)
+	}
+	e.setup = len(e.requests)
+}
+
+func (e *exchange) prepare(q *request) {
+	if _, ok := e.lease.Prepared[q.Name]; ok {
+		return
+	}
+	e.lease.Prepared[q.Name] = struct{}{}
+	e.add(declarer.Request{Verb: declarer.VerbPrepare, Name: q.Name, Writes: q.prepared.writes, Argument: q.prepared.shape})
+}
+
+// run sends what was added and reads the answers to all but the setup into l.
+func (e *exchange) run(l ...*declarer.Answer) error {
+	r, n := e.requests, e.setup
+	e.requests, e.setup = nil, 0
+	if err := e.lease.Send(r, e.deadline); err != nil {
+		return err
+	}
+	for range n {
+		var a declarer.Answer
+		if err := e.receive(&a); err != nil {
+			return err
+		}
+		if a.Code != declarer.CodeNone {
+			return errors.Annotatef(errSetup, "%s", a.Detail)
+		}
+	}
+	for _, a := range l {
+		*a = declarer.Answer{Body: a.Body[:0]}
+		if err := e.receive(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *exchange) receive(a *declarer.Answer) error {
+	err := e.lease.Receive(a, e.deadline)
+	if err == nil {
+		e.lease.State = a.State
+	}
+	return err
+}
--- /dev/null
+++ b/internal/proxy/executor/transaction.go
@@ -0,0 +1,194 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/steady"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+)
+
+// transaction is one that a caller has begun. It gets a connection with its first
+// statement, and keeps it to its end.
+type transaction struct {
+	route   declarer.Route
+	arrived time.Duration
+	// reads says that the caller only reads.
+	reads   bool
+	lease   *keeper.Lease
+	server  string
+	primary bool
+	wrote   bool
+	failed  bool
+}
+
+// fail ends the transaction without effect.
+func (t *transaction) fail() {
+	t.failed = true
+	if t.lease != nil {
+		t.lease.Release(false)
+		t.lease = nil
+	}
+}
+
+// lose ends the transaction whose connection broke; the server rolls it back.
+func (t *transaction) lose() {
+	t.failed = true
+	if t.lease != nil {
+		t.lease.Release(true)
+		t.lease = nil
+	}
+}
+
+// inside serves a statement of the open transaction.
+func (s *Session) inside(q *request) error {
+	t := s.open
+	if t.reads && q.Writes {
+		return s.fail(declarer.CodeReadOnly, "the transaction only reads")
+	}
+	a := s.newAttempt(t.route, q)
+	if t.lease == nil {
+		return s.first(t, a)
+	}
+	return s.further(t, a)
+}
+
+// first serves the statement with which the transaction gets its connection.
+func (s *Session) first(t *transaction, a *attempt) error {
+	a.arrived = t.arrived
+	a.leads = !t.reads || t.route.Kind == declarer.KindPrimary
+	a.begin = declarer.VerbBeginRead
+	if a.leads {
+		a.begin = declarer.VerbBegin
+	}
+	l, code, text := a.place()
+	a.report(code)
+	if l == nil {
+		return s.fail(code, text)
+	}
+	t.lease, t.server, t.primary = l, a.server, a.primary
+	return s.answered(t, a)
+}
+
+// answered passes the answer on and notes where the transaction stands.
+func (s *Session) answered(t *transaction, a *attempt) error {
+	if a.answer.Code == declarer.CodeNone && a.request.Writes {
+		t.wrote = true
+	}
+	if a.answer.State != declarer.StateTransaction {
+		t.fail()
+	}
+	return s.Caller.Pass(&a.answer, s.state())
+}
+
+// further serves a statement on the transaction's connection.
+func (s *Session) further(t *transaction, a *attempt) error {
+	if err := a.repeat(t); err != nil {
+		a.report(declarer.CodeAborted)
+		s.drop(t, err)
+		return s.fail(declarer.CodeAborted, "the server's answer didn't come; the transaction is rolled back")
+	}
+	a.report(a.answer.Code)
+	return s.answered(t, a)
+}
+
+// drop ends a transaction whose server didn't answer.
+func (s *Session) drop(t *transaction, err error) {
+	if errors.Is(err, keeper.ErrTimeout) {
+		t.fail()
+		return
+	}
+	t.lose()
+	s.Board.Do(t.route.Group, func(g *viewer.Group) { g.Failed(t.server, steady.Now()) })
+}
+
+// repeat sends a statement on the transaction's connection, again while the server is
+// too busy and the transaction stands.
+func (a *attempt) repeat(t *transaction) error {
+	a.server, a.primary = t.server, t.primary
+	for {
+		a.sent++
+		e := &exchange{lease: t.lease, deadline: a.deadline}
+		e.dress(a.session, a.request)
+		e.add(a.request.Request)
+		if err := e.run(&a.answer); err != nil {
+			a.why = err.Error()
+			return err
+		}
+		busy := a.answer.Code == declarer.CodeBusy && a.answer.State == declarer.StateTransaction
+		if !busy || a.sent >= tries || time.Until(a.deadline) < pause {
+			return nil
+		}
+		time.Sleep(pause)
+	}
+}
+
+// commit ends the open transaction.
+func (s *Session) commit(x declarer.Statement) error {
+	t := s.open
+	if t == nil {
+		return s.fail(declarer.CodeMalformed, "no transaction is open")
+	}
+	defer s.end(t)
+	if t.failed {
+		s.open = nil
+		return s.Caller.Fail(declarer.CodeAborted, "the transaction was rolled back", declarer.StateIdle)
+	}
+	a := s.newAttempt(t.route, &request{Request: declarer.Request{ID: x.ID, Text: x.Text}, verb: x.Verb})
+	if t.lease == nil {
+		return s.commitEmpty(t, a)
+	}
+	asked := steady.Now()
+	err := a.repeat(t)
+	s.open = nil
+	if err != nil {
+		return s.uncommitted(t, a, err)
+	}
+	if t.wrote && a.answer.Code == declarer.CodeNone {
+		s.committed(t.route.Group, a.answer.Position)
+		s.Board.Led(t.route.Group, t.server, asked, a.answer.Position)
+	}
+	a.report(a.answer.Code)
+	return s.Caller.Pass(&a.answer, declarer.StateIdle)
+}
+
+// end gives back the connection of a transaction that has ended.
+func (s *Session) end(t *transaction) {
+	if t.lease != nil {
+		t.lease.Release(false)
+		t.lease = nil
+	}
+}
+
+// commitEmpty commits a transaction without statements. Only a server's word on it
+// counts for the caller.
+func (s *Session) commitEmpty(t *transaction, a *attempt) error {
+	a.arrived = t.arrived
+	a.leads = !t.reads || t.route.Kind == declarer.KindPrimary
+	a.begin = declarer.VerbBeginRead
+	if a.leads {
+		a.begin = declarer.VerbBegin
+	}
+	l, code, text := a.place()
+	t.lease = l
+	a.report(code)
+	s.open = nil
+	if l == nil {
+		return s.Caller.Fail(code, text, declarer.StateIdle)
+	}
+	return s.Caller.Pass(&a.answer, declarer.StateIdle)
+}
+
+// uncommitted answers a commit that the server didn't answer.
+func (s *Session) uncommitted(t *transaction, a *attempt, err error) error {
+	s.drop(t, err)
+	code, text := declarer.CodeUnknown, "the server's answer to the commit didn't come; whether it took effect isn't known"
+	if !t.wrote {
+		code, text = declarer.CodeAborted, "the server's answer to the commit didn't come; nothing had been written"
+	}
+	a.report(code)
+	return s.Caller.Fail(code, text, declarer.StateIdle)
+}
--- /dev/null
+++ b/internal/proxy/keeper/keeper.go
@@ -0,0 +1,360 @@
+// Package keeper keeps the connections of one entry host to one backend server, and
+// lends each to one session at a time.
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+// Errors of a lease that wasn't given. Nothing was sent.
+const (
+	// ErrRefused is a wait that would take, or took, too long.
+	ErrRefused = errors.ConstError("no connection in time")
+	// ErrUnreachable is a server that takes no connection.
+	ErrUnreachable = errors.ConstError("server can't be reached")
+	// ErrClosed is a pool that was closed.
+	ErrClosed = errors.ConstError("pool is closed")
+	// ErrTimeout is an answer that didn't come by the deadline. It may still come.
+	ErrTimeout = errors.ConstError("no answer in time")
+)
+
+const (
+	// connectTimeout bounds the opening of a connection: a distance of 16 ms there
+	// and back, tens of milliseconds at the server, and its queue.
+	connectTimeout = 700 * time.Millisecond
+	// crowdedFor is how long a server that took no more connections isn't asked
+	// for another.
+	crowdedFor = 200 * time.Millisecond
+	// idleFor is how long a connection beyond the first is kept unused. Others'
+	// callers need it: the server's limit is for all entry hosts together.
+	idleFor = 2 * time.Second
+	// recoverFor bounds the wait for an answer that nobody needs any more.
+	recoverFor = 5 * time.Second
+	// suspectAfter is how long a connection is unused before it is looked at.
+	suspectAfter = 50 * time.Millisecond
+)
+
+// Connection is one to a backend server.
+type Connection interface {
+	// Send writes all of r at once; after an error the server may have got any of it.
+	Send(r []declarer.Request, deadline time.Time) error
+	// Receive reads the next answer. It can be called again after a timeout.
+	Receive(a *declarer.Answer, deadline time.Time) error
+	// Owed returns how many answers are still to come.
+	Owed() int
+	// Ended reports whether the server has closed the connection.
+	Ended() bool
+	Close()
+}
+
+// Dialer opens a connection, and tells the end of the server's log. An error of
+// type ErrCrowded says that the server is at its limit of connections.
+type Dialer interface {
+	Dial(ctx context.Context, s declarer.Server) (Connection, marker.Mark, error)
+}
+
+// ErrCrowded is a server at its limit of connections.
+const ErrCrowded = errors.ConstError("server is at its limit of connections")
+
+// Observer is told what is learnt of the server.
+type Observer interface {
+	Connected(s declarer.Server, m marker.Mark)
+	Unreachable(s declarer.Server, err error)
+}
+
+// Lease is one connection lent to one session. It belongs to one goroutine.
+type Lease struct {
+	Connection
+	// Values are those set on the connection, by name.
+	Values map[string]string
+	// Prepared are the names of statements that the connection knows.
+	Prepared map[string]struct{}
+	// State is where the connection stood after the last answer.
+	State declarer.State
+
+	pool  *Pool
+	entry *admitter.Entry
+	used  time.Time
+}
+
+// Pool keeps the connections to one server. Its exported fields are set before use.
+type Pool struct {
+	Server   declarer.Server
+	Dialer   Dialer
+	Observer Observer
+	// Limit is the most connections that this host may open.
+	Limit int
+
+	mu      sync.Mutex
+	queue   admitter.Queue
+	idle    []*Lease
+	open    int
+	opening int
+	closed  bool
+	crowded time.Time
+	work    sync.WaitGroup
+}
+
+// Ask is what a lease is wanted for.
+type Ask struct {
+	Deadline time.Time
+	Class    admitter.Class
+	// Team shares the connections fairly with others.
+	Team string
+}
+
+// epoch is where the queue's clock begins.
+var epoch = time.Now()
+
+func sinceEpoch(t time.Time) time.Duration { return t.Sub(epoch) }
+
+// waiter is who waits for an entry's grant.
+type waiter struct {
+	done chan error
+}
+
+// Acquire waits for a connection until the deadline.
+func (p *Pool) Acquire(a Ask) (*Lease, error) {
+	e := &admitter.Entry{Team: a.Team, Class: a.Class, Deadline: sinceEpoch(a.Deadline)}
+	w := &waiter{done: make(chan error, 1)}
+	e.Owner = w
+	if err := p.offer(e); err != nil {
+		return nil, err
+	}
+	t := time.NewTimer(time.Until(a.Deadline))
+	defer t.Stop()
+	select {
+	case err := <-w.done:
+		return p.granted(e, err)
+	case <-t.C:
+	}
+	p.mu.Lock()
+	p.queue.Expire(e, sinceEpoch(time.Now()))
+	p.settle()
+	p.mu.Unlock()
+	return p.granted(e, <-w.done)
+}
+
+func (p *Pool) offer(e *admitter.Entry) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return ErrClosed
+	}
+	p.queue.Slots = p.open
+	p.queue.Offer(e, sinceEpoch(time.Now()))
+	p.settle()
+	p.grow()
+	return nil
+}
+
+// settle tells those whom the queue has just decided on. The mutex is held.
+func (p *Pool) settle() {
+	for _, e := range p.queue.Granted {
+		e.Owner.(*waiter).done <- nil
+	}
+	for _, e := range p.queue.Refused {
+		e.Owner.(*waiter).done <- errors.Annotatef(ErrRefused, "server %s: %s", p.Server.ID, e.Reason)
+	}
+	p.queue.Granted = p.queue.Granted[:0]
+	p.queue.Refused = p.queue.Refused[:0]
+}
+
+// granted hands out an idle connection; each grant has one.
+func (p *Pool) granted(e *admitter.Entry, err error) (*Lease, error) {
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		l := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if time.Since(l.used) > suspectAfter && l.Ended() {
+			p.drop(l)
+			continue
+		}
+		l.entry = e
+		return l, nil
+	}
+	p.queue.Return(e, sinceEpoch(time.Now()))
+	p.settle()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	p.grow()
+	return nil, errors.Annotatef(ErrRefused, "server %s: its connections ended", p.Server.ID)
+}
+
+// drop forgets a connection. The mutex is held.
+func (p *Pool) drop(l *Lease) {
+	l.Close()
+	p.open--
+	p.queue.Slots = p.open
+}
+
+// grow opens a connection for those who wait. The mutex is held.
+func (p *Pool) grow() {
+	if p.closed || p.queue.Waiting() <= p.opening || p.open+p.opening >= p.Limit {
+		return
+	}
+	if time.Now().Before(p.crowded) {
+		return
+	}
+	p.opening++
+	p.work.Add(1)
+	go p.run()
+}
+
+// run opens one connection.
+func (p *Pool) run() {
+	defer p.work.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	c, m, err := p.Dialer.Dial(ctx, p.Server)
+	p.note(m, err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	switch {
+	case err == nil && p.closed:
+		c.Close()
+	case err == nil:
+		l := &Lease{Connection: c, Values: make(map[string]string), Prepared: make(map[string]struct{}), pool: p, used: time.Now()}
+		p.open++
+		p.idle = append(p.idle, l)
+	case errors.Is(err, ErrCrowded):
+		p.crowded = time.Now().Add(crowdedFor)
+		if p.open+p.opening == 0 {
+			p.refuse()
+		}
+	case p.opening == 0:
+		p.refuse()
+	}
+	p.adjust()
+}
+
+func (p *Pool) note(m marker.Mark, err error) {
+	switch {
+	case err == nil:
+		p.Observer.Connected(p.Server, m)
+	case !errors.Is(err, ErrCrowded):
+		p.Observer.Unreachable(p.Server, err)
+	}
+}
+
+// refuse ends the wait of all: they had better try elsewhere. The mutex is held.
+func (p *Pool) refuse() {
+	if p.open > 0 {
+		return
+	}
+	p.queue.Closed = admitter.ReasonLeaving
+	p.queue.Adjust(sinceEpoch(time.Now()))
+	p.settle()
+	p.queue.Closed = admitter.ReasonNone
+}
+
+// adjust gives out what has become free. The mutex is held.
+func (p *Pool) adjust() {
+	p.queue.Slots = p.open
+	p.queue.Adjust(sinceEpoch(time.Now()))
+	p.settle()
+	p.grow()
+}
+
+// Release gives the connection back. One with an answer still to come, or inside a
+// transaction, is brought in order first; a broken one is closed.
+func (l *Lease) Release(broken bool) {
+	p := l.pool
+	switch {
+	case broken:
+		p.finish(l, true)
+	case l.Owed() > 0 || l.State != declarer.StateIdle:
+		p.work.Add(1)
+		go l.run()
+	default:
+		p.finish(l, false)
+	}
+}
+
+// run waits for what is owed, and rolls back what is open.
+func (l *Lease) run() {
+	defer l.pool.work.Done()
+	l.pool.finish(l, l.recover() != nil)
+}
+
+func (l *Lease) recover() error {
+	t := time.Now().Add(recoverFor)
+	var a declarer.Answer
+	for l.Owed() > 0 {
+		if err := l.Receive(&a, t); err != nil {
+			return err
+		}
+		l.State = a.State
+		a = declarer.Answer{Body: a.Body[:0]}
+	}
+	if l.State == declarer.StateIdle {
+		return nil
+	}
+	if err := l.Send([]declarer.Request{{Verb: declarer.VerbRollback}}, t); err != nil {
+		return err
+	}
+	if err := l.Receive(&a, t); err != nil {
+		return err
+	}
+	l.State = a.State
+	if a.State != declarer.StateIdle {
+		return errors.Errorf("server %s: still in a transaction after a rollback", l.pool.Server.ID)
+	}
+	return nil
+}
+
+func (p *Pool) finish(l *Lease, broken bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := l.entry
+	l.entry = nil
+	l.used = time.Now()
+	if broken || p.closed {
+		p.drop(l)
+	} else {
+		p.idle = append(p.idle, l)
+	}
+	p.queue.Slots = p.open
+	p.queue.Release(e, sinceEpoch(l.used))
+	p.settle()
+	p.grow()
+}
+
+// Trim closes what has been idle for long, but for the last connection.
+func (p *Pool) Trim(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 && p.open > 1 && now.Sub(p.idle[0].used) > idleFor {
+		l := p.idle[0]
+		p.idle = p.idle[1:]
+		p.drop(l)
+	}
+}
+
+// Close closes the idle connections now and the others as they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, l := range p.idle {
+		p.drop(l)
+	}
+	p.idle = nil
+	p.queue.Closed = admitter.ReasonLeaving
+	p.queue.Adjust(sinceEpoch(time.Now()))
+	p.settle()
+}
--- /dev/null
+++ b/internal/proxy/runner/follower.go
@@ -0,0 +1,131 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/clock/steady"
+)
+
+const (
+	// watchWait is how long a waiting call lasts. It is short, as each is the only
+	// proof that the platform still answers, and a change missed on a connection
+	// gone silent would be in force late.
+	watchWait = 4 * time.Second
+	// watchSlack is what a waiting call may take longer than it waits.
+	watchSlack = 1500 * time.Millisecond
+	// listTimeout bounds other calls.
+	listTimeout = 1500 * time.Millisecond
+	// firstBackoff and longestBackoff bound the pause after a failed call.
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = time.Second
+)
+
+// Source is one kind of object on the platform, decoded.
+type Source[T any] interface {
+	// List returns all there are, and the revision from where to watch.
+	List(ctx context.Context) ([]T, uint64, error)
+	// Watch waits for changes after the revision and returns them with the new one.
+	// It returns ErrForgotten if they aren't kept so long.
+	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change[T], uint64, error)
+}
+
+// ErrForgotten is a revision from which the platform has no changes any more.
+const ErrForgotten = errors.ConstError("changes aren't kept so long")
+
+// Change is that of one object.
+type Change[T any] struct {
+	// Name is the object's, Value is zero if it is gone or can't be understood.
+	Name    string
+	Value   T
+	Removed bool
+}
+
+// follower keeps up with one kind of object.
+type follower[T any] struct {
+	name   string
+	source Source[T]
+	// reset takes the whole list, apply one change.
+	reset func([]T)
+	apply func([]Change[T])
+	log   log.Interface
+	// heard is when the platform last answered, on the steady clock.
+	heard   atomic.Int64
+	listed  atomic.Bool
+	failing bool
+}
+
+// run lists and watches until ctx ends.
+func (f *follower[T]) run(ctx context.Context) {
+	var at uint64
+	fresh := false
+	pause := firstBackoff
+	for ctx.Err() == nil {
+		var err error
+		if fresh {
+			at, err = f.watch(ctx, at)
+		} else {
+			at, err = f.list(ctx)
+		}
+		f.note(err)
+		switch {
+		case err == nil:
+			fresh = true
+			pause = firstBackoff
+			continue
+		case errors.Is(err, ErrForgotten):
+			fresh = false
+			continue
+		}
+		_ = scheduler.Pause(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, longestBackoff)
+	}
+}
+
+func (f *follower[T]) list(ctx context.Context) (uint64, error) {
+	c, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	l, at, err := f.source.List(c)
+	if err != nil {
+		return 0, err
+	}
+	f.reset(l)
+	f.listed.Store(true)
+	return at, nil
+}
+
+func (f *follower[T]) watch(ctx context.Context, at uint64) (uint64, error) {
+	c, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	l, next, err := f.source.Watch(c, at, watchWait)
+	if err != nil {
+		return at, err
+	}
+	if len(l) > 0 {
+		f.apply(l)
+	}
+	return max(at, next), nil
+}
+
+// note writes down when the platform is lost and regained.
+func (f *follower[T]) note(err error) {
+	if err == nil || errors.Is(err, ErrForgotten) {
+		f.heard.Store(int64(steady.Now()))
+	}
+	failing := err != nil && !errors.Is(err, ErrForgotten)
+	if failing == f.failing {
+		return
+	}
+	f.failing = failing
+	if failing {
+		f.log.WithError(err).WithField("kind", f.name).Warn("platform lost")
+		return
+	}
+	f.log.WithField("kind", f.name).Info("platform regained")
+}
--- /dev/null
+++ b/internal/proxy/runner/host.go
@@ -0,0 +1,293 @@
+// Package runner runs an entry host that serves the platform's statement protocol.
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/executor"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/successor"
+	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+)
+
+const (
+	// rotation is how long the balancer may send new connections after the host has
+	// said that it isn't ready: it asks once a second and twice before it believes.
+	rotation = 2200 * time.Millisecond
+	// exitSpare is what is left of the grace for the process to end.
+	exitSpare = 500 * time.Millisecond
+	// trimInterval is how often unused connections are looked for.
+	trimInterval = 500 * time.Millisecond
+	// drainStep is how often a draining host looks whether all sessions have ended.
+	drainStep = 50 * time.Millisecond
+)
+
+// Host is one entry host. Its exported fields are set before Run.
+type Host struct {
+	Name string
+	// CallerAddress takes callers, ReadinessAddress the balancer's questions.
+	CallerAddress    string
+	ReadinessAddress string
+	// ReadinessPath is where the balancer asks.
+	ReadinessPath string
+	Grace         time.Duration
+	// Heartbeat is how often servers report.
+	Heartbeat time.Duration
+
+	Board          *blackboard.Board
+	Configurations Source[*declarer.Configuration]
+	Servers        Source[declarer.Server]
+	Dialer         keeper.Dialer
+	Prober         Prober
+	Orderer        Orderer
+	// Accept makes a caller of a connection.
+	Accept   func(net.Conn) executor.Caller
+	Reporter executor.Reporter
+	Log      log.Interface
+
+	pools          pools
+	observer       executor.Observer
+	configurations follower[*declarer.Configuration]
+	servers        follower[declarer.Server]
+	catalogue      catalogue
+	draining       atomic.Bool
+
+	mu        sync.Mutex
+	sessions  map[*executor.Session]struct{}
+	promoters map[string]context.CancelFunc
+}
+
+// Run serves until drain is closed, and then until all sessions have ended or the
+// grace is over.
+func (h *Host) Run(ctx context.Context, drain <-chan struct{}) error {
+	h.prepare()
+	c, err := net.Listen("tcp4", h.CallerAddress)
+	if err != nil {
+		return errors.Annotate(err, "listen for callers")
+	}
+	r, err := net.Listen("tcp4", h.ReadinessAddress)
+	if err != nil {
+		return errors.Annotate(err, "listen for the balancer")
+	}
+	x, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h.start(x, c, r)
+	select {
+	case <-drain:
+		h.drain(x)
+	case <-ctx.Done():
+	}
+	h.Log.Info("stopped")
+	return nil
+}
+
+func (h *Host) prepare() {
+	h.sessions = make(map[*executor.Session]struct{})
+	h.promoters = make(map[string]context.CancelFunc)
+	h.pools = pools{board: h.Board, dialer: h.Dialer, observer: h}
+	h.observer = executor.Observer{Board: h.Board, Pools: &h.pools}
+	h.catalogue = catalogue{publish: h.publish}
+	h.configurations = follower[*declarer.Configuration]{name: "configuration", source: h.Configurations, reset: h.configure, apply: h.reconfigure, log: h.Log}
+	h.servers = follower[declarer.Server]{name: "servers", source: h.Servers, reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log}
+}
+
+func (h *Host) start(ctx context.Context, callers, readiness net.Listener) {
+	m := http.NewServeMux()
+	m.HandleFunc(h.ReadinessPath, h.answerReadiness)
+	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Second}
+	go h.configurations.run(ctx)
+	go h.servers.run(ctx)
+	go (&acceptor{host: h, listener: callers}).run()
+	go (&readinessServer{server: s, listener: readiness, log: h.Log}).run()
+	go (&trimmer{host: h}).run(ctx)
+	h.Log.WithField("host", h.Name).Info("started")
+}
+
+// readinessServer answers the balancer.
+type readinessServer struct {
+	server   *http.Server
+	listener net.Listener
+	log      log.Interface
+}
+
+func (r *readinessServer) run() {
+	if err := r.server.Serve(r.listener); !errors.Is(err, http.ErrServerClosed) {
+		r.log.WithError(err).Error("readiness is not served any more")
+	}
+}
+
+func (h *Host) answerReadiness(w http.ResponseWriter, _ *http.Request) {
+	if h.draining.Load() || !h.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// ready reports whether the host knows the configuration and the servers.
+func (h *Host) ready() bool {
+	return h.Board.Configuration() != nil && h.servers.listed.Load()
+}
+
+// trimmer closes connections that nobody needs.
+type trimmer struct {
+	host *Host
+}
+
+func (t *trimmer) run(ctx context.Context) {
+	for scheduler.Pause(ctx, trimInterval) == nil {
+		t.host.pools.trim(time.Now())
+	}
+}
+
+func (h *Host) configure(l []*declarer.Configuration) {
+	for _, c := range l {
+		h.adopt(c)
+	}
+}
+
+func (h *Host) reconfigure(l []Change[*declarer.Configuration]) {
+	for _, c := range l {
+		if !c.Removed {
+			h.adopt(c.Value)
+		}
+	}
+}
+
+func (h *Host) adopt(c *declarer.Configuration) {
+	if h.Board.Configure(c) {
+		h.Log.WithField("version", c.Version).WithField("routes", len(c.Routes)).Info("configuration in force")
+	}
+}
+
+// publish takes the servers as they are listed now.
+func (h *Host) publish(l []declarer.Server) {
+	h.pools.take(l)
+	h.Board.TakeServers(l)
+	h.promote()
+}
+
+// promote starts a promoter for each group that has none.
+func (h *Host) promote() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, g := range h.Board.Groups() {
+		if h.promoters[g] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		h.promoters[g] = cancel
+		p := &promoter{host: h, group: g, log: h.Log, judge: successor.Judge{Host: h.Name, Group: g, Interval: h.Heartbeat}}
+		go p.run(ctx)
+	}
+}
+
+// Connected and Unreachable note what pools learn.
+func (h *Host) Connected(s declarer.Server, m marker.Mark) {
+	h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(s.ID, 0, m) })
+}
+
+// Unreachable is the counterpart of Connected.
+func (h *Host) Unreachable(s declarer.Server, err error) {
+	h.Board.Unreachable(s.Group, s.ID, err)
+}
+
+// acceptor takes callers.
+type acceptor struct {
+	host     *Host
+	listener net.Listener
+}
+
+// acceptPause is waited after a failed accept, such as for want of descriptors.
+const acceptPause = 10 * time.Millisecond
+
+func (a *acceptor) run() {
+	for {
+		c, err := a.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			a.host.Log.WithError(err).Warn("caller not accepted")
+			time.Sleep(acceptPause)
+		default:
+			a.host.serve(c)
+		}
+	}
+}
+
+func (h *Host) serve(c net.Conn) {
+	s := &executor.Session{Caller: h.Accept(c), Board: h.Board, Pools: &h.pools, Observer: &h.observer, Reporter: h.Reporter, Ready: h.ready}
+	h.mu.Lock()
+	h.sessions[s] = struct{}{}
+	h.mu.Unlock()
+	go (&service{host: h, session: s}).run()
+}
+
+// service is one session that is being served.
+type service struct {
+	host    *Host
+	session *executor.Session
+}
+
+func (s *service) run() {
+	defer s.host.forget(s.session)
+	s.session.Run()
+}
+
+func (h *Host) forget(s *executor.Session) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.sessions, s)
+}
+
+// drain says that the host isn't ready, waits until the balancer knows, has sessions
+// end where nothing is cut off, and cuts open transactions off at half the grace.
+func (h *Host) drain(ctx context.Context) {
+	began := time.Now()
+	h.draining.Store(true)
+	h.Log.WithField("sessions", h.count()).Info("draining")
+	_ = scheduler.Pause(ctx, min(rotation, h.Grace/2))
+	h.each((*executor.Session).Stop)
+	for time.Since(began) < h.Grace-exitSpare && h.count() > 0 {
+		if time.Since(began) > h.Grace*5/8 {
+			h.each((*executor.Session).Cut)
+		} else {
+			h.each((*executor.Session).Stop)
+		}
+		if scheduler.Pause(ctx, drainStep) != nil {
+			return
+		}
+	}
+	h.Log.WithField("sessions", h.count()).Info("drained")
+}
+
+func (h *Host) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.sessions)
+}
+
+func (h *Host) each(f func(*executor.Session)) {
+	h.mu.Lock()
+	l := make([]*executor.Session, 0, len(h.sessions))
+	for s := range h.sessions {
+		l = append(l, s)
+	}
+	h.mu.Unlock()
+	for _, s := range l {
+		f(s)
+	}
+}
--- /dev/null
+++ b/internal/proxy/runner/promotions.go
@@ -0,0 +1,361 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/clock/steady"
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/successor"
+	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+)
+
+// Claim says which host may give a group a primary, beyond which term.
+type Claim struct {
+	Holder string
+	// Server is whom the holder has chosen, empty for nobody yet.
+	Server string
+	// Above is the newest term at which the holder found the group.
+	Above marker.Term
+	// Token orders claims; each change of a claim raises it.
+	Token uint64
+}
+
+// Errors of claims. After any other error the claim may have been made.
+const (
+	// ErrNoClaim is a group that nobody has claimed.
+	ErrNoClaim = errors.ConstError("no claim")
+	// ErrOvertaken is a claim that another host has changed.
+	ErrOvertaken = errors.ConstError("claim was changed by another host")
+	// ErrFenced is an order that came too late, or whose server doesn't run.
+	ErrFenced = errors.ConstError("promotion refused")
+)
+
+// Orderer makes claims and orders promotions through the platform.
+type Orderer interface {
+	Claim(ctx context.Context, group string) (Claim, error)
+	// PutClaim replaces the claim whose token is that of c, zero for none.
+	PutClaim(ctx context.Context, group string, c Claim) (Claim, error)
+	Promote(ctx context.Context, group, server, holder string, token uint64) error
+}
+
+// Prober asks a server for its status on a new connection.
+type Prober interface {
+	Status(ctx context.Context, s declarer.Server) (declarer.Status, error)
+	// Demote has a primary below the term step down.
+	Demote(ctx context.Context, s declarer.Server, t marker.Term) (declarer.Status, error)
+}
+
+const (
+	// promoteTick is how often a group is looked at.
+	promoteTick = 50 * time.Millisecond
+	// probeTimeout bounds a status: a distance of 16 ms there and back, a new
+	// connection at 30 ms and a busy slot.
+	probeTimeout = 400 * time.Millisecond
+	// probeInterval is the least time between two probes of a suspected primary.
+	probeInterval = 150 * time.Millisecond
+	// claimTimeout bounds a call about a claim, orderTimeout an order.
+	claimTimeout = 500 * time.Millisecond
+	orderTimeout = time.Second
+	// takeOver is how long another host's claim above the same term is respected.
+	takeOver = 2500 * time.Millisecond
+	// leadTimeout bounds the wait until a promoted server leads.
+	leadTimeout = 4 * time.Second
+	leadStep    = 50 * time.Millisecond
+	// catchUp bounds the wait for the heir in a planned move.
+	catchUp     = 500 * time.Millisecond
+	catchUpStep = 10 * time.Millisecond
+)
+
+// promoter looks after the lead of one group.
+type promoter struct {
+	host   *Host
+	group  string
+	judge  successor.Judge
+	log    log.Interface
+	probed time.Time
+	// held is this host's claim, if it made the last one it knows of.
+	held Claim
+	// foreign is another host's claim, and when it was first seen.
+	foreign   Claim
+	foreignAt time.Time
+}
+
+// run looks at the group until ctx ends.
+func (p *promoter) run(ctx context.Context) {
+	p.standIn(ctx)
+	for scheduler.Pause(ctx, promoteTick) == nil {
+		p.step(ctx)
+	}
+}
+
+// standIn claims the group if nobody has, so that its holder can order a promotion
+// while the platform's store is away.
+func (p *promoter) standIn(ctx context.Context) {
+	if scheduler.Pause(ctx, 2*time.Second+8*p.judge.Delay()) != nil {
+		return
+	}
+	if _, err := p.claim(ctx); errors.Is(err, ErrNoClaim) {
+		_, _ = p.take(ctx, Claim{Holder: p.host.Name})
+	}
+}
+
+func (p *promoter) step(ctx context.Context) {
+	s := p.sight()
+	if p.judge.Suspect(s) && time.Since(p.probed) > probeInterval {
+		p.probe(ctx, s)
+		s = p.sight()
+	}
+	if r := p.judge.Decide(s); r != successor.ReasonNone {
+		p.replace(ctx, s, r)
+	}
+}
+
+func (p *promoter) sight() successor.Sight {
+	s := successor.Sight{Now: steady.Now(), Heard: time.Duration(p.host.servers.heard.Load())}
+	p.host.Board.Do(p.group, func(g *viewer.Group) {
+		if x := g.Primary(); x != nil {
+			c := *x
+			s.Primary = &c
+		}
+		for _, x := range g.Servers() {
+			c := *x
+			s.Servers = append(s.Servers, &c)
+		}
+	})
+	return s
+}
+
+// probe asks a suspected primary, or all servers where none is known.
+func (p *promoter) probe(ctx context.Context, s successor.Sight) {
+	p.probed = time.Now()
+	l := s.Servers
+	if s.Primary != nil {
+		l = []*viewer.Server{s.Primary}
+	}
+	p.ask(ctx, l)
+}
+
+// ask has all of l tell their status at once, and returns those that did.
+func (p *promoter) ask(ctx context.Context, l []*viewer.Server) []successor.Candidate {
+	c, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var g sync.WaitGroup
+	q := make([]question, len(l))
+	for i, s := range l {
+		q[i] = question{promoter: p, server: s.Server}
+		g.Add(1)
+		go q[i].run(c, &g)
+	}
+	g.Wait()
+	var r []successor.Candidate
+	for i := range q {
+		if q[i].err == nil {
+			r = append(r, successor.Candidate{Server: q[i].server, Status: q[i].status})
+		}
+	}
+	return r
+}
+
+// question is one status asked for.
+type question struct {
+	promoter *promoter
+	server   declarer.Server
+	status   declarer.Status
+	err      error
+}
+
+func (q *question) run(ctx context.Context, g *sync.WaitGroup) {
+	defer g.Done()
+	asked := steady.Now()
+	q.status, q.err = q.promoter.host.Prober.Status(ctx, q.server)
+	b := q.promoter.host.Board
+	if q.err != nil {
+		b.Unreachable(q.server.Group, q.server.ID, q.err)
+		return
+	}
+	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, 0, q.status.Received) })
+	if q.status.Primary {
+		b.Led(q.server.Group, q.server.ID, asked, q.status.Received)
+	}
+}
+
+// replace gives the group another primary, unless another host is about to.
+func (p *promoter) replace(ctx context.Context, s successor.Sight, r successor.Reason) {
+	l := p.log.WithFields(log.Fields{"database-group": p.group, "reason": r})
+	c := p.ask(ctx, others(s))
+	for _, x := range c {
+		if x.Status.Primary && r != successor.ReasonLeaving {
+			return // it leads already; ask has noted so
+		}
+	}
+	zone := ""
+	if s.Primary != nil {
+		zone = s.Primary.AvailabilityZone
+	}
+	heir, ok := successor.Choose(c, zone)
+	if !ok {
+		l.Warn("no server can take over")
+		return
+	}
+	claim, ok := p.win(ctx, heir.Server.ID, successor.Newest(c))
+	if !ok {
+		return
+	}
+	l = l.WithFields(log.Fields{"heir": heir.Server.ID, "position": heir.Status.Received.String(), "token": claim.Token, "above": claim.Above})
+	if r == successor.ReasonLeaving {
+		p.stepDown(ctx, s.Primary.Server, heir, claim.Above, l)
+	}
+	p.order(ctx, heir.Server, claim, l)
+}
+
+func others(s successor.Sight) []*viewer.Server {
+	var l []*viewer.Server
+	for _, x := range s.Servers {
+		if s.Primary == nil || x.ID != s.Primary.ID {
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
+// win makes the claim to promote the server, and reports whether this host may.
+func (p *promoter) win(ctx context.Context, server string, above marker.Term) (Claim, bool) {
+	present, err := p.claim(ctx)
+	switch {
+	case errors.Is(err, ErrNoClaim):
+	case err != nil:
+		return p.fromHeld(server, above)
+	case present.Holder != p.host.Name && present.Server != "" && present.Above >= above && p.young(present):
+		return Claim{}, false
+	}
+	c, err := p.take(ctx, Claim{Holder: p.host.Name, Server: server, Above: above, Token: present.Token})
+	return c, err == nil
+}
+
+// young reports whether another host's claim was seen for the first time not long ago.
+func (p *promoter) young(c Claim) bool {
+	if p.foreign != c {
+		p.foreign, p.foreignAt = c, time.Now()
+	}
+	return time.Since(p.foreignAt) < takeOver
+}
+
+// fromHeld goes on with the claim that this host made last, where the store can't be
+// asked. If another host has made one since, the platform refuses the order. The claim
+// serves for one server only: an order for another one, carried out late, would have
+// the same token.
+func (p *promoter) fromHeld(server string, above marker.Term) (Claim, bool) {
+	if p.held.Token == 0 || p.held.Server != "" && p.held.Server != server {
+		return Claim{}, false
+	}
+	p.held.Server, p.held.Above = server, above
+	return p.held, true
+}
+
+func (p *promoter) claim(ctx context.Context) (Claim, error) {
+	c, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return p.host.Orderer.Claim(c, p.group)
+}
+
+// take puts the claim. Where the answer is lost it reads back whether it was made.
+func (p *promoter) take(ctx context.Context, x Claim) (Claim, error) {
+	c, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	n, err := p.host.Orderer.PutClaim(c, p.group, x)
+	if err != nil && !errors.Is(err, ErrOvertaken) {
+		n, err = p.settle(ctx, x, err)
+	}
+	if err != nil {
+		p.log.WithError(err).WithField("database-group", p.group).Warn("claim not made")
+		return n, err
+	}
+	p.held = n
+	return n, nil
+}
+
+func (p *promoter) settle(ctx context.Context, x Claim, cause error) (Claim, error) {
+	n, err := p.claim(ctx)
+	if err != nil {
+		return n, errors.Annotatef(cause, "and not read back: %v", err)
+	}
+	if n.Holder != x.Holder || n.Server != x.Server || n.Token <= x.Token {
+		return n, errors.Annotatef(cause, "claim of %s with token %d stands", n.Holder, n.Token)
+	}
+	return n, nil
+}
+
+// stepDown has the leaving primary stop leading, and waits until the heir has all of
+// its log. Commits that it made until the promotion took effect would be dropped.
+func (p *promoter) stepDown(ctx context.Context, old declarer.Server, heir successor.Candidate, above marker.Term, l log.Interface) {
+	c, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	s, err := p.host.Prober.Demote(c, old, above+1)
+	if err != nil {
+		l.WithError(err).Warn("leaving primary did not step down")
+		return
+	}
+	end := time.Now().Add(catchUp)
+	for time.Now().Before(end) {
+		h, err := p.host.Prober.Status(c, heir.Server)
+		if err == nil && h.Received.Covers(s.Received) {
+			return
+		}
+		if scheduler.Pause(c, catchUpStep) != nil {
+			break
+		}
+	}
+	l.WithField("want", s.Received.String()).Warn("heir did not catch up")
+}
+
+// order has the platform promote the server, and waits until it leads.
+func (p *promoter) order(ctx context.Context, s declarer.Server, x Claim, l log.Interface) {
+	began := time.Now()
+	l.Info("promotion ordered")
+	for time.Since(began) < leadTimeout {
+		err := p.orderOnce(ctx, s, x)
+		switch {
+		case errors.Is(err, ErrFenced):
+			l.WithError(err).Warn("promotion refused")
+			return
+		case err != nil:
+			l.WithError(err).Warn("promotion not answered")
+		}
+		if p.awaitLead(ctx, s, began) {
+			l.WithField("took", time.Since(began).String()).Info("promotion done")
+			return
+		}
+		if err == nil {
+			break
+		}
+	}
+	l.Warn("promoted server does not lead")
+}
+
+func (p *promoter) orderOnce(ctx context.Context, s declarer.Server, x Claim) error {
+	c, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return p.host.Orderer.Promote(c, p.group, s.ID, p.host.Name, x.Token)
+}
+
+// awaitLead asks the server until it leads.
+func (p *promoter) awaitLead(ctx context.Context, s declarer.Server, began time.Time) bool {
+	for time.Since(began) < leadTimeout {
+		for _, c := range p.ask(ctx, []*viewer.Server{{Server: s}}) {
+			if c.Status.Primary {
+				return true
+			}
+		}
+		if scheduler.Pause(ctx, leadStep) != nil {
+			return false
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/proxy/successor/successor.go
@@ -0,0 +1,182 @@
+// Package successor decides when a database group needs another primary, and which.
+package successor
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+)
+
+const (
+	// absentAfter is how long a primary's host refuses connections to it before it is
+	// taken for lost. A process that is gone takes longer to come back.
+	absentAfter = 300 * time.Millisecond
+	// silentAfter is the same for a primary that doesn't answer, and whose reports
+	// have stopped as well: either alone may be a fault between it and this host.
+	silentAfter = 500 * time.Millisecond
+	// overdue is how many report intervals may pass without a report, in quarters.
+	overdue = 6
+	// unheardAfter is how long a primary may be unreachable where the platform can't
+	// be asked for its reports. It is longer than most outages of one connection.
+	unheardAfter = 4 * time.Second
+	// leaderlessAfter is how long no server may report the lead. A promotion that
+	// somebody else ordered shows by then.
+	leaderlessAfter = 1500 * time.Millisecond
+	// spread is the most that one host waits longer than another.
+	spread = 250 * time.Millisecond
+)
+
+// Reason says why a group needs another primary.
+type Reason string
+
+// Reasons.
+const (
+	// ReasonNone is a group that needs none.
+	ReasonNone Reason = ""
+	// ReasonAbsent: no process listens at the primary's address.
+	ReasonAbsent Reason = "primary-absent"
+	// ReasonSilent: the primary neither answers nor reports.
+	ReasonSilent Reason = "primary-silent"
+	// ReasonUnheard: the primary doesn't answer, and its reports can't be read.
+	ReasonUnheard Reason = "primary-unheard"
+	// ReasonLeaderless: no server reports the lead.
+	ReasonLeaderless Reason = "no-primary"
+	// ReasonLeaving: the primary will stop soon.
+	ReasonLeaving Reason = "primary-leaving"
+)
+
+// Judge decides for one group at one entry host. Its exported fields are set before
+// use; it belongs to one goroutine.
+type Judge struct {
+	// Host is this entry host, Group the group.
+	Host  string
+	Group string
+	// Interval is how often servers report.
+	Interval time.Duration
+
+	leaderless time.Duration
+	reason     Reason
+	since      time.Duration
+}
+
+// Sight is what the judge is told.
+type Sight struct {
+	Now time.Duration
+	// Primary is the one believed in, nil for none.
+	Primary *viewer.Server
+	Servers []*viewer.Server
+	// Heard is when the platform last answered.
+	Heard time.Duration
+}
+
+// Suspect reports whether the primary should be asked on a new connection now.
+func (j *Judge) Suspect(s Sight) bool {
+	p := s.Primary
+	if p == nil {
+		return true
+	}
+	return p.FailingSince != 0 || s.Now-p.Reported > j.patience()
+}
+
+// patience is how long a server's report may be overdue.
+func (j *Judge) patience() time.Duration { return j.Interval * overdue / 4 }
+
+// Decide returns why this host should give the group another primary now. Each host
+// waits a little differently, so that mostly one goes first.
+func (j *Judge) Decide(s Sight) Reason {
+	r := j.reasonNow(s)
+	if r != j.reason {
+		j.reason, j.since = r, s.Now
+	}
+	if r == ReasonNone || s.Now-j.since < j.Delay() {
+		return ReasonNone
+	}
+	return r
+}
+
+func (j *Judge) reasonNow(s Sight) Reason {
+	if len(s.Servers) == 0 {
+		return ReasonNone
+	}
+	p := s.Primary
+	if p == nil {
+		return j.withoutPrimary(s)
+	}
+	j.leaderless = 0
+	failing := p.FailingSince != 0
+	silent := s.Now-p.Reported > j.patience()
+	deaf := s.Now-s.Heard > j.patience()
+	switch {
+	case failing && p.RefusedSince != 0 && s.Now-p.RefusedSince > absentAfter:
+		return ReasonAbsent
+	case failing && s.Now-p.FailingSince > silentAfter && silent && !deaf:
+		return ReasonSilent
+	case failing && s.Now-p.FailingSince > unheardAfter:
+		return ReasonUnheard
+	case p.Draining:
+		return ReasonLeaving
+	}
+	return ReasonNone
+}
+
+func (j *Judge) withoutPrimary(s Sight) Reason {
+	if j.leaderless == 0 {
+		j.leaderless = s.Now
+	}
+	if s.Now-j.leaderless > leaderlessAfter {
+		return ReasonLeaderless
+	}
+	return ReasonNone
+}
+
+// Delay spreads the hosts by a hash, differently for each group.
+func (j *Judge) Delay() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(j.Host + "/" + j.Group))
+	return time.Duration(h.Sum32()) * spread / (1 << 32)
+}
+
+// Candidate is one server's own word, asked for a promotion.
+type Candidate struct {
+	Server declarer.Server
+	Status declarer.Status
+}
+
+// Choose returns the candidate with the longest log, of equals the first in the same
+// zone as the old primary's, false if there is none that may lead. What it lacks is
+// lost: with asynchronous replication the last commits of a lost primary may be.
+func Choose(l []Candidate, zone string) (Candidate, bool) {
+	var best Candidate
+	found := false
+	for _, c := range l {
+		if c.Server.Draining || c.Status.Primary {
+			continue
+		}
+		if !found || better(c, best, zone) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+func better(c, o Candidate, zone string) bool {
+	if n := c.Status.Received.Compare(o.Status.Received); n != 0 {
+		return n > 0
+	}
+	if n := c.Server.AvailabilityZone == zone; n != (o.Server.AvailabilityZone == zone) {
+		return n
+	}
+	return c.Server.ID < o.Server.ID
+}
+
+// Newest returns the newest term among the candidates.
+func Newest(l []Candidate) marker.Term {
+	var t marker.Term
+	for _, c := range l {
+		t = max(t, c.Status.Term, c.Status.Received.Term)
+	}
+	return t
+}
