perf(proxy): open connections one at a time, within a share for each host

Now a pool opens one connection at a time, only where the expected wait is longer than opening takes, within a third of the server's limit, and closes those idle for a second.

--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,12 +31,25 @@
 	// connectTimeout bounds the opening of a connection: a distance of 16 ms there
 	// and back, tens of milliseconds at the server, and its queue.
 	connectTimeout = 700 * time.Millisecond
-	// crowdedFor is how long a server that took no more connections isn't asked
-	// for another.
-	crowdedFor = 200 * time.Millisecond
+	// firstCrowded is how long a server that took no more connections isn't asked for
+	// another; each further time in a row it is twice as long, up to longestCrowded.
+	// An attempt in vain takes a slot at the server like any other. A host without any
+	// connection asks more often: it can serve nothing at that server until it has one.
+	firstCrowded   = 150 * time.Millisecond
+	longestCrowded = 2 * time.Second
+	// hostShare is the part of a server's connections that one host may take. Without
+	// a bound a host that comes first with a backlog takes all, and the callers of the
+	// others wait until it has worked that off.
+	hostShare = 3
+	// leastShare is what it may take at least.
+	leastShare = 2
+	// growWait is the expected wait above which another connection is opened. Opening
+	// one takes 10 to 30 ms of one of the server's few slots; below, one that is in use
+	// comes free sooner.
+	growWait = 25 * time.Millisecond
 	// idleFor is how long a connection beyond the first is kept unused. Others'
 	// callers need it: the server's limit is for all entry hosts together.
-	idleFor = 2 * time.Second
+	idleFor = time.Second
 	// recoverFor bounds the wait for an answer that nobody needs any more.
 	recoverFor = 5 * time.Second
 	// suspectAfter is how long a connection is unused before it is looked at.
@@ -99,8 +113,10 @@
 	open    int
 	opening int
 	closed  bool
-	crowded time.Time
-	work    sync.WaitGroup
+	// crowded is until when no connection is opened, crowdedFor how long that was.
+	crowded    time.Time
+	crowdedFor time.Duration
+	work       sync.WaitGroup
 }
 
 // Ask is what a lease is wanted for.
@@ -203,10 +219,10 @@
 
 // grow opens a connection for those who wait. The mutex is held.
 func (p *Pool) grow() {
-	if p.closed || p.queue.Waiting() <= p.opening || p.open+p.opening >= p.Limit {
+	if p.closed || p.queue.Waiting() == 0 || p.opening > 0 || p.open >= max(leastShare, p.Limit/hostShare) {
 		return
 	}
-	if time.Now().Before(p.crowded) {
+	if time.Now().Before(p.crowded) || !p.worth() {
 		return
 	}
 	p.opening++
@@ -214,6 +230,15 @@
 	go p.run()
 }
 
+// worth reports whether those who wait would wait longer than another connection
+// costs. The mutex is held.
+func (p *Pool) worth() bool {
+	if p.open == 0 {
+		return true
+	}
+	return time.Duration(p.queue.Waiting())*p.queue.ServiceTime()/time.Duration(p.open) > growWait
+}
+
 // run opens one connection.
 func (p *Pool) run() {
 	defer p.work.Done()
@@ -231,17 +256,32 @@
 		l := &Lease{Connection: c, Values: make(map[string]string), Prepared: make(map[string]struct{}), pool: p, used: time.Now()}
 		p.open++
 		p.idle = append(p.idle, l)
+		p.crowdedFor = 0
 	case errors.Is(err, ErrCrowded):
-		p.crowded = time.Now().Add(crowdedFor)
-		if p.open+p.opening == 0 {
-			p.refuse()
-		}
+		p.pause()
 	case p.opening == 0:
 		p.refuse()
 	}
 	p.adjust()
 }
 
+// pause keeps from asking a crowded server for a while. The mutex is held.
+func (p *Pool) pause() {
+	p.crowdedFor = min(max(firstCrowded, 2*p.crowdedFor), longestCrowded)
+	if p.open == 0 {
+		p.crowdedFor = firstCrowded
+	}
+	p.crowded = time.Now().Add(p.crowdedFor/2 + rand.N(p.crowdedFor))
+	time.AfterFunc(time.Until(p.crowded), p.resume)
+}
+
+// resume opens what is still wanted after a pause.
+func (p *Pool) resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.grow()
+}
+
 func (p *Pool) note(m marker.Mark, err error) {
 	switch {
 	case err == nil:
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -15,11 +15,11 @@
 
 const (
 	// watchWait is how long a waiting call lasts. It is short, as each is the only
-	// proof that the platform still answers, and a change missed on a connection
-	// gone silent would be in force late.
-	watchWait = 4 * time.Second
+	// proof that the platform still answers: a change that was missed on a watch that
+	// went silent must be in force within three seconds of its acknowledgement.
+	watchWait = 1800 * time.Millisecond
 	// watchSlack is what a waiting call may take longer than it waits.
-	watchSlack = 1500 * time.Millisecond
+	watchSlack = 400 * time.Millisecond
 	// listTimeout bounds other calls.
 	listTimeout = 1500 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
