feat(proxy): reach servers by way of other hosts, and take their word on a lost primary

A connection that can't be made directly goes through one of three other hosts, found in the store; a host asked so that has no way either says so, and that together with 0.5 s of silence is taken for a loss. A primary with statements under way that answers none for 250 ms is asked at once on a new connection.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"runtime/debug"
+	"strconv"
 
 	"github.com/apex/log"
 
@@ -13,6 +14,7 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
+	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
 	"github.com/cuminwick/cuminwick/internal/proxy/reporter"
 	"github.com/cuminwick/cuminwick/internal/proxy/runner"
 	"github.com/cuminwick/cuminwick/platform"
@@ -74,8 +76,12 @@
 		Board:            &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
 		Configurations:   &platform.Source[*declarer.Configuration]{Store: store, Kind: platform.KindConfiguration, Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true},
 		Servers:          &platform.Source[declarer.Server]{Store: store, Kind: platform.KindServers, Parse: platform.ParseServer, Faulty: faulty},
-		Dialer:           platform.Dialer{},
-		Prober:           platform.Prober{},
+		Hosts:            &platform.Source[declarer.Host]{Store: store, Kind: platform.KindHosts, Parse: platform.ParseHost, Faulty: faulty},
+		Registrar:        &platform.Registrar{Store: store},
+		Way:              platform.Dialer{},
+		ParseStatus:      platform.ParseStatus,
+		Relayer:          &relayer.Relayer{Ask: platform.ReadVia, Dial: platform.DialRaw, Refuse: platform.RefuseVia, Log: l},
+		Self:             declarer.Host{Name: s.HostName, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.FirstPort)), AvailabilityZone: s.AvailabilityZone},
 		Orderer:          &platform.Orderer{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
 		Accept:           func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
 		Reporter:         &reporter.Reporter{Lines: e},
--- a/internal/proxy/blackboard/blackboard.go
+++ b/internal/proxy/blackboard/blackboard.go
@@ -12,6 +12,7 @@
 	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 	"github.com/cuminwick/cuminwick/internal/route/chooser"
 )
@@ -127,9 +128,12 @@
 func (b *Board) Unreachable(group, server string, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		b.group(group).Absent(server, steady.Now())
-		return
+	case errors.Is(err, keeper.ErrLost):
+		b.group(group).Lost(server, steady.Now())
+	default:
+		b.group(group).Failed(server, steady.Now())
 	}
-	b.group(group).Failed(server, steady.Now())
 }
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -191,3 +191,11 @@
 	// Busy and Connections are counts of the whole server.
 	Busy, Connections int
 }
+
+// Host is another entry host.
+type Host struct {
+	Name string
+	// Address takes connections from other hosts.
+	Address          string
+	AvailabilityZone string
+}
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -300,7 +300,7 @@
 	m := a.answer.Position
 	ran := a.answer.Code == declarer.CodeNone
 	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
-		g.Answered(a.server, took, m)
+		g.Answered(a.server, steady.Now(), took, m)
 		if ran && !a.leads {
 			g.Caught(a.server)
 		}
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -75,8 +75,18 @@
 	Dial(ctx context.Context, s declarer.Server) (Connection, marker.Mark, error)
 }
 
-// ErrCrowded is a server at its limit of connections.
-const ErrCrowded = errors.ConstError("server is at its limit of connections")
+// Errors of opening a connection. Where nothing else is said they are the server's word.
+const (
+	// ErrCrowded is a server at its limit of connections.
+	ErrCrowded = errors.ConstError("server is at its limit of connections")
+	// ErrNoWay is a server to which no connection of the network can be made. It is
+	// not the server's word, but that of whoever tried.
+	ErrNoWay = errors.ConstError("no way to the server")
+	// ErrLost is ErrNoWay where other entry hosts say so as well.
+	ErrLost = errors.ConstError("no host has a way to the server")
+	// ErrTurnedAway is a server that refuses, as it isn't the one that is meant.
+	ErrTurnedAway = errors.ConstError("server turned the connection away")
+)
 
 // Observer is told what is learnt of the server.
 type Observer interface {
--- /dev/null
+++ b/internal/proxy/relayer/relayer.go
@@ -0,0 +1,108 @@
+// Package relayer carries other entry hosts' connections on to backend servers.
+package relayer
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+const (
+	// askTimeout bounds the wait for the name of the server, and dialTimeout that for
+	// a connection to it.
+	askTimeout  = time.Second
+	dialTimeout = 200 * time.Millisecond
+	// maximumCarried bounds the connections carried at once: two descriptors each.
+	maximumCarried = 256
+)
+
+// Relayer takes connections from other hosts. Its fields are set before Run.
+type Relayer struct {
+	Listener net.Listener
+	// Ask reads the id of the server that is wanted from a new connection.
+	Ask func(c net.Conn, deadline time.Time) (string, error)
+	// Find returns a server that is listed.
+	Find func(id string) (declarer.Server, bool)
+	// Dial connects to an address within the time.
+	Dial func(address string, t time.Duration) (net.Conn, error)
+	// Refuse answers that there is no way to the server.
+	Refuse func(c net.Conn, id string)
+	Log    log.Interface
+
+	slots chan struct{}
+}
+
+// Run serves until the listener is closed.
+func (r *Relayer) Run() {
+	r.slots = make(chan struct{}, maximumCarried)
+	for {
+		c, err := r.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			r.Log.WithError(err).Warn("connection of another host not accepted")
+			time.Sleep(dialTimeout)
+			continue
+		}
+		r.take(c)
+	}
+}
+
+func (r *Relayer) take(c net.Conn) {
+	select {
+	case r.slots <- struct{}{}:
+		go (&carriage{relayer: r, from: c}).run()
+	default:
+		c.Close()
+	}
+}
+
+// carriage is one connection that is carried on.
+type carriage struct {
+	relayer *Relayer
+	from    net.Conn
+}
+
+func (x *carriage) run() {
+	r := x.relayer
+	defer func() { <-r.slots }()
+	defer x.from.Close()
+	id, err := r.Ask(x.from, time.Now().Add(askTimeout))
+	if err != nil {
+		return
+	}
+	s, ok := r.Find(id)
+	if !ok {
+		return
+	}
+	to, err := r.Dial(s.Address, dialTimeout)
+	if err != nil {
+		r.Refuse(x.from, id)
+		return
+	}
+	defer to.Close()
+	back := &stream{from: to, to: x.from, done: make(chan struct{})}
+	go back.run()
+	_, _ = io.Copy(to, x.from)
+	to.Close()
+	<-back.done
+}
+
+// stream carries bytes one way. An end of either side ends both: what is sent over a
+// connection that is half gone would be lost without a word.
+type stream struct {
+	from, to net.Conn
+	done     chan struct{}
+}
+
+func (s *stream) run() {
+	defer close(s.done)
+	_, _ = io.Copy(s.to, s.from)
+	s.to.Close()
+}
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -21,10 +21,10 @@
 	// watchSlack is what a waiting call may take longer than it waits.
 	watchSlack = 400 * time.Millisecond
 	// listTimeout bounds other calls.
-	listTimeout = 1500 * time.Millisecond
+	listTimeout = 700 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 100 * time.Millisecond
-	longestBackoff = time.Second
+	longestBackoff = 400 * time.Millisecond
 )
 
 // Source is one kind of object on the platform, decoded.
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -13,11 +13,13 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
@@ -49,9 +51,15 @@
 	Board          *blackboard.Board
 	Configurations Source[*declarer.Configuration]
 	Servers        Source[declarer.Server]
-	Dialer         keeper.Dialer
-	Prober         Prober
-	Orderer        Orderer
+	Hosts          Source[declarer.Host]
+	Registrar      Registrar
+	Way            detourer.Way
+	Relayer        *relayer.Relayer
+	// Self is how other hosts reach this one.
+	Self declarer.Host
+	// ParseStatus reads the row in which a server tells its status.
+	ParseStatus func(row string) (declarer.Status, error)
+	Orderer     Orderer
 	// Accept makes a caller of a connection.
 	Accept   func(net.Conn) executor.Caller
 	Reporter executor.Reporter
@@ -61,7 +69,11 @@
 	observer       executor.Observer
 	configurations follower[*declarer.Configuration]
 	servers        follower[declarer.Server]
+	hosts          follower[declarer.Host]
 	catalogue      catalogue
+	roster         roster
+	prober         prober
+	detours        detourer.Dialer
 	draining       atomic.Bool
 
 	mu        sync.Mutex
@@ -81,12 +93,16 @@
 	if err != nil {
 		return errors.Annotate(err, "listen for the balancer")
 	}
+	if h.Relayer.Listener, err = net.Listen("tcp4", h.Self.Address); err != nil {
+		return errors.Annotate(err, "listen for other entry hosts")
+	}
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.start(x, c, r)
 	select {
 	case <-drain:
 		h.drain(x)
+		h.leave()
 	case <-ctx.Done():
 	}
 	h.Log.Info("stopped")
@@ -96,7 +112,11 @@
 func (h *Host) prepare() {
 	h.sessions = make(map[*executor.Session]struct{})
 	h.promoters = make(map[string]context.CancelFunc)
-	h.pools = pools{board: h.Board, dialer: h.Dialer, observer: h}
+	h.roster.self = h.Name
+	h.detours = detourer.Dialer{Way: h.Way, Hosts: h.roster.others}
+	h.prober = prober{dialer: &h.detours, parse: h.ParseStatus}
+	h.pools = pools{board: h.Board, dialer: &h.detours, observer: h}
+	h.hosts = follower[declarer.Host]{name: "entry hosts", source: h.Hosts, reset: h.roster.reset, apply: h.roster.apply, log: h.Log}
 	h.observer = executor.Observer{Board: h.Board, Pools: &h.pools}
 	h.catalogue = catalogue{publish: h.publish}
 	h.configurations = follower[*declarer.Configuration]{name: "configuration", source: h.Configurations, reset: h.configure, apply: h.reconfigure, log: h.Log}
@@ -109,6 +129,10 @@
 	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Second}
 	go h.configurations.run(ctx)
 	go h.servers.run(ctx)
+	go h.hosts.run(ctx)
+	go (&registration{host: h}).run(ctx)
+	h.Relayer.Find = h.pools.find
+	go h.Relayer.Run()
 	go (&acceptor{host: h, listener: callers}).run()
 	go (&readinessServer{server: s, listener: readiness, log: h.Log}).run()
 	go (&trimmer{host: h}).run(ctx)
@@ -196,7 +220,7 @@
 
 // Connected and Unreachable note what pools learn.
 func (h *Host) Connected(s declarer.Server, m marker.Mark) {
-	h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(s.ID, 0, m) })
+	h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(s.ID, steady.Now(), 0, m) })
 }
 
 // Unreachable is the counterpart of Connected.
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -66,6 +66,14 @@
 	return defaultConnections
 }
 
+// find returns a server that is listed.
+func (p *pools) find(id string) (declarer.Server, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.servers[id]
+	return s, ok
+}
+
 // trim closes connections that nobody needs.
 func (p *pools) trim(now time.Time) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/proxy/runner/prober.go
@@ -0,0 +1,56 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+)
+
+// ErrCommand is a command that a server refused.
+const ErrCommand = errors.ConstError("command refused")
+
+// prober asks servers on new connections: an old one may have gone silent though the
+// server is well.
+type prober struct {
+	dialer keeper.Dialer
+	// parse reads the row in which a server tells its status.
+	parse func(row string) (declarer.Status, error)
+}
+
+// Status returns the server's word on itself.
+func (p *prober) Status(ctx context.Context, s declarer.Server) (declarer.Status, error) {
+	return p.command(ctx, s, declarer.Request{Verb: declarer.VerbStatus})
+}
+
+// Demote has a primary below the term step down.
+func (p *prober) Demote(ctx context.Context, s declarer.Server, t marker.Term) (declarer.Status, error) {
+	return p.command(ctx, s, declarer.Request{Verb: declarer.VerbDemote, Term: t})
+}
+
+func (p *prober) command(ctx context.Context, s declarer.Server, q declarer.Request) (declarer.Status, error) {
+	c, _, err := p.dialer.Dial(ctx, s)
+	if err != nil {
+		return declarer.Status{}, err
+	}
+	defer c.Close()
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = time.Now().Add(probeTimeout)
+	}
+	if err := c.Send([]declarer.Request{q}, end); err != nil {
+		return declarer.Status{}, err
+	}
+	var a declarer.Answer
+	if err := c.Receive(&a, end); err != nil {
+		return declarer.Status{}, err
+	}
+	if a.Code != declarer.CodeNone {
+		return declarer.Status{}, errors.Annotatef(ErrCommand, "server %s: %s", s.ID, a.Body)
+	}
+	return p.parse(a.Row)
+}
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -45,13 +45,6 @@
 	Promote(ctx context.Context, group, server, holder string, token uint64) error
 }
 
-// Prober asks a server for its status on a new connection.
-type Prober interface {
-	Status(ctx context.Context, s declarer.Server) (declarer.Status, error)
-	// Demote has a primary below the term step down.
-	Demote(ctx context.Context, s declarer.Server, t marker.Term) (declarer.Status, error)
-}
-
 const (
 	// promoteTick is how often a group is looked at.
 	promoteTick = 50 * time.Millisecond
@@ -174,13 +167,13 @@
 func (q *question) run(ctx context.Context, g *sync.WaitGroup) {
 	defer g.Done()
 	asked := steady.Now()
-	q.status, q.err = q.promoter.host.Prober.Status(ctx, q.server)
+	q.status, q.err = q.promoter.host.prober.Status(ctx, q.server)
 	b := q.promoter.host.Board
 	if q.err != nil {
 		b.Unreachable(q.server.Group, q.server.ID, q.err)
 		return
 	}
-	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, 0, q.status.Received) })
+	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, steady.Now(), 0, q.status.Received) })
 	if q.status.Primary {
 		b.Led(q.server.Group, q.server.ID, asked, q.status.Received)
 	}
@@ -297,14 +290,14 @@
 func (p *promoter) stepDown(ctx context.Context, old declarer.Server, heir successor.Candidate, above marker.Term, l log.Interface) {
 	c, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	s, err := p.host.Prober.Demote(c, old, above+1)
+	s, err := p.host.prober.Demote(c, old, above+1)
 	if err != nil {
 		l.WithError(err).Warn("leaving primary did not step down")
 		return
 	}
 	end := time.Now().Add(catchUp)
 	for time.Now().Before(end) {
-		h, err := p.host.Prober.Status(c, heir.Server)
+		h, err := p.host.prober.Status(c, heir.Server)
 		if err == nil && h.Received.Covers(s.Received) {
 			return
 		}
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -14,9 +14,13 @@
 	// absentAfter is how long a primary's host refuses connections to it before it is
 	// taken for lost. A process that is gone takes longer to come back.
 	absentAfter = 300 * time.Millisecond
-	// silentAfter is the same for a primary that doesn't answer, and whose reports
-	// have stopped as well: either alone may be a fault between it and this host.
+	// silentAfter is the same for a primary that doesn't answer, where other hosts say
+	// so as well or its reports have stopped: by itself it may be a fault between it
+	// and this host.
 	silentAfter = 500 * time.Millisecond
+	// stalledAfter is how long a primary with statements under way may answer none of
+	// them before it is asked on a new connection.
+	stalledAfter = 250 * time.Millisecond
 	// overdue is how many report intervals may pass without a report, in quarters.
 	overdue = 6
 	// unheardAfter is how long a primary may be unreachable where the platform can't
@@ -38,6 +42,8 @@
 	ReasonNone Reason = ""
 	// ReasonAbsent: no process listens at the primary's address.
 	ReasonAbsent Reason = "primary-absent"
+	// ReasonLost: neither this host nor others reach the primary.
+	ReasonLost Reason = "primary-lost"
 	// ReasonSilent: the primary neither answers nor reports.
 	ReasonSilent Reason = "primary-silent"
 	// ReasonUnheard: the primary doesn't answer, and its reports can't be read.
@@ -78,7 +84,8 @@
 	if p == nil {
 		return true
 	}
-	return p.FailingSince != 0 || s.Now-p.Reported > j.patience()
+	stalled := p.Busy > 0 && s.Now-p.AnsweredAt > stalledAfter
+	return stalled || p.FailingSince != 0 || s.Now-p.Reported > j.patience()
 }
 
 // patience is how long a server's report may be overdue.
@@ -107,12 +114,15 @@
 	}
 	j.leaderless = 0
 	failing := p.FailingSince != 0
+	mute := failing && s.Now-max(p.FailingSince, p.AnsweredAt) > silentAfter
 	silent := s.Now-p.Reported > j.patience()
 	deaf := s.Now-s.Heard > j.patience()
 	switch {
 	case failing && p.RefusedSince != 0 && s.Now-p.RefusedSince > absentAfter:
 		return ReasonAbsent
-	case failing && s.Now-p.FailingSince > silentAfter && silent && !deaf:
+	case mute && p.LostSince != 0:
+		return ReasonLost
+	case mute && silent && !deaf:
 		return ReasonSilent
 	case failing && s.Now-p.FailingSince > unheardAfter:
 		return ReasonUnheard
