fix(proxy): keep a proved primary against older reports, and don't probe by reports

A list that came after a proof of the lead put the server of an older report back in its place (found by TestPrimary).

The judge goes by its own connections and other hosts' word alone.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -72,7 +72,6 @@
 		ReadinessAddress: s.ReadinessAddress,
 		ReadinessPath:    platform.ReadinessPath,
 		Grace:            s.Grace,
-		Heartbeat:        s.Heartbeat,
 		Board:            &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
 		Configurations:   &platform.Source[*declarer.Configuration]{Store: store, Kind: platform.KindConfiguration, Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true},
 		Servers:          &platform.Source[declarer.Server]{Store: store, Kind: platform.KindServers, Parse: platform.ParseServer, Faulty: faulty},
--- a/internal/proxy/blackboard/blackboard.go
+++ b/internal/proxy/blackboard/blackboard.go
@@ -23,6 +23,8 @@
 	Zone    string
 	Region  string
 	Regions map[string]string
+	// Now reads the clock of all times on the board, steady.Now if unset.
+	Now func() time.Duration
 
 	configuration atomic.Pointer[declarer.Configuration]
 
@@ -31,6 +33,14 @@
 	changed chan struct{}
 }
 
+// Time returns the time on the board's clock.
+func (b *Board) Time() time.Duration {
+	if b.Now == nil {
+		return steady.Now()
+	}
+	return b.Now()
+}
+
 // Configuration returns the one in force, nil before the first.
 func (b *Board) Configuration() *declarer.Configuration { return b.configuration.Load() }
 
@@ -47,7 +57,7 @@
 
 // TakeServers replaces the servers of all groups.
 func (b *Board) TakeServers(l []declarer.Server) {
-	now := steady.Now()
+	now := b.Time()
 	by := make(map[string][]declarer.Server)
 	for _, s := range l {
 		by[s.Group] = append(by[s.Group], s)
@@ -130,10 +140,10 @@
 	defer b.mu.Unlock()
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		b.group(group).Absent(server, steady.Now())
+		b.group(group).Absent(server, b.Time())
 	case errors.Is(err, keeper.ErrLost):
-		b.group(group).Lost(server, steady.Now())
+		b.group(group).Lost(server, b.Time())
 	default:
-		b.group(group).Failed(server, steady.Now())
+		b.group(group).Failed(server, b.Time())
 	}
 }
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -7,7 +7,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -54,7 +53,7 @@
 
 func (s *Session) newAttempt(r declarer.Route, q *request) *attempt {
 	now := time.Now()
-	return &attempt{session: s, route: r, request: q, arrived: steady.Now(), began: now, deadline: now.Add(r.Timeout)}
+	return &attempt{session: s, route: r, request: q, arrived: s.Board.Time(), began: now, deadline: now.Add(r.Timeout)}
 }
 
 // alone serves a statement outside of a transaction.
@@ -180,7 +179,7 @@
 	}
 	a.request.After = need
 	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
-		s, d := g.Read(need, a.excluded, rand.Uint64(), steady.Now())
+		s, d := g.Read(need, a.excluded, rand.Uint64(), a.session.Board.Time())
 		a.why = d.Why.String()
 		if s != nil {
 			id = s.ID
@@ -212,7 +211,7 @@
 			need = marker.Max(need, g.Lift(a.session.own(a.route.Group)))
 		}
 		l, known := g.Latest()
-		old = !known || steady.Now()-l.Asked > a.route.MaximumStaleness/observeSpare
+		old = !known || a.session.Board.Time()-l.Asked > a.route.MaximumStaleness/observeSpare
 	})
 	return need, ok, old
 }
@@ -221,7 +220,7 @@
 // had no effect and the lease is given back.
 func (a *attempt) try(l *keeper.Lease) (again bool, code declarer.Code, text string) {
 	a.sent++
-	asked := steady.Now()
+	asked := a.session.Board.Time()
 	sent := time.Now()
 	a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Began(a.server) })
 	err := a.exchange(l)
@@ -300,7 +299,7 @@
 	m := a.answer.Position
 	ran := a.answer.Code == declarer.CodeNone
 	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
-		g.Answered(a.server, steady.Now(), took, m)
+		g.Answered(a.server, a.session.Board.Time(), took, m)
 		if ran && !a.leads {
 			g.Caught(a.server)
 		}
@@ -337,7 +336,7 @@
 	own := a.request.After == a.session.own(a.route.Group)
 	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
 		if !own {
-			g.Lagged(a.server, steady.Now())
+			g.Lagged(a.server, a.session.Board.Time())
 		}
 	})
 	a.exclude(a.server)
@@ -348,7 +347,7 @@
 	timeout := errors.Is(err, keeper.ErrTimeout)
 	l.Release(!timeout)
 	if !timeout {
-		a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Failed(a.server, steady.Now()) })
+		a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Failed(a.server, a.session.Board.Time()) })
 	}
 	a.why = err.Error()
 	switch {
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -103,7 +102,7 @@
 }
 
 func (f *observation) ask(id string, l *keeper.Lease, end time.Time) {
-	asked := steady.Now()
+	asked := f.observer.Board.Time()
 	e := &exchange{lease: l, deadline: end}
 	e.add(declarer.Request{Verb: declarer.VerbBegin})
 	e.add(declarer.Request{Verb: declarer.VerbRollback})
@@ -112,7 +111,7 @@
 	l.Release(err != nil)
 	switch {
 	case err != nil:
-		f.observer.Board.Do(f.group, func(g *viewer.Group) { g.Failed(id, steady.Now()) })
+		f.observer.Board.Do(f.group, func(g *viewer.Group) { g.Failed(id, f.observer.Board.Time()) })
 	case begun.Code == declarer.CodeReadOnly:
 		f.observer.Board.Do(f.group, func(g *viewer.Group) { g.Refused(id) })
 	case begun.Code == declarer.CodeNone:
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -8,7 +8,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -311,7 +310,7 @@
 	if !ok {
 		return s.fail(declarer.CodeNoDatabase, s.database)
 	}
-	s.open = &transaction{route: r, arrived: steady.Now(), reads: x.Verb == declarer.VerbBeginRead}
+	s.open = &transaction{route: r, arrived: s.Board.Time(), reads: x.Verb == declarer.VerbBeginRead}
 	return s.Caller.Done(declarer.StateTransaction)
 }
 
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -5,7 +5,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
@@ -102,7 +101,7 @@
 		return
 	}
 	t.lose()
-	s.Board.Do(t.route.Group, func(g *viewer.Group) { g.Failed(t.server, steady.Now()) })
+	s.Board.Do(t.route.Group, func(g *viewer.Group) { g.Failed(t.server, s.Board.Time()) })
 }
 
 // repeat sends a statement on the transaction's connection, again while the server is
@@ -141,7 +140,7 @@
 	if t.lease == nil {
 		return s.commitEmpty(t, a)
 	}
-	asked := steady.Now()
+	asked := s.Board.Time()
 	err := a.repeat(t)
 	s.open = nil
 	if err != nil {
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -10,7 +10,6 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
-	"github.com/cuminwick/cuminwick/internal/clock/steady"
 )
 
 const (
@@ -52,11 +51,9 @@
 	name   string
 	source Source[T]
 	// reset takes the whole list, apply one change.
-	reset func([]T)
-	apply func([]Change[T])
-	log   log.Interface
-	// heard is when the platform last answered, on the steady clock.
-	heard   atomic.Int64
+	reset   func([]T)
+	apply   func([]Change[T])
+	log     log.Interface
 	listed  atomic.Bool
 	failing bool
 }
@@ -115,9 +112,6 @@
 
 // note writes down when the platform is lost and regained.
 func (f *follower[T]) note(err error) {
-	if err == nil || errors.Is(err, ErrForgotten) {
-		f.heard.Store(int64(steady.Now()))
-	}
 	failing := err != nil && !errors.Is(err, ErrForgotten)
 	if failing == f.failing {
 		return
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -13,7 +13,6 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
-	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -45,8 +44,6 @@
 	// ReadinessPath is where the balancer asks.
 	ReadinessPath string
 	Grace         time.Duration
-	// Heartbeat is how often servers report.
-	Heartbeat time.Duration
 
 	Board          *blackboard.Board
 	Configurations Source[*declarer.Configuration]
@@ -213,14 +210,14 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		h.promoters[g] = cancel
-		p := &promoter{host: h, group: g, log: h.Log, judge: successor.Judge{Host: h.Name, Group: g, Interval: h.Heartbeat}}
+		p := &promoter{host: h, group: g, log: h.Log, judge: successor.Judge{Host: h.Name, Group: g}}
 		go p.run(ctx)
 	}
 }
 
 // Connected and Unreachable note what pools learn.
 func (h *Host) Connected(s declarer.Server, m marker.Mark) {
-	h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(s.ID, steady.Now(), 0, m) })
+	h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(s.ID, h.Board.Time(), 0, m) })
 }
 
 // Unreachable is the counterpart of Connected.
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
-	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
@@ -111,7 +110,7 @@
 }
 
 func (p *promoter) sight() successor.Sight {
-	s := successor.Sight{Now: steady.Now(), Heard: time.Duration(p.host.servers.heard.Load())}
+	s := successor.Sight{Now: p.host.Board.Time()}
 	p.host.Board.Do(p.group, func(g *viewer.Group) {
 		if x := g.Primary(); x != nil {
 			c := *x
@@ -166,14 +165,14 @@
 
 func (q *question) run(ctx context.Context, g *sync.WaitGroup) {
 	defer g.Done()
-	asked := steady.Now()
+	asked := q.promoter.host.Board.Time()
 	q.status, q.err = q.promoter.host.prober.Status(ctx, q.server)
 	b := q.promoter.host.Board
 	if q.err != nil {
 		b.Unreachable(q.server.Group, q.server.ID, q.err)
 		return
 	}
-	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, steady.Now(), 0, q.status.Received) })
+	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, b.Time(), 0, q.status.Received) })
 	if q.status.Primary {
 		b.Led(q.server.Group, q.server.ID, asked, q.status.Received)
 	}
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -15,16 +15,13 @@
 	// taken for lost. A process that is gone takes longer to come back.
 	absentAfter = 300 * time.Millisecond
 	// silentAfter is the same for a primary that doesn't answer, where other hosts say
-	// so as well or its reports have stopped: by itself it may be a fault between it
-	// and this host.
+	// so as well: by itself it may be a fault between it and this host.
 	silentAfter = 500 * time.Millisecond
 	// stalledAfter is how long a primary with statements under way may answer none of
 	// them before it is asked on a new connection.
 	stalledAfter = 250 * time.Millisecond
-	// overdue is how many report intervals may pass without a report, in quarters.
-	overdue = 6
-	// unheardAfter is how long a primary may be unreachable where the platform can't
-	// be asked for its reports. It is longer than most outages of one connection.
+	// unheardAfter is how long a primary may be unreachable where no other host can be
+	// asked. Its entry on the platform's list lapses after about as long.
 	unheardAfter = 4 * time.Second
 	// leaderlessAfter is how long no server may report the lead. A promotion that
 	// somebody else ordered shows by then.
@@ -44,9 +41,7 @@
 	ReasonAbsent Reason = "primary-absent"
 	// ReasonLost: neither this host nor others reach the primary.
 	ReasonLost Reason = "primary-lost"
-	// ReasonSilent: the primary neither answers nor reports.
-	ReasonSilent Reason = "primary-silent"
-	// ReasonUnheard: the primary doesn't answer, and its reports can't be read.
+	// ReasonUnheard: the primary doesn't answer for long, and nobody can be asked.
 	ReasonUnheard Reason = "primary-unheard"
 	// ReasonLeaderless: no server reports the lead.
 	ReasonLeaderless Reason = "no-primary"
@@ -60,8 +55,6 @@
 	// Host is this entry host, Group the group.
 	Host  string
 	Group string
-	// Interval is how often servers report.
-	Interval time.Duration
 
 	leaderless time.Duration
 	reason     Reason
@@ -74,8 +67,6 @@
 	// Primary is the one believed in, nil for none.
 	Primary *viewer.Server
 	Servers []*viewer.Server
-	// Heard is when the platform last answered.
-	Heard time.Duration
 }
 
 // Suspect reports whether the primary should be asked on a new connection now.
@@ -85,12 +76,9 @@
 		return true
 	}
 	stalled := p.Busy > 0 && s.Now-p.AnsweredAt > stalledAfter
-	return stalled || p.FailingSince != 0 || s.Now-p.Reported > j.patience()
+	return stalled || p.FailingSince != 0
 }
 
-// patience is how long a server's report may be overdue.
-func (j *Judge) patience() time.Duration { return j.Interval * overdue / 4 }
-
 // Decide returns why this host should give the group another primary now. Each host
 // waits a little differently, so that mostly one goes first.
 func (j *Judge) Decide(s Sight) Reason {
@@ -115,15 +103,11 @@
 	j.leaderless = 0
 	failing := p.FailingSince != 0
 	mute := failing && s.Now-max(p.FailingSince, p.AnsweredAt) > silentAfter
-	silent := s.Now-p.Reported > j.patience()
-	deaf := s.Now-s.Heard > j.patience()
 	switch {
 	case failing && p.RefusedSince != 0 && s.Now-p.RefusedSince > absentAfter:
 		return ReasonAbsent
 	case mute && p.LostSince != 0:
 		return ReasonLost
-	case mute && silent && !deaf:
-		return ReasonSilent
 	case failing && s.Now-p.FailingSince > unheardAfter:
 		return ReasonUnheard
 	case p.Draining:
--- /dev/null
+++ b/internal/proxy/successor/successor_test.go
@@ -0,0 +1,107 @@
+package successor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+)
+
+const now = time.Minute
+
+// sight is that of a primary in good order.
+func sight(change func(p *viewer.Server)) Sight {
+	p := &viewer.Server{Server: declarer.Server{ID: "a"}, AnsweredAt: now}
+	change(p)
+	return Sight{Now: now, Primary: p, Servers: []*viewer.Server{p}}
+}
+
+func TestDecide(t *testing.T) {
+	const long = 10 * time.Second
+	for name, c := range map[string]struct {
+		change func(p *viewer.Server)
+		want   Reason
+	}{
+		"in good order": {change: func(*viewer.Server) {}},
+		"leaving":       {change: func(p *viewer.Server) { p.Draining = true }, want: ReasonLeaving},
+		"unreachable from here alone": {change: func(p *viewer.Server) {
+			p.FailingSince, p.AnsweredAt = now-2*time.Second, now-2*time.Second
+		}},
+		"unreachable from here, others say so too": {change: func(p *viewer.Server) {
+			p.FailingSince, p.AnsweredAt, p.LostSince = now-time.Second, now-time.Second, now-time.Second
+		}, want: ReasonLost},
+		"others don't reach it, it has just answered here": {change: func(p *viewer.Server) {
+			p.FailingSince, p.LostSince = now-time.Second, now-time.Second
+		}},
+		"unreachable from here alone, for long": {change: func(p *viewer.Server) {
+			p.FailingSince, p.AnsweredAt = now-long, now-long
+		}, want: ReasonUnheard},
+		"no process listens": {change: func(p *viewer.Server) {
+			p.FailingSince, p.RefusedSince = now-time.Second, now-time.Second
+		}, want: ReasonAbsent},
+		"no process listens for a moment": {change: func(p *viewer.Server) {
+			p.FailingSince, p.RefusedSince = now-100*time.Millisecond, now-100*time.Millisecond
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := &Judge{Host: "h", Group: "db"}
+			s := sight(c.change)
+			if r := j.Decide(s); r != ReasonNone && j.Delay() > 0 {
+				t.Errorf("decided %s without its delay", r)
+			}
+			s.Now += j.Delay()
+			if r := j.Decide(s); r != c.want {
+				t.Errorf("decided %q, want %q", r, c.want)
+			}
+		})
+	}
+}
+
+// Nobody reports the lead, for instance after a primary was removed for good. The
+// group would take no writes until an operator steps in.
+func TestLeaderlessGroupGetsPrimary(t *testing.T) {
+	j := &Judge{Host: "h", Group: "db"}
+	s := Sight{Now: now, Servers: []*viewer.Server{{}}}
+	for s.Now < now+leaderlessAfter {
+		if r := j.Decide(s); r != ReasonNone {
+			t.Fatalf("decided %s after %s", r, s.Now-now)
+		}
+		s.Now += 100 * time.Millisecond
+	}
+	s.Now += spread
+	j.Decide(s)
+	s.Now += spread
+	if r := j.Decide(s); r != ReasonLeaderless {
+		t.Errorf("decided %q", r)
+	}
+}
+
+func TestChoose(t *testing.T) {
+	at := func(id, zone string, p uint64) Candidate {
+		return Candidate{Server: declarer.Server{ID: id, AvailabilityZone: zone}, Status: declarer.Status{Received: marker.Mark{Term: 1, Position: marker.Position(p)}}}
+	}
+	leaving := at("c", "z", 99)
+	leaving.Server.Draining = true
+	leads := at("d", "z", 99)
+	leads.Status.Primary = true
+	for name, c := range map[string]struct {
+		l    []Candidate
+		want string
+	}{
+		"longest log":        {[]Candidate{at("a", "z", 3), at("b", "y", 5)}, "b"},
+		"same zone of equal": {[]Candidate{at("a", "y", 5), at("b", "z", 5)}, "b"},
+		"first by id":        {[]Candidate{at("b", "z", 5), at("a", "z", 5)}, "a"},
+		"not one that stops": {[]Candidate{leaving, at("a", "y", 1)}, "a"},
+		"not the leader":     {[]Candidate{leads, at("a", "y", 1)}, "a"},
+		"nobody":             {[]Candidate{leaving}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, ok := Choose(c.l, "z")
+			if got.Server.ID != c.want || ok != (c.want != "") {
+				t.Errorf("chose %q %t, want %q", got.Server.ID, ok, c.want)
+			}
+		})
+	}
+}
--- a/internal/proxy/viewer/viewer.go
+++ b/internal/proxy/viewer/viewer.go
@@ -37,8 +37,6 @@
 	declarer.Server
 	// LeavingSince is when the server was first seen to be leaving.
 	LeavingSince time.Duration
-	// Reported is when its last report came, on this host's clock.
-	Reported time.Duration
 	// FailingSince is when the first of an unbroken row of failures was seen,
 	// zero if its last answer came after that.
 	FailingSince time.Duration
@@ -82,6 +80,9 @@
 	history historian.Historian
 	// begun is the first mark seen under the newest term.
 	begun marker.Mark
+	// proved is the newest report of a lead that was known when the primary proved
+	// that it leads.
+	proved uint64
 }
 
 // Take replaces the list of servers by what the platform lists now.
@@ -99,14 +100,11 @@
 	o := g.Find(d.ID)
 	if o == nil || o.Born != d.Born || o.Address != d.Address {
 		// A server that started again holds nothing of before.
-		o = &Server{ServiceTime: serviceTime, Reported: now}
+		o = &Server{ServiceTime: serviceTime}
 	}
 	if d.Draining && !o.Draining {
 		o.LeavingSince = now
 	}
-	if d.Sequence != o.Sequence {
-		o.Reported = now
-	}
 	if d.Primary && !o.Primary {
 		o.NotLeading = false
 	}
@@ -117,21 +115,26 @@
 // follow takes the server that reported the lead last for the primary, unless
 // another one has proved since that it leads.
 func (g *Group) follow() {
+	best := g.reported()
+	p := g.Find(g.primary)
+	if p != nil && !p.NotLeading && (best == nil || best.Revision <= g.proved) {
+		return
+	}
+	g.primary = ""
+	if best != nil {
+		g.primary = best.ID
+	}
+}
+
+// reported returns the server that reported the lead last, nil if none does.
+func (g *Group) reported() *Server {
 	var best *Server
 	for _, s := range g.servers {
 		if s.Primary && !s.NotLeading && (best == nil || s.Revision > best.Revision) {
 			best = s
 		}
 	}
-	if p := g.Find(g.primary); p != nil && !p.NotLeading && (p.Primary || best == nil) {
-		if best == nil || p.Revision >= best.Revision || p.Last.Term > best.Last.Term {
-			return
-		}
-	}
-	g.primary = ""
-	if best != nil {
-		g.primary = best.ID
-	}
+	return best
 }
 
 // Find returns the server, nil if it isn't listed.
@@ -168,6 +171,9 @@
 	g.history.Add(historian.Observation{Asked: asked, Mark: m})
 	s.NotLeading = false
 	g.primary = id
+	for _, o := range g.servers {
+		g.proved = max(g.proved, o.Revision)
+	}
 }
 
 // Refused notes that the server refused a write since it doesn't lead.
