--- /dev/null
+++ b/internal/proxy/detourer/detourer_test.go
@@ -0,0 +1,114 @@
+package detourer
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+)
+
+// ways answers by what each way is set to.
+type ways struct {
+	mu     sync.Mutex
+	direct error
+	via    map[string]error
+	asked  []string
+}
+
+// end is a connection that only counts its closing.
+type end struct {
+	keeper.Connection
+	closed bool
+}
+
+func (e *end) Close() { e.closed = true }
+
+func (w *ways) answer(way string, err error) (keeper.Connection, marker.Mark, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked = append(w.asked, way)
+	if err != nil {
+		return nil, marker.Mark{}, err
+	}
+	return &end{}, marker.Mark{}, nil
+}
+
+func (w *ways) Dial(context.Context, declarer.Server) (keeper.Connection, marker.Mark, error) {
+	return w.answer("direct", w.direct)
+}
+
+func (w *ways) Via(_ context.Context, host string, _ declarer.Server) (keeper.Connection, marker.Mark, error) {
+	return w.answer(host, w.via[host])
+}
+
+func hosts(names ...string) func() []declarer.Host {
+	return func() []declarer.Host {
+		var l []declarer.Host
+		for _, n := range names {
+			l = append(l, declarer.Host{Name: n, Address: n})
+		}
+		return l
+	}
+}
+
+func TestDial(t *testing.T) {
+	noWay := errors.WithType(errors.New("timeout"), keeper.ErrNoWay)
+	for name, c := range map[string]struct {
+		direct error
+		via    map[string]error
+		hosts  []string
+		want   error
+	}{
+		"direct": {},
+		// The primary is cut from this host, and from another one.
+		"through another host":            {direct: noWay, via: map[string]error{"h1": keeper.ErrLost}, hosts: []string{"h1", "h2"}},
+		"nobody to ask":                   {direct: noWay, want: keeper.ErrNoWay},
+		"others can't be asked":           {direct: noWay, via: map[string]error{"h1": noWay, "h2": noWay}, hosts: []string{"h1", "h2"}, want: keeper.ErrNoWay},
+		"one says so, one can't be asked": {direct: noWay, via: map[string]error{"h1": keeper.ErrLost, "h2": noWay}, hosts: []string{"h1", "h2"}, want: keeper.ErrLost},
+		"crowded, as seen from there":     {direct: noWay, via: map[string]error{"h1": keeper.ErrCrowded}, hosts: []string{"h1"}, want: keeper.ErrCrowded},
+		"crowded, as seen from here":      {direct: keeper.ErrCrowded, hosts: []string{"h1"}, want: keeper.ErrCrowded},
+		"another server there":            {direct: keeper.ErrTurnedAway, hosts: []string{"h1"}, want: keeper.ErrTurnedAway},
+		"no process listens":              {direct: errors.WithType(syscall.ECONNREFUSED, keeper.ErrNoWay), hosts: []string{"h1"}, want: syscall.ECONNREFUSED},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &ways{direct: c.direct, via: c.via}
+			d := &Dialer{Way: w, Hosts: hosts(c.hosts...)}
+			_, _, err := d.Dial(t.Context(), declarer.Server{ID: "i"})
+			if c.want == nil && err != nil || c.want != nil && !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			if errors.Is(err, keeper.ErrLost) && !errors.Is(c.want, keeper.ErrLost) {
+				t.Errorf("%v counts as other hosts' word", err)
+			}
+		})
+	}
+}
+
+// The direct way stays cut for seconds. Each connection would wait for it in vain.
+func TestCutWayIsLeftAloneForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &ways{direct: keeper.ErrNoWay}
+		d := &Dialer{Way: w, Hosts: hosts("h1")}
+		for range 3 {
+			if _, _, err := d.Dial(t.Context(), declarer.Server{ID: "i"}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		n := 0
+		for _, a := range w.asked {
+			if a == "direct" {
+				n++
+			}
+		}
+		if n != 1 {
+			t.Errorf("the direct way was tried %d times", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/proxy/runner/follower_test.go
@@ -0,0 +1,131 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+// script answers calls in order; after the last one it waits.
+type script struct {
+	answers []answer
+	calls   []string
+}
+
+type answer struct {
+	list []string
+	at   uint64
+	err  error
+}
+
+func (s *script) next(ctx context.Context, call string) answer {
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		<-ctx.Done()
+		return answer{err: ctx.Err()}
+	}
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	return a
+}
+
+func (s *script) List(ctx context.Context) ([]string, uint64, error) {
+	a := s.next(ctx, "list")
+	return a.list, a.at, a.err
+}
+
+func (s *script) Watch(ctx context.Context, after uint64, _ time.Duration) ([]Change[string], uint64, error) {
+	a := s.next(ctx, "watch "+time.Duration(after).String())
+	var l []Change[string]
+	for _, v := range a.list {
+		l = append(l, Change[string]{Name: v, Value: v})
+	}
+	return l, a.at, a.err
+}
+
+// The store forgets its history while a change is made. Going on from the old revision
+// would miss that change for good.
+func TestFollowerListsAnewAfterForgetting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []answer{
+			{err: errors.New("away")},
+			{list: []string{"a"}, at: 5},
+			{list: []string{"b"}, at: 7},
+			{err: errors.New("away")},
+			{err: ErrForgotten},
+			{list: []string{"a", "c"}, at: 20},
+		}}
+		var seen []string
+		f := &follower[string]{
+			name: "test", source: s, log: quiet,
+			reset: func(l []string) { seen = append(append(seen, "all"), l...) },
+			apply: func(l []Change[string]) { seen = append(seen, l[0].Value) },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.run(ctx)
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		if want := []string{"all", "a", "b", "all", "a", "c"}; !slices.Equal(seen, want) {
+			t.Errorf("seen %q, want %q", seen, want)
+		}
+		if want := []string{"list", "list", "watch 5ns", "watch 7ns", "watch 7ns", "list", "watch 20ns"}; !slices.Equal(s.calls, want) {
+			t.Errorf("calls %q, want %q", s.calls, want)
+		}
+	})
+}
+
+// A watch goes silent: its connection is open and nothing comes. A change made meanwhile
+// must be in force within three seconds of its acknowledgement.
+func TestSilentWatchIsGivenUpInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []answer{{at: 5}}}
+		f := &follower[string]{name: "test", source: s, log: quiet, reset: func([]string) {}, apply: func([]Change[string]) {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.run(ctx)
+		time.Sleep(2900 * time.Millisecond)
+		cancel()
+		synctest.Wait()
+		if len(s.calls) < 3 {
+			t.Errorf("calls %q in 2.9 s, want a second watch", s.calls)
+		}
+	})
+}
+
+// While the store is away entries of servers lapse, and are back soon after its return.
+// Dropping the servers at once would leave callers without any that are well.
+func TestLapsedServersAreKeptForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var now []string
+		c := &catalogue{publish: func(l []declarer.Server) {
+			now = nil
+			for _, s := range l {
+				now = append(now, s.ID)
+			}
+			slices.Sort(now)
+		}}
+		a, b := declarer.Server{ID: "a"}, declarer.Server{ID: "b"}
+		c.reset([]declarer.Server{a, b})
+		c.reset([]declarer.Server{})
+		if want := []string{"a", "b"}; !slices.Equal(now, want) {
+			t.Errorf("servers %q at once, want %q", now, want)
+		}
+		b.Revision = 9
+		c.apply([]Change[declarer.Server]{{Name: "b", Value: b}})
+		time.Sleep(ghostFor + time.Millisecond)
+		synctest.Wait()
+		if want := []string{"b"}; !slices.Equal(now, want) {
+			t.Errorf("servers %q in the end, want %q", now, want)
+		}
+		c.apply([]Change[declarer.Server]{{Name: "b", Removed: true}})
+		if len(now) != 0 {
+			t.Errorf("servers %q after a removal", now)
+		}
+	})
+}
--- /dev/null
+++ b/internal/proxy/runner/promotions_test.go
@@ -0,0 +1,291 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/successor"
+)
+
+var quiet = &log.Logger{Handler: discard.New()}
+
+// state is what one server says of itself.
+type state struct {
+	primary bool
+	term    marker.Term
+	length  marker.Position
+	gone    bool
+}
+
+// cluster is one group with the platform's calls about it.
+type cluster struct {
+	mu      sync.Mutex
+	servers map[string]*state
+	claim   *Claim
+	// away makes all calls about claims fail, lost those that were carried out.
+	away, lost bool
+	// refuses makes promotions fail as fenced.
+	refuses bool
+	steps   []string
+}
+
+func newCluster() *cluster {
+	return &cluster{servers: map[string]*state{
+		"a": {primary: true, term: 1, length: 10}, "b": {term: 1, length: 9}, "c": {term: 1, length: 7},
+	}}
+}
+
+func (c *cluster) note(format string, a ...any) { c.steps = append(c.steps, fmt.Sprintf(format, a...)) }
+
+func (c *cluster) Claim(context.Context, string) (Claim, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.away:
+		return Claim{}, errors.New("away")
+	case c.claim == nil:
+		return Claim{}, ErrNoClaim
+	}
+	return *c.claim, nil
+}
+
+func (c *cluster) PutClaim(_ context.Context, _ string, x Claim) (Claim, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	present := uint64(0)
+	if c.claim != nil {
+		present = c.claim.Token
+	}
+	switch {
+	case c.away:
+		return x, errors.New("away")
+	case x.Token != present:
+		return x, ErrOvertaken
+	}
+	x.Token = present + 3
+	c.claim = &x
+	if c.lost {
+		c.lost = false
+		return Claim{}, errors.New("answer lost")
+	}
+	return x, nil
+}
+
+func (c *cluster) Promote(_ context.Context, _, server, holder string, token uint64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refuses {
+		return ErrFenced
+	}
+	c.note("promote %s by %s with %d at length %d", server, holder, token, c.servers[server].length)
+	for _, s := range c.servers {
+		s.primary = false
+	}
+	c.servers[server].primary = true
+	c.servers[server].term++
+	return nil
+}
+
+func (c *cluster) Dial(_ context.Context, s declarer.Server) (keeper.Connection, marker.Mark, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.servers[s.ID].gone {
+		return nil, marker.Mark{}, keeper.ErrLost
+	}
+	return &line{cluster: c, id: s.ID}, marker.Mark{}, nil
+}
+
+// line is a connection on which only commands are given.
+type line struct {
+	keeper.Connection
+	cluster *cluster
+	id      string
+}
+
+func (l *line) Close() {}
+
+func (l *line) Send(r []declarer.Request, _ time.Time) error {
+	l.cluster.mu.Lock()
+	defer l.cluster.mu.Unlock()
+	if r[0].Verb == declarer.VerbDemote {
+		l.cluster.note("demote %s below %d", l.id, r[0].Term)
+		l.cluster.servers[l.id].primary = false
+	}
+	return nil
+}
+
+func (l *line) Receive(a *declarer.Answer, _ time.Time) error {
+	a.Row = l.id
+	return nil
+}
+
+// parse tells the status of the server whose id is the row. A replica catches up with
+// each look at it.
+func (c *cluster) parse(id string) (declarer.Status, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[id]
+	x := declarer.Status{Primary: s.primary, Term: s.term, Received: marker.Mark{Term: s.term, Position: s.length}}
+	if !s.primary {
+		for _, o := range c.servers {
+			if o.length > s.length && !o.gone {
+				s.length++
+				break
+			}
+		}
+	}
+	return x, nil
+}
+
+// promoterOf makes host h's promoter, which knows a as the primary.
+func promoterOf(c *cluster, h string) *promoter {
+	began := time.Now()
+	b := &blackboard.Board{Now: func() time.Duration { return time.Since(began) + time.Hour }}
+	b.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
+	x := &Host{Name: h, Board: b, Orderer: c, Log: quiet, prober: prober{dialer: c, parse: c.parse}}
+	return &promoter{host: x, group: "db", log: quiet, judge: successor.Judge{Host: h, Group: "db"}}
+}
+
+// steps runs the promoter for the time.
+func steps(p *promoter, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(promoteTick) {
+		p.step(context.Background())
+	}
+}
+
+// A primary is gone and its host with it. Another one leads soon, the one with the
+// longest log, or acknowledged lines would be dropped without need.
+func TestLostPrimaryIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.servers["a"].gone = true
+		p := promoterOf(c, "h1")
+		p.host.Board.Unreachable("db", "a", keeper.ErrLost)
+		began := time.Now()
+		steps(p, 5*time.Second)
+		if len(c.steps) != 1 || !c.servers["b"].primary {
+			t.Fatalf("steps %q", c.steps)
+		}
+		if d := time.Since(began); d > 6*time.Second {
+			t.Errorf("took %s", d)
+		}
+		if c.claim.Holder != "h1" || c.claim.Server != "b" || c.claim.Above != 1 {
+			t.Errorf("claim %+v", c.claim)
+		}
+	})
+}
+
+// Two hosts see the same loss. If both ordered, the second order would take the lead
+// from the server that has just got it, with what was written there.
+func TestOnlyOneHostPromotes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.servers["a"].gone = true
+		var g sync.WaitGroup
+		for _, h := range []string{"h1", "h2", "h3"} {
+			p := promoterOf(c, h)
+			p.host.Board.Unreachable("db", "a", keeper.ErrLost)
+			g.Go(func() { steps(p, 4*time.Second) })
+		}
+		g.Wait()
+		if len(c.steps) != 1 {
+			t.Errorf("steps %q", c.steps)
+		}
+	})
+}
+
+// The primary leaves as planned. Lines saved while the move is under way must not be
+// dropped: it steps down first, and the heir gets all of its log.
+func TestLeavingPrimaryStepsDownFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		p := promoterOf(c, "h1")
+		p.host.Board.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true, Draining: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
+		steps(p, 3*time.Second)
+		want := []string{"demote a below 2", "promote b by h1 with 3 at length 10"}
+		if !slices.Equal(c.steps, want) {
+			t.Errorf("steps %q, want %q", c.steps, want)
+		}
+	})
+}
+
+// The store makes the claim and its answer is lost. Taking it for not made would leave
+// the group without a primary until another host tries.
+func TestLostAnswerToClaimIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.lost = true
+		p := promoterOf(c, "h1")
+		x, ok := p.win(t.Context(), "b", 1)
+		if !ok || x.Token != 3 || p.held != x {
+			t.Errorf("claim %+v %t, held %+v", x, ok, p.held)
+		}
+	})
+}
+
+// The store is away while a primary is lost. The host that holds the claim goes on with
+// it, for one server only: a late order for another would bear the same token.
+func TestHeldClaimServesWhileStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		holder, other := promoterOf(c, "h1"), promoterOf(c, "h2")
+		if _, err := holder.take(t.Context(), Claim{Holder: "h1"}); err != nil {
+			t.Fatal(err)
+		}
+		c.away = true
+		if _, ok := other.win(t.Context(), "b", 1); ok {
+			t.Error("a host without a claim goes on")
+		}
+		if x, ok := holder.win(t.Context(), "b", 1); !ok || x.Token != 3 {
+			t.Errorf("claim %+v %t", x, ok)
+		}
+		if x, ok := holder.win(t.Context(), "c", 1); ok {
+			t.Errorf("the claim serves for a second server: %+v", x)
+		}
+	})
+}
+
+// Another host has made a claim a moment ago. It is let finish, and overtaken only if
+// nothing comes of it.
+func TestForeignClaimIsRespectedForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.claim = &Claim{Holder: "h9", Server: "c", Above: 1, Token: 40}
+		p := promoterOf(c, "h1")
+		if _, ok := p.win(t.Context(), "b", 1); ok {
+			t.Error("a fresh claim is overtaken")
+		}
+		time.Sleep(takeOver)
+		if x, ok := p.win(t.Context(), "b", 1); !ok || x.Token <= 40 {
+			t.Errorf("claim %+v %t", x, ok)
+		}
+	})
+}
+
+// A promotion is refused as fenced. Asking again with the same token would be refused
+// again, and counts as a duty missed.
+func TestFencedOrderIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.refuses = true
+		p := promoterOf(c, "h1")
+		began := time.Now()
+		p.order(t.Context(), declarer.Server{ID: "b", Group: "db"}, Claim{Token: 3}, quiet)
+		if time.Since(began) > 0 {
+			t.Errorf("went on for %s", time.Since(began))
+		}
+	})
+}
