--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -55,8 +55,12 @@
 	// claimTimeout bounds a call about a claim, orderTimeout an order.
 	claimTimeout = 500 * time.Millisecond
 	orderTimeout = time.Second
-	// takeOver is how long another host's claim above the same term is respected.
-	takeOver = 2500 * time.Millisecond
+	// deference is how long the host that holds a group's claim is let act. Hosts that
+	// promote in turn, each by what it sees, would take the lead from one server after
+	// the other. It is longer than the spread of the hosts' decisions and an order.
+	deference = 1200 * time.Millisecond
+	// claimInterval is the least time between two looks at the claim.
+	claimInterval = 200 * time.Millisecond
 	// leadTimeout bounds the wait until a promoted server leads.
 	leadTimeout = 4 * time.Second
 	leadStep    = 50 * time.Millisecond
@@ -74,9 +78,10 @@
 	probed time.Time
 	// held is this host's claim, if it made the last one it knows of.
 	held Claim
-	// foreign is another host's claim, and when it was first seen.
-	foreign   Claim
-	foreignAt time.Time
+	// needed is since when the group needs another primary, zero if it doesn't.
+	needed time.Time
+	// looked is when the claim was last read.
+	looked time.Time
 }
 
 // run looks at the group until ctx ends.
@@ -104,7 +109,16 @@
 		p.probe(ctx, s)
 		s = p.sight()
 	}
-	if r := p.judge.Decide(s); r != successor.ReasonNone {
+	r := p.judge.Decide(s)
+	if r == successor.ReasonNone {
+		p.needed = time.Time{}
+		return
+	}
+	if p.needed.IsZero() {
+		p.needed = time.Now()
+	}
+	if time.Since(p.looked) >= claimInterval {
+		p.looked = time.Now()
 		p.replace(ctx, s, r)
 	}
 }
@@ -227,19 +241,20 @@
 	case errors.Is(err, ErrNoClaim):
 	case err != nil:
 		return p.fromHeld(server, above)
-	case present.Holder != p.host.Name && present.Server != "" && present.Above >= above && p.young(present):
+	case p.defers(present):
 		return Claim{}, false
 	}
 	c, err := p.take(ctx, Claim{Holder: p.host.Name, Server: server, Above: above, Token: present.Token})
 	return c, err == nil
 }
 
-// young reports whether another host's claim was seen for the first time not long ago.
-func (p *promoter) young(c Claim) bool {
-	if p.foreign != c {
-		p.foreign, p.foreignAt = c, time.Now()
+// defers reports whether another host holds the claim and is let act first. One that
+// has left the deployment won't.
+func (p *promoter) defers(c Claim) bool {
+	if c.Holder == p.host.Name || !p.host.roster.lists(c.Holder) {
+		return false
 	}
-	return time.Since(p.foreignAt) < takeOver
+	return time.Since(p.needed) < deference
 }
 
 // fromHeld goes on with the claim that this host made last, where the store can't be
