fix(proxy): promote only with a majority's answers

Beyond the cut another server had been promoted; entries of that didn't reach a host whose watches were forgotten meanwhile, so that it saw no primary, asked the servers, got the old primary's answer only, and gave the lead back to it. All that was written in the 6 s between was dropped, and commits that the first promotion had dropped came back.

A promotion now needs the answers of more than half of the listed servers.

--- a/internal/proxy/detourer/detourer.go
+++ b/internal/proxy/detourer/detourer.go
@@ -113,6 +113,19 @@
 	return lost
 }
 
+// Answers reports whether the named host answers a question about the server, whatever
+// its answer is.
+func (d *Dialer) Answers(ctx context.Context, host string, s declarer.Server) bool {
+	c, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	for _, h := range d.Hosts() {
+		if h.Name == host {
+			return told(d.Way.Heard(c, h.Address, s))
+		}
+	}
+	return false
+}
+
 // witness is one host asked whether it hears from a server.
 type witness struct {
 	way    Way
--- a/internal/proxy/detourer/detourer_test.go
+++ b/internal/proxy/detourer/detourer_test.go
@@ -140,3 +140,13 @@
 		})
 	}
 }
+
+func TestAnswers(t *testing.T) {
+	w := &ways{via: map[string]error{"h1": keeper.ErrLost, "h2": keeper.ErrAlive, "h3": errors.New("timeout")}}
+	d := &Dialer{Way: w, Hosts: hosts("h1", "h2", "h3")}
+	for h, want := range map[string]bool{"h1": true, "h2": true, "h3": false, "h4": false} {
+		if got := d.Answers(t.Context(), h, declarer.Server{ID: "i"}); got != want {
+			t.Errorf("%s answers: %t, want %t", h, got, want)
+		}
+	}
+}
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -78,8 +78,11 @@
 	probed time.Time
 	// held is this host's claim, if it made the last one it knows of.
 	held Claim
-	// needed is since when the group needs another primary, zero if it doesn't.
-	needed time.Time
+	// needed says that the group needs another primary.
+	needed bool
+	// rival is the token of the claim that was found since, rivalAt when it was.
+	rival   uint64
+	rivalAt time.Time
 	// looked is when the claim was last read.
 	looked time.Time
 }
@@ -111,11 +114,11 @@
 	}
 	r := p.judge.Decide(s)
 	if r == successor.ReasonNone {
-		p.needed = time.Time{}
+		p.needed = false
 		return
 	}
-	if p.needed.IsZero() {
-		p.needed = time.Now()
+	if !p.needed {
+		p.needed, p.rivalAt = true, time.Time{}
 	}
 	if time.Since(p.looked) >= claimInterval {
 		p.looked = time.Now()
@@ -198,17 +201,17 @@
 	if r == successor.ReasonSilent && !p.host.detours.Lost(ctx, s.Primary.Server) {
 		return // somebody hears from it, or nobody can be asked
 	}
-	c := p.ask(ctx, others(s))
+	c := p.ask(ctx, reachable(s))
 	for _, x := range c {
 		if x.Status.Primary && r != successor.ReasonLeaving {
-			return // it leads already; ask has noted so
+			return // it leads; ask has noted so
 		}
 	}
 	zone := ""
 	if s.Primary != nil {
 		zone = s.Primary.AvailabilityZone
 	}
-	heir, ok := successor.Choose(c, zone)
+	heir, ok := successor.Choose(c, len(s.Servers), zone)
 	if !ok {
 		l.Warn("no server can take over")
 		return
@@ -224,10 +227,12 @@
 	p.order(ctx, heir.Server, claim, l)
 }
 
-func others(s successor.Sight) []*viewer.Server {
+// reachable returns the servers but for a primary that doesn't answer: to ask it once
+// more would only hold the promotion up.
+func reachable(s successor.Sight) []*viewer.Server {
 	var l []*viewer.Server
 	for _, x := range s.Servers {
-		if s.Primary == nil || x.ID != s.Primary.ID {
+		if s.Primary == nil || x.ID != s.Primary.ID || x.FailingSince == 0 {
 			l = append(l, x)
 		}
 	}
@@ -241,20 +246,26 @@
 	case errors.Is(err, ErrNoClaim):
 	case err != nil:
 		return p.fromHeld(server, above)
-	case p.defers(present):
+	case p.defers(ctx, present, server):
 		return Claim{}, false
 	}
 	c, err := p.take(ctx, Claim{Holder: p.host.Name, Server: server, Above: above, Token: present.Token})
 	return c, err == nil
 }
 
-// defers reports whether another host holds the claim and is let act first. One that
-// has left the deployment won't.
-func (p *promoter) defers(c Claim) bool {
-	if c.Holder == p.host.Name || !p.host.roster.lists(c.Holder) {
+// defers reports whether another host holds the claim and is let act first, anew with
+// each change of the claim. One that doesn't answer won't act.
+func (p *promoter) defers(ctx context.Context, c Claim, server string) bool {
+	if c.Holder == p.host.Name {
 		return false
 	}
-	return time.Since(p.needed) < deference
+	if p.rivalAt.IsZero() || c.Token != p.rival {
+		p.rival, p.rivalAt = c.Token, time.Now()
+	}
+	if time.Since(p.rivalAt) >= deference {
+		return false
+	}
+	return p.host.detours.Answers(ctx, c.Holder, declarer.Server{ID: server})
 }
 
 // fromHeld goes on with the claim that this host made last, where the store can't be
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -19,6 +19,7 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
 	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
+	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
 
 var quiet = &log.Logger{Handler: discard.New()}
@@ -241,6 +242,45 @@
 	})
 }
 
+// A cut leaves this host with the old primary alone, which has lost the lead to a server
+// beyond the cut. Giving it back would drop all that was written there since.
+func TestMinorityDoesNotPromote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.servers["a"].primary = false
+		c.servers["b"].gone, c.servers["c"].gone = true, true
+		p := promoterOf(c, "h1")
+		p.host.Board.Do("db", func(g *viewer.Group) { g.Refused("a") })
+		steps(p, 10*time.Second)
+		if len(c.steps) > 0 {
+			t.Errorf("steps %q", c.steps)
+		}
+		c.servers["c"].gone = false
+		steps(p, 5*time.Second)
+		if len(c.steps) != 1 {
+			t.Errorf("steps %q once a majority answers", c.steps)
+		}
+	})
+}
+
+// Two hosts defer to a third that does nothing. The first to act must be let finish by
+// the second, which has waited as long.
+func TestDeferenceBeginsAnewWithEachClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := promoterOf(newCluster(), "h1")
+		if !p.defers(t.Context(), Claim{Holder: "h9", Token: 4}, "b") {
+			t.Error("a claim just found is overtaken")
+		}
+		time.Sleep(deference)
+		if p.defers(t.Context(), Claim{Holder: "h9", Token: 4}, "b") {
+			t.Error("a claim of which nothing comes is respected")
+		}
+		if !p.defers(t.Context(), Claim{Holder: "h8", Token: 7}, "b") {
+			t.Error("a new claim is overtaken")
+		}
+	})
+}
+
 // The primary leaves as planned. Lines saved while the move is under way must not be
 // dropped: it steps down first, and the heir gets all of its log.
 func TestLeavingPrimaryStepsDownFirst(t *testing.T) {
@@ -301,7 +341,6 @@
 		c.servers["a"].gone = true
 		c.claim = &Claim{Holder: "h9", Token: 40}
 		p := promoterOf(c, "h1")
-		p.host.roster.reset(c.hosts())
 		p.host.Board.Unreachable("db", "a", keeper.ErrNoWay)
 		steps(p, deference)
 		if len(c.steps) > 0 {
@@ -314,13 +353,12 @@
 	})
 }
 
-func TestHolderThatLeftIsNotWaitedFor(t *testing.T) {
+// The holder of the claim is gone together with the primary.
+func TestHolderThatIsGoneIsNotWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
 		c.claim = &Claim{Holder: "h7", Token: 40}
 		p := promoterOf(c, "h1")
-		p.host.roster.reset(c.hosts())
-		p.needed = time.Now()
 		if x, ok := p.win(t.Context(), "b", 1); !ok || x.Token <= 40 {
 			t.Errorf("claim %+v %t", x, ok)
 		}
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -45,14 +45,6 @@
 	}
 }
 
-// lists reports whether the host is in service, as far as the platform knows.
-func (r *roster) lists(name string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_, ok := r.hosts[name]
-	return ok
-}
-
 // others returns all but this host.
 func (r *roster) others() []declarer.Host {
 	r.mu.Lock()
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -142,9 +142,17 @@
 // Choose returns the candidate with the longest log, of equals the first in the same
 // zone as the old primary's, false if there is none that may lead. What it lacks is
 // lost: with asynchronous replication the last commits of a lost primary may be.
-func Choose(l []Candidate, zone string) (Candidate, bool) {
+//
+// Unless a majority of the listed servers has answered, none may. Where a cut leaves a
+// host with the old primary alone, another host may have promoted one beyond the cut:
+// giving the lead back would drop all that was written there since, and bring back what
+// was dropped before.
+func Choose(l []Candidate, listed int, zone string) (Candidate, bool) {
 	var best Candidate
 	found := false
+	if 2*len(l) <= listed {
+		return best, false
+	}
 	for _, c := range l {
 		if c.Server.Draining || c.Status.Primary {
 			continue
--- a/internal/proxy/successor/successor_test.go
+++ b/internal/proxy/successor/successor_test.go
@@ -84,18 +84,23 @@
 	leads := at("d", "z", 99)
 	leads.Status.Primary = true
 	for name, c := range map[string]struct {
-		l    []Candidate
-		want string
+		l      []Candidate
+		listed int
+		want   string
 	}{
-		"longest log":        {[]Candidate{at("a", "z", 3), at("b", "y", 5)}, "b"},
-		"same zone of equal": {[]Candidate{at("a", "y", 5), at("b", "z", 5)}, "b"},
-		"first by id":        {[]Candidate{at("b", "z", 5), at("a", "z", 5)}, "a"},
-		"not one that stops": {[]Candidate{leaving, at("a", "y", 1)}, "a"},
-		"not the leader":     {[]Candidate{leads, at("a", "y", 1)}, "a"},
-		"nobody":             {[]Candidate{leaving}, ""},
+		"longest log":           {[]Candidate{at("a", "z", 3), at("b", "y", 5)}, 3, "b"},
+		"same zone of equal":    {[]Candidate{at("a", "y", 5), at("b", "z", 5)}, 3, "b"},
+		"first by id":           {[]Candidate{at("b", "z", 5), at("a", "z", 5)}, 3, "a"},
+		"not one that stops":    {[]Candidate{leaving, at("a", "y", 1)}, 3, "a"},
+		"not the leader":        {[]Candidate{leads, at("a", "y", 1)}, 3, "a"},
+		"nobody may":            {[]Candidate{leaving}, 1, ""},
+		"one of three answers":  {[]Candidate{at("a", "z", 9)}, 3, ""},
+		"one of two answers":    {[]Candidate{at("a", "z", 9)}, 2, ""},
+		"the only one listed":   {[]Candidate{at("a", "z", 9)}, 1, "a"},
+		"none listed, none may": {nil, 0, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, ok := Choose(c.l, "z")
+			got, ok := Choose(c.l, c.listed, "z")
 			if got.Server.ID != c.want || ok != (c.want != "") {
 				t.Errorf("chose %q %t, want %q", got.Server.ID, ok, c.want)
 			}
