--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -6,11 +6,12 @@
 	"io"
 	"net"
 	"runtime/debug"
-	"strconv"
 
 	"github.com/apex/log"
+	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/log/encoder"
+	"github.com/cuminwick/cuminwick/internal/metric/server"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
@@ -40,16 +41,56 @@
 // Run serves until drain is closed and the host has drained.
 func (a *Assembler) Run(ctx context.Context, drain <-chan struct{}) error {
 	debug.SetMemoryLimit(a.Settings.MemoryBytes * memoryShare / 10)
-	e := &encoder.Encoder{Writer: a.LogOutput, QueueBytes: queueBytes, SampleDecisions: sample}
+	e := &encoder.Encoder{Writer: a.LogOutput, QueueBytes: queueBytes}
 	c, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go (&writer{encoder: e, done: done}).run(c)
-	err := a.host(e).Run(ctx, drain)
+	err := a.serve(ctx, drain, e)
 	stop()
 	<-done
 	return err
 }
 
+// serve runs the host beside its metrics.
+func (a *Assembler) serve(ctx context.Context, drain <-chan struct{}, e *encoder.Encoder) error {
+	h := a.host(e)
+	m := reporter.NewMetrics(reporter.Gauges{Sessions: h.Sessions, Dropped: e.Dropped, Configuration: func() uint64 {
+		if c := h.Board.Configuration(); c != nil {
+			return c.Version
+		}
+		return 0
+	}})
+	h.Counter = m
+	h.Reporter = &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
+	l, err := net.Listen("tcp4", a.Settings.MetricsAddress())
+	if err != nil {
+		return errors.Annotate(err, "listen for metrics")
+	}
+	c, stop := context.WithCancel(ctx)
+	defer stop()
+	go (&exposition{server: &server.Server{Listener: l, Gatherer: m.Registry, Live: func() error { return nil }, Ready: func() error {
+		if !h.Ready() {
+			return errNotReady
+		}
+		return nil
+	}}, log: h.Log}).run(c)
+	return h.Run(ctx, drain)
+}
+
+const errNotReady = errors.ConstError("host takes no callers")
+
+// exposition serves the metrics.
+type exposition struct {
+	server *server.Server
+	log    log.Interface
+}
+
+func (x *exposition) run(ctx context.Context) {
+	if err := x.server.Run(ctx); err != nil {
+		x.log.WithError(err).Error("metrics are not served any more")
+	}
+}
+
 // writer writes the log's lines until the process ends.
 type writer struct {
 	encoder *encoder.Encoder
@@ -80,10 +121,9 @@
 		Way:              platform.Dialer{},
 		ParseStatus:      platform.ParseStatus,
 		Relayer:          &relayer.Relayer{Ask: platform.ReadVia, Dial: platform.DialRaw, Refuse: platform.RefuseVia, Log: l},
-		Self:             declarer.Host{Name: s.HostName, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.FirstPort)), AvailabilityZone: s.AvailabilityZone},
+		Self:             declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone},
 		Orderer:          &platform.Orderer{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
 		Accept:           func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
-		Reporter:         &reporter.Reporter{Lines: e},
 		Log:              l,
 	}
 }
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -368,6 +368,7 @@
 	a.session.Reporter.Statement(&Report{
 		Group: a.route.Group, Database: a.route.Database, Statement: a.request.ID, Verb: a.request.verb,
 		Server: a.server, Primary: a.primary, Code: c, Why: a.why, Attempts: a.sent,
+		Need: a.request.After, Version: a.session.version(),
 		Wait: a.waited, Took: time.Since(a.began),
 	})
 }
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -56,7 +56,11 @@
 	Primary bool
 	Code    declarer.Code
 	// Why is the reason for a choice or a refusal.
-	Why      string
+	Why string
+	// Need is the position that the server had to have, zero for none.
+	Need marker.Mark
+	// Version is that of the configuration in force.
+	Version  uint64
 	Attempts int
 	Wait     time.Duration
 	Took     time.Duration
@@ -160,6 +164,14 @@
 	return r, ok
 }
 
+// version returns that of the configuration in force.
+func (s *Session) version() uint64 {
+	if c := s.Board.Configuration(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // step serves one statement and reports whether the session goes on.
 func (s *Session) step() bool {
 	x, err := s.next()
--- /dev/null
+++ b/internal/proxy/reporter/metrics.go
@@ -0,0 +1,78 @@
+package reporter
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/executor"
+)
+
+// Metrics are those of an entry host on the platform.
+type Metrics struct {
+	// Registry gathers them.
+	Registry *prometheus.Registry
+
+	statements *prometheus.CounterVec
+	seconds    *prometheus.HistogramVec
+	waits      prometheus.Histogram
+	reads      *prometheus.CounterVec
+	attempts   prometheus.Counter
+	promotions *prometheus.CounterVec
+	losses     *prometheus.CounterVec
+}
+
+// buckets are those of latencies, from 0.5 ms to 8 s.
+var buckets = prometheus.ExponentialBuckets(500e-6, 2, 15)
+
+const namespace = "cuminwick"
+
+// Gauges are values that others keep, read when they are asked for.
+type Gauges struct {
+	// Sessions are those that are served.
+	Sessions func() int
+	// Configuration is the version in force.
+	Configuration func() uint64
+	// Dropped are the log lines that found their queue full.
+	Dropped func() uint64
+}
+
+// NewMetrics returns metrics in a registry of their own.
+func NewMetrics(g Gauges) *Metrics {
+	m := &Metrics{Registry: prometheus.NewRegistry()}
+	m.statements = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "statements_total", Help: "Statements of callers, by operation, outcome and code."}, []string{"operation", "outcome", "code"})
+	m.seconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "statement_seconds", Help: "Time from a statement's arrival to its answer, by operation.", Buckets: buckets}, []string{"operation"})
+	m.waits = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "connection_wait_seconds", Help: "Time that statements waited for a connection.", Buckets: buckets})
+	m.reads = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "reads_total", Help: "Reads that ran, by the role of the server."}, []string{"role"})
+	m.attempts = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "attempts_total", Help: "Statements sent to servers, repeated ones included."})
+	m.promotions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "promotions_total", Help: "Promotions that this host ordered, by reason and result: done, refused or unconfirmed."}, []string{"reason", "result"})
+	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_losses_total", Help: "Times that the platform stopped answering, by kind of object."}, []string{"kind"})
+	m.Registry.MustRegister(m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
+	m.gauge("sessions", "Sessions that are served.", func() float64 { return float64(g.Sessions()) })
+	m.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.Configuration()) })
+	m.gauge("log_lines_dropped", "Log lines that found their queue full.", func() float64 { return float64(g.Dropped()) })
+	return m
+}
+
+func (m *Metrics) gauge(name, help string, f func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
+}
+
+func (m *Metrics) statement(r *executor.Report, k outcome) {
+	op := operations[r.Verb]
+	m.statements.WithLabelValues(op, k.name, k.code).Inc()
+	m.seconds.WithLabelValues(op).Observe(r.Took.Seconds())
+	m.waits.Observe(r.Wait.Seconds())
+	m.attempts.Add(float64(r.Attempts))
+	if op == "read" && k.name == "ran" {
+		m.reads.WithLabelValues(role(r)).Inc()
+	}
+}
+
+// Promotion counts one that this host ordered.
+func (m *Metrics) Promotion(reason, result string) {
+	m.promotions.WithLabelValues(reason, result).Inc()
+}
+
+// PlatformLost counts a loss of the platform.
+func (m *Metrics) PlatformLost(kind string) {
+	m.losses.WithLabelValues(kind).Inc()
+}
--- a/internal/proxy/reporter/reporter.go
+++ b/internal/proxy/reporter/reporter.go
@@ -1,9 +1,8 @@
-// Package reporter writes down what became of statements.
+// Package reporter writes down and counts what became of statements.
 package reporter
 
 import (
-	"strconv"
-	"time"
+	"hash/maphash"
 
 	"github.com/cuminwick/cuminwick/internal/log/encoder"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -11,56 +10,90 @@
 )
 
 // Reporter writes a line for each statement that was refused, failed, or whose outcome
-// isn't known, and for one in so many of the others. Its fields are set before use.
+// isn't known, and for one in so many of the others, and counts them all. Its fields
+// are set before use.
 type Reporter struct {
-	Lines *encoder.Encoder
+	Lines   *encoder.Encoder
+	Metrics *Metrics
+	// Sample writes the lines of one in so many statements that ran, all if zero.
+	Sample uint64
 }
 
-// codes are what the log calls the outcome of a statement.
-var codes = map[declarer.Code]string{
-	declarer.CodeNone:        "ran",
-	declarer.CodeBusy:        "not-run: busy",
-	declarer.CodeLagging:     "not-run: lagging",
-	declarer.CodeReadOnly:    "not-run: read-only",
-	declarer.CodeMisrouted:   "not-run: misrouted",
-	declarer.CodeTooMany:     "not-run: too-many-connections",
-	declarer.CodeNoStatement: "not-run: no-such-statement",
-	declarer.CodeAborted:     "not-run: aborted",
-	declarer.CodeFailed:      "failed",
-	declarer.CodeTimeout:     "unknown: timeout",
-	declarer.CodeUnknown:     "unknown",
-	declarer.CodeNoDatabase:  "not-run: no-database",
-	declarer.CodeMalformed:   "not-run: malformed",
-	declarer.CodeTooBig:      "not-run: too-big",
-	declarer.CodeOther:       "failed: unknown code",
+// seed makes the choice of the sampled statements differ between processes.
+var seed = maphash.MakeSeed()
+
+// outcome is what a code says of a statement.
+type outcome struct {
+	name string
+	code string
+}
+
+// outcomes are what log and metrics call the result of a statement.
+var outcomes = map[declarer.Code]outcome{
+	declarer.CodeNone:        {name: "ran"},
+	declarer.CodeBusy:        {"not-run", "busy"},
+	declarer.CodeLagging:     {"not-run", "lagging"},
+	declarer.CodeReadOnly:    {"not-run", "read-only"},
+	declarer.CodeMisrouted:   {"not-run", "misrouted"},
+	declarer.CodeTooMany:     {"not-run", "too-many-connections"},
+	declarer.CodeNoStatement: {"not-run", "no-such-statement"},
+	declarer.CodeAborted:     {"not-run", "aborted"},
+	declarer.CodeNoDatabase:  {"not-run", "no-database"},
+	declarer.CodeMalformed:   {"not-run", "malformed"},
+	declarer.CodeTooBig:      {"not-run", "too-big"},
+	declarer.CodeFailed:      {"failed", "failed"},
+	declarer.CodeOther:       {"failed", "other"},
+	declarer.CodeTimeout:     {"unknown", "timeout"},
+	declarer.CodeUnknown:     {"unknown", "answer-lost"},
 }
 
-// Statement writes r down. It never waits for the output.
+// operations are what log and metrics call a statement.
+var operations = map[declarer.Verb]string{
+	declarer.VerbRead:    "read",
+	declarer.VerbWrite:   "write",
+	declarer.VerbExecute: "execute",
+	declarer.VerbCommit:  "commit",
+}
+
+// Statement counts r and writes it down. It never waits for the output.
 func (o *Reporter) Statement(r *executor.Report) {
-	d := encoder.Decision{
-		Kind:          "statement",
+	k := outcomes[r.Code]
+	o.Metrics.statement(r, k)
+	if r.Code == declarer.CodeNone && !o.sampled(r.Statement) {
+		return
+	}
+	l := encoder.Statement{
+		Request:       r.Statement,
+		Database:      r.Database,
 		DatabaseGroup: r.Group,
-		Team:          r.Database,
-		Rule:          r.Statement,
-		Chosen:        r.Server,
-		Why:           text(r),
+		Operation:     operations[r.Verb],
+		Outcome:       k.name,
+		Code:          k.code,
+		Server:        r.Server,
+		Role:          role(r),
+		Why:           r.Why,
+		Attempts:      r.Attempts,
+		Configuration: r.Version,
+		Waited:        r.Wait,
+		Took:          r.Took,
 	}
-	if r.Code != declarer.CodeNone {
-		// Without a choice the line is always written.
-		d.Chosen = ""
-		d.Why += " server=" + r.Server
+	if !r.Need.IsZero() {
+		l.Need = r.Need.String()
 	}
-	o.Lines.Decide(&d)
+	o.Lines.Statement(&l)
 }
 
-func text(r *executor.Report) string {
-	return codes[r.Code] + ", " + r.Why +
-		" attempts=" + strconv.Itoa(r.Attempts) +
-		" primary=" + strconv.FormatBool(r.Primary) +
-		" waited=" + microseconds(r.Wait) +
-		" took=" + microseconds(r.Took)
+// sampled chooses by the request's id, so that a request has all of its lines or none.
+func (o *Reporter) sampled(id string) bool {
+	return o.Sample <= 1 || maphash.String(seed, id)%o.Sample == 0
 }
 
-func microseconds(d time.Duration) string {
-	return strconv.FormatInt(d.Microseconds(), 10) + "us"
+func role(r *executor.Report) string {
+	switch {
+	case r.Server == "":
+		return ""
+	case r.Primary:
+		return "primary"
+	}
+	return "replica"
 }
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -51,9 +51,11 @@
 	name   string
 	source Source[T]
 	// reset takes the whole list, apply one change.
-	reset   func([]T)
-	apply   func([]Change[T])
-	log     log.Interface
+	reset func([]T)
+	apply func([]Change[T])
+	log   log.Interface
+	// lost counts losses of the platform by name.
+	lost    func(name string)
 	listed  atomic.Bool
 	failing bool
 }
@@ -118,6 +120,7 @@
 	}
 	f.failing = failing
 	if failing {
+		f.lost(f.name)
 		f.log.WithError(err).WithField("kind", f.name).Warn("platform lost")
 		return
 	}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -60,6 +60,7 @@
 	// Accept makes a caller of a connection.
 	Accept   func(net.Conn) executor.Caller
 	Reporter executor.Reporter
+	Counter  Counter
 	Log      log.Interface
 
 	pools          pools
@@ -78,6 +79,12 @@
 	promoters map[string]context.CancelFunc
 }
 
+// Counter counts what isn't a statement.
+type Counter interface {
+	Promotion(reason, result string)
+	PlatformLost(kind string)
+}
+
 // Run serves until drain is closed, and then until all sessions have ended or the
 // grace is over.
 func (h *Host) Run(ctx context.Context, drain <-chan struct{}) error {
@@ -113,11 +120,11 @@
 	h.detours = detourer.Dialer{Way: h.Way, Hosts: h.roster.others}
 	h.prober = prober{dialer: &h.detours, parse: h.ParseStatus}
 	h.pools = pools{board: h.Board, dialer: &h.detours, observer: h}
-	h.hosts = follower[declarer.Host]{name: "entry hosts", source: h.Hosts, reset: h.roster.reset, apply: h.roster.apply, log: h.Log}
+	h.hosts = follower[declarer.Host]{name: "entry hosts", source: h.Hosts, reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost}
 	h.observer = executor.Observer{Board: h.Board, Pools: &h.pools}
 	h.catalogue = catalogue{publish: h.publish}
-	h.configurations = follower[*declarer.Configuration]{name: "configuration", source: h.Configurations, reset: h.configure, apply: h.reconfigure, log: h.Log}
-	h.servers = follower[declarer.Server]{name: "servers", source: h.Servers, reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log}
+	h.configurations = follower[*declarer.Configuration]{name: "configuration", source: h.Configurations, reset: h.configure, apply: h.reconfigure, log: h.Log, lost: h.Counter.PlatformLost}
+	h.servers = follower[declarer.Server]{name: "servers", source: h.Servers, reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log, lost: h.Counter.PlatformLost}
 }
 
 func (h *Host) start(ctx context.Context, callers, readiness net.Listener) {
@@ -151,13 +158,16 @@
 }
 
 func (h *Host) answerReadiness(w http.ResponseWriter, _ *http.Request) {
-	if h.draining.Load() || !h.ready() {
+	if !h.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// Ready reports whether the host takes callers.
+func (h *Host) Ready() bool { return !h.draining.Load() && h.ready() }
+
 // ready reports whether the host knows the configuration and the servers.
 func (h *Host) ready() bool {
 	return h.Board.Configuration() != nil && h.servers.listed.Load()
@@ -293,10 +303,10 @@
 func (h *Host) drain(ctx context.Context) {
 	began := time.Now()
 	h.draining.Store(true)
-	h.Log.WithField("sessions", h.count()).Info("draining")
+	h.Log.WithField("sessions", h.Sessions()).Info("draining")
 	_ = scheduler.Pause(ctx, min(rotation, h.Grace/2))
 	h.each((*executor.Session).Stop)
-	for time.Since(began) < h.Grace-exitSpare && h.count() > 0 {
+	for time.Since(began) < h.Grace-exitSpare && h.Sessions() > 0 {
 		if time.Since(began) > h.Grace*5/8 {
 			h.each((*executor.Session).Cut)
 		} else {
@@ -306,10 +316,11 @@
 			return
 		}
 	}
-	h.Log.WithField("sessions", h.count()).Info("drained")
+	h.Log.WithField("sessions", h.Sessions()).Info("drained")
 }
 
-func (h *Host) count() int {
+// Sessions returns how many sessions are served.
+func (h *Host) Sessions() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.sessions)
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -83,6 +83,8 @@
 	// rival is the token of the claim that was found since, rivalAt when it was.
 	rival   uint64
 	rivalAt time.Time
+	// warned says that the need was told already.
+	warned bool
 	// looked is when the claim was last read.
 	looked time.Time
 }
@@ -118,7 +120,7 @@
 		return
 	}
 	if !p.needed {
-		p.needed, p.rivalAt = true, time.Time{}
+		p.needed, p.warned, p.rivalAt = true, false, time.Time{}
 	}
 	if time.Since(p.looked) >= claimInterval {
 		p.looked = time.Now()
@@ -213,7 +215,10 @@
 	}
 	heir, ok := successor.Choose(c, len(s.Servers), zone)
 	if !ok {
-		l.Warn("no server can take over")
+		if !p.warned {
+			p.warned = true
+			l.WithField("answers", len(c)).WithField("servers", len(s.Servers)).Warn("no server can take over")
+		}
 		return
 	}
 	claim, ok := p.win(ctx, heir.Server.ID, successor.Newest(c))
@@ -224,7 +229,7 @@
 	if r == successor.ReasonLeaving {
 		p.stepDown(ctx, s.Primary.Server, heir, claim.Above, l)
 	}
-	p.order(ctx, heir.Server, claim, l)
+	p.host.Counter.Promotion(string(r), p.order(ctx, heir.Server, claim, l))
 }
 
 // reachable returns the servers but for a primary that doesn't answer: to ask it once
@@ -336,8 +341,15 @@
 	l.WithField("want", s.Received.String()).Warn("heir did not catch up")
 }
 
+// Results of an order.
+const (
+	resultDone        = "done"
+	resultRefused     = "refused"
+	resultUnconfirmed = "unconfirmed"
+)
+
 // order has the platform promote the server, and waits until it leads.
-func (p *promoter) order(ctx context.Context, s declarer.Server, x Claim, l log.Interface) {
+func (p *promoter) order(ctx context.Context, s declarer.Server, x Claim, l log.Interface) string {
 	began := time.Now()
 	l.Info("promotion ordered")
 	for time.Since(began) < leadTimeout {
@@ -345,19 +357,20 @@
 		switch {
 		case errors.Is(err, ErrFenced):
 			l.WithError(err).Warn("promotion refused")
-			return
+			return resultRefused
 		case err != nil:
 			l.WithError(err).Warn("promotion not answered")
 		}
 		if p.awaitLead(ctx, s, began) {
 			l.WithField("took", time.Since(began).String()).Info("promotion done")
-			return
+			return resultDone
 		}
 		if err == nil {
 			break
 		}
 	}
 	l.Warn("promoted server does not lead")
+	return resultUnconfirmed
 }
 
 func (p *promoter) orderOnce(ctx context.Context, s declarer.Server, x Claim) error {
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -126,6 +126,9 @@
 	return keeper.ErrAlive
 }
 
+func (c *cluster) Promotion(string, string) {}
+func (c *cluster) PlatformLost(string)      {}
+
 func (c *cluster) hosts() []declarer.Host { return []declarer.Host{{Name: "h8"}, {Name: "h9"}} }
 
 // line is a connection on which only commands are given.
@@ -175,7 +178,7 @@
 	began := time.Now()
 	b := &blackboard.Board{Now: func() time.Duration { return time.Since(began) + time.Hour }}
 	b.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
-	x := &Host{Name: h, Board: b, Orderer: c, Log: quiet, detours: detourer.Dialer{Way: c, Hosts: c.hosts}, prober: prober{dialer: c, parse: c.parse}}
+	x := &Host{Name: h, Board: b, Orderer: c, Log: quiet, Counter: c, detours: detourer.Dialer{Way: c, Hosts: c.hosts}, prober: prober{dialer: c, parse: c.parse}}
 	return &promoter{host: x, group: "db", log: quiet, judge: successor.Judge{Host: h, Group: "db"}}
 }
 
