--- a/internal/proxy/blackboard/blackboard.go
+++ b/internal/proxy/blackboard/blackboard.go
@@ -133,13 +133,13 @@
 	}
 }
 
-// Unreachable notes that a connection to the server failed by err.
-func (b *Board) Unreachable(group, server string, err error) {
+// Unreachable notes that a connection to the server, begun at since, failed by err.
+func (b *Board) Unreachable(group, server string, since time.Duration, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		b.group(group).Absent(server, b.Time())
+		b.group(group).Absent(server, since, b.Time())
 		return
 	}
-	b.group(group).Failed(server, b.Time())
+	b.group(group).Failed(server, since, b.Time())
 }
--- a/internal/proxy/commander/commander.go
+++ b/internal/proxy/commander/commander.go
@@ -39,7 +39,7 @@
 	var a arguments
 	p, err := arg.NewParser(arg.Config{Program: "cuminwick-platform", Out: out}, &a)
 	if err != nil {
-		fmt.Fprintln(faults, err)
+		complain(faults, err)
 		return exitFailed
 	}
 	err = p.Parse(line)
@@ -48,7 +48,7 @@
 		p.WriteHelp(out)
 		return exitDone
 	case err != nil:
-		fmt.Fprintln(faults, err)
+		complain(faults, err)
 		p.WriteUsage(faults)
 		return exitUsage
 	}
@@ -58,8 +58,13 @@
 		return exitUsage
 	}
 	if err := c.run(out); err != nil {
-		fmt.Fprintln(faults, err)
+		complain(faults, err)
 		return exitFailed
 	}
 	return exitDone
 }
+
+// complain prints an error. There is nobody to tell if even that fails.
+func complain(w io.Writer, err error) {
+	_, _ = fmt.Fprintln(w, err)
+}
--- a/internal/proxy/detourer/detourer.go
+++ b/internal/proxy/detourer/detourer.go
@@ -97,7 +97,7 @@
 func (d *Dialer) Lost(ctx context.Context, s declarer.Server) bool {
 	c, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	l := d.pick(witnesses)
+	l := shuffled(d.Hosts(), witnesses)
 	r := make(chan error, len(l))
 	for _, h := range l {
 		go (&witness{way: d.Way, host: h, server: s, words: r}).run(c)
@@ -151,6 +151,11 @@
 			l = append(l, h)
 		}
 	}
+	return shuffled(l, n)
+}
+
+// shuffled returns up to n of l by lot.
+func shuffled(l []declarer.Host, n int) []declarer.Host {
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 	return l[:min(len(l), n)]
 }
@@ -187,7 +192,8 @@
 
 func (x *detour) run(ctx context.Context) {
 	c, m, err := x.dialer.Way.Via(ctx, x.host.Address, x.server)
-	if err != nil && ctx.Err() != context.Canceled && !told(err) {
+	if err != nil && ctx.Err() == nil && !told(err) {
+		// Not where the time ran out: the host may only have been asked late.
 		x.dialer.note(&x.dialer.deaf, x.host.Name, deafFor)
 	}
 	x.results <- result{connection: c, mark: m, err: err}
--- a/internal/proxy/detourer/detourer_test.go
+++ b/internal/proxy/detourer/detourer_test.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -150,3 +151,32 @@
 		}
 	}
 }
+
+// slow is a way on which nothing is answered before the time is up.
+type slow struct{ ways }
+
+func (s *slow) Via(ctx context.Context, _ string, _ declarer.Server) (keeper.Connection, marker.Mark, error) {
+	<-ctx.Done()
+	return nil, marker.Mark{}, ctx.Err()
+}
+
+// A primary goes dark. The time of the first probe is over before the other hosts have
+// tried in vain themselves. Were they taken for gone, nobody could be asked for their
+// word, and the primary wouldn't be replaced for as long as they are left alone.
+func TestHostAskedLateIsNotTakenForGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &slow{ways{direct: keeper.ErrNoWay, via: map[string]error{"h1": keeper.ErrLost}}}
+		d := &Dialer{Way: w, Hosts: hosts("h1")}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, _, err := d.Dial(ctx, declarer.Server{ID: "i"}); err == nil {
+			t.Fatal("connected")
+		}
+		if len(d.pick(1)) != 1 {
+			t.Error("the host isn't asked any more")
+		}
+		if !d.Lost(t.Context(), declarer.Server{ID: "i"}) {
+			t.Error("the host's word isn't heard")
+		}
+	})
+}
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -169,7 +169,10 @@
 			}
 		})
 		a.primary = true
-		a.why = "no primary is known"
+		a.why = "primary"
+		if id == "" {
+			a.why = "no primary is known"
+		}
 		return id
 	}
 	need, ok := a.need()
@@ -347,7 +350,7 @@
 	timeout := errors.Is(err, keeper.ErrTimeout)
 	l.Release(!timeout)
 	if !timeout {
-		a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Failed(a.server, a.session.Board.Time()) })
+		a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Failed(a.server, a.session.Board.Time(), a.session.Board.Time()) })
 	}
 	a.why = err.Error()
 	switch {
--- a/internal/proxy/executor/model_test.go
+++ b/internal/proxy/executor/model_test.go
@@ -68,7 +68,7 @@
 }
 
 func (d *deployment) Unreachable(s declarer.Server, err error) {
-	d.board.Unreachable(s.Group, s.ID, err)
+	d.board.Unreachable(s.Group, s.ID, d.board.Time(), err)
 }
 
 func (d *deployment) Statement(*executor.Report) {}
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -111,7 +111,7 @@
 	l.Release(err != nil)
 	switch {
 	case err != nil:
-		f.observer.Board.Do(f.group, func(g *viewer.Group) { g.Failed(id, f.observer.Board.Time()) })
+		f.observer.Board.Do(f.group, func(g *viewer.Group) { g.Failed(id, f.observer.Board.Time(), f.observer.Board.Time()) })
 	case begun.Code == declarer.CodeReadOnly:
 		f.observer.Board.Do(f.group, func(g *viewer.Group) { g.Refused(id) })
 	case begun.Code == declarer.CodeNone:
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -101,7 +101,7 @@
 		return
 	}
 	t.lose()
-	s.Board.Do(t.route.Group, func(g *viewer.Group) { g.Failed(t.server, s.Board.Time()) })
+	s.Board.Do(t.route.Group, func(g *viewer.Group) { g.Failed(t.server, s.Board.Time(), s.Board.Time()) })
 }
 
 // repeat sends a statement on the transaction's connection, again while the server is
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -233,7 +233,7 @@
 
 // Unreachable is the counterpart of Connected.
 func (h *Host) Unreachable(s declarer.Server, err error) {
-	h.Board.Unreachable(s.Group, s.ID, err)
+	h.Board.Unreachable(s.Group, s.ID, h.Board.Time(), err)
 }
 
 // aliveFor is how long a server's last answer counts as a sign of life.
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -11,6 +11,7 @@
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
@@ -47,9 +48,12 @@
 const (
 	// promoteTick is how often a group is looked at.
 	promoteTick = 50 * time.Millisecond
-	// probeTimeout bounds a status: a distance of 16 ms there and back, a new
-	// connection at 30 ms and a busy slot.
-	probeTimeout = 400 * time.Millisecond
+	// probeTimeout bounds a status: 250 ms for the direct way, as long for another
+	// host's, and 100 ms for a new connection and a busy slot.
+	probeTimeout = 600 * time.Millisecond
+	// majorityGrace is how long the rest is waited for once more than half of the
+	// servers have answered: one in another region may have the longest log.
+	majorityGrace = 100 * time.Millisecond
 	// probeInterval is the least time between two probes of a suspected primary.
 	probeInterval = 150 * time.Millisecond
 	// claimTimeout bounds a call about a claim, orderTimeout an order.
@@ -153,57 +157,103 @@
 	p.ask(ctx, l)
 }
 
-// ask has all of l tell their status at once, and returns those that did.
+// ask has all of l tell their status at once, and returns those that did. Once more than
+// half have, the others are waited for only a little.
 func (p *promoter) ask(ctx context.Context, l []*viewer.Server) []successor.Candidate {
 	c, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	var g sync.WaitGroup
-	q := make([]question, len(l))
-	for i, s := range l {
-		q[i] = question{promoter: p, server: s.Server}
+	r := make(chan reply, len(l))
+	g := &sync.WaitGroup{}
+	for _, s := range l {
 		g.Add(1)
-		go q[i].run(c, &g)
+		go (&question{promoter: p, server: s.Server, replies: r}).run(c, g)
 	}
-	g.Wait()
-	var r []successor.Candidate
-	for i := range q {
-		if q[i].err == nil {
-			r = append(r, successor.Candidate{Server: q[i].server, Status: q[i].status})
+	go (&closing{wait: g, cancel: cancel}).run()
+	return gather(r, len(l))
+}
+
+// reply is a server's answer to a question.
+type reply struct {
+	candidate successor.Candidate
+	err       error
+}
+
+// gather collects up to n replies.
+func gather(r <-chan reply, n int) []successor.Candidate {
+	var l []successor.Candidate
+	var late <-chan time.Time
+	for range n {
+		select {
+		case x := <-r:
+			if x.err == nil {
+				l = append(l, x.candidate)
+			}
+		case <-late:
+			return l
+		}
+		if 2*len(l) > n && late == nil {
+			late = time.After(majorityGrace)
 		}
 	}
-	return r
+	return l
+}
+
+// closing frees what questions use once all have ended. Those that are late still note
+// on the blackboard what they learn.
+type closing struct {
+	wait   *sync.WaitGroup
+	cancel context.CancelFunc
+}
+
+func (x *closing) run() {
+	x.wait.Wait()
+	x.cancel()
 }
 
 // question is one status asked for.
 type question struct {
 	promoter *promoter
 	server   declarer.Server
-	status   declarer.Status
-	err      error
+	replies  chan<- reply
 }
 
 func (q *question) run(ctx context.Context, g *sync.WaitGroup) {
 	defer g.Done()
-	asked := q.promoter.host.Board.Time()
-	q.status, q.err = q.promoter.host.prober.Status(ctx, q.server)
 	b := q.promoter.host.Board
-	if q.err != nil {
-		b.Unreachable(q.server.Group, q.server.ID, q.err)
+	asked := b.Time()
+	s, err := q.promoter.host.prober.Status(ctx, q.server)
+	q.note(asked, s, err)
+	q.replies <- reply{candidate: successor.Candidate{Server: q.server, Status: s}, err: err}
+}
+
+func (q *question) note(asked time.Duration, s declarer.Status, err error) {
+	b := q.promoter.host.Board
+	if err != nil {
+		b.Unreachable(q.server.Group, q.server.ID, asked, err)
 		return
 	}
-	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, b.Time(), 0, q.status.Received) })
-	if q.status.Primary {
-		b.Led(q.server.Group, q.server.ID, asked, q.status.Received)
+	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, b.Time(), 0, s.Received) })
+	if s.Primary {
+		b.Led(q.server.Group, q.server.ID, asked, s.Received)
 	}
 }
 
 // replace gives the group another primary, unless another host is about to.
 func (p *promoter) replace(ctx context.Context, s successor.Sight, r successor.Reason) {
 	l := p.log.WithFields(log.Fields{"database-group": p.group, "reason": r})
-	if r == successor.ReasonSilent && !p.host.detours.Lost(ctx, s.Primary.Server) {
+	lost := &inquiry{dialer: &p.host.detours, done: make(chan bool, 1)}
+	if r == successor.ReasonSilent {
+		lost.server = s.Primary.Server
+		go lost.run(ctx)
+	} else {
+		lost.done <- true
+	}
+	// The claim is read before the servers are asked: where another host promotes in
+	// between, this host's claim fails, and its old answers decide nothing.
+	present, err := p.claim(ctx)
+	c := p.ask(ctx, reachable(s))
+	if !<-lost.done {
 		return // somebody hears from it, or nobody can be asked
 	}
-	c := p.ask(ctx, reachable(s))
 	for _, x := range c {
 		if x.Status.Primary && r != successor.ReasonLeaving {
 			return // it leads; ask has noted so
@@ -221,7 +271,7 @@
 		}
 		return
 	}
-	claim, ok := p.win(ctx, heir.Server.ID, successor.Newest(c))
+	claim, ok := p.win(ctx, present, err, heir.Server.ID, successor.Newest(c))
 	if !ok {
 		return
 	}
@@ -232,6 +282,17 @@
 	p.host.Counter.Promotion(string(r), p.order(ctx, heir.Server, claim, l))
 }
 
+// inquiry asks other hosts whether they hear from a primary that doesn't answer here.
+type inquiry struct {
+	dialer *detourer.Dialer
+	server declarer.Server
+	done   chan bool
+}
+
+func (x *inquiry) run(ctx context.Context) {
+	x.done <- x.dialer.Lost(ctx, x.server)
+}
+
 // reachable returns the servers but for a primary that doesn't answer: to ask it once
 // more would only hold the promotion up.
 func reachable(s successor.Sight) []*viewer.Server {
@@ -244,9 +305,9 @@
 	return l
 }
 
-// win makes the claim to promote the server, and reports whether this host may.
-func (p *promoter) win(ctx context.Context, server string, above marker.Term) (Claim, bool) {
-	present, err := p.claim(ctx)
+// win makes the claim to promote the server in place of the present one, which was read
+// with err, and reports whether this host may.
+func (p *promoter) win(ctx context.Context, present Claim, err error, server string, above marker.Term) (Claim, bool) {
 	switch {
 	case errors.Is(err, ErrNoClaim):
 	case err != nil:
@@ -254,8 +315,8 @@
 	case p.defers(ctx, present, server):
 		return Claim{}, false
 	}
-	c, err := p.take(ctx, Claim{Holder: p.host.Name, Server: server, Above: above, Token: present.Token})
-	return c, err == nil
+	c, failure := p.take(ctx, Claim{Holder: p.host.Name, Server: server, Above: above, Token: present.Token})
+	return c, failure == nil
 }
 
 // defers reports whether another host holds the claim and is let act first, anew with
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -129,7 +129,13 @@
 func (c *cluster) Promotion(string, string) {}
 func (c *cluster) PlatformLost(string)      {}
 
-func (c *cluster) hosts() []declarer.Host { return []declarer.Host{{Name: "h8"}, {Name: "h9"}} }
+func (c *cluster) hosts() []declarer.Host {
+	var l []declarer.Host
+	for _, n := range []string{"h1", "h2", "h3", "h8", "h9"} {
+		l = append(l, declarer.Host{Name: n})
+	}
+	return l
+}
 
 // line is a connection on which only commands are given.
 type line struct {
@@ -182,6 +188,12 @@
 	return &promoter{host: x, group: "db", log: quiet, judge: successor.Judge{Host: h, Group: "db"}}
 }
 
+// win reads the claim and makes one of the host's own.
+func win(p *promoter, server string) (Claim, bool) {
+	c, err := p.claim(context.Background())
+	return p.win(context.Background(), c, err, server, 1)
+}
+
 // steps runs the promoter for the time.
 func steps(p *promoter, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(promoteTick) {
@@ -196,7 +208,7 @@
 		c := newCluster()
 		c.servers["a"].gone = true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", keeper.ErrNoWay)
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
 		began := time.Now()
 		steps(p, 5*time.Second)
 		if len(c.steps) != 1 || !c.servers["b"].primary {
@@ -220,7 +232,7 @@
 		var g sync.WaitGroup
 		for _, h := range []string{"h1", "h2", "h3"} {
 			p := promoterOf(c, h)
-			p.host.Board.Unreachable("db", "a", keeper.ErrNoWay)
+			p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
 			g.Go(func() { steps(p, 4*time.Second) })
 		}
 		g.Wait()
@@ -237,7 +249,7 @@
 		c := newCluster()
 		c.servers["a"].gone, c.heard = true, true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", keeper.ErrNoWay)
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
 		steps(p, 3*time.Second)
 		if len(c.steps) > 0 {
 			t.Errorf("steps %q", c.steps)
@@ -266,6 +278,22 @@
 	})
 }
 
+// Another host promotes and is gone while this one still asks the servers. What they said
+// before mustn't decide any more.
+func TestOldAnswersDecideNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		p := promoterOf(c, "h1")
+		x, err := p.claim(t.Context())
+		if _, err := c.PutClaim(t.Context(), "db", Claim{Holder: "h7", Server: "c"}); err != nil {
+			t.Fatal(err)
+		}
+		if y, ok := p.win(t.Context(), x, err, "b", 1); ok {
+			t.Errorf("claim %+v made by answers of before", y)
+		}
+	})
+}
+
 // Two hosts defer to a third that does nothing. The first to act must be let finish by
 // the second, which has waited as long.
 func TestDeferenceBeginsAnewWithEachClaim(t *testing.T) {
@@ -306,7 +334,7 @@
 		c := newCluster()
 		c.lost = true
 		p := promoterOf(c, "h1")
-		x, ok := p.win(t.Context(), "b", 1)
+		x, ok := win(p, "b")
 		if !ok || x.Token != 3 || p.held != x {
 			t.Errorf("claim %+v %t, held %+v", x, ok, p.held)
 		}
@@ -323,13 +351,13 @@
 			t.Fatal(err)
 		}
 		c.away = true
-		if _, ok := other.win(t.Context(), "b", 1); ok {
+		if _, ok := win(other, "b"); ok {
 			t.Error("a host without a claim goes on")
 		}
-		if x, ok := holder.win(t.Context(), "b", 1); !ok || x.Token != 3 {
+		if x, ok := win(holder, "b"); !ok || x.Token != 3 {
 			t.Errorf("claim %+v %t", x, ok)
 		}
-		if x, ok := holder.win(t.Context(), "c", 1); ok {
+		if x, ok := win(holder, "c"); ok {
 			t.Errorf("the claim serves for a second server: %+v", x)
 		}
 	})
@@ -344,7 +372,7 @@
 		c.servers["a"].gone = true
 		c.claim = &Claim{Holder: "h9", Token: 40}
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", keeper.ErrNoWay)
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
 		steps(p, deference)
 		if len(c.steps) > 0 {
 			t.Errorf("steps %q while the holder may act", c.steps)
@@ -362,7 +390,7 @@
 		c := newCluster()
 		c.claim = &Claim{Holder: "h7", Token: 40}
 		p := promoterOf(c, "h1")
-		if x, ok := p.win(t.Context(), "b", 1); !ok || x.Token <= 40 {
+		if x, ok := win(p, "b"); !ok || x.Token <= 40 {
 			t.Errorf("claim %+v %t", x, ok)
 		}
 	})
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -27,7 +27,7 @@
 	// somebody else ordered shows by then.
 	leaderlessAfter = 1500 * time.Millisecond
 	// spread is the most that one host waits longer than another.
-	spread = 250 * time.Millisecond
+	spread = 100 * time.Millisecond
 )
 
 // Reason says why a group needs another primary.
--- a/internal/proxy/viewer/viewer.go
+++ b/internal/proxy/viewer/viewer.go
@@ -215,21 +215,22 @@
 	s.behindUntil = now + s.behindFor
 }
 
-// Failed notes that the server didn't take a connection, or broke one off.
-func (g *Group) Failed(id string, now time.Duration) {
+// Failed notes that the server didn't take a connection, or broke one off, in an attempt
+// that began at since.
+func (g *Group) Failed(id string, since, now time.Duration) {
 	s := g.Find(id)
 	if s == nil {
 		return
 	}
 	if s.FailingSince == 0 {
-		s.FailingSince = now
+		s.FailingSince = max(since, s.AnsweredAt)
 	}
 	s.FailedAt = now
 }
 
 // Absent notes that the server's host refused a connection to it.
-func (g *Group) Absent(id string, now time.Duration) {
-	g.Failed(id, now)
+func (g *Group) Absent(id string, since, now time.Duration) {
+	g.Failed(id, since, now)
 	if s := g.Find(id); s != nil && s.RefusedSince == 0 {
 		s.RefusedSince = now
 	}
--- a/internal/proxy/viewer/viewer_test.go
+++ b/internal/proxy/viewer/viewer_test.go
@@ -113,7 +113,7 @@
 	}{
 		"nearest replica":                   {func(*Group) {}, "b"},
 		"lagging is left out":               {func(g *Group) { g.Lagged("b", time.Second) }, "c"},
-		"unreachable is left out":           {func(g *Group) { g.Failed("b", time.Second) }, "c"},
+		"unreachable is left out":           {func(g *Group) { g.Failed("b", time.Second, time.Second) }, "c"},
 		"all replicas lag":                  {func(g *Group) { g.Lagged("b", time.Second); g.Lagged("c", time.Second) }, "a"},
 		"leaving is left out":               {func(g *Group) { l := listed("a", 1); l[1].Draining = true; g.Take(l, 0) }, "c"},
 		"started again, nothing of before":  {func(g *Group) { g.Lagged("b", time.Second); l := listed("a", 1); l[1].Born = 7; g.Take(l, 0) }, "b"},
