--- a/docs_test.go
+++ b/docs_test.go
@@ -32,7 +32,7 @@
 func definedTests(t *testing.T) map[string]bool {
 	tests := map[string]bool{}
 	f := regexp.MustCompile(`(?m)^func (Test[A-Z]\w*)\(`)
-	err := filepath.WalkDir("internal", func(p string, _ fs.DirEntry, err error) error {
+	err := filepath.WalkDir(".", func(p string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(p, "_test.go") {
 			return err
 		}
