feat(proxy): one owner for a server's connections where they are scarce

Where a server takes fewer than 1.5 connections a host, one host of its zone owns them by rendezvous hashing (pool/assigner) and the others borrow over links: one queue, the session's values and prepared statements set up by the owner as far as they differ. In large deployments twelve hosts look after a group often, the others every 1.5 s. Watches last 0.6 of the time allowed for what they bring.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -15,6 +15,7 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
+	"github.com/cuminwick/cuminwick/internal/proxy/lender"
 	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
 	"github.com/cuminwick/cuminwick/internal/proxy/reporter"
 	"github.com/cuminwick/cuminwick/internal/proxy/runner"
@@ -108,22 +109,26 @@
 	store := platform.NewStore(s.StoreAddress)
 	faulty := func(err error) { l.WithError(err).Warn("object left out") }
 	return &runner.Host{
-		Name:             s.HostName,
-		CallerAddress:    s.CallerAddress,
-		ReadinessAddress: s.ReadinessAddress,
-		ReadinessPath:    platform.ReadinessPath,
-		Grace:            s.Grace,
-		Board:            &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
-		Configurations:   &platform.Source[*declarer.Configuration]{Store: store, Kind: platform.KindConfiguration, Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true},
-		Servers:          &platform.Source[declarer.Server]{Store: store, Kind: platform.KindServers, Parse: platform.ParseServer, Faulty: faulty},
-		Hosts:            &platform.Source[declarer.Host]{Store: store, Kind: platform.KindHosts, Parse: platform.ParseHost, Faulty: faulty},
-		Registrar:        &platform.Registrar{Store: store},
-		Way:              platform.Dialer{},
-		ParseStatus:      platform.ParseStatus,
-		Relayer:          &relayer.Relayer{Ask: platform.ReadVia, Dial: platform.DialRaw, Refuse: platform.RefuseVia, Log: l},
-		Self:             declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone},
-		Orderer:          &platform.Orderer{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
-		Accept:           func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
-		Log:              l,
+		Name:               s.HostName,
+		CallerAddress:      s.CallerAddress,
+		ReadinessAddress:   s.ReadinessAddress,
+		ReadinessPath:      platform.ReadinessPath,
+		Grace:              s.Grace,
+		ConfigurationBound: s.ConfigurationLimit,
+		DrainBound:         s.DrainLimit,
+		Board:              &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
+		Configurations:     &platform.Source[*declarer.Configuration]{Store: store, Kind: platform.KindConfiguration, Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true},
+		Servers:            &platform.Source[declarer.Server]{Store: store, Kind: platform.KindServers, Parse: platform.ParseServer, Faulty: faulty},
+		Hosts:              &platform.Source[declarer.Host]{Store: store, Kind: platform.KindHosts, Parse: platform.ParseHost, Faulty: faulty},
+		Registrar:          &platform.Registrar{Store: store},
+		Way:                platform.Dialer{},
+		ParseStatus:        platform.ParseStatus,
+		Link:               platform.DialLink,
+		Borrower:           func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
+		Relayer:            &relayer.Relayer{Ask: platform.ReadVia, Dial: platform.DialRaw, Refuse: platform.RefuseVia, Log: l},
+		Self:               declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone},
+		Orderer:            &platform.Orderer{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
+		Accept:             func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
+		Log:                l,
 	}
 }
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -113,7 +113,7 @@
 // Code is the reason of an error answer.
 type Code uint8
 
-// Codes. Those up to CodeNoStatement mean that the statement did not run.
+// Codes. Those up to CodeNoLease mean that the statement did not run.
 const (
 	CodeNone Code = iota
 	CodeBusy
@@ -122,6 +122,9 @@
 	CodeMisrouted
 	CodeTooMany
 	CodeNoStatement
+	// CodeNoLease is the word of the host that owns the server's connections: it had
+	// none for the statement in time.
+	CodeNoLease
 	CodeAborted
 	CodeFailed
 	CodeTimeout
@@ -136,7 +139,7 @@
 // NotRun reports whether the code proves that the statement took no effect and
 // may be tried elsewhere.
 func (c Code) NotRun() bool {
-	return c >= CodeBusy && c <= CodeNoStatement
+	return c >= CodeBusy && c <= CodeNoLease
 }
 
 // State is where a session or connection stands.
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -37,12 +37,6 @@
 	// connection asks more often: it can serve nothing at that server until it has one.
 	firstCrowded   = 150 * time.Millisecond
 	longestCrowded = 2 * time.Second
-	// hostShare is the part of a server's connections that one host may take. Without
-	// a bound a host that comes first with a backlog takes all, and the callers of the
-	// others wait until it has worked that off.
-	hostShare = 3
-	// leastShare is what it may take at least.
-	leastShare = 2
 	// growWait is the expected wait above which another connection is opened. Opening
 	// one takes 10 to 30 ms of one of the server's few slots; below, one that is in use
 	// comes free sooner.
@@ -50,6 +44,8 @@
 	// idleFor is how long a connection beyond the first is kept unused. Others'
 	// callers need it: the server's limit is for all entry hosts together.
 	idleFor = time.Second
+	// linkIdleFor is the same for connections to other hosts, which nobody else needs.
+	linkIdleFor = 10 * time.Second
 	// recoverFor bounds the wait for an answer that nobody needs any more.
 	recoverFor = 5 * time.Second
 	// suspectAfter is how long a connection is unused before it is looked at.
@@ -69,6 +65,14 @@
 	Close()
 }
 
+// Borrowing is a connection that belongs to another host for each use.
+type Borrowing interface {
+	// Borrow begins a use, with what is sent next.
+	Borrow(a Ask)
+	// Return ends it, whatever state the connection is in.
+	Return() error
+}
+
 // Dialer opens a connection, and tells the end of the server's log. An error of
 // type ErrCrowded says that the server is at its limit of connections.
 type Dialer interface {
@@ -119,6 +123,9 @@
 	Observer Observer
 	// Limit is the most connections that this host may open.
 	Limit int
+	// Eager opens a connection for whoever waits: those to another entry host take
+	// nothing of the server's.
+	Eager bool
 
 	mu      sync.Mutex
 	queue   admitter.Queue
@@ -162,14 +169,14 @@
 	defer t.Stop()
 	select {
 	case err := <-w.done:
-		return p.granted(e, err)
+		return p.granted(a, e, err)
 	case <-t.C:
 	}
 	p.mu.Lock()
 	p.queue.Expire(e, sinceEpoch(time.Now()))
 	p.settle()
 	p.mu.Unlock()
-	return p.granted(e, <-w.done)
+	return p.granted(a, e, <-w.done)
 }
 
 func (p *Pool) offer(e *admitter.Entry) error {
@@ -198,7 +205,7 @@
 }
 
 // granted hands out an idle connection; each grant has one.
-func (p *Pool) granted(e *admitter.Entry, err error) (*Lease, error) {
+func (p *Pool) granted(a Ask, e *admitter.Entry, err error) (*Lease, error) {
 	if err != nil {
 		return nil, err
 	}
@@ -212,6 +219,7 @@
 			continue
 		}
 		l.entry = e
+		l.borrow(a)
 		return l, nil
 	}
 	p.queue.Return(e, sinceEpoch(time.Now()))
@@ -232,10 +240,10 @@
 
 // grow opens a connection for those who wait. The mutex is held.
 func (p *Pool) grow() {
-	if p.closed || p.queue.Waiting() == 0 || p.opening > 0 || p.open >= max(leastShare, p.Limit/hostShare) {
+	if p.closed || p.queue.Waiting() <= p.opening || p.open+p.opening >= p.Limit {
 		return
 	}
-	if time.Now().Before(p.crowded) || !p.worth() {
+	if !p.Eager && (p.opening > 0 || time.Now().Before(p.crowded) || !p.worth()) {
 		return
 	}
 	p.opening++
@@ -327,7 +335,11 @@
 // transaction, is brought in order first; a broken one is closed.
 func (l *Lease) Release(broken bool) {
 	p := l.pool
+	b, borrowed := l.Connection.(Borrowing)
 	switch {
+	case borrowed:
+		// Its owner puts it in order; an answer still to come would be the next use's.
+		p.finish(l, broken || l.Owed() > 0 || b.Return() != nil)
 	case broken:
 		p.finish(l, true)
 	case l.Owed() > 0 || l.State != declarer.StateIdle:
@@ -338,6 +350,19 @@
 	}
 }
 
+// borrow begins a use of a connection that belongs to another host. What is set up on it
+// is that host's to know.
+func (l *Lease) borrow(a Ask) {
+	b, ok := l.Connection.(Borrowing)
+	if !ok {
+		return
+	}
+	clear(l.Values)
+	clear(l.Prepared)
+	l.State = declarer.StateIdle
+	b.Borrow(a)
+}
+
 // run waits for what is owed, and rolls back what is open.
 func (l *Lease) run() {
 	defer l.pool.work.Done()
@@ -391,7 +416,11 @@
 func (p *Pool) Trim(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && p.open > 1 && now.Sub(p.idle[0].used) > idleFor {
+	keep := idleFor
+	if p.Eager {
+		keep = linkIdleFor
+	}
+	for len(p.idle) > 0 && p.open > 1 && now.Sub(p.idle[0].used) > keep {
 		l := p.idle[0]
 		p.idle = p.idle[1:]
 		p.drop(l)
--- /dev/null
+++ b/internal/proxy/lender/lender.go
@@ -0,0 +1,241 @@
+// Package lender lends this host's connections to a server to other entry hosts.
+//
+// Where a server takes fewer connections than there are entry hosts, one host owns them
+// all and the others borrow: one queue in front of few slots, and no host that holds an
+// idle connection while the callers of another wait.
+package lender
+
+import (
+	"maps"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+)
+
+// Kind is what a borrower does.
+type Kind uint8
+
+// Kinds of event.
+const (
+	// KindLend asks for a connection.
+	KindLend Kind = iota
+	// KindStatements are to be run on it, all sent at once.
+	KindStatements
+	// KindReturn gives it back.
+	KindReturn
+)
+
+// Event is what a borrower sends.
+type Event struct {
+	Kind Kind
+	// Wait, Class and Team go with KindLend.
+	Wait  time.Duration
+	Class admitter.Class
+	Team  string
+	// Requests go with KindStatements.
+	Requests []declarer.Request
+}
+
+// Borrower is another host that borrows.
+type Borrower interface {
+	Greet(deadline time.Time) error
+	// Next waits for the next event; an error ends the link.
+	Next() (Event, error)
+	// Answer, Done and Refuse add an answer each, which Flush sends.
+	Answer(a *declarer.Answer)
+	Done(s declarer.State)
+	Refuse(why string)
+	Flush() error
+}
+
+const (
+	// greetTimeout bounds the start of a link.
+	greetTimeout = time.Second
+	// answerTimeout bounds a server's answer. The borrower gives up sooner, by what
+	// its caller's statement may take.
+	answerTimeout = 10 * time.Second
+)
+
+// Link serves one borrower. Its exported fields are set before Run.
+type Link struct {
+	Borrower Borrower
+	// Pool returns this host's own connections to the server, nil if it isn't listed.
+	Pool func() *keeper.Pool
+	// Answered is told of each answer of the server.
+	Answered func()
+
+	lease *keeper.Lease
+	// fresh says that nothing was run on the lease yet.
+	fresh bool
+	// refused says why there is no lease.
+	refused string
+}
+
+// Run serves the borrower until the link ends. What it holds then is put in order.
+func (l *Link) Run() {
+	defer l.giveBack(false)
+	if l.Borrower.Greet(time.Now().Add(greetTimeout)) != nil {
+		return
+	}
+	for {
+		e, err := l.Borrower.Next()
+		if err != nil || !l.serve(e) {
+			return
+		}
+	}
+}
+
+// serve reports whether the link goes on.
+func (l *Link) serve(e Event) bool {
+	switch e.Kind {
+	case KindLend:
+		l.lend(e)
+		return true
+	case KindReturn:
+		l.giveBack(false)
+		return true
+	}
+	if l.lease == nil {
+		return l.refuse(len(e.Requests))
+	}
+	if err := l.run(e.Requests); err != nil {
+		l.giveBack(!errors.Is(err, keeper.ErrTimeout))
+		return false
+	}
+	return l.Borrower.Flush() == nil
+}
+
+func (l *Link) lend(e Event) {
+	l.giveBack(false)
+	l.refused = "server isn't listed here"
+	p := l.Pool()
+	if p == nil {
+		return
+	}
+	var err error
+	l.lease, err = p.Acquire(keeper.Ask{Deadline: time.Now().Add(e.Wait), Class: e.Class, Team: e.Team})
+	if err != nil {
+		l.refused = err.Error()
+	}
+	l.fresh = true
+}
+
+func (l *Link) giveBack(broken bool) {
+	if l.lease != nil {
+		l.lease.Release(broken)
+		l.lease = nil
+	}
+	l.refused = "nothing was borrowed"
+}
+
+func (l *Link) refuse(n int) bool {
+	for range n {
+		l.Borrower.Refuse(l.refused)
+	}
+	return l.Borrower.Flush() == nil
+}
+
+// run sends the statements but for those that would set up what is there already, and
+// answers each.
+func (l *Link) run(requests []declarer.Request) error {
+	skipped, out := l.dress(requests)
+	end := time.Now().Add(answerTimeout)
+	if len(out) > 0 {
+		if err := l.lease.Send(out, end); err != nil {
+			return err
+		}
+	}
+	var a declarer.Answer
+	for range len(out) - count(skipped) {
+		if err := l.receive(&a, end); err != nil {
+			return err
+		}
+	}
+	for _, s := range skipped {
+		if s {
+			l.Borrower.Done(l.lease.State)
+			continue
+		}
+		if err := l.receive(&a, end); err != nil {
+			return err
+		}
+		l.Borrower.Answer(&a)
+	}
+	return nil
+}
+
+// count returns how many statements aren't skipped.
+func count(skipped []bool) int {
+	n := 0
+	for _, s := range skipped {
+		if !s {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Link) receive(a *declarer.Answer, end time.Time) error {
+	*a = declarer.Answer{Body: a.Body[:0]}
+	if err := l.lease.Receive(a, end); err != nil {
+		return err
+	}
+	l.lease.State = a.State
+	l.Answered()
+	return nil
+}
+
+// dress returns which statements need not be sent, and what is sent in their place. The
+// first ones of a use set all values of the borrower's session: these must be the only
+// ones on the connection. What is prepared may be there from another use.
+func (l *Link) dress(requests []declarer.Request) (skipped []bool, out []declarer.Request) {
+	skipped = make([]bool, len(requests))
+	values := make(map[string]string)
+	for _, r := range requests {
+		if r.Verb == declarer.VerbSet {
+			values[r.Name] = r.Argument
+		}
+	}
+	if l.fresh && !contains(l.lease.Values, values) {
+		out = append(out, declarer.Request{Verb: declarer.VerbReset})
+		clear(l.lease.Values)
+		clear(l.lease.Prepared)
+	}
+	l.fresh = false
+	for i, r := range requests {
+		skipped[i] = l.known(r)
+		if !skipped[i] {
+			out = append(out, r)
+		}
+	}
+	return skipped, out
+}
+
+// contains reports whether the connection's values are those that are set.
+func contains(present, wanted map[string]string) bool {
+	return len(present) == 0 || maps.Equal(present, wanted)
+}
+
+// known reports whether the statement would change nothing, and else notes its change.
+func (l *Link) known(r declarer.Request) bool {
+	switch r.Verb {
+	case declarer.VerbSet:
+		if v, ok := l.lease.Values[r.Name]; ok && v == r.Argument {
+			return true
+		}
+		l.lease.Values[r.Name] = r.Argument
+	case declarer.VerbPrepare:
+		if _, ok := l.lease.Prepared[r.Name]; ok {
+			return true
+		}
+		l.lease.Prepared[r.Name] = struct{}{}
+	case declarer.VerbReset:
+		clear(l.lease.Values)
+		clear(l.lease.Prepared)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/proxy/lender/lender_test.go
@@ -0,0 +1,222 @@
+package lender
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+)
+
+// server notes what is sent to it; each connection answers everything.
+type server struct {
+	sent  []string
+	full  bool
+	fails bool
+}
+
+type connection struct {
+	server *server
+	owed   int
+	state  declarer.State
+}
+
+func (s *server) Dial(context.Context, declarer.Server) (keeper.Connection, marker.Mark, error) {
+	if s.full {
+		return nil, marker.Mark{}, keeper.ErrCrowded
+	}
+	return &connection{server: s}, marker.Mark{}, nil
+}
+
+func (s *server) Connected(declarer.Server, marker.Mark) {}
+func (s *server) Unreachable(declarer.Server, error)     {}
+
+func (c *connection) Send(r []declarer.Request, _ time.Time) error {
+	for _, x := range r {
+		c.server.sent = append(c.server.sent, name(x))
+		switch x.Text {
+		case "BEGIN":
+			c.state = declarer.StateTransaction
+		case "COMMIT":
+			c.state = declarer.StateIdle
+		}
+		if x.Verb == declarer.VerbRollback {
+			c.state = declarer.StateIdle
+		}
+	}
+	c.owed += len(r)
+	return nil
+}
+
+// name is a request in short.
+func name(r declarer.Request) string {
+	switch r.Verb {
+	case declarer.VerbReset:
+		return "RESET"
+	case declarer.VerbSet:
+		return "SET " + r.Name + " " + r.Argument
+	case declarer.VerbPrepare:
+		return "PREPARE " + r.Name
+	case declarer.VerbRollback:
+		return "ROLLBACK"
+	}
+	return r.Text
+}
+
+func (c *connection) Receive(a *declarer.Answer, _ time.Time) error {
+	if c.server.fails {
+		return errors.New("broken")
+	}
+	c.owed--
+	a.State = c.state
+	a.Body = append(a.Body, "DONE sig\r\n"...)
+	return nil
+}
+
+func (c *connection) Owed() int   { return c.owed }
+func (c *connection) Ended() bool { return false }
+func (c *connection) Close()      {}
+
+// borrower plays events and collects the answers.
+type borrower struct {
+	events  []Event
+	answers []string
+}
+
+func (b *borrower) Greet(time.Time) error { return nil }
+
+func (b *borrower) Next() (Event, error) {
+	if len(b.events) == 0 {
+		return Event{}, io.EOF
+	}
+	e := b.events[0]
+	b.events = b.events[1:]
+	return e, nil
+}
+
+func (b *borrower) Answer(a *declarer.Answer) {
+	b.answers = append(b.answers, fmt.Sprintf("answer %d", a.State))
+}
+func (b *borrower) Done(s declarer.State) { b.answers = append(b.answers, fmt.Sprintf("done %d", s)) }
+func (b *borrower) Refuse(string)         { b.answers = append(b.answers, "refused") }
+func (b *borrower) Flush() error          { return nil }
+
+// play serves the events over one pool and returns the borrower.
+func play(s *server, p *keeper.Pool, events ...Event) *borrower {
+	b := &borrower{events: events}
+	l := &Link{Borrower: b, Pool: func() *keeper.Pool { return p }, Answered: func() {}}
+	l.Run()
+	synctest.Wait()
+	return b
+}
+
+func pool(s *server) *keeper.Pool {
+	return &keeper.Pool{Server: declarer.Server{ID: "i"}, Dialer: s, Observer: s, Limit: 1}
+}
+
+func lend() Event { return Event{Kind: KindLend, Wait: time.Second} }
+
+func run(r ...declarer.Request) Event { return Event{Kind: KindStatements, Requests: r} }
+
+func set(n, v string) declarer.Request {
+	return declarer.Request{Verb: declarer.VerbSet, Name: n, Argument: v}
+}
+
+func prepare(n string) declarer.Request {
+	return declarer.Request{Verb: declarer.VerbPrepare, Name: n}
+}
+
+func text(s string) declarer.Request { return declarer.Request{ID: "x", Text: s} }
+
+func check(t *testing.T, what string, got, want []string) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("%s %q, want %q", what, got, want)
+	}
+}
+
+// Sessions of several hosts use one connection in turn. A session whose statement ran
+// with another one's values would be shown another customer's lines.
+func TestConnectionIsDressedForEachUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{}
+		p := pool(s)
+		b := play(s, p,
+			lend(), run(set("a", "1"), set("b", "2"), prepare("p"), text("READ x")), Event{Kind: KindReturn},
+			lend(), run(set("a", "1"), set("b", "2"), prepare("p"), text("READ y")), Event{Kind: KindReturn},
+			lend(), run(set("a", "1"), text("READ z")), Event{Kind: KindReturn},
+			lend(), run(text("READ w")), Event{Kind: KindReturn},
+		)
+		check(t, "sent", s.sent, []string{
+			"SET a 1", "SET b 2", "PREPARE p", "READ x",
+			"READ y",
+			"RESET", "SET a 1", "READ z",
+			"RESET", "READ w",
+		})
+		check(t, "answers", b.answers, []string{
+			"answer 0", "answer 0", "answer 0", "answer 0",
+			"done 0", "done 0", "done 0", "answer 0",
+			"answer 0", "answer 0",
+			"answer 0",
+		})
+		p.Close()
+	})
+}
+
+// A session sets a value in the middle of its transaction. Bringing the connection back
+// to its beginning then would end the transaction's other values.
+func TestValuesWithinAUseAreAdded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{}
+		p := pool(s)
+		play(s, p, lend(), run(set("a", "1"), text("BEGIN")), run(set("b", "2"), text("READ x")), run(text("COMMIT")), Event{Kind: KindReturn})
+		check(t, "sent", s.sent, []string{"SET a 1", "BEGIN", "SET b 2", "READ x", "COMMIT"})
+		p.Close()
+	})
+}
+
+// The borrower is gone in the middle of a transaction. The next one would work in it.
+func TestLinkThatEndsInATransactionIsRolledBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{}
+		p := pool(s)
+		play(s, p, lend(), run(text("BEGIN"), text("WRITE x 1")))
+		play(s, p, lend(), run(text("READ x")), Event{Kind: KindReturn})
+		check(t, "sent", s.sent, []string{"BEGIN", "WRITE x 1", "ROLLBACK", "READ x"})
+		p.Close()
+	})
+}
+
+// There is no connection in time. Each statement of the batch is refused, none is sent.
+func TestRefusalAnswersEachStatement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{full: true}
+		p := pool(s)
+		b := play(s, p, lend(), run(text("READ x"), text("BEGIN"), text("ROLLBACK")), Event{Kind: KindReturn}, run(text("READ y")))
+		check(t, "answers", b.answers, []string{"refused", "refused", "refused", "refused"})
+		check(t, "sent", s.sent, nil)
+		p.Close()
+	})
+}
+
+// The server breaks the connection off. The borrower's link ends too: it must not take
+// the next answer for this one's.
+func TestBrokenConnectionEndsLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{fails: true}
+		p := pool(s)
+		b := play(s, p, lend(), run(text("READ x")), lend(), run(text("READ y")))
+		if len(b.answers) > 0 || len(b.events) != 2 {
+			t.Errorf("answers %q, %d events left", b.answers, len(b.events))
+		}
+		p.Close()
+	})
+}
--- a/internal/proxy/relayer/relayer.go
+++ b/internal/proxy/relayer/relayer.go
@@ -18,15 +18,30 @@
 	askTimeout  = time.Second
 	dialTimeout = 200 * time.Millisecond
 	// maximumCarried bounds the connections carried at once: two descriptors each.
-	maximumCarried = 256
+	maximumCarried = 1024
+)
+
+// Wish is what another host wants with a server.
+type Wish uint8
+
+// Wishes.
+const (
+	WishNone Wish = iota
+	// WishWay is a connection that is carried on.
+	WishWay
+	// WishWord is whether the server is heard here.
+	WishWord
+	// WishLink is to borrow connections of this host's.
+	WishLink
 )
 
 // Relayer takes connections from other hosts. Its fields are set before Run.
 type Relayer struct {
 	Listener net.Listener
-	// Ask reads the id of the server that a new connection is for, and whether it is
-	// only asked if the server is heard here.
-	Ask func(c net.Conn, deadline time.Time) (id string, question bool, err error)
+	// Ask reads the id of the server that a new connection is for, and what is wanted.
+	Ask func(c net.Conn, deadline time.Time) (id string, w Wish, err error)
+	// Lend serves a host that borrows connections, until it ends.
+	Lend func(c net.Conn, server string)
 	// Find returns a server that is listed.
 	Find func(id string) (declarer.Server, bool)
 	// Dial connects to an address within the time.
@@ -76,14 +91,19 @@
 	r := x.relayer
 	defer func() { <-r.slots }()
 	defer x.from.Close()
-	id, question, err := r.Ask(x.from, time.Now().Add(askTimeout))
+	id, wish, err := r.Ask(x.from, time.Now().Add(askTimeout))
 	if err != nil {
 		return
 	}
+	question := wish == WishWord
 	s, ok := r.Find(id)
 	if !ok {
 		return
 	}
+	if wish == WishLink {
+		r.Lend(x.from, id)
+		return
+	}
 	if question && r.Alive(s) {
 		r.Refuse(x.from, id, true)
 		return
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// watchWait is how long a waiting call lasts. It is short, as each is the only
-	// proof that the platform still answers: a change that was missed on a watch that
-	// went silent must be in force within three seconds of its acknowledgement.
-	watchWait = 1800 * time.Millisecond
 	// watchSlack is what a waiting call may take longer than it waits.
 	watchSlack = 400 * time.Millisecond
 	// listTimeout bounds other calls.
@@ -50,6 +46,10 @@
 type follower[T any] struct {
 	name   string
 	source Source[T]
+	// wait is how long a waiting call lasts. It bounds for how long a change stays
+	// unknown that was missed on a watch that went silent, and each call is counted by
+	// the platform.
+	wait time.Duration
 	// reset takes the whole list, apply one change.
 	reset func([]T)
 	apply func([]Change[T])
@@ -100,9 +100,9 @@
 }
 
 func (f *follower[T]) watch(ctx context.Context, at uint64) (uint64, error) {
-	c, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	c, cancel := context.WithTimeout(ctx, f.wait+watchSlack)
 	defer cancel()
-	l, next, err := f.source.Watch(c, at, watchWait)
+	l, next, err := f.source.Watch(c, at, f.wait)
 	if err != nil {
 		return at, err
 	}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -18,6 +18,8 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/lender"
 	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
@@ -29,6 +31,13 @@
 	rotation = 2200 * time.Millisecond
 	// exitSpare is what is left of the grace for the process to end.
 	exitSpare = 500 * time.Millisecond
+	// boundShare is the part, in tenths, of the time allowed for a change that one
+	// waiting call may last: a watch gone silent is noticed then, and the change is read
+	// anew in what is left.
+	boundShare = 6
+	// hostsWait is how long a call that waits for other entry hosts lasts. One that has
+	// gone is found out by asking it.
+	hostsWait = 15 * time.Second
 	// trimInterval is how often unused connections are looked for.
 	trimInterval = 500 * time.Millisecond
 	// drainStep is how often a draining host looks whether all sessions have ended.
@@ -44,6 +53,10 @@
 	// ReadinessPath is where the balancer asks.
 	ReadinessPath string
 	Grace         time.Duration
+	// ConfigurationBound is how soon a configuration must be in force everywhere, and
+	// DrainBound how soon a leaving server gets no more work.
+	ConfigurationBound time.Duration
+	DrainBound         time.Duration
 
 	Board          *blackboard.Board
 	Configurations Source[*declarer.Configuration]
@@ -52,6 +65,10 @@
 	Registrar      Registrar
 	Way            detourer.Way
 	Relayer        *relayer.Relayer
+	// Link opens a link to the host that owns a server's connections, Borrower takes
+	// over the other end of one.
+	Link     func(ctx context.Context, owner string, s declarer.Server) (keeper.Connection, error)
+	Borrower func(c net.Conn) lender.Borrower
 	// Self is how other hosts reach this one.
 	Self declarer.Host
 	// ParseStatus reads the row in which a server tells its status.
@@ -117,14 +134,15 @@
 	h.sessions = make(map[*executor.Session]struct{})
 	h.promoters = make(map[string]context.CancelFunc)
 	h.roster.self = h.Name
+	h.roster.regions = h.Board.Regions
 	h.detours = detourer.Dialer{Way: h.Way, Hosts: h.roster.others}
 	h.prober = prober{dialer: &h.detours, parse: h.ParseStatus}
-	h.pools = pools{board: h.Board, dialer: &h.detours, observer: h}
-	h.hosts = follower[declarer.Host]{name: "entry hosts", source: h.Hosts, reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost}
+	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.detours, observer: h, roster: &h.roster, link: h.Link}
+	h.hosts = follower[declarer.Host]{name: "entry hosts", source: h.Hosts, wait: hostsWait, reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost}
 	h.observer = executor.Observer{Board: h.Board, Pools: &h.pools}
 	h.catalogue = catalogue{publish: h.publish}
-	h.configurations = follower[*declarer.Configuration]{name: "configuration", source: h.Configurations, reset: h.configure, apply: h.reconfigure, log: h.Log, lost: h.Counter.PlatformLost}
-	h.servers = follower[declarer.Server]{name: "servers", source: h.Servers, reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log, lost: h.Counter.PlatformLost}
+	h.configurations = follower[*declarer.Configuration]{name: "configuration", source: h.Configurations, wait: h.ConfigurationBound * boundShare / 10, reset: h.configure, apply: h.reconfigure, log: h.Log, lost: h.Counter.PlatformLost}
+	h.servers = follower[declarer.Server]{name: "servers", source: h.Servers, wait: h.DrainBound * boundShare / 10, reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log, lost: h.Counter.PlatformLost}
 }
 
 func (h *Host) start(ctx context.Context, callers, readiness net.Listener) {
@@ -137,6 +155,7 @@
 	go (&registration{host: h}).run(ctx)
 	h.Relayer.Find = h.pools.find
 	h.Relayer.Alive = h.alive
+	h.Relayer.Lend = h.lend
 	go h.Relayer.Run()
 	go (&acceptor{host: h, listener: callers}).run()
 	go (&readinessServer{server: s, listener: readiness, log: h.Log}).run()
@@ -236,6 +255,21 @@
 	h.Board.Unreachable(s.Group, s.ID, h.Board.Time(), err)
 }
 
+// lend serves a host that borrows this host's connections to a server.
+func (h *Host) lend(c net.Conn, server string) {
+	l := &lender.Link{
+		Borrower: h.Borrower(c),
+		Pool:     func() *keeper.Pool { return h.pools.own(server) },
+		Answered: func() {
+			s, ok := h.pools.find(server)
+			if ok {
+				h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(server, h.Board.Time(), 0, marker.Mark{}) })
+			}
+		},
+	}
+	l.Run()
+}
+
 // aliveFor is how long a server's last answer counts as a sign of life.
 const aliveFor = 500 * time.Millisecond
 
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -1,26 +1,59 @@
 package runner
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
-// defaultConnections stands for a group that declares no limit.
-const defaultConnections = 16
+const (
+	// defaultConnections stands for a group that declares no limit.
+	defaultConnections = 16
+	// hostShare is the part of a server's connections that one host may take where
+	// each has its own. Without a bound a host that comes first with a backlog takes
+	// all, and the callers of the others wait until it has worked that off.
+	hostShare = 3
+	// leastShare is what it may take at least.
+	leastShare = 2
+	// reserve are connections that the owner of a server's leaves to probes.
+	reserve = 2
+	// linkLimit bounds the links to one owner for one server.
+	linkLimit = 64
+	// scarce is the number of connections a host, in halves, below which one host owns
+	// those to a server and the others borrow. A host needs one, and a second one while
+	// a transaction rests on it.
+	scarce = 3
+	// silentFor is how long an owner that can't be reached is passed over.
+	silentFor = 3 * time.Second
+)
+
+// way is how this host comes to a server: by its own connections, or by another host's.
+type way struct {
+	server string
+	// owner is empty for its own.
+	owner string
+}
 
 // pools are the connections to all servers that are listed.
 type pools struct {
+	self     string
 	board    *blackboard.Board
 	dialer   keeper.Dialer
 	observer keeper.Observer
+	roster   *roster
+	// link opens a link to the owner of a server's connections.
+	link func(ctx context.Context, owner string, s declarer.Server) (keeper.Connection, error)
 
 	mu      sync.Mutex
 	servers map[string]declarer.Server
-	pools   map[string]*keeper.Pool
+	pools   map[way]*keeper.Pool
+	// silent is until when an owner is passed over.
+	silent map[string]time.Time
 }
 
 // take closes the pools of servers that are gone or have started again.
@@ -31,10 +64,10 @@
 	for _, s := range l {
 		p.servers[s.ID] = s
 	}
-	for id, o := range p.pools {
-		s, ok := p.servers[id]
+	for w, o := range p.pools {
+		s, ok := p.servers[w.server]
 		if !ok || s.Address != o.Server.Address || s.Born != o.Server.Born {
-			delete(p.pools, id)
+			delete(p.pools, w)
 			o.Close()
 		}
 	}
@@ -42,21 +75,77 @@
 
 // Pool returns the connections to the server, nil if it isn't listed.
 func (p *pools) Pool(id string) *keeper.Pool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if o := p.pools[id]; o != nil {
-		return o
+	s, ok := p.find(id)
+	if !ok {
+		return nil
 	}
-	s, ok := p.servers[id]
+	if o, ok := p.owner(s); ok && o.Name != p.self {
+		return p.borrowed(s, o)
+	}
+	return p.own(id)
+}
+
+// own returns this host's own connections to the server, nil if it isn't listed.
+func (p *pools) own(id string) *keeper.Pool {
+	s, ok := p.find(id)
 	if !ok {
 		return nil
 	}
+	n := p.limit(s.Group)
+	limit := max(leastShare, n/hostShare)
+	if o, ok := p.owner(s); ok && o.Name == p.self {
+		limit = max(leastShare, n-reserve)
+	}
+	return p.keep(way{server: id}, &keeper.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit})
+}
+
+// borrowed returns the links to the owner.
+func (p *pools) borrowed(s declarer.Server, o declarer.Host) *keeper.Pool {
+	l := &links{pools: p, owner: o}
+	return p.keep(way{server: s.ID, owner: o.Name}, &keeper.Pool{Server: s, Dialer: l, Observer: l, Limit: linkLimit, Eager: true})
+}
+
+// keep returns the pool that is there for the way, or puts n there.
+func (p *pools) keep(w way, n *keeper.Pool) *keeper.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if o := p.pools[w]; o != nil {
+		return o
+	}
 	if p.pools == nil {
-		p.pools = make(map[string]*keeper.Pool)
+		p.pools = make(map[way]*keeper.Pool)
 	}
-	o := &keeper.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: p.limit(s.Group)}
-	p.pools[id] = o
-	return o
+	p.pools[w] = n
+	return n
+}
+
+// owner returns the host that owns the server's connections, false if each host has its
+// own or no owner can be reached.
+func (p *pools) owner(s declarer.Server) (declarer.Host, bool) {
+	if 2*p.limit(s.Group) >= scarce*p.roster.count() {
+		return declarer.Host{}, false
+	}
+	for _, h := range p.roster.owners(s) {
+		if h.Name == p.self || !p.isSilent(h.Name) {
+			return h, true
+		}
+	}
+	return declarer.Host{}, false
+}
+
+func (p *pools) isSilent(host string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.silent[host])
+}
+
+func (p *pools) passOver(host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silent == nil {
+		p.silent = make(map[string]time.Time)
+	}
+	p.silent[host] = time.Now().Add(silentFor)
 }
 
 func (p *pools) limit(group string) int {
@@ -86,3 +175,21 @@
 		o.Trim(now)
 	}
 }
+
+// links opens links to one owner. What it learns is of the owner, not of the server.
+type links struct {
+	pools *pools
+	owner declarer.Host
+}
+
+// Dial opens a link.
+func (l *links) Dial(ctx context.Context, s declarer.Server) (keeper.Connection, marker.Mark, error) {
+	c, err := l.pools.link(ctx, l.owner.Address, s)
+	return c, marker.Mark{}, err
+}
+
+// Connected is told of a link that was opened.
+func (l *links) Connected(declarer.Server, marker.Mark) {}
+
+// Unreachable passes the owner over for a while.
+func (l *links) Unreachable(declarer.Server, error) { l.pools.passOver(l.owner.Name) }
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -48,6 +48,8 @@
 const (
 	// promoteTick is how often a group is looked at.
 	promoteTick = 50 * time.Millisecond
+	// outsideTick is the same at hosts that stand by for the others.
+	outsideTick = 1500 * time.Millisecond
 	// probeTimeout bounds a status: 250 ms for the direct way, as long for another
 	// host's, and 100 ms for a new connection and a busy slot.
 	probeTimeout = 600 * time.Millisecond
@@ -96,11 +98,21 @@
 // run looks at the group until ctx ends.
 func (p *promoter) run(ctx context.Context) {
 	p.standIn(ctx)
-	for scheduler.Pause(ctx, promoteTick) == nil {
+	for scheduler.Pause(ctx, p.tick()) == nil {
 		p.step(ctx)
 	}
 }
 
+// tick is how long this host waits until it looks at the group again. In a large
+// deployment only some hosts look often: all of them would fill a group's few slots with
+// their questions as soon as its primary is lost.
+func (p *promoter) tick() time.Duration {
+	if p.host.roster.looks(p.group) {
+		return promoteTick
+	}
+	return outsideTick
+}
+
 // standIn claims the group if nobody has, so that its holder can order a promotion
 // while the platform's store is away.
 func (p *promoter) standIn(ctx context.Context) {
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/pool/assigner"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
@@ -19,9 +22,12 @@
 // word stays listed; whoever asks it finds out.
 type roster struct {
 	self string
+	// regions tells where the availability zones are.
+	regions map[string]string
 
-	mu    sync.Mutex
-	hosts map[string]declarer.Host
+	mu       sync.Mutex
+	hosts    map[string]declarer.Host
+	assigner *assigner.Assigner
 }
 
 func (r *roster) reset(l []declarer.Host) {
@@ -31,6 +37,58 @@
 	for _, h := range l {
 		r.hosts[h.Name] = h
 	}
+	r.compile()
+}
+
+// compile ranks the hosts anew. The mutex is held.
+func (r *roster) compile() {
+	var l []assigner.Host
+	for _, h := range r.hosts {
+		l = append(l, assigner.Host{Name: h.Name, AvailabilityZone: h.AvailabilityZone, Region: r.regions[h.AvailabilityZone]})
+	}
+	r.assigner = assigner.Compile(l)
+}
+
+// count returns how many hosts are listed.
+func (r *roster) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.hosts)
+}
+
+// owners returns the hosts that own the server's connections, the first that can.
+func (r *roster) owners(s declarer.Server) []declarer.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.assigner == nil {
+		return nil
+	}
+	o := r.assigner.Owners(assigner.Server{DatabaseGroup: s.Group, Name: s.ID, AvailabilityZone: s.AvailabilityZone, Region: r.regions[s.AvailabilityZone]}, assigner.MaximumOwners)
+	l := make([]declarer.Host, 0, o.Count)
+	for _, n := range o.Hosts[:o.Count] {
+		l = append(l, r.hosts[n])
+	}
+	return l
+}
+
+// lookers is how many hosts look after a group at full rate.
+const lookers = 12
+
+// looks reports whether this host is among those.
+func (r *roster) looks(group string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.hosts) <= lookers {
+		return true
+	}
+	own := xxhash.Sum64String(r.self + "/" + group)
+	before := 0
+	for n := range r.hosts {
+		if xxhash.Sum64String(n+"/"+group) < own {
+			before++
+		}
+	}
+	return before < lookers
 }
 
 func (r *roster) apply(l []Change[declarer.Host]) {
@@ -43,6 +101,7 @@
 		}
 		r.hosts[c.Name] = c.Value
 	}
+	r.compile()
 }
 
 // others returns all but this host.
