--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -116,6 +116,7 @@
 		Grace:              s.Grace,
 		ConfigurationBound: s.ConfigurationLimit,
 		DrainBound:         s.DrainLimit,
+		Lease:              s.Lease,
 		Board:              &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
 		Configurations:     &platform.Source[*declarer.Configuration]{Store: store, Kind: platform.KindConfiguration, Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true},
 		Servers:            &platform.Source[declarer.Server]{Store: store, Kind: platform.KindServers, Parse: platform.ParseServer, Faulty: faulty},
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -50,6 +50,9 @@
 	// unknown that was missed on a watch that went silent, and each call is counted by
 	// the platform.
 	wait time.Duration
+	// rest is how long is waited after changes before more are asked for. Where many
+	// hosts start at once, each would otherwise make a call for each that enters.
+	rest time.Duration
 	// reset takes the whole list, apply one change.
 	reset func([]T)
 	apply func([]Change[T])
@@ -108,6 +111,7 @@
 	}
 	if len(l) > 0 {
 		f.apply(l)
+		_ = scheduler.Pause(ctx, f.rest)
 	}
 	return max(at, next), nil
 }
--- a/internal/proxy/runner/follower_test.go
+++ b/internal/proxy/runner/follower_test.go
@@ -129,3 +129,23 @@
 		}
 	})
 }
+
+// A hundred hosts start and enter the store one after the other. Each of them would make
+// a hundred calls if it made one for each.
+func TestChangesInARowAreGathered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []answer{{at: 5}}}
+		for i := range 100 {
+			s.answers = append(s.answers, answer{list: []string{"a"}, at: uint64(6 + i)})
+		}
+		f := &follower[string]{name: "test", source: s, wait: time.Second, rest: 2 * time.Second, log: quiet, lost: func(string) {}, reset: func([]string) {}, apply: func([]Change[string]) {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.run(ctx)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		if len(s.calls) > 7 {
+			t.Errorf("%d calls in 10 s", len(s.calls))
+		}
+	})
+}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -38,6 +38,10 @@
 	// hostsWait is how long a call that waits for other entry hosts lasts. One that has
 	// gone is found out by asking it.
 	hostsWait = 15 * time.Second
+	// serversRest and hostsRest are the pauses after changes; the first change of a row
+	// is known at once.
+	serversRest = 50 * time.Millisecond
+	hostsRest   = 2 * time.Second
 	// trimInterval is how often unused connections are looked for.
 	trimInterval = 500 * time.Millisecond
 	// drainStep is how often a draining host looks whether all sessions have ended.
@@ -57,6 +61,8 @@
 	// DrainBound how soon a leaving server gets no more work.
 	ConfigurationBound time.Duration
 	DrainBound         time.Duration
+	// Lease is how long a host that has ordered a promotion is respected by the others.
+	Lease time.Duration
 
 	Board          *blackboard.Board
 	Configurations Source[*declarer.Configuration]
@@ -138,11 +144,11 @@
 	h.detours = detourer.Dialer{Way: h.Way, Hosts: h.roster.others}
 	h.prober = prober{dialer: &h.detours, parse: h.ParseStatus}
 	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.detours, observer: h, roster: &h.roster, link: h.Link}
-	h.hosts = follower[declarer.Host]{name: "entry hosts", source: h.Hosts, wait: hostsWait, reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost}
+	h.hosts = follower[declarer.Host]{name: "entry hosts", source: h.Hosts, wait: hostsWait, rest: hostsRest, reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost}
 	h.observer = executor.Observer{Board: h.Board, Pools: &h.pools}
 	h.catalogue = catalogue{publish: h.publish}
 	h.configurations = follower[*declarer.Configuration]{name: "configuration", source: h.Configurations, wait: h.ConfigurationBound * boundShare / 10, reset: h.configure, apply: h.reconfigure, log: h.Log, lost: h.Counter.PlatformLost}
-	h.servers = follower[declarer.Server]{name: "servers", source: h.Servers, wait: h.DrainBound * boundShare / 10, reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log, lost: h.Counter.PlatformLost}
+	h.servers = follower[declarer.Server]{name: "servers", source: h.Servers, wait: h.DrainBound * boundShare / 10, rest: serversRest, reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log, lost: h.Counter.PlatformLost}
 }
 
 func (h *Host) start(ctx context.Context, callers, readiness net.Listener) {
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -65,6 +65,8 @@
 	// promote in turn, each by what it sees, would take the lead from one server after
 	// the other. It is longer than the spread of the hosts' decisions and an order.
 	deference = 1200 * time.Millisecond
+	// leaseSlack is what a host waits beyond another's lease, for an order on its way.
+	leaseSlack = 200 * time.Millisecond
 	// claimInterval is the least time between two looks at the claim.
 	claimInterval = 200 * time.Millisecond
 	// leadTimeout bounds the wait until a promoted server leads.
@@ -340,7 +342,7 @@
 	if p.rivalAt.IsZero() || c.Token != p.rival {
 		p.rival, p.rivalAt = c.Token, time.Now()
 	}
-	if time.Since(p.rivalAt) >= deference {
+	if time.Since(p.rivalAt) >= max(deference, p.host.Lease+leaseSlack) {
 		return false
 	}
 	return p.host.detours.Answers(ctx, c.Holder, declarer.Server{ID: server})
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -410,3 +410,23 @@
 		}
 	})
 }
+
+// A deployment gives a lease of three seconds. A second host that orders within it takes
+// turns with the first, whatever it sees.
+func TestLeaseIsRespected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := promoterOf(newCluster(), "h1")
+		p.host.Lease = 3 * time.Second
+		c := Claim{Holder: "h9", Server: "b", Token: 4}
+		for range 15 {
+			if !p.defers(t.Context(), c, "b") {
+				t.Fatal("overtaken within the lease")
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(leaseSlack)
+		if p.defers(t.Context(), c, "b") {
+			t.Error("respected for longer than the lease")
+		}
+	})
+}
