fix(proxy): a planned stop waits for borrowers

Cause: an owner that was stopped as planned ended with its own sessions, and cut off what other hosts had borrowed: their commits under way would be told as unknown. Found by reading the drain after owners had come in.

The host leaves the list when it begins to drain, so that others go to the next owner, and waits for what it has lent as for its sessions. TestDrainWaitsForBorrowers fails without the wait.

--- a/internal/proxy/assembler/assembler_test.go
+++ b/internal/proxy/assembler/assembler_test.go
@@ -18,6 +18,9 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/platform"
 )
 
@@ -331,3 +334,46 @@
 		t.Error("the stop isn't in the log")
 	}
 }
+
+// A host that owns a server's connections is stopped as planned while another host's
+// caller is in a transaction on one of them. The transaction may end; cut off, its commit
+// would be told as unknown.
+func TestDrainWaitsForBorrowers(t *testing.T) {
+	i := startInstance(t)
+	h := startHost(t, i.listener.Addr().String())
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	l, err := platform.ConnectLink(ctx, h.settings.HostAddress(), declarer.Server{ID: "i-1", Group: "g"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	end := time.Now().Add(30 * time.Second)
+	l.Borrow(keeper.Ask{Deadline: end, Class: admitter.ClassWrite, Team: "books"})
+	exchange := func(text string) {
+		t.Helper()
+		if err := l.Send([]declarer.Request{{ID: "x", Text: text}}, end); err != nil {
+			t.Fatal(err)
+		}
+		var a declarer.Answer
+		if err := l.Receive(&a, end); err != nil || a.Code != declarer.CodeNone {
+			t.Fatalf("%s: code %d, %v", text, a.Code, err)
+		}
+	}
+	exchange("BEGIN")
+	exchange("WRITE a one")
+	close(h.drain)
+	time.Sleep(h.settings.Grace * 2 / 3)
+	select {
+	case <-h.done:
+		t.Fatal("the host ended while a transaction was open")
+	default:
+	}
+	exchange("COMMIT")
+	if err := l.Return(); err != nil {
+		t.Error(err)
+	}
+	if err := <-h.done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -67,6 +68,8 @@
 	Pool func() *keeper.Pool
 	// Answered is told of each answer of the server.
 	Answered func()
+	// Lent counts the leases that are out.
+	Lent *atomic.Int64
 
 	lease *keeper.Lease
 	// fresh says that nothing was run on the lease yet.
@@ -120,14 +123,17 @@
 	l.lease, err = p.Acquire(keeper.Ask{Deadline: time.Now().Add(e.Wait), Class: e.Class, Team: e.Team})
 	if err != nil {
 		l.refused = err.Error()
+		return
 	}
 	l.fresh = true
+	l.Lent.Add(1)
 }
 
 func (l *Link) giveBack(broken bool) {
 	if l.lease != nil {
 		l.lease.Release(broken)
 		l.lease = nil
+		l.Lent.Add(-1)
 	}
 	l.refused = "nothing was borrowed"
 }
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,8 +113,12 @@
 // play serves the events over one pool and returns the borrower.
 func play(s *server, p *keeper.Pool, events ...Event) *borrower {
 	b := &borrower{events: events}
-	l := &Link{Borrower: b, Pool: func() *keeper.Pool { return p }, Answered: func() {}}
+	var lent atomic.Int64
+	l := &Link{Borrower: b, Pool: func() *keeper.Pool { return p }, Answered: func() {}, Lent: &lent}
 	l.Run()
+	if n := lent.Load(); n != 0 {
+		panic(fmt.Sprintf("%d leases are out after the end", n))
+	}
 	synctest.Wait()
 	return b
 }
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -96,6 +96,8 @@
 	prober         prober
 	detours        detourer.Dialer
 	draining       atomic.Bool
+	// lent counts the connections that other hosts have borrowed.
+	lent atomic.Int64
 
 	mu        sync.Mutex
 	sessions  map[*executor.Session]struct{}
@@ -129,7 +131,6 @@
 	select {
 	case <-drain:
 		h.drain(x)
-		h.leave()
 	case <-ctx.Done():
 	}
 	h.Log.Info("stopped")
@@ -265,6 +266,7 @@
 func (h *Host) lend(c net.Conn, server string) {
 	l := &lender.Link{
 		Borrower: h.Borrower(c),
+		Lent:     &h.lent,
 		Pool:     func() *keeper.Pool { return h.pools.own(server) },
 		Answered: func() {
 			s, ok := h.pools.find(server)
@@ -344,9 +346,11 @@
 	began := time.Now()
 	h.draining.Store(true)
 	h.Log.WithField("sessions", h.Sessions()).Info("draining")
+	// Others borrow from the next owner then; what they have borrowed here may end.
+	h.leave()
 	_ = scheduler.Pause(ctx, min(rotation, h.Grace/2))
 	h.each((*executor.Session).Stop)
-	for time.Since(began) < h.Grace-exitSpare && h.Sessions() > 0 {
+	for time.Since(began) < h.Grace-exitSpare && h.Sessions()+int(h.lent.Load()) > 0 {
 		if time.Since(began) > h.Grace*5/8 {
 			h.each((*executor.Session).Cut)
 		} else {
@@ -356,7 +360,7 @@
 			return
 		}
 	}
-	h.Log.WithField("sessions", h.Sessions()).Info("drained")
+	h.Log.WithField("sessions", h.Sessions()).WithField("lent", h.lent.Load()).Info("drained")
 }
 
 // Sessions returns how many sessions are served.
