fix(executor): an owner's refusal is no sign of life of a server

It was replaced only when its entry had lapsed, and 79 acknowledged commits of the other side were rolled back.

The test fails without the change.

--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -245,7 +245,9 @@
 	if err != nil {
 		return a.broken(l, err)
 	}
-	a.learn(asked, took)
+	if a.answer.Code != declarer.CodeNoLease {
+		a.learn(asked, took)
+	}
 	if a.answer.Code.NotRun() {
 		l.Release(false)
 		a.turnedAway()
--- a/internal/proxy/executor/attempt_test.go
+++ b/internal/proxy/executor/attempt_test.go
@@ -1,12 +1,15 @@
 package executor_test
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
 
@@ -87,3 +90,47 @@
 		end(d, c)
 	})
 }
+
+// noLease is a link to an owner that has no connection for anybody.
+type noLease struct{ keeper.Connection }
+
+func (noLease) Send([]declarer.Request, time.Time) error { return nil }
+func (noLease) Owed() int                                { return 0 }
+func (noLease) Ended() bool                              { return false }
+func (noLease) Close()                                   {}
+
+func (noLease) Receive(a *declarer.Answer, _ time.Time) error {
+	a.Code = declarer.CodeNoLease
+	return nil
+}
+
+// owner is the dialer of such links.
+type owner struct{ *deployment }
+
+func (owner) Dial(context.Context, declarer.Server) (keeper.Connection, marker.Mark, error) {
+	return noLease{}, marker.Mark{}, nil
+}
+
+// The primary and the host that owns its connections are beyond a cut. The word of
+// another owner, that it has no connection, isn't a sign of life of the primary: taken
+// for one, the primary wouldn't be replaced for as long as callers keep on trying.
+func TestOwnersRefusalIsNoSignOfLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newDeployment(w, "z-0")
+		d.pools["i-0"] = &keeper.Pool{Server: w.list()[0], Dialer: owner{d}, Observer: d, Limit: 6}
+		c := start(d, "primary")
+		var before time.Duration
+		d.board.Do("db", func(g *viewer.Group) { before = g.Find("i-0").AnsweredAt })
+		connected := d.board.Time()
+		if _, r := c.ask("WRITE x 1"); r.code != declarer.CodeBusy {
+			t.Errorf("code %d, want a refusal", r.code)
+		}
+		d.board.Do("db", func(g *viewer.Group) {
+			if at := g.Find("i-0").AnsweredAt; at > connected {
+				t.Errorf("answered at %s, was %s when the link was made", at, before)
+			}
+		})
+		end(d, c)
+	})
+}
