--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -46,6 +46,10 @@
 }
 
 const (
+	// standInAfter is when after its start a host claims a group that nobody has, and
+	// standInSpread times its own delay is added.
+	standInAfter  = 2 * time.Second
+	standInSpread = 30
 	// promoteTick is how often a group is looked at.
 	promoteTick = 50 * time.Millisecond
 	// outsideTick is the same at hosts that stand by for the others.
@@ -116,9 +120,11 @@
 }
 
 // standIn claims the group if nobody has, so that its holder can order a promotion
-// while the platform's store is away.
+// while the platform's store is away. Of a large deployment only the hosts that look
+// after the group do, each a little later than the other: all at once would make two
+// calls a host and group.
 func (p *promoter) standIn(ctx context.Context) {
-	if scheduler.Pause(ctx, 2*time.Second+8*p.judge.Delay()) != nil {
+	if scheduler.Pause(ctx, standInAfter+standInSpread*p.judge.Delay()) != nil || !p.host.roster.looks(p.group) {
 		return
 	}
 	if _, err := p.claim(ctx); errors.Is(err, ErrNoClaim) {
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -430,3 +430,20 @@
 		}
 	})
 }
+
+// A group has no claim yet and several hosts have started. One of them makes it; the
+// others find it.
+func TestStandInClaimsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		var g sync.WaitGroup
+		for _, h := range []string{"h1", "h2", "h3"} {
+			p := promoterOf(c, h)
+			g.Go(func() { p.standIn(t.Context()) })
+		}
+		g.Wait()
+		if c.claim == nil || c.claim.Token != 3 || c.claim.Server != "" {
+			t.Errorf("claim %+v, want the first one", c.claim)
+		}
+	})
+}
