--- a/docs_test.go
+++ b/docs_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -50,3 +51,26 @@
 	}
 	return tests
 }
+
+// The platform's names creep into the decisions, and the next platform means to write
+// them anew. Only the two packages that put a process together may import the adapter.
+func TestOnlyTheRimKnowsThePlatform(t *testing.T) {
+	allowed := []string{"internal/proxy/assembler", "internal/proxy/commander"}
+	err := filepath.WalkDir(".", func(p string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() || !strings.HasSuffix(p, ".go") {
+			return err
+		}
+		b, err := os.ReadFile(p)
+		if err != nil {
+			return err
+		}
+		d := filepath.ToSlash(filepath.Dir(p))
+		if strings.Contains(string(b), "\"github.com/cuminwick/cuminwick/"+"platform\"") && !slices.Contains(allowed, d) {
+			t.Errorf("%s imports platform", p)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/proxy/executor/attempt_test.go
+++ b/internal/proxy/executor/attempt_test.go
@@ -91,6 +91,22 @@
 	})
 }
 
+// The owner of the connections refuses a save of a session that has set values. Nothing
+// was sent, so the caller must be told so, and not that the outcome isn't known.
+func TestOwnersRefusalIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newDeployment(w, "z-0")
+		d.pools["i-0"] = &keeper.Pool{Server: w.list()[0], Dialer: owner{d}, Observer: d, Limit: 6}
+		c := start(d, "primary")
+		c.ask("SET zone 1")
+		if _, r := c.ask("WRITE x 1"); r.code != declarer.CodeBusy {
+			t.Errorf("code %d, want busy", r.code)
+		}
+		end(d, c)
+	})
+}
+
 // noLease is a link to an owner that has no connection for anybody.
 type noLease struct{ keeper.Connection }
 
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -72,6 +72,9 @@
 		if err := e.receive(&a); err != nil {
 			return err
 		}
+		if a.Code == declarer.CodeNoLease {
+			continue // the statement itself is answered so as well; nothing was sent
+		}
 		if a.Code != declarer.CodeNone {
 			return errors.Annotatef(errSetup, "%s", a.Detail)
 		}
