--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -27,12 +27,7 @@
 	Group            string
 	Kind             RouteKind
 	Timeout          time.Duration
-	Aim              time.Duration
 	MaximumStaleness time.Duration
-	// Priority orders routes, 0 is the highest.
-	Priority int
-	// Attempts bounds how often one statement is tried.
-	Attempts int
 }
 
 // Group is the declaration of one database group.
@@ -40,8 +35,6 @@
 	Name string
 	// MaximumConnections bounds the connections to each server, of all callers.
 	MaximumConnections int
-	// SyncReplicas is how many replicas hold a commit before it is acknowledged.
-	SyncReplicas int
 }
 
 // Configuration is one version of what the operator declared, in full.
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -53,6 +53,8 @@
 	answer   declarer.Answer
 	// unproved says that the server wasn't seen to lead after it had read.
 	unproved bool
+	// deposed says that it refused the proof since it doesn't lead.
+	deposed bool
 	// opened is the end of the server's log when it began a transaction for us.
 	opened marker.Mark
 }
@@ -177,7 +179,7 @@
 	id := ""
 	if a.leads {
 		a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
-			if s := g.Write(); s != nil {
+			if s := g.Primary(); s != nil {
 				id = s.ID
 			}
 		})
@@ -254,10 +256,12 @@
 		return true, declarer.CodeNone, ""
 	}
 	if a.unproved {
-		// The server answered, and didn't lead any more right after: what it read may
-		// lack a commit that the new primary has acknowledged.
+		// The server answered, and may not have led any more right after: what it read may
+		// lack a commit that a new primary has acknowledged.
 		l.Release(false)
-		a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Refused(a.server) })
+		if a.deposed {
+			a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Refused(a.server) })
+		}
 		return true, declarer.CodeNone, ""
 	}
 	return false, a.answer.Code, ""
@@ -309,6 +313,7 @@
 	}
 	a.opened = begun.Position
 	a.unproved = begun.Code != declarer.CodeNone
+	a.deposed = begun.Code == declarer.CodeReadOnly
 	return nil
 }
 
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -85,7 +85,7 @@
 	defer close(f.done)
 	id := ""
 	f.observer.Board.Do(f.group, func(g *viewer.Group) {
-		if s := g.Write(); s != nil {
+		if s := g.Primary(); s != nil {
 			id = s.ID
 		}
 	})
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -52,27 +52,6 @@
 	suspectAfter = 50 * time.Millisecond
 )
 
-// Connection is one to a backend server.
-type Connection interface {
-	// Send writes all of r at once; after an error the server may have got any of it.
-	Send(r []declarer.Request, deadline time.Time) error
-	// Receive reads the next answer. It can be called again after a timeout.
-	Receive(a *declarer.Answer, deadline time.Time) error
-	// Owed returns how many answers are still to come.
-	Owed() int
-	// Ended reports whether the server has closed the connection.
-	Ended() bool
-	Close()
-}
-
-// Borrowing is a connection that belongs to another host for each use.
-type Borrowing interface {
-	// Borrow begins a use, with what is sent next.
-	Borrow(a Ask)
-	// Return ends it, whatever state the connection is in.
-	Return() error
-}
-
 // Dialer opens a connection, and tells the end of the server's log. An error of
 // type ErrCrowded says that the server is at its limit of connections.
 type Dialer interface {
@@ -101,21 +80,6 @@
 	Unreachable(s declarer.Server, err error)
 }
 
-// Lease is one connection lent to one session. It belongs to one goroutine.
-type Lease struct {
-	Connection
-	// Values are those set on the connection, by name.
-	Values map[string]string
-	// Prepared are the names of statements that the connection knows.
-	Prepared map[string]struct{}
-	// State is where the connection stood after the last answer.
-	State declarer.State
-
-	pool  *Pool
-	entry *admitter.Entry
-	used  time.Time
-}
-
 // Pool keeps the connections to one server. Its exported fields are set before use.
 type Pool struct {
 	Server   declarer.Server
@@ -331,70 +295,6 @@
 	p.grow()
 }
 
-// Release gives the connection back. One with an answer still to come, or inside a
-// transaction, is brought in order first; a broken one is closed.
-func (l *Lease) Release(broken bool) {
-	p := l.pool
-	b, borrowed := l.Connection.(Borrowing)
-	switch {
-	case borrowed:
-		// Its owner puts it in order; an answer still to come would be the next use's.
-		p.finish(l, broken || l.Owed() > 0 || b.Return() != nil)
-	case broken:
-		p.finish(l, true)
-	case l.Owed() > 0 || l.State != declarer.StateIdle:
-		p.work.Add(1)
-		go l.run()
-	default:
-		p.finish(l, false)
-	}
-}
-
-// borrow begins a use of a connection that belongs to another host. What is set up on it
-// is that host's to know.
-func (l *Lease) borrow(a Ask) {
-	b, ok := l.Connection.(Borrowing)
-	if !ok {
-		return
-	}
-	clear(l.Values)
-	clear(l.Prepared)
-	l.State = declarer.StateIdle
-	b.Borrow(a)
-}
-
-// run waits for what is owed, and rolls back what is open.
-func (l *Lease) run() {
-	defer l.pool.work.Done()
-	l.pool.finish(l, l.recover() != nil)
-}
-
-func (l *Lease) recover() error {
-	t := time.Now().Add(recoverFor)
-	var a declarer.Answer
-	for l.Owed() > 0 {
-		if err := l.Receive(&a, t); err != nil {
-			return err
-		}
-		l.State = a.State
-		a = declarer.Answer{Body: a.Body[:0]}
-	}
-	if l.State == declarer.StateIdle {
-		return nil
-	}
-	if err := l.Send([]declarer.Request{{Verb: declarer.VerbRollback}}, t); err != nil {
-		return err
-	}
-	if err := l.Receive(&a, t); err != nil {
-		return err
-	}
-	l.State = a.State
-	if a.State != declarer.StateIdle {
-		return errors.Errorf("server %s: still in a transaction after a rollback", l.pool.Server.ID)
-	}
-	return nil
-}
-
 func (p *Pool) finish(l *Lease, broken bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/proxy/runner/claims.go
@@ -0,0 +1,118 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+// Claim says which host may give a group a primary, beyond which term.
+type Claim struct {
+	Holder string
+	// Server is whom the holder has chosen, empty for nobody yet.
+	Server string
+	// Above is the newest term at which the holder found the group.
+	Above marker.Term
+	// Token orders claims; each change of a claim raises it.
+	Token uint64
+}
+
+// Orderer makes claims and orders promotions through the platform.
+type Orderer interface {
+	Claim(ctx context.Context, group string) (Claim, error)
+	// PutClaim replaces the claim whose token is that of c, zero for none.
+	PutClaim(ctx context.Context, group string, c Claim) (Claim, error)
+	Promote(ctx context.Context, group, server, holder string, token uint64) error
+}
+
+// standIn claims the group if nobody has, so that its holder can order a promotion
+// while the platform's store is away. Of a large deployment only the hosts that look
+// after the group do, each a little later than the other: all at once would make two
+// calls a host and group.
+func (p *promoter) standIn(ctx context.Context) {
+	if scheduler.Pause(ctx, standInAfter+standInSpread*p.judge.Delay()) != nil || !p.host.roster.looks(p.group) {
+		return
+	}
+	if _, err := p.claim(ctx); errors.Is(err, ErrNoClaim) {
+		_, _ = p.take(ctx, Claim{Holder: p.host.Name})
+	}
+}
+
+// win makes the claim to promote the server in place of the present one, which was read
+// with err, and reports whether this host may.
+func (p *promoter) win(ctx context.Context, present Claim, err error, server string, above marker.Term) (Claim, bool) {
+	switch {
+	case errors.Is(err, ErrNoClaim):
+	case err != nil:
+		return p.fromHeld(server, above)
+	case p.defers(ctx, present, server):
+		return Claim{}, false
+	}
+	c, failure := p.take(ctx, Claim{Holder: p.host.Name, Server: server, Above: above, Token: present.Token})
+	return c, failure == nil
+}
+
+// defers reports whether another host holds the claim and is let act first, anew with
+// each change of the claim. One that doesn't answer won't act.
+func (p *promoter) defers(ctx context.Context, c Claim, server string) bool {
+	if c.Holder == p.host.Name {
+		return false
+	}
+	if p.rivalAt.IsZero() || c.Token != p.rival {
+		p.rival, p.rivalAt = c.Token, time.Now()
+	}
+	if time.Since(p.rivalAt) >= max(deference, p.host.Lease+leaseSlack) {
+		return false
+	}
+	return p.host.detours.Answers(ctx, c.Holder, declarer.Server{ID: server})
+}
+
+// fromHeld goes on with the claim that this host made last, where the store can't be
+// asked. If another host has made one since, the platform refuses the order. The claim
+// serves for one server only: an order for another one, carried out late, would have
+// the same token.
+func (p *promoter) fromHeld(server string, above marker.Term) (Claim, bool) {
+	if p.held.Token == 0 || p.held.Server != "" && p.held.Server != server {
+		return Claim{}, false
+	}
+	p.held.Server, p.held.Above = server, above
+	return p.held, true
+}
+
+func (p *promoter) claim(ctx context.Context) (Claim, error) {
+	c, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return p.host.Orderer.Claim(c, p.group)
+}
+
+// take puts the claim. Where the answer is lost it reads back whether it was made.
+func (p *promoter) take(ctx context.Context, x Claim) (Claim, error) {
+	c, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	n, err := p.host.Orderer.PutClaim(c, p.group, x)
+	if err != nil && !errors.Is(err, ErrOvertaken) {
+		n, err = p.settle(ctx, x, err)
+	}
+	if err != nil {
+		p.log.WithError(err).WithField("database-group", p.group).Warn("claim not made")
+		return n, err
+	}
+	p.held = n
+	return n, nil
+}
+
+func (p *promoter) settle(ctx context.Context, x Claim, cause error) (Claim, error) {
+	n, err := p.claim(ctx)
+	if err != nil {
+		return n, errors.Annotatef(cause, "and not read back: %v", err)
+	}
+	if n.Holder != x.Holder || n.Server != x.Server || n.Token <= x.Token {
+		return n, errors.Annotatef(cause, "claim of %s with token %d stands", n.Holder, n.Token)
+	}
+	return n, nil
+}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -101,7 +101,9 @@
 
 	mu        sync.Mutex
 	sessions  map[*executor.Session]struct{}
-	promoters map[string]context.CancelFunc
+	promoters map[string]bool
+	// running is Run's context, under which promoters of groups that come later run.
+	running context.Context
 }
 
 // Counter counts what isn't a statement.
@@ -127,6 +129,7 @@
 	}
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
+	h.running = x
 	h.start(x, c, r)
 	select {
 	case <-drain:
@@ -139,7 +142,7 @@
 
 func (h *Host) prepare() {
 	h.sessions = make(map[*executor.Session]struct{})
-	h.promoters = make(map[string]context.CancelFunc)
+	h.promoters = make(map[string]bool)
 	h.roster.self = h.Name
 	h.roster.regions = h.Board.Regions
 	h.detours = detourer.Dialer{Way: h.Way, Hosts: h.roster.others}
@@ -242,13 +245,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, g := range h.Board.Groups() {
-		if h.promoters[g] != nil {
+		if h.promoters[g] {
 			continue
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		h.promoters[g] = cancel
+		h.promoters[g] = true
 		p := &promoter{host: h, group: g, log: h.Log, judge: successor.Judge{Host: h.Name, Group: g}}
-		go p.run(ctx)
+		go p.run(h.running)
 	}
 }
 
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -11,22 +10,10 @@
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
 
-// Claim says which host may give a group a primary, beyond which term.
-type Claim struct {
-	Holder string
-	// Server is whom the holder has chosen, empty for nobody yet.
-	Server string
-	// Above is the newest term at which the holder found the group.
-	Above marker.Term
-	// Token orders claims; each change of a claim raises it.
-	Token uint64
-}
-
 // Errors of claims. After any other error the claim may have been made.
 const (
 	// ErrNoClaim is a group that nobody has claimed.
@@ -37,14 +24,6 @@
 	ErrFenced = errors.ConstError("promotion refused")
 )
 
-// Orderer makes claims and orders promotions through the platform.
-type Orderer interface {
-	Claim(ctx context.Context, group string) (Claim, error)
-	// PutClaim replaces the claim whose token is that of c, zero for none.
-	PutClaim(ctx context.Context, group string, c Claim) (Claim, error)
-	Promote(ctx context.Context, group, server, holder string, token uint64) error
-}
-
 const (
 	// standInAfter is when after its start a host claims a group that nobody has, and
 	// standInSpread times its own delay is added.
@@ -119,19 +98,6 @@
 	return outsideTick
 }
 
-// standIn claims the group if nobody has, so that its holder can order a promotion
-// while the platform's store is away. Of a large deployment only the hosts that look
-// after the group do, each a little later than the other: all at once would make two
-// calls a host and group.
-func (p *promoter) standIn(ctx context.Context) {
-	if scheduler.Pause(ctx, standInAfter+standInSpread*p.judge.Delay()) != nil || !p.host.roster.looks(p.group) {
-		return
-	}
-	if _, err := p.claim(ctx); errors.Is(err, ErrNoClaim) {
-		_, _ = p.take(ctx, Claim{Holder: p.host.Name})
-	}
-}
-
 func (p *promoter) step(ctx context.Context) {
 	s := p.sight()
 	if p.judge.Suspect(s) && time.Since(p.probed) > probeInterval {
@@ -167,96 +133,6 @@
 	return s
 }
 
-// probe asks a suspected primary, or all servers where none is known.
-func (p *promoter) probe(ctx context.Context, s successor.Sight) {
-	p.probed = time.Now()
-	l := s.Servers
-	if s.Primary != nil {
-		l = []*viewer.Server{s.Primary}
-	}
-	p.ask(ctx, l)
-}
-
-// ask has all of l tell their status at once, and returns those that did. Once more than
-// half have, the others are waited for only a little.
-func (p *promoter) ask(ctx context.Context, l []*viewer.Server) []successor.Candidate {
-	c, cancel := context.WithTimeout(ctx, probeTimeout)
-	r := make(chan reply, len(l))
-	g := &sync.WaitGroup{}
-	for _, s := range l {
-		g.Add(1)
-		go (&question{promoter: p, server: s.Server, replies: r}).run(c, g)
-	}
-	go (&closing{wait: g, cancel: cancel}).run()
-	return gather(r, len(l))
-}
-
-// reply is a server's answer to a question.
-type reply struct {
-	candidate successor.Candidate
-	err       error
-}
-
-// gather collects up to n replies.
-func gather(r <-chan reply, n int) []successor.Candidate {
-	var l []successor.Candidate
-	var late <-chan time.Time
-	for range n {
-		select {
-		case x := <-r:
-			if x.err == nil {
-				l = append(l, x.candidate)
-			}
-		case <-late:
-			return l
-		}
-		if 2*len(l) > n && late == nil {
-			late = time.After(majorityGrace)
-		}
-	}
-	return l
-}
-
-// closing frees what questions use once all have ended. Those that are late still note
-// on the blackboard what they learn.
-type closing struct {
-	wait   *sync.WaitGroup
-	cancel context.CancelFunc
-}
-
-func (x *closing) run() {
-	x.wait.Wait()
-	x.cancel()
-}
-
-// question is one status asked for.
-type question struct {
-	promoter *promoter
-	server   declarer.Server
-	replies  chan<- reply
-}
-
-func (q *question) run(ctx context.Context, g *sync.WaitGroup) {
-	defer g.Done()
-	b := q.promoter.host.Board
-	asked := b.Time()
-	s, err := q.promoter.host.prober.Status(ctx, q.server)
-	q.note(asked, s, err)
-	q.replies <- reply{candidate: successor.Candidate{Server: q.server, Status: s}, err: err}
-}
-
-func (q *question) note(asked time.Duration, s declarer.Status, err error) {
-	b := q.promoter.host.Board
-	if err != nil {
-		b.Unreachable(q.server.Group, q.server.ID, asked, err)
-		return
-	}
-	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, b.Time(), 0, s.Received) })
-	if s.Primary {
-		b.Led(q.server.Group, q.server.ID, asked, s.Received)
-	}
-}
-
 // replace gives the group another primary, unless another host is about to.
 func (p *promoter) replace(ctx context.Context, s successor.Sight, r successor.Reason) {
 	l := p.log.WithFields(log.Fields{"database-group": p.group, "reason": r})
@@ -302,103 +178,6 @@
 	p.host.Counter.Promotion(string(r), p.order(ctx, heir.Server, claim, l))
 }
 
-// inquiry asks other hosts whether they hear from a primary that doesn't answer here.
-type inquiry struct {
-	dialer *detourer.Dialer
-	server declarer.Server
-	done   chan bool
-}
-
-func (x *inquiry) run(ctx context.Context) {
-	x.done <- x.dialer.Lost(ctx, x.server)
-}
-
-// reachable returns the servers but for a primary that doesn't answer: to ask it once
-// more would only hold the promotion up.
-func reachable(s successor.Sight) []*viewer.Server {
-	var l []*viewer.Server
-	for _, x := range s.Servers {
-		if s.Primary == nil || x.ID != s.Primary.ID || x.FailingSince == 0 {
-			l = append(l, x)
-		}
-	}
-	return l
-}
-
-// win makes the claim to promote the server in place of the present one, which was read
-// with err, and reports whether this host may.
-func (p *promoter) win(ctx context.Context, present Claim, err error, server string, above marker.Term) (Claim, bool) {
-	switch {
-	case errors.Is(err, ErrNoClaim):
-	case err != nil:
-		return p.fromHeld(server, above)
-	case p.defers(ctx, present, server):
-		return Claim{}, false
-	}
-	c, failure := p.take(ctx, Claim{Holder: p.host.Name, Server: server, Above: above, Token: present.Token})
-	return c, failure == nil
-}
-
-// defers reports whether another host holds the claim and is let act first, anew with
-// each change of the claim. One that doesn't answer won't act.
-func (p *promoter) defers(ctx context.Context, c Claim, server string) bool {
-	if c.Holder == p.host.Name {
-		return false
-	}
-	if p.rivalAt.IsZero() || c.Token != p.rival {
-		p.rival, p.rivalAt = c.Token, time.Now()
-	}
-	if time.Since(p.rivalAt) >= max(deference, p.host.Lease+leaseSlack) {
-		return false
-	}
-	return p.host.detours.Answers(ctx, c.Holder, declarer.Server{ID: server})
-}
-
-// fromHeld goes on with the claim that this host made last, where the store can't be
-// asked. If another host has made one since, the platform refuses the order. The claim
-// serves for one server only: an order for another one, carried out late, would have
-// the same token.
-func (p *promoter) fromHeld(server string, above marker.Term) (Claim, bool) {
-	if p.held.Token == 0 || p.held.Server != "" && p.held.Server != server {
-		return Claim{}, false
-	}
-	p.held.Server, p.held.Above = server, above
-	return p.held, true
-}
-
-func (p *promoter) claim(ctx context.Context) (Claim, error) {
-	c, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	return p.host.Orderer.Claim(c, p.group)
-}
-
-// take puts the claim. Where the answer is lost it reads back whether it was made.
-func (p *promoter) take(ctx context.Context, x Claim) (Claim, error) {
-	c, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	n, err := p.host.Orderer.PutClaim(c, p.group, x)
-	if err != nil && !errors.Is(err, ErrOvertaken) {
-		n, err = p.settle(ctx, x, err)
-	}
-	if err != nil {
-		p.log.WithError(err).WithField("database-group", p.group).Warn("claim not made")
-		return n, err
-	}
-	p.held = n
-	return n, nil
-}
-
-func (p *promoter) settle(ctx context.Context, x Claim, cause error) (Claim, error) {
-	n, err := p.claim(ctx)
-	if err != nil {
-		return n, errors.Annotatef(cause, "and not read back: %v", err)
-	}
-	if n.Holder != x.Holder || n.Server != x.Server || n.Token <= x.Token {
-		return n, errors.Annotatef(cause, "claim of %s with token %d stands", n.Holder, n.Token)
-	}
-	return n, nil
-}
-
 // stepDown has the leaving primary stop leading, and waits until the heir has all of
 // its log. Commits that it made until the promotion took effect would be dropped.
 func (p *promoter) stepDown(ctx context.Context, old declarer.Server, heir successor.Candidate, above marker.Term, l log.Interface) {
--- /dev/null
+++ b/internal/proxy/runner/questions.go
@@ -0,0 +1,125 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
+	"github.com/cuminwick/cuminwick/internal/proxy/successor"
+	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+)
+
+// probe asks a suspected primary, or all servers where none is known.
+func (p *promoter) probe(ctx context.Context, s successor.Sight) {
+	p.probed = time.Now()
+	l := s.Servers
+	if s.Primary != nil {
+		l = []*viewer.Server{s.Primary}
+	}
+	p.ask(ctx, l)
+}
+
+// ask has all of l tell their status at once, and returns those that did. Once more than
+// half have, the others are waited for only a little.
+func (p *promoter) ask(ctx context.Context, l []*viewer.Server) []successor.Candidate {
+	c, cancel := context.WithTimeout(ctx, probeTimeout)
+	r := make(chan reply, len(l))
+	g := &sync.WaitGroup{}
+	for _, s := range l {
+		g.Add(1)
+		go (&question{promoter: p, server: s.Server, replies: r}).run(c, g)
+	}
+	go (&closing{wait: g, cancel: cancel}).run()
+	return gather(r, len(l))
+}
+
+// reply is a server's answer to a question.
+type reply struct {
+	candidate successor.Candidate
+	err       error
+}
+
+// gather collects up to n replies.
+func gather(r <-chan reply, n int) []successor.Candidate {
+	var l []successor.Candidate
+	var late <-chan time.Time
+	for range n {
+		select {
+		case x := <-r:
+			if x.err == nil {
+				l = append(l, x.candidate)
+			}
+		case <-late:
+			return l
+		}
+		if 2*len(l) > n && late == nil {
+			late = time.After(majorityGrace)
+		}
+	}
+	return l
+}
+
+// closing frees what questions use once all have ended. Those that are late still note
+// on the blackboard what they learn.
+type closing struct {
+	wait   *sync.WaitGroup
+	cancel context.CancelFunc
+}
+
+func (x *closing) run() {
+	x.wait.Wait()
+	x.cancel()
+}
+
+// question is one status asked for.
+type question struct {
+	promoter *promoter
+	server   declarer.Server
+	replies  chan<- reply
+}
+
+func (q *question) run(ctx context.Context, g *sync.WaitGroup) {
+	defer g.Done()
+	b := q.promoter.host.Board
+	asked := b.Time()
+	s, err := q.promoter.host.prober.Status(ctx, q.server)
+	q.note(asked, s, err)
+	q.replies <- reply{candidate: successor.Candidate{Server: q.server, Status: s}, err: err}
+}
+
+func (q *question) note(asked time.Duration, s declarer.Status, err error) {
+	b := q.promoter.host.Board
+	if err != nil {
+		b.Unreachable(q.server.Group, q.server.ID, asked, err)
+		return
+	}
+	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, b.Time(), 0, s.Received) })
+	if s.Primary {
+		b.Led(q.server.Group, q.server.ID, asked, s.Received)
+	}
+}
+
+// inquiry asks other hosts whether they hear from a primary that doesn't answer here.
+type inquiry struct {
+	dialer *detourer.Dialer
+	server declarer.Server
+	done   chan bool
+}
+
+func (x *inquiry) run(ctx context.Context) {
+	x.done <- x.dialer.Lost(ctx, x.server)
+}
+
+// reachable returns the servers but for a primary that doesn't answer: to ask it once
+// more would only hold the promotion up.
+func reachable(s successor.Sight) []*viewer.Server {
+	var l []*viewer.Server
+	for _, x := range s.Servers {
+		if s.Primary == nil || x.ID != s.Primary.ID || x.FailingSince == 0 {
+			l = append(l, x)
+		}
+	}
+	return l
+}
--- a/internal/proxy/viewer/viewer.go
+++ b/internal/proxy/viewer/viewer.go
@@ -148,7 +148,7 @@
 // Servers returns what is believed of all servers, ordered by id.
 func (g *Group) Servers() []*Server { return g.servers }
 
-// Primary returns the server that is believed to lead, nil if none is.
+// Primary returns the server that is believed to lead and so takes writes, nil if none is.
 func (g *Group) Primary() *Server { return g.Find(g.primary) }
 
 // Led notes a proof that the server led the group at some time after asked, when
@@ -332,6 +332,3 @@
 		return distanceFar
 	}
 }
-
-// Write returns the server that takes writes, nil if none is believed to.
-func (g *Group) Write() *Server { return g.Primary() }
