fix(executor): bound what a session sets and prepares

Cause: values and prepared names of a session had no bound, and a message may be a megabyte, so that one caller could have the process killed for its memory with all other callers. A session keeps 64 KiB; beyond, SET and PREPARE are answered TOOBIG, what was there before holds, DEALLOC makes room. The test fails without the change. Also: a claim that can't be read has a log line, once a need; how a transaction is begun stands once; a wait group that nobody waited for is gone.

Not changed, as it is no more than a note: comments that say 'no longer' say what holds, not what was.

--- a/internal/proxy/executor/attempt_test.go
+++ b/internal/proxy/executor/attempt_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,3 +152,39 @@
 		end(d, c)
 	})
 }
+
+// A caller sets and prepares without end. Its session is told so at a bound; what it had
+// set before goes on to hold, and giving names back makes room again.
+func TestSessionStateIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newDeployment(w, "z-0")
+		c := start(d, "primary")
+		big := strings.Repeat("v", 20<<10)
+		for i, want := range []declarer.Code{declarer.CodeNone, declarer.CodeNone, declarer.CodeNone, declarer.CodeTooBig} {
+			if _, r := c.ask(fmt.Sprintf("SET big%d %s", i, big)); r.code != want {
+				t.Errorf("value %d: code %d, want %d", i, r.code, want)
+			}
+		}
+		if _, r := c.ask("SET big1 " + big + big); r.code != declarer.CodeTooBig {
+			t.Errorf("code %d for a value that grew", r.code)
+		}
+		if _, r := c.ask("SET big0 small"); r.code != declarer.CodeNone {
+			t.Errorf("code %d for a smaller value", r.code)
+		}
+		if _, r := c.ask("PREPARE s1 " + big); r.code != declarer.CodeNone {
+			t.Errorf("code %d for what there is room for now", r.code)
+		}
+		if _, r := c.ask("PREPARE s2 " + big); r.code != declarer.CodeTooBig {
+			t.Errorf("code %d beyond the bound", r.code)
+		}
+		c.history.values["s1"] = map[string]string{"big0": "small", "big1": big, "big2": big}
+		if _, r := c.ask("READ shared"); r.code != declarer.CodeNone {
+			t.Errorf("code %d to a read", r.code)
+		}
+		if f := c.history.check(w.leader.log); len(f) > 0 {
+			t.Errorf("faults %q", f)
+		}
+		end(d, c)
+	})
+}
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -35,6 +35,8 @@
 	database string
 	values   map[string]string
 	prepared map[string]prepared
+	// kept is how many bytes values and prepared take up.
+	kept int
 	// mark is the session's last commit in group.
 	mark  marker.Mark
 	group string
@@ -237,7 +239,30 @@
 	return s.Caller.Fail(c, text, s.state())
 }
 
+// maximumState bounds what one session may have set and prepared, in bytes of names and
+// values. An entry host keeps it for thousands of sessions: a caller that sets on and on
+// would have the process killed for its memory, and all other callers cut off.
+const maximumState = 64 << 10
+
+// keeps reports whether the session may keep a name with a value in place of the old
+// bytes, and counts it. Where it may not, what was there stays.
+func (s *Session) keeps(name, value string, old int) bool {
+	n := s.kept - old + len(name) + len(value)
+	if n > maximumState {
+		return false
+	}
+	s.kept = n
+	return true
+}
+
 func (s *Session) set(x declarer.Statement) error {
+	old := 0
+	if o, ok := s.values[x.Name]; ok {
+		old = len(x.Name) + len(o)
+	}
+	if !s.keeps(x.Name, x.Argument, old) {
+		return s.fail(declarer.CodeTooBig, "the session has set and prepared too much")
+	}
 	if s.values == nil {
 		s.values = make(map[string]string)
 	}
@@ -246,6 +271,13 @@
 }
 
 func (s *Session) prepare(x declarer.Statement) error {
+	old := 0
+	if o, ok := s.prepared[x.Name]; ok {
+		old = len(x.Name) + len(o.shape)
+	}
+	if !s.keeps(x.Name, x.Argument, old) {
+		return s.fail(declarer.CodeTooBig, "the session has set and prepared too much")
+	}
 	if s.prepared == nil {
 		s.prepared = make(map[string]prepared)
 	}
@@ -254,9 +286,11 @@
 }
 
 func (s *Session) deallocate(x declarer.Statement) error {
-	if _, ok := s.prepared[x.Name]; !ok {
+	o, ok := s.prepared[x.Name]
+	if !ok {
 		return s.fail(declarer.CodeNoStatement, x.Name)
 	}
+	s.kept -= len(x.Name) + len(o.shape)
 	delete(s.prepared, x.Name)
 	return s.Caller.Done(s.state())
 }
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -57,12 +57,7 @@
 
 // first serves the statement with which the transaction gets its connection.
 func (s *Session) first(t *transaction, a *attempt) error {
-	a.arrived = t.arrived
-	a.leads = !t.reads || t.route.Kind == declarer.KindPrimary
-	a.begin = declarer.VerbBeginRead
-	if a.leads {
-		a.begin = declarer.VerbBegin
-	}
+	a.opens(t)
 	l, code, text := a.place()
 	a.report(code)
 	if l == nil {
@@ -72,6 +67,18 @@
 	return s.answered(t, a)
 }
 
+// opens has the statement begin the transaction at a server. On a route whose reads see
+// every commit even one that only reads is begun as one that may write: only that is
+// refused once its server has lost the lead.
+func (a *attempt) opens(t *transaction) {
+	a.arrived = t.arrived
+	a.leads = !t.reads || t.route.Kind == declarer.KindPrimary
+	a.begin = declarer.VerbBeginRead
+	if a.leads {
+		a.begin = declarer.VerbBegin
+	}
+}
+
 // answered passes the answer on and notes where the transaction stands.
 func (s *Session) answered(t *transaction, a *attempt) error {
 	if a.answer.Code == declarer.CodeNone && a.request.Writes {
@@ -165,12 +172,7 @@
 // commitEmpty commits a transaction without statements. Only a server's word on it
 // counts for the caller.
 func (s *Session) commitEmpty(t *transaction, a *attempt) error {
-	a.arrived = t.arrived
-	a.leads = !t.reads || t.route.Kind == declarer.KindPrimary
-	a.begin = declarer.VerbBeginRead
-	if a.leads {
-		a.begin = declarer.VerbBegin
-	}
+	a.opens(t)
 	l, code, text := a.place()
 	t.lease = l
 	a.report(code)
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -100,7 +100,6 @@
 	// crowded is until when no connection is opened, crowdedFor how long that was.
 	crowded    time.Time
 	crowdedFor time.Duration
-	work       sync.WaitGroup
 }
 
 // Ask is what a lease is wanted for.
@@ -211,7 +210,6 @@
 		return
 	}
 	p.opening++
-	p.work.Add(1)
 	go p.run()
 }
 
@@ -226,7 +224,6 @@
 
 // run opens one connection.
 func (p *Pool) run() {
-	defer p.work.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	c, m, err := p.Dialer.Dial(ctx, p.Server)
--- a/internal/proxy/keeper/lease.go
+++ b/internal/proxy/keeper/lease.go
@@ -57,7 +57,6 @@
 	case broken:
 		p.finish(l, true)
 	case l.Owed() > 0 || l.State != declarer.StateIdle:
-		p.work.Add(1)
 		go l.run()
 	default:
 		p.finish(l, false)
@@ -79,7 +78,6 @@
 
 // run waits for what is owed, and rolls back what is open.
 func (l *Lease) run() {
-	defer l.pool.work.Done()
 	l.pool.finish(l, l.recover() != nil)
 }
 
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -76,6 +76,8 @@
 	rivalAt time.Time
 	// warned says that the need was told already.
 	warned bool
+	// blind says that it was told that the claim can't be read.
+	blind bool
 	// looked is when the claim was last read.
 	looked time.Time
 }
@@ -110,7 +112,7 @@
 		return
 	}
 	if !p.needed {
-		p.needed, p.warned, p.rivalAt = true, false, time.Time{}
+		p.needed, p.warned, p.blind, p.rivalAt = true, false, false, time.Time{}
 	}
 	if time.Since(p.looked) >= claimInterval {
 		p.looked = time.Now()
@@ -146,6 +148,10 @@
 	// The claim is read before the servers are asked: where another host promotes in
 	// between, this host's claim fails, and its old answers decide nothing.
 	present, err := p.claim(ctx)
+	if err != nil && !errors.Is(err, ErrNoClaim) && !p.blind {
+		p.blind = true
+		l.WithError(err).Warn("claim not read")
+	}
 	c := p.ask(ctx, reachable(s))
 	if !<-lost.done {
 		return // somebody hears from it, or nobody can be asked
