feat(proxy): let one host of a zone read the store for the others

Ruled out: longer waiting calls with keep-alive probes, as a store that has lost an answer keeps its connection alive and says nothing.

Change: mirrorer.Mirror keeps what a host has read, mirrorer.Selector reads from the zone's reader and falls back on the next host and on the store; a host vouches for nothing after a failed call or a pause. runner.gate lets one call at a time go out to a store that doesn't answer. Three hosts, not twelve, may make a group's first claim.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -16,6 +16,7 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
+	"github.com/cuminwick/cuminwick/internal/proxy/mirrorer"
 	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
 	"github.com/cuminwick/cuminwick/internal/proxy/reporter"
 	"github.com/cuminwick/cuminwick/internal/proxy/runner"
@@ -108,7 +109,8 @@
 	l := &log.Logger{Handler: e, Level: log.InfoLevel}
 	store := platform.NewStore(s.StoreAddress)
 	faulty := func(err error) { l.WithError(err).Warn("object left out") }
-	return &runner.Host{
+	f := &feeder{store: store, relay: &platform.Feeds{}, mirrors: make(map[string]*mirrorer.Mirror)}
+	h := &runner.Host{
 		Name:               s.HostName,
 		CallerAddress:      s.CallerAddress,
 		ReadinessAddress:   s.ReadinessAddress,
@@ -116,20 +118,23 @@
 		Grace:              s.Grace,
 		ConfigurationBound: s.ConfigurationLimit,
 		DrainBound:         s.DrainLimit,
+		FirstStart:         s.FirstStart,
 		Lease:              s.Lease,
 		Board:              &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
-		Configurations:     &platform.Source[*declarer.Configuration]{Store: store, Kind: platform.KindConfiguration, Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true},
-		Servers:            &platform.Source[declarer.Server]{Store: store, Kind: platform.KindServers, Parse: platform.ParseServer, Faulty: faulty},
-		Hosts:              &platform.Source[declarer.Host]{Store: store, Kind: platform.KindHosts, Parse: platform.ParseHost, Faulty: faulty},
 		Registrar:          &platform.Registrar{Store: store},
 		Way:                platform.Dialer{},
 		ParseStatus:        platform.ParseStatus,
 		Link:               platform.DialLink,
 		Borrower:           func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
-		Relayer:            &relayer.Relayer{Ask: platform.ReadVia, Dial: platform.DialRaw, Refuse: platform.RefuseVia, Log: l},
+		Relayer:            &relayer.Relayer{Ask: platform.ReadVia, Dial: platform.DialRaw, Refuse: platform.RefuseVia, Feed: f.serve, Log: l},
 		Self:               declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone},
 		Orderer:            &platform.Orderer{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
 		Accept:             func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
 		Log:                l,
 	}
+	f.host = h
+	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(platform.KindConfiguration, h.ConfigurationPace()), Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true}
+	h.Servers = &platform.Source[declarer.Server]{Reader: f.reader(platform.KindServers, h.ServersPace()), Parse: platform.ParseServer, Faulty: faulty}
+	h.Hosts = &platform.Source[declarer.Host]{Reader: f.reader(platform.KindHosts, h.HostsPace()), Parse: platform.ParseHost, Faulty: faulty}
+	return h
 }
--- /dev/null
+++ b/internal/proxy/assembler/feeder.go
@@ -0,0 +1,33 @@
+package assembler
+
+import (
+	"context"
+	"net"
+
+	"github.com/cuminwick/cuminwick/internal/clock/steady"
+	"github.com/cuminwick/cuminwick/internal/proxy/mirrorer"
+	"github.com/cuminwick/cuminwick/internal/proxy/runner"
+	"github.com/cuminwick/cuminwick/platform"
+)
+
+// feeder makes the readers of what the platform lists, and serves other hosts from them.
+type feeder struct {
+	store   *platform.Store
+	relay   mirrorer.Relay
+	host    *runner.Host
+	mirrors map[string]*mirrorer.Mirror
+}
+
+// reader returns the reader of a kind.
+func (f *feeder) reader(kind string, p runner.Pace) mirrorer.Reader {
+	m := &mirrorer.Mirror{Store: &platform.Reader{Store: f.store, Kind: kind}, Now: steady.Now, Trust: p.Trust, FirstRest: p.FirstRest, LongestRest: p.LongestRest}
+	f.mirrors[kind] = m
+	return &mirrorer.Selector{Kind: kind, Mirror: m, Relay: f.relay, Host: f.host.RelayHost, Failed: f.host.RelayFailed}
+}
+
+// serve answers a host that reads a kind by way of this one.
+func (f *feeder) serve(c net.Conn, kind string) {
+	if m := f.mirrors[kind]; m != nil {
+		platform.ServeFeed(context.Background(), c, m)
+	}
+}
--- /dev/null
+++ b/internal/proxy/mirrorer/mirrorer_test.go
@@ -0,0 +1,326 @@
+package mirrorer
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+const errLost = errors.ConstError("store doesn't answer")
+
+// store is one that answers from a list of names.
+type store struct {
+	revision uint64
+	names    []string
+	pending  []Entry
+	err      error
+	calls    int
+}
+
+func (s *store) List(context.Context) (Page, error) {
+	s.calls++
+	p := Page{Revision: s.revision}
+	for _, n := range s.names {
+		p.Entries = append(p.Entries, Entry{Name: n, Revision: 1})
+	}
+	return p, s.err
+}
+
+func (s *store) Watch(ctx context.Context, _ uint64, wait time.Duration) (Page, error) {
+	s.calls++
+	if len(s.pending) == 0 && s.err == nil {
+		time.Sleep(wait)
+	}
+	p := Page{Entries: s.pending, Revision: s.revision}
+	s.pending = nil
+	return p, s.err
+}
+
+// put makes a change that the next waiting call returns.
+func (s *store) put(e Entry) {
+	s.revision++
+	e.Revision = s.revision
+	if e.Removed {
+		e.Revision = 1 // the store may name that of the object's last change
+	}
+	s.pending = append(s.pending, e)
+}
+
+func newMirror(s *store) *Mirror {
+	began := time.Now()
+	return &Mirror{Store: s, Trust: 2 * time.Second, Now: func() time.Duration { return time.Since(began) }}
+}
+
+func names(p Page) []string {
+	var l []string
+	for _, e := range p.Entries {
+		n := e.Name
+		if e.Removed {
+			n = "-" + n
+		}
+		l = append(l, n)
+	}
+	return l
+}
+
+func expect(t *testing.T, what string, p Page, err error, want ...string) {
+	t.Helper()
+	if err != nil || !slices.Equal(names(p), want) {
+		t.Errorf("%s: got %q %v, want %q", what, names(p), err, want)
+	}
+}
+
+func TestMirrorServesWhatWasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5, names: []string{"b", "a"}}
+		m := newMirror(s)
+		if _, err := m.ServeList(t.Context()); !errors.Is(err, ErrAway) {
+			t.Errorf("before the first list: %v", err)
+		}
+		_, _ = m.List(t.Context())
+		p, err := m.ServeList(t.Context())
+		expect(t, "list", p, err, "a", "b")
+		s.put(Entry{Name: "c"})
+		s.put(Entry{Name: "a", Removed: true})
+		_, _ = m.Watch(t.Context(), 5, time.Second)
+		p, err = m.ServeWatch(t.Context(), 5, time.Second)
+		expect(t, "changes", p, err, "c", "-a")
+		if p.Revision != 7 {
+			t.Errorf("revision %d, want 7", p.Revision)
+		}
+		p, err = m.ServeList(t.Context())
+		expect(t, "list after the changes", p, err, "b", "c")
+		if _, err := m.ServeWatch(t.Context(), 4, time.Second); !errors.Is(err, ErrForgotten) {
+			t.Errorf("changes from before the list: %v", err)
+		}
+	})
+}
+
+// A host asks before anything has changed. It is answered with the change as soon as there
+// is one, and with nothing when its time is over.
+func TestMirrorWakesWhoWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5}
+		m := newMirror(s)
+		_, _ = m.List(t.Context())
+		start := time.Now()
+		time.AfterFunc(300*time.Millisecond, func() {
+			s.put(Entry{Name: "c"})
+			_, _ = m.Watch(t.Context(), 5, time.Second)
+		})
+		p, err := m.ServeWatch(t.Context(), 5, time.Second)
+		expect(t, "change", p, err, "c")
+		if d := time.Since(start); d != 300*time.Millisecond {
+			t.Errorf("answered after %v", d)
+		}
+		p, err = m.ServeWatch(t.Context(), 6, time.Second)
+		expect(t, "no change", p, err)
+	})
+}
+
+// The host that reads the store loses it, or is paused and resumes unaware. Others that
+// went on reading from it would serve by a configuration that isn't in force any more.
+func TestMirrorDoesNotVouchForOldState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5, names: []string{"a"}}
+		m := newMirror(s)
+		_, _ = m.List(t.Context())
+		s.err = errLost
+		time.AfterFunc(100*time.Millisecond, func() { _, _ = m.Watch(t.Context(), 5, time.Second) })
+		if _, err := m.ServeWatch(t.Context(), 5, time.Second); !errors.Is(err, ErrAway) {
+			t.Errorf("after the store was lost: %v", err)
+		}
+		s.err = nil
+		_, _ = m.List(t.Context())
+		time.Sleep(m.Trust + 1)
+		if _, err := m.ServeList(t.Context()); !errors.Is(err, ErrAway) {
+			t.Errorf("after a pause: %v", err)
+		}
+		_, _ = m.List(t.Context())
+		m.Leave()
+		if _, err := m.ServeList(t.Context()); !errors.Is(err, ErrAway) {
+			t.Errorf("once the host reads elsewhere: %v", err)
+		}
+	})
+}
+
+// More changes come than are kept. Whoever missed the first ones has to read the whole list.
+func TestMirrorForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5}
+		m := newMirror(s)
+		_, _ = m.List(t.Context())
+		for i := range maximumRecent + 2 {
+			s.put(Entry{Name: strconv.Itoa(i)})
+			_, _ = m.Watch(t.Context(), m.revision, time.Second)
+		}
+		if _, err := m.ServeWatch(t.Context(), 6, time.Second); !errors.Is(err, ErrForgotten) {
+			t.Errorf("from a change that isn't kept: %v", err)
+		}
+		p, err := m.ServeWatch(t.Context(), 7, time.Second)
+		if err != nil || len(p.Entries) != maximumRecent {
+			t.Errorf("%d changes, %v", len(p.Entries), err)
+		}
+	})
+}
+
+// network is what a selector reads from: hosts by name.
+type network map[string]*Mirror
+
+func (n network) List(ctx context.Context, h declarer.Host, _ string) (Page, error) {
+	if n[h.Name] == nil {
+		return Page{}, errLost
+	}
+	return n[h.Name].ServeList(ctx)
+}
+
+func (n network) Watch(ctx context.Context, h declarer.Host, _ string, after uint64, wait time.Duration) (Page, error) {
+	if n[h.Name] == nil {
+		return Page{}, errLost
+	}
+	return n[h.Name].ServeWatch(ctx, after, wait)
+}
+
+// selection is a selector with the hosts that it may read from, in order.
+type selection struct {
+	Selector
+	hosts  []string
+	failed []string
+}
+
+func newSelection(s *store, n network, hosts ...string) *selection {
+	x := &selection{hosts: hosts}
+	x.Selector = Selector{
+		Kind: "k", Mirror: newMirror(s), Relay: n,
+		Host: func() (declarer.Host, bool) {
+			for _, h := range x.hosts {
+				if !slices.Contains(x.failed, h) {
+					return declarer.Host{Name: h}, true
+				}
+			}
+			return declarer.Host{}, false
+		},
+		Failed: func(h declarer.Host, _ string, _ error) { x.failed = append(x.failed, h.Name) },
+	}
+	return x
+}
+
+func TestSelectorReadsByWayOfAnotherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5, names: []string{"a"}}
+		m := newMirror(s)
+		_, _ = m.List(t.Context())
+		x := newSelection(s, network{"h": m}, "h")
+		p, err := x.List(t.Context())
+		expect(t, "list", p, err, "a")
+		s.put(Entry{Name: "c"})
+		_, _ = m.Watch(t.Context(), 5, time.Second)
+		p, err = x.Watch(t.Context(), p.Revision, 3*time.Second)
+		expect(t, "changes", p, err, "c")
+		if s.calls != 2 {
+			t.Errorf("%d calls to the store, want the other host's 2", s.calls)
+		}
+	})
+}
+
+// The host that is read from ends without a word, or loses the store. The next one is read
+// from, and the store itself where there is none: a change would stay unknown otherwise.
+func TestSelectorGoesOnWithoutTheOtherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5, names: []string{"a"}}
+		away := newMirror(s)
+		x := newSelection(s, network{"away": away}, "gone", "away")
+		p, err := x.List(t.Context())
+		expect(t, "list", p, err, "a")
+		if _, err := x.Watch(t.Context(), 5, time.Second); !errors.Is(err, ErrForgotten) {
+			t.Fatalf("from a host that has lost the store: %v", err)
+		}
+		p, err = x.List(t.Context())
+		expect(t, "list of the store", p, err, "a")
+		if !slices.Equal(x.failed, []string{"gone", "away"}) {
+			t.Errorf("passed over %q", x.failed)
+		}
+		s.put(Entry{Name: "c"})
+		p, err = x.Watch(t.Context(), 5, time.Second)
+		expect(t, "changes of the store", p, err, "c")
+		// From now on others may read from here.
+		p, err = x.Mirror.ServeList(t.Context())
+		expect(t, "list for others", p, err, "a", "c")
+	})
+}
+
+// A host knows a server's leaving from the store, and turns to another host that hasn't
+// heard of it yet. Taking over the older list would send work to the server again.
+func TestSelectorNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5, names: []string{"a"}}
+		m := newMirror(s)
+		_, _ = m.List(t.Context())
+		s.revision, s.names = 9, []string{"a", "b"}
+		x := newSelection(s, network{"h": m})
+		p, err := x.List(t.Context())
+		expect(t, "list of the store", p, err, "a", "b")
+		x.hosts = []string{"h"}
+		p, err = x.List(t.Context())
+		expect(t, "list where the other host's is older", p, err, "a", "b")
+		if len(x.failed) > 0 {
+			t.Errorf("passed over %q, which has done nothing wrong", x.failed)
+		}
+	})
+}
+
+// A hundred hosts start and enter the store one after the other. A host that made a call
+// for each would make a hundred. The first change of a row is known at once.
+func TestChangesInARowAreGathered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5}
+		m := newMirror(s)
+		m.FirstRest, m.LongestRest = 50*time.Millisecond, 400*time.Millisecond
+		_, _ = m.List(t.Context())
+		start := time.Now()
+		at := uint64(5)
+		for time.Since(start) < 10*time.Second {
+			s.put(Entry{Name: "a"})
+			p, err := m.Watch(t.Context(), at, time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if at == 5 && time.Since(start) > 0 {
+				t.Errorf("the first change is known after %v", time.Since(start))
+			}
+			at = p.Revision
+		}
+		// One list, three calls while the rest grows, and then one each 400 ms.
+		if s.calls > 1+4+10_000/400 {
+			t.Errorf("%d calls in 10 s", s.calls)
+		}
+	})
+}
+
+// A zone starts at once. Its hosts ask the one that reads the store before that has read
+// it; sent away, each would read the store itself.
+func TestMirrorIsWaitedForAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMirror(&store{revision: 5, names: []string{"a"}})
+		time.AfterFunc(200*time.Millisecond, func() { _, _ = m.List(t.Context()) })
+		p, err := m.ServeList(t.Context())
+		expect(t, "list", p, err, "a")
+		m = newMirror(&store{revision: 5, names: []string{"a"}})
+		time.AfterFunc(500*time.Millisecond, func() { _, _ = m.List(t.Context()) })
+		p, err = m.ServeWatch(t.Context(), 5, time.Second)
+		expect(t, "changes", p, err)
+		m = newMirror(&store{})
+		time.AfterFunc(100*time.Millisecond, m.Leave)
+		start := time.Now()
+		if _, err := m.ServeList(t.Context()); !errors.Is(err, ErrAway) || time.Since(start) != 100*time.Millisecond {
+			t.Errorf("a host that reads elsewhere: %v after %v", err, time.Since(start))
+		}
+	})
+}
--- /dev/null
+++ b/internal/proxy/mirrorer/selector.go
@@ -0,0 +1,101 @@
+package mirrorer
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+const (
+	// relayWait is how long one waiting call to another host lasts. A host that stands
+	// still, or whose connection has gone silent, is noticed after it.
+	relayWait = time.Second
+	// relaySlack is what such a call may take longer.
+	relaySlack = 300 * time.Millisecond
+)
+
+// Relay reads from another host's mirrors.
+type Relay interface {
+	List(ctx context.Context, h declarer.Host, kind string) (Page, error)
+	Watch(ctx context.Context, h declarer.Host, kind string, after uint64, wait time.Duration) (Page, error)
+}
+
+// Selector reads one kind of object from another host where there is one that reads the
+// store, and else from the store itself. Its exported fields are set before use; it
+// belongs to one goroutine.
+type Selector struct {
+	Kind   string
+	Mirror *Mirror
+	Relay  Relay
+	// Host returns the host to read from, false for the store. Failed is told of one that
+	// didn't answer or can't vouch for what it has.
+	Host   func() (declarer.Host, bool)
+	Failed func(h declarer.Host, kind string, err error)
+
+	// reached is the newest revision that was returned.
+	reached uint64
+	// reads says that the last call was to the store.
+	reads bool
+}
+
+// List returns all objects.
+func (s *Selector) List(ctx context.Context) (Page, error) {
+	if h, ok := s.Host(); ok {
+		c, cancel := context.WithTimeout(ctx, relaySlack)
+		defer cancel()
+		p, err := s.Relay.List(c, h, s.Kind)
+		switch {
+		case err != nil:
+			s.Failed(h, s.Kind, err)
+		case p.Revision >= s.reached: // an older list would take back what is known
+			s.leave()
+			return s.reach(p, nil)
+		}
+	}
+	s.reads = true
+	return s.reach(s.Mirror.List(ctx))
+}
+
+// Watch waits for changes.
+func (s *Selector) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+	h, ok := s.Host()
+	switch {
+	case ok:
+		return s.watchRelay(ctx, h, after, min(wait, relayWait))
+	case !s.reads:
+		// Other hosts are to read from this one now, which needs the whole list for that.
+		return Page{}, errors.Annotate(ErrForgotten, "the store is read from now on")
+	}
+	return s.reach(s.Mirror.Watch(ctx, after, wait))
+}
+
+// watchRelay waits at another host. Where that fails the list is read anew, from
+// whichever host or store answers.
+func (s *Selector) watchRelay(ctx context.Context, h declarer.Host, after uint64, wait time.Duration) (Page, error) {
+	c, cancel := context.WithTimeout(ctx, wait+relaySlack)
+	defer cancel()
+	s.leave()
+	p, err := s.Relay.Watch(c, h, s.Kind, after, wait)
+	if err == nil || errors.Is(err, ErrForgotten) {
+		return s.reach(p, err)
+	}
+	s.Failed(h, s.Kind, err)
+	return Page{}, errors.WithType(err, ErrForgotten)
+}
+
+// leave notes that another host is read from.
+func (s *Selector) leave() {
+	s.Mirror.Leave()
+	s.reads = false
+}
+
+// reach notes the revision of a page.
+func (s *Selector) reach(p Page, err error) (Page, error) {
+	if err == nil {
+		s.reached = max(s.reached, p.Revision)
+	}
+	return p, err
+}
--- a/internal/proxy/relayer/relayer.go
+++ b/internal/proxy/relayer/relayer.go
@@ -33,15 +33,20 @@
 	WishWord
 	// WishLink is to borrow connections of this host's.
 	WishLink
+	// WishFeed is to read what the platform lists by way of this host.
+	WishFeed
 )
 
 // Relayer takes connections from other hosts. Its fields are set before Run.
 type Relayer struct {
 	Listener net.Listener
-	// Ask reads the id of the server that a new connection is for, and what is wanted.
+	// Ask reads the id of the server, or the kind of object, that a new connection is for,
+	// and what is wanted.
 	Ask func(c net.Conn, deadline time.Time) (id string, w Wish, err error)
 	// Lend serves a host that borrows connections, until it ends.
 	Lend func(c net.Conn, server string)
+	// Feed serves a host that reads one kind of object, until it ends.
+	Feed func(c net.Conn, kind string)
 	// Find returns a server that is listed.
 	Find func(id string) (declarer.Server, bool)
 	// Dial connects to an address within the time.
@@ -95,7 +100,10 @@
 	if err != nil {
 		return
 	}
-	question := wish == WishWord
+	if wish == WishFeed {
+		r.Feed(x.from, id)
+		return
+	}
 	s, ok := r.Find(id)
 	if !ok {
 		return
@@ -104,6 +112,7 @@
 		r.Lend(x.from, id)
 		return
 	}
+	question := wish == WishWord
 	if question && r.Alive(s) {
 		r.Refuse(x.from, id, true)
 		return
--- a/internal/proxy/runner/claims.go
+++ b/internal/proxy/runner/claims.go
@@ -31,11 +31,10 @@
 }
 
 // standIn claims the group if nobody has, so that its holder can order a promotion
-// while the platform's store is away. Of a large deployment only the hosts that look
-// after the group do, each a little later than the other: all at once would make two
-// calls a host and group.
+// while the platform's store is away. Only the first hosts of the group's order do, each
+// a little later than the other: all at once would make two calls a host and group.
 func (p *promoter) standIn(ctx context.Context) {
-	if scheduler.Pause(ctx, standInAfter+standInSpread*p.judge.Delay()) != nil || !p.host.roster.looks(p.group) {
+	if scheduler.Pause(ctx, standInAfter+standInSpread*p.judge.Delay()) != nil || !p.host.roster.claims(p.group) {
 		return
 	}
 	if _, err := p.claim(ctx); errors.Is(err, ErrNoClaim) {
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
 
-	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/proxy/mirrorer"
 )
 
 const (
@@ -17,9 +16,6 @@
 	watchSlack = 400 * time.Millisecond
 	// listTimeout bounds other calls.
 	listTimeout = 700 * time.Millisecond
-	// firstBackoff and longestBackoff bound the pause after a failed call.
-	firstBackoff   = 100 * time.Millisecond
-	longestBackoff = 400 * time.Millisecond
 )
 
 // Source is one kind of object on the platform, decoded.
@@ -27,13 +23,10 @@
 	// List returns all there are, and the revision from where to watch.
 	List(ctx context.Context) ([]T, uint64, error)
 	// Watch waits for changes after the revision and returns them with the new one.
-	// It returns ErrForgotten if they aren't kept so long.
+	// It returns mirrorer.ErrForgotten if they aren't kept so long.
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change[T], uint64, error)
 }
 
-// ErrForgotten is a revision from which the platform has no changes any more.
-const ErrForgotten = errors.ConstError("changes aren't kept so long")
-
 // Change is that of one object.
 type Change[T any] struct {
 	// Name is the object's, Value is zero if it is gone or can't be understood.
@@ -50,25 +43,30 @@
 	// unknown that was missed on a watch that went silent, and each call is counted by
 	// the platform.
 	wait time.Duration
-	// rest is how long is waited after changes before more are asked for. Where many
-	// hosts start at once, each would otherwise make a call for each that enters.
-	rest time.Duration
 	// reset takes the whole list, apply one change.
 	reset func([]T)
 	apply func([]Change[T])
 	log   log.Interface
 	// lost counts losses of the platform by name.
-	lost    func(name string)
+	lost func(name string)
+	// gate says when the store may be asked.
+	gate *gate
+	// after, if it isn't nil, is what is waited for, up to patience, before the first call:
+	// that other hosts are known from which can be read.
+	after    <-chan struct{}
+	patience time.Duration
+	// first is closed with the first list.
+	first   chan struct{}
 	listed  atomic.Bool
 	failing bool
 }
 
 // run lists and watches until ctx ends.
 func (f *follower[T]) run(ctx context.Context) {
+	f.await(ctx)
 	var at uint64
 	fresh := false
-	pause := firstBackoff
-	for ctx.Err() == nil {
+	for f.gate.pass(ctx) == nil {
 		var err error
 		if fresh {
 			at, err = f.watch(ctx, at)
@@ -79,14 +77,25 @@
 		switch {
 		case err == nil:
 			fresh = true
-			pause = firstBackoff
-			continue
-		case errors.Is(err, ErrForgotten):
+			f.gate.answered()
+		case errors.Is(err, mirrorer.ErrForgotten):
 			fresh = false
-			continue
+		default:
+			f.gate.failed()
 		}
-		_ = scheduler.Pause(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, longestBackoff)
+	}
+}
+
+func (f *follower[T]) await(ctx context.Context) {
+	if f.after == nil {
+		return
+	}
+	t := time.NewTimer(f.patience)
+	defer t.Stop()
+	select {
+	case <-f.after:
+	case <-t.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -98,7 +107,9 @@
 		return 0, err
 	}
 	f.reset(l)
-	f.listed.Store(true)
+	if f.listed.CompareAndSwap(false, true) && f.first != nil {
+		close(f.first)
+	}
 	return at, nil
 }
 
@@ -111,14 +122,13 @@
 	}
 	if len(l) > 0 {
 		f.apply(l)
-		_ = scheduler.Pause(ctx, f.rest)
 	}
 	return max(at, next), nil
 }
 
 // note writes down when the platform is lost and regained.
 func (f *follower[T]) note(err error) {
-	failing := err != nil && !errors.Is(err, ErrForgotten)
+	failing := err != nil && !errors.Is(err, mirrorer.ErrForgotten)
 	if failing == f.failing {
 		return
 	}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -38,10 +38,21 @@
 	// hostsWait is how long a call that waits for other entry hosts lasts. One that has
 	// gone is found out by asking it.
 	hostsWait = 15 * time.Second
-	// serversRest and hostsRest are the pauses after changes; the first change of a row
-	// is known at once.
-	serversRest = 50 * time.Millisecond
-	hostsRest   = 2 * time.Second
+	// firstServersRest to longestHostsRest are the pauses after changes. Which server leads
+	// matters within a fraction of a second, which hosts there are doesn't.
+	firstServersRest   = 50 * time.Millisecond
+	longestServersRest = 400 * time.Millisecond
+	firstHostsRest     = 500 * time.Millisecond
+	longestHostsRest   = 2 * time.Second
+	// listPatience bounds the wait for the list of entry hosts before the other lists are
+	// asked for: an answer of the store takes milliseconds, and where the store is away
+	// nothing can be read anyway.
+	listPatience = 300 * time.Millisecond
+	// startSpread is within which all hosts of a deployment start that starts for the
+	// first time, with what it takes each to enter the store.
+	startSpread = 400 * time.Millisecond
+	// entryPatience bounds the wait for a host's own entry at such a start.
+	entryPatience = time.Second
 	// trimInterval is how often unused connections are looked for.
 	trimInterval = 500 * time.Millisecond
 	// drainStep is how often a draining host looks whether all sessions have ended.
@@ -61,6 +72,8 @@
 	// DrainBound how soon a leaving server gets no more work.
 	ConfigurationBound time.Duration
 	DrainBound         time.Duration
+	// FirstStart says that all hosts of the deployment start now for the first time.
+	FirstStart bool
 	// Lease is how long a host that has ordered a promotion is respected by the others.
 	Lease time.Duration
 
@@ -93,9 +106,12 @@
 	hosts          follower[declarer.Host]
 	catalogue      catalogue
 	roster         roster
+	gate           gate
 	prober         prober
 	detours        detourer.Dialer
 	draining       atomic.Bool
+	// entered is closed once the hosts of a first start have entered the store.
+	entered chan struct{}
 	// lent counts the connections that other hosts have borrowed.
 	lent atomic.Int64
 
@@ -106,6 +122,32 @@
 	running context.Context
 }
 
+// Pace says how one kind of object is read from the store.
+type Pace struct {
+	// Trust is how long after an answer of the store what was read counts as current: as
+	// long as the next waiting call may last.
+	Trust time.Duration
+	// FirstRest and LongestRest bound the pause after changes.
+	FirstRest, LongestRest time.Duration
+}
+
+// ConfigurationPace is how the configuration is read.
+func (h *Host) ConfigurationPace() Pace { return Pace{Trust: h.configurationWait() + watchSlack} }
+
+// ServersPace is how the servers are read.
+func (h *Host) ServersPace() Pace {
+	return Pace{Trust: h.serversWait() + watchSlack, FirstRest: firstServersRest, LongestRest: longestServersRest}
+}
+
+// HostsPace is how the entry hosts are read.
+func (h *Host) HostsPace() Pace {
+	return Pace{Trust: hostsWait + watchSlack, FirstRest: firstHostsRest, LongestRest: longestHostsRest}
+}
+
+func (h *Host) configurationWait() time.Duration { return h.ConfigurationBound * boundShare / 10 }
+
+func (h *Host) serversWait() time.Duration { return h.DrainBound * boundShare / 10 }
+
 // Counter counts what isn't a statement.
 type Counter interface {
 	Promotion(reason, result string)
@@ -148,11 +190,24 @@
 	h.detours = detourer.Dialer{Way: h.Way, Hosts: h.roster.others}
 	h.prober = prober{dialer: &h.detours, parse: h.ParseStatus}
 	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.detours, observer: h, roster: &h.roster, link: h.Link}
-	h.hosts = follower[declarer.Host]{name: "entry hosts", source: h.Hosts, wait: hostsWait, rest: hostsRest, reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost}
+	h.hosts = follower[declarer.Host]{
+		name: "entry hosts", source: h.Hosts, wait: hostsWait, first: make(chan struct{}), gate: &h.gate,
+		reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost,
+	}
+	if h.FirstStart {
+		h.entered = make(chan struct{})
+		h.hosts.after, h.hosts.patience = h.entered, entryPatience
+	}
 	h.observer = executor.Observer{Board: h.Board, Pools: &h.pools}
 	h.catalogue = catalogue{publish: h.publish}
-	h.configurations = follower[*declarer.Configuration]{name: "configuration", source: h.Configurations, wait: h.ConfigurationBound * boundShare / 10, reset: h.configure, apply: h.reconfigure, log: h.Log, lost: h.Counter.PlatformLost}
-	h.servers = follower[declarer.Server]{name: "servers", source: h.Servers, wait: h.DrainBound * boundShare / 10, rest: serversRest, reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log, lost: h.Counter.PlatformLost}
+	h.configurations = follower[*declarer.Configuration]{
+		name: "configuration", source: h.Configurations, wait: h.configurationWait(), after: h.hosts.first, patience: listPatience, gate: &h.gate,
+		reset: h.configure, apply: h.reconfigure, log: h.Log, lost: h.Counter.PlatformLost,
+	}
+	h.servers = follower[declarer.Server]{
+		name: "servers", source: h.Servers, wait: h.serversWait(), after: h.hosts.first, patience: listPatience, gate: &h.gate,
+		reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log, lost: h.Counter.PlatformLost,
+	}
 }
 
 func (h *Host) start(ctx context.Context, callers, readiness net.Listener) {
--- /dev/null
+++ b/internal/proxy/runner/relays.go
@@ -0,0 +1,91 @@
+package runner
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cuminwick/cuminwick/internal/pool/assigner"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+const (
+	// relayHosts is how many hosts of an availability zone read the store by way of one
+	// of them: each makes a call a second for each kind of object, 75 in all, which takes
+	// the host that answers well under 1% of a core.
+	relayHosts = 25
+	// relaySilent is how long a host that didn't answer, or has lost the store, isn't read
+	// from.
+	relaySilent = 3 * time.Second
+)
+
+// relay returns the host of this availability zone from which to read what the platform
+// lists, false if this host is to read the store itself. Hosts of a zone that see the same
+// hosts come to the same ones.
+func (r *roster) relay(zone string) (declarer.Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.assigner == nil {
+		return declarer.Host{}, false
+	}
+	slots := r.slots(zone)
+	own := int(xxhash.Sum64String(r.self) % uint64(slots))
+	var found declarer.Host
+	for i := range slots {
+		h, ok := r.first(zone, i)
+		if !ok || h.Name == r.self {
+			return declarer.Host{}, false // others read by way of this one
+		}
+		if i == own {
+			found = h
+		}
+	}
+	return found, true
+}
+
+// slots returns in how many parts the zone's hosts read by way of one each. The mutex is
+// held.
+func (r *roster) slots(zone string) int {
+	n := 0
+	for _, h := range r.hosts {
+		if h.AvailabilityZone == zone {
+			n++
+		}
+	}
+	return max(1, (n+relayHosts-1)/relayHosts)
+}
+
+// first returns the first host in the order of a part of the zone that isn't left out, false
+// if there is none. The mutex is held.
+func (r *roster) first(zone string, slot int) (declarer.Host, bool) {
+	o := r.assigner.Owners(assigner.Server{Name: "relay-" + strconv.Itoa(slot), AvailabilityZone: zone, Region: r.regions[zone]}, assigner.MaximumOwners)
+	for _, n := range o.Hosts[:o.Count] {
+		h := r.hosts[n]
+		if n == r.self || h.AvailabilityZone == zone && time.Now().After(r.silent[n]) {
+			return h, h.AvailabilityZone == zone
+		}
+	}
+	return declarer.Host{}, false
+}
+
+// passOver leaves a host out for a while.
+func (r *roster) passOver(host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent == nil {
+		r.silent = make(map[string]time.Time)
+	}
+	r.silent[host] = time.Now().Add(relaySilent)
+}
+
+// RelayHost returns the host from which to read what the platform lists, false for the
+// platform's store itself.
+func (h *Host) RelayHost() (declarer.Host, bool) { return h.roster.relay(h.Self.AvailabilityZone) }
+
+// RelayFailed notes a host that didn't answer, or can't vouch for what it has.
+func (h *Host) RelayFailed(x declarer.Host, kind string, err error) {
+	h.Log.WithError(err).WithFields(log.Fields{"host": x.Name, "kind": kind}).Warn("platform not read by way of another host")
+	h.roster.passOver(x.Name)
+}
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -28,6 +28,8 @@
 	mu       sync.Mutex
 	hosts    map[string]declarer.Host
 	assigner *assigner.Assigner
+	// silent is until when a host isn't read from.
+	silent map[string]time.Time
 }
 
 func (r *roster) reset(l []declarer.Host) {
@@ -71,16 +73,23 @@
 	return l
 }
 
-// lookers is how many hosts look after a group at full rate.
-const lookers = 12
+const (
+	// lookers is how many hosts look after a group at full rate.
+	lookers = 12
+	// claimants is how many of them may claim a group that nobody has, one after the other.
+	claimants = 3
+)
+
+// looks reports whether this host is among those that look after the group.
+func (r *roster) looks(group string) bool { return r.rank(group) < lookers }
 
-// looks reports whether this host is among those.
-func (r *roster) looks(group string) bool {
+// claims reports whether it is among those that may claim it first.
+func (r *roster) claims(group string) bool { return r.rank(group) < claimants }
+
+// rank returns how many hosts go before this one for the group.
+func (r *roster) rank(group string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.hosts) <= lookers {
-		return true
-	}
 	own := xxhash.Sum64String(r.self + "/" + group)
 	before := 0
 	for n := range r.hosts {
@@ -88,7 +97,7 @@
 			before++
 		}
 	}
-	return before < lookers
+	return before
 }
 
 func (r *roster) apply(l []Change[declarer.Host]) {
@@ -117,13 +126,41 @@
 	return l
 }
 
+// knows reports whether the host is listed as it is.
+func (r *roster) knows(h declarer.Host) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts[h.Name] == h
+}
+
 // registration enters this host into the store.
 type registration struct {
 	host *Host
 }
 
-// run tries until the store has taken the entry.
+// run enters the host once the hosts are listed: until then the store doesn't answer, and a
+// host that was killed may find its entry still there. At the first start of a deployment
+// it goes before the list, so that this has all hosts.
 func (r *registration) run(ctx context.Context) {
+	h := r.host
+	if h.FirstStart {
+		r.enter(ctx)
+		_ = scheduler.Pause(ctx, startSpread)
+		close(h.entered)
+		return
+	}
+	select {
+	case <-h.hosts.first:
+	case <-ctx.Done():
+		return
+	}
+	if !h.roster.knows(h.Self) {
+		r.enter(ctx)
+	}
+}
+
+// enter tries until the store has taken the entry.
+func (r *registration) enter(ctx context.Context) {
 	h := r.host
 	pause := firstBackoff
 	for ctx.Err() == nil {
