fix(proxy): renew a group's claim after each order

Cause: a claim serves for the server of its last order only, as a late order for another one would bear the same token. A host that had promoted once could so not promote a second server while the store was away, and the group stayed without a primary until it was back.

Change: once the order is over and the group needs nothing, the holder puts its claim anew for no server (one write a promotion, again every 2 s while the store is away); where another host has claimed since, it forgets its own.

TestLostPrimaryIsReplaced looks at the claim that was ordered by, no more at the last one, which is the renewed one now.

--- a/internal/proxy/runner/claims.go
+++ b/internal/proxy/runner/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
@@ -83,6 +84,29 @@
 	return p.held, true
 }
 
+// renew puts the claim anew for no server, once the order that it was made for is over. Where
+// the store is lost together with the next primary, the host could else not act, as its claim
+// serves for the server of the last order only.
+func (p *promoter) renew(ctx context.Context) {
+	if p.held.Server == "" || time.Since(p.renewed) < renewInterval {
+		return
+	}
+	p.renewed = time.Now()
+	x := p.held
+	x.Server = ""
+	c, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	n, err := p.host.Orderer.PutClaim(c, p.group, x)
+	switch {
+	case err == nil:
+		p.held = n
+		p.log.WithFields(log.Fields{"database-group": p.group, "token": n.Token}).Info("claim renewed")
+	case errors.Is(err, ErrOvertaken):
+		// Another host has it, or this call's answer was lost the last time.
+		p.held = Claim{}
+	}
+}
+
 func (p *promoter) claim(ctx context.Context) (Claim, error) {
 	c, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -52,6 +52,8 @@
 	leaseSlack = 200 * time.Millisecond
 	// claimInterval is the least time between two looks at the claim.
 	claimInterval = 200 * time.Millisecond
+	// renewInterval is the least time between two attempts to renew a claim.
+	renewInterval = 2 * time.Second
 	// leadTimeout bounds the wait until a promoted server leads.
 	leadTimeout = 4 * time.Second
 	leadStep    = 50 * time.Millisecond
@@ -69,6 +71,8 @@
 	probed time.Time
 	// held is this host's claim, if it made the last one it knows of.
 	held Claim
+	// renewed is when it was last put anew.
+	renewed time.Time
 	// needed says that the group needs another primary.
 	needed bool
 	// rival is the token of the claim that was found since, rivalAt when it was.
@@ -109,6 +113,7 @@
 	r := p.judge.Decide(s)
 	if r == successor.ReasonNone {
 		p.needed = false
+		p.renew(ctx)
 		return
 	}
 	if !p.needed {
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -37,6 +37,8 @@
 	mu      sync.Mutex
 	servers map[string]*state
 	claim   *Claim
+	// claims are all that were made, in order.
+	claims []Claim
 	// away makes all calls about claims fail, lost those that were carried out.
 	away, lost bool
 	// refuses makes promotions fail as fenced.
@@ -81,6 +83,7 @@
 	}
 	x.Token = present + 3
 	c.claim = &x
+	c.claims = append(c.claims, x)
 	if c.lost {
 		c.lost = false
 		return Claim{}, errors.New("answer lost")
@@ -217,8 +220,8 @@
 		if d := time.Since(began); d > 6*time.Second {
 			t.Errorf("took %s", d)
 		}
-		if c.claim.Holder != "h1" || c.claim.Server != "b" || c.claim.Above != 1 {
-			t.Errorf("claim %+v", c.claim)
+		if x := c.claims[0]; x.Holder != "h1" || x.Server != "b" || x.Above != 1 {
+			t.Errorf("claim %+v", x)
 		}
 	})
 }
@@ -363,6 +366,50 @@
 	})
 }
 
+// A host has promoted once, and the next primary is lost together with the store. Writes
+// would fail until the store is back if the claim served for the first server only.
+func TestClaimIsRenewedForTheNextLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.servers["a"].gone = true
+		p := promoterOf(c, "h1")
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+		steps(p, 5*time.Second)
+		first := *c.claim
+		if !c.servers["b"].primary || first.Server != "" {
+			t.Fatalf("steps %q, claim %+v", c.steps, first)
+		}
+		c.away = true
+		c.servers["a"].gone, c.servers["b"].gone = false, true
+		p.host.Board.Unreachable("db", "b", p.host.Board.Time(), keeper.ErrNoWay)
+		steps(p, 5*time.Second)
+		if len(c.steps) != 2 || c.servers["b"].primary || c.servers["a"].primary == c.servers["c"].primary {
+			t.Errorf("steps %q", c.steps)
+		}
+	})
+}
+
+// A host renews its claim after another one has made its own. The other's must stand, and
+// this host must not act on its old one any more.
+func TestRenewalGivesWayToAnotherClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		p := promoterOf(c, "h1")
+		if _, ok := win(p, "b"); !ok {
+			t.Fatal("claim not made")
+		}
+		x := *c.claim
+		x.Holder, x.Server = "h2", "c"
+		if _, err := c.PutClaim(t.Context(), "db", x); err != nil {
+			t.Fatal(err)
+		}
+		p.renew(t.Context())
+		if c.claim.Holder != "h2" || p.held != (Claim{}) {
+			t.Errorf("claim %+v, held %+v", c.claim, p.held)
+		}
+	})
+}
+
 // Another host holds the group's claim. It is let act first, as hosts that promote in
 // turn take the lead from one server after the other; where nothing comes of it, or the
 // holder has left, this host acts.
