fix(mirrorer): ask the store right after the host that was read from has failed

Change: after a failed wait the next list is the store's. A host that stays silent is written down once, not for each kind and attempt.

--- a/internal/proxy/mirrorer/selector.go
+++ b/internal/proxy/mirrorer/selector.go
@@ -39,11 +39,16 @@
 	reached uint64
 	// reads says that the last call was to the store.
 	reads bool
+	// failed says that the host that was read from has just failed. The store is asked then
+	// before another host is: to try one after the other could take longer than a change may
+	// stay unknown, where many hosts are cut off at once.
+	failed bool
 }
 
 // List returns all objects.
 func (s *Selector) List(ctx context.Context) (Page, error) {
-	if h, ok := s.Host(); ok {
+	h, ok := s.Host()
+	if ok && !s.failed {
 		c, cancel := context.WithTimeout(ctx, relaySlack)
 		defer cancel()
 		p, err := s.Relay.List(c, h, s.Kind)
@@ -55,7 +60,7 @@
 			return s.reach(p, nil)
 		}
 	}
-	s.reads = true
+	s.reads, s.failed = true, false
 	return s.reach(s.Mirror.List(ctx))
 }
 
@@ -72,8 +77,7 @@
 	return s.reach(s.Mirror.Watch(ctx, after, wait))
 }
 
-// watchRelay waits at another host. Where that fails the list is read anew, from
-// whichever host or store answers.
+// watchRelay waits at another host. Where that fails the list is read anew.
 func (s *Selector) watchRelay(ctx context.Context, h declarer.Host, after uint64, wait time.Duration) (Page, error) {
 	c, cancel := context.WithTimeout(ctx, wait+relaySlack)
 	defer cancel()
@@ -83,6 +87,7 @@
 		return s.reach(p, err)
 	}
 	s.Failed(h, s.Kind, err)
+	s.failed = true
 	return Page{}, errors.WithType(err, ErrForgotten)
 }
 
--- a/internal/proxy/runner/relays.go
+++ b/internal/proxy/runner/relays.go
@@ -70,14 +70,16 @@
 	return declarer.Host{}, false
 }
 
-// passOver leaves a host out for a while.
-func (r *roster) passOver(host string) {
+// passOver leaves a host out for a while, and reports whether it had answered before.
+func (r *roster) passOver(host string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.silent == nil {
 		r.silent = make(map[string]time.Time)
 	}
+	before := r.silent[host]
 	r.silent[host] = time.Now().Add(relaySilent)
+	return time.Since(before) > relaySilent
 }
 
 // RelayHost returns the host from which to read what the platform lists, false for the
@@ -86,6 +88,7 @@
 
 // RelayFailed notes a host that didn't answer, or can't vouch for what it has.
 func (h *Host) RelayFailed(x declarer.Host, kind string, err error) {
-	h.Log.WithError(err).WithFields(log.Fields{"host": x.Name, "kind": kind}).Warn("platform not read by way of another host")
-	h.roster.passOver(x.Name)
+	if h.roster.passOver(x.Name) {
+		h.Log.WithError(err).WithFields(log.Fields{"host": x.Name, "kind": kind}).Warn("platform not read by way of another host")
+	}
 }
