fix(keeper): open connections again after answers were lost

A connection that waited five seconds for a lost answer was counted as in use, so statements were taken to last seconds; all were refused for the expected wait; once the connections had broken none was opened, as refused statements don't count as waiting.

Change: a connection that is brought in order is out of use; a pool without a usable connection forgets what it has learnt; who is refused for the wait counts as wanting a connection.

The three tests fail with the change taken out.

--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -240,6 +240,10 @@
 	return q.service
 }
 
+// Forget drops what was learnt of service times, where the slots that it was learnt on are
+// gone: refused by it, no request could run and correct it.
+func (q *Queue) Forget() { q.service, q.deviation = 0, 0 }
+
 func (q *Queue) learn(d time.Duration) {
 	if q.service == 0 {
 		q.service = max(d, 1)
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -96,7 +96,10 @@
 	idle    []*Lease
 	open    int
 	opening int
-	closed  bool
+	// recovering are those of the open ones that nobody can use yet: an answer is still to
+	// come that nobody needs any more.
+	recovering int
+	closed     bool
 	// crowded is until when no connection is opened, crowdedFor how long that was.
 	crowded    time.Time
 	crowdedFor time.Duration
@@ -148,10 +151,19 @@
 	if p.closed {
 		return ErrClosed
 	}
-	p.queue.Slots = p.open
+	if p.usable() == 0 {
+		p.queue.Forget()
+	}
+	p.queue.Slots = p.usable()
 	p.queue.Offer(e, sinceEpoch(time.Now()))
+	// Whoever is refused for the wait would have waited if there were more connections.
+	wanted := e.State == admitter.StateRefused && (e.Reason == admitter.ReasonExpectedWait || e.Reason == admitter.ReasonQueueFull)
 	p.settle()
-	p.grow()
+	if wanted {
+		p.growFor(p.queue.Waiting() + 1)
+	} else {
+		p.grow()
+	}
 	return nil
 }
 
@@ -194,32 +206,38 @@
 	return nil, errors.Annotatef(ErrRefused, "server %s: its connections ended", p.Server.ID)
 }
 
+// usable is how many connections may be lent. The mutex is held.
+func (p *Pool) usable() int { return p.open - p.recovering }
+
 // drop forgets a connection. The mutex is held.
 func (p *Pool) drop(l *Lease) {
 	l.Close()
 	p.open--
-	p.queue.Slots = p.open
+	p.queue.Slots = p.usable()
 }
 
 // grow opens a connection for those who wait. The mutex is held.
-func (p *Pool) grow() {
-	if p.closed || p.queue.Waiting() <= p.opening || p.open+p.opening >= p.Limit {
+func (p *Pool) grow() { p.growFor(p.queue.Waiting()) }
+
+// growFor opens a connection if so many who want one make it worth it. The mutex is held.
+func (p *Pool) growFor(wanting int) {
+	if p.closed || wanting <= p.opening || p.open+p.opening >= p.Limit {
 		return
 	}
-	if !p.Eager && (p.opening > 0 || time.Now().Before(p.crowded) || !p.worth()) {
+	if !p.Eager && (p.opening > 0 || time.Now().Before(p.crowded) || !p.worth(wanting)) {
 		return
 	}
 	p.opening++
 	go p.run()
 }
 
-// worth reports whether those who wait would wait longer than another connection
-// costs. The mutex is held.
-func (p *Pool) worth() bool {
-	if p.open == 0 {
+// worth reports whether so many would wait longer than another connection costs. The mutex
+// is held.
+func (p *Pool) worth(wanting int) bool {
+	if p.usable() == 0 {
 		return true
 	}
-	return time.Duration(p.queue.Waiting())*p.queue.ServiceTime()/time.Duration(p.open) > growWait
+	return time.Duration(wanting)*p.queue.ServiceTime()/time.Duration(p.usable()) > growWait
 }
 
 // run opens one connection.
@@ -286,7 +304,7 @@
 
 // adjust gives out what has become free. The mutex is held.
 func (p *Pool) adjust() {
-	p.queue.Slots = p.open
+	p.queue.Slots = p.usable()
 	p.queue.Adjust(sinceEpoch(time.Now()))
 	p.settle()
 	p.grow()
@@ -303,12 +321,41 @@
 	} else {
 		p.idle = append(p.idle, l)
 	}
-	p.queue.Slots = p.open
+	p.queue.Slots = p.usable()
 	p.queue.Release(e, sinceEpoch(l.used))
 	p.settle()
 	p.grow()
 }
 
+// suspend ends a use of a connection that has to be brought in order before the next one.
+// The time which that takes isn't the use's: counted, it would have the queue believe that
+// statements take seconds, and refuse those that have less.
+func (p *Pool) suspend(l *Lease) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := l.entry
+	l.entry = nil
+	p.recovering++
+	p.queue.Slots = p.usable()
+	p.queue.Release(e, sinceEpoch(time.Now()))
+	p.settle()
+	p.grow()
+}
+
+// restore takes such a connection back.
+func (p *Pool) restore(l *Lease, broken bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recovering--
+	l.used = time.Now()
+	if broken || p.closed {
+		p.drop(l)
+	} else {
+		p.idle = append(p.idle, l)
+	}
+	p.adjust()
+}
+
 // Trim closes what has been idle for long, but for the last connection.
 func (p *Pool) Trim(now time.Time) {
 	p.mu.Lock()
--- a/internal/proxy/keeper/keeper_test.go
+++ b/internal/proxy/keeper/keeper_test.go
@@ -28,6 +28,8 @@
 	open        int
 	unreachable int
 	sent        []declarer.Verb
+	// late is how long an answer takes.
+	late time.Duration
 }
 
 func (f *fake) Dial(context.Context, declarer.Server) (Connection, marker.Mark, error) {
@@ -68,6 +70,8 @@
 }
 
 func (l *link) Send(r []declarer.Request, _ time.Time) error {
+	l.fake.mu.Lock()
+	defer l.fake.mu.Unlock()
 	for _, x := range r {
 		l.fake.sent = append(l.fake.sent, x.Verb)
 		if x.Verb == declarer.VerbRollback {
@@ -79,7 +83,7 @@
 }
 
 func (l *link) Receive(a *declarer.Answer, _ time.Time) error {
-	time.Sleep(opening)
+	time.Sleep(max(opening, l.fake.late))
 	l.owed--
 	a.State = l.state
 	return l.err
@@ -112,6 +116,85 @@
 	return l
 }
 
+// A server runs statements and their answers are lost, so that each takes as long as its
+// caller waits. After that the last connection breaks. If nobody may wait since the next
+// statement can't be expected to be faster, no connection is ever opened again, and the
+// callers of this host are refused for good though the server is well.
+func TestSlowTimesDoNotKeepPoolClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{limit: 16}
+		p := newPool(f)
+		for range 40 {
+			l := acquire(t, p)
+			time.Sleep(800 * time.Millisecond)
+			l.Release(false)
+		}
+		l := acquire(t, p)
+		l.Release(true)
+		if f.open != 0 {
+			t.Fatalf("%d connections open", f.open)
+		}
+		l, err := p.Acquire(ask(500 * time.Millisecond))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Release(false)
+	})
+}
+
+// All of a host's connections are in long transactions, so that nobody is expected to get
+// one in time. Those who are refused need another connection as much as those who wait.
+func TestRefusedCallersHaveConnectionOpened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{limit: 16}
+		p := newPool(f)
+		for range 40 {
+			l := acquire(t, p)
+			time.Sleep(800 * time.Millisecond)
+			l.Release(false)
+		}
+		held := acquire(t, p)
+		if _, err := p.Acquire(ask(500 * time.Millisecond)); !errors.Is(err, ErrRefused) {
+			t.Fatalf("error %v", err)
+		}
+		time.Sleep(2 * opening)
+		l, err := p.Acquire(ask(500 * time.Millisecond))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Release(false)
+		held.Release(false)
+	})
+}
+
+// An answer comes four seconds late. The next callers of the server must get another
+// connection meanwhile, and the wait for the late answer mustn't count as a time that
+// statements take.
+func TestRecoveryIsNoServiceTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{limit: 16, late: 4 * time.Second}
+		p := newPool(f)
+		l := acquire(t, p)
+		_ = l.Send([]declarer.Request{{Verb: declarer.VerbRead}}, time.Now().Add(time.Second))
+		l.Release(false)
+		l = acquire(t, p)
+		if f.open != 2 {
+			t.Errorf("%d connections open, want 2", f.open)
+		}
+		time.Sleep(10 * time.Millisecond)
+		l.Release(false)
+		time.Sleep(5 * time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if d := p.queue.ServiceTime(); d > 100*time.Millisecond {
+			t.Errorf("statements are taken to last %v", d)
+		}
+		if p.usable() != 2 || len(p.idle) != 2 {
+			t.Errorf("%d usable connections, %d idle, want both of them", p.usable(), len(p.idle))
+		}
+	})
+}
+
 // All hosts have started again and each has a backlog of callers. A host that opens as
 // many connections as it has callers takes all that the server allows, and callers of
 // the other hosts are refused until that host has no more use for them.
--- a/internal/proxy/keeper/lease.go
+++ b/internal/proxy/keeper/lease.go
@@ -57,6 +57,7 @@
 	case broken:
 		p.finish(l, true)
 	case l.Owed() > 0 || l.State != declarer.StateIdle:
+		p.suspend(l)
 		go l.run()
 	default:
 		p.finish(l, false)
@@ -78,7 +79,7 @@
 
 // run waits for what is owed, and rolls back what is open.
 func (l *Lease) run() {
-	l.pool.finish(l, l.recover() != nil)
+	l.pool.restore(l, l.recover() != nil)
 }
 
 func (l *Lease) recover() error {
