--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN ?= $(shell go env GOPATH)/bin
 GOLANGCI_LINT := $(GOBIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
 
-.PHONY: test format vet lint race build fuzz golden
+.PHONY: test format vet lint race build fuzz golden soak
 
 ## test runs everything that CI runs.
 test: format vet lint race build
@@ -31,3 +31,7 @@
 ## golden rewrites the golden files from the present output.
 golden:
 	go test ./... -update
+
+## soak soaks fifty fresh seeds in real processes, five at a time.
+soak:
+	@s=$$(date +%s); echo "first seed $$s"; go test ./internal/soak/runner -run TestSoak -soak.seeds 50 -soak.first $$s -parallel 5 -timeout 30m -v
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -85,7 +85,7 @@
 	Server   declarer.Server
 	Dialer   Dialer
 	Observer Observer
-	// Limit is the most connections that this host may open.
+	// Limit is the most connections that this host may open. Resize changes it later.
 	Limit int
 	// Eager opens a connection for whoever waits: those to another entry host take
 	// nothing of the server's.
@@ -356,6 +356,18 @@
 	p.adjust()
 }
 
+// Resize changes how many connections may be open: a host comes to own a server's
+// connections, or doesn't any more. What is open beyond is closed once it is idle.
+func (p *Pool) Resize(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit == p.Limit {
+		return
+	}
+	p.Limit = limit
+	p.grow()
+}
+
 // Trim closes what has been idle for long, but for the last connection.
 func (p *Pool) Trim(now time.Time) {
 	p.mu.Lock()
@@ -364,7 +376,7 @@
 	if p.Eager {
 		keep = linkIdleFor
 	}
-	for len(p.idle) > 0 && p.open > 1 && now.Sub(p.idle[0].used) > keep {
+	for len(p.idle) > 0 && p.open > 1 && (p.open > p.Limit || now.Sub(p.idle[0].used) > keep) {
 		l := p.idle[0]
 		p.idle = p.idle[1:]
 		p.drop(l)
--- a/internal/proxy/keeper/keeper_test.go
+++ b/internal/proxy/keeper/keeper_test.go
@@ -195,6 +195,31 @@
 	})
 }
 
+// A host comes to own a server's connections after it had two of its own. Kept to two, it
+// would be the narrowest place of the whole group; and once another host owns them, what
+// it has open beyond its share must go.
+func TestResizedPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{limit: 16}
+		p := newPool(f)
+		p.Limit = 1
+		l := acquire(t, p)
+		time.Sleep(200 * time.Millisecond) // so that another connection is worth it
+		l.Release(false)
+		held := acquire(t, p)
+		p.Resize(3)
+		second, third := acquire(t, p), acquire(t, p)
+		for _, l := range []*Lease{held, second, third} {
+			l.Release(false)
+		}
+		p.Resize(1)
+		p.Trim(time.Now())
+		if f.open != 1 {
+			t.Errorf("%d connections open, want 1", f.open)
+		}
+	})
+}
+
 // All hosts have started again and each has a backlog of callers. A host that opens as
 // many connections as it has callers takes all that the server allows, and callers of
 // the other hosts are refused until that host has no more use for them.
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -91,12 +91,19 @@
 	if !ok {
 		return nil
 	}
+	n := p.share(s)
+	o := p.keep(way{server: id}, &keeper.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: n})
+	o.Resize(n)
+	return o
+}
+
+// share returns how many connections to the server this host may open.
+func (p *pools) share(s declarer.Server) int {
 	n := p.limit(s.Group)
-	limit := max(leastShare, n/hostShare)
 	if o, ok := p.owner(s); ok && o.Name == p.self {
-		limit = max(leastShare, n-reserve)
+		return max(leastShare, n-reserve)
 	}
-	return p.keep(way{server: id}, &keeper.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit})
+	return max(leastShare, n/hostShare)
 }
 
 // borrowed returns the links to the owner.
