--- a/internal/proxy/mirrorer/selector.go
+++ b/internal/proxy/mirrorer/selector.go
@@ -15,6 +15,10 @@
 	relayWait = time.Second
 	// relaySlack is what such a call may take longer.
 	relaySlack = 300 * time.Millisecond
+	// relayList bounds the reading of a list by way of another host, which is in the same
+	// zone. One without power doesn't even refuse: a host that starts would take callers as
+	// much later as it waits, while the store answers in a few milliseconds.
+	relayList = 100 * time.Millisecond
 )
 
 // Relay reads from another host's mirrors.
@@ -49,7 +53,7 @@
 func (s *Selector) List(ctx context.Context) (Page, error) {
 	h, ok := s.Host()
 	if ok && !s.failed {
-		c, cancel := context.WithTimeout(ctx, relaySlack)
+		c, cancel := context.WithTimeout(ctx, relayList)
 		defer cancel()
 		p, err := s.Relay.List(c, h, s.Kind)
 		switch {
