feat(reporter): calls to the platform, ages of beliefs and phases of a failover as metrics

Cause: left of the issue on explaining failures: what a host believes could only be seen in its log, and how old that is not at all; calls to the platform, which it counts, were counted nowhere.

Change: counters of calls by method, kind and result; gauges of how long ago the configuration, the servers and the hosts were confirmed and the oldest primary proved its position; groups without a primary; a histogram of the phases of a promotion. The board keeps when each section was confirmed.

Ruled out: labels by group (2,800 of them).

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -38,6 +38,8 @@
 type Assembler struct {
 	Settings  platform.Settings
 	LogOutput io.Writer
+
+	store *platform.Store
 }
 
 // Run serves until drain is closed and the host has drained.
@@ -56,12 +58,18 @@
 // serve runs the host beside its metrics.
 func (a *Assembler) serve(ctx context.Context, drain <-chan struct{}, e *encoder.Encoder) error {
 	h := a.host(e)
-	m := reporter.NewMetrics(reporter.Gauges{Sessions: h.Sessions, Dropped: e.Dropped, Configuration: func() uint64 {
-		if c := h.Board.Configuration(); c != nil {
-			return c.Version
-		}
-		return 0
-	}})
+	m := reporter.NewMetrics(reporter.Gauges{
+		Sessions: h.Sessions, Dropped: e.Dropped,
+		Configuration: func() uint64 {
+			if c := h.Board.Configuration(); c != nil {
+				return c.Version
+			}
+			return 0
+		},
+		Age:         h.Board.Age,
+		PositionAge: h.Board.PositionAge, Leaderless: h.Board.Leaderless,
+	})
+	a.store.Called = m.PlatformCall
 	h.Counter = m
 	h.Reporter = &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
 	l, err := net.Listen("tcp4", a.Settings.MetricsAddress())
@@ -108,6 +116,7 @@
 	s := a.Settings
 	l := &log.Logger{Handler: e, Level: log.InfoLevel}
 	store := platform.NewStore(s.StoreAddress)
+	a.store = store
 	faulty := func(err error) { l.WithError(err).Warn("object left out") }
 	f := &feeder{store: store, relay: &platform.Feeds{}, mirrors: make(map[string]*mirrorer.Mirror)}
 	h := &runner.Host{
--- a/internal/proxy/blackboard/blackboard.go
+++ b/internal/proxy/blackboard/blackboard.go
@@ -16,6 +16,17 @@
 	"github.com/cuminwick/cuminwick/internal/route/chooser"
 )
 
+// Section is a part of the board that is read from the platform.
+type Section uint8
+
+// Sections.
+const (
+	SectionConfiguration Section = iota
+	SectionServers
+	SectionHosts
+	sections
+)
+
 // Board is the blackboard. Its exported fields are set before use.
 type Board struct {
 	// Zone and Region are this host's, Regions tells where the zones are.
@@ -30,6 +41,8 @@
 	mu      sync.Mutex
 	groups  map[string]*viewer.Group
 	changed chan struct{}
+	// confirmed is when each section was last confirmed, zero for never.
+	confirmed [sections]time.Duration
 }
 
 // Time returns the time on the board's clock.
@@ -103,6 +116,51 @@
 	return l
 }
 
+// Confirm notes that the platform has just confirmed a section, directly or by way of another
+// host.
+func (b *Board) Confirm(s Section) {
+	now := b.Time()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.confirmed[s] = now
+}
+
+// Age returns how long ago a section was last confirmed.
+func (b *Board) Age(s Section) time.Duration {
+	now := b.Time()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now - b.confirmed[s]
+}
+
+// Leaderless returns how many groups have no known primary.
+func (b *Board) Leaderless() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, g := range b.groups {
+		if g.Primary() == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// PositionAge returns how long ago the primary whose position is oldest proved it, zero if
+// none has. Reads that may be of an age need one that is younger.
+func (b *Board) PositionAge() time.Duration {
+	now := b.Time()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var d time.Duration
+	for _, g := range b.groups {
+		if l, ok := g.Latest(); ok {
+			d = max(d, now-l.Asked)
+		}
+	}
+	return d
+}
+
 // Led notes a proof that the server leads its group.
 func (b *Board) Led(group, server string, asked time.Duration, m marker.Mark) {
 	b.mu.Lock()
--- a/internal/proxy/blackboard/blackboard_test.go
+++ b/internal/proxy/blackboard/blackboard_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
@@ -20,3 +22,23 @@
 		}
 	}
 }
+
+// Operators are to see from outside what a host believes and how old that is.
+func TestAgesOfBeliefs(t *testing.T) {
+	now := time.Hour
+	b := &Board{Now: func() time.Duration { return now }}
+	b.TakeServers([]declarer.Server{{ID: "a", Group: "g", Primary: true}, {ID: "b", Group: "h"}})
+	if n, d := b.Leaderless(), b.PositionAge(); n != 1 || d != 0 {
+		t.Errorf("%d groups without a primary, age %v", n, d)
+	}
+	b.Confirm(SectionServers)
+	b.Led("g", "a", now, marker.Mark{Term: 1, Position: 1})
+	now += 3 * time.Second
+	b.Led("h", "b", now, marker.Mark{Term: 1, Position: 1})
+	if d := b.Age(SectionServers); d != 3*time.Second {
+		t.Errorf("servers confirmed %v ago", d)
+	}
+	if n, d := b.Leaderless(), b.PositionAge(); n != 0 || d != 3*time.Second {
+		t.Errorf("%d groups without a primary, age %v", n, d)
+	}
+}
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -1,8 +1,11 @@
 package reporter
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 )
 
@@ -18,6 +21,8 @@
 	attempts   prometheus.Counter
 	promotions *prometheus.CounterVec
 	losses     *prometheus.CounterVec
+	calls      *prometheus.CounterVec
+	phases     *prometheus.HistogramVec
 }
 
 // buckets are those of latencies, from 0.5 ms to 8 s.
@@ -33,6 +38,13 @@
 	Configuration func() uint64
 	// Dropped are the log lines that found their queue full.
 	Dropped func() uint64
+	// Age is how long ago what the platform lists was last confirmed, directly or by way of
+	// another host.
+	Age func(blackboard.Section) time.Duration
+	// PositionAge is how long ago the primary whose position is oldest proved it.
+	PositionAge func() time.Duration
+	// Leaderless are the groups without a known primary.
+	Leaderless func() int
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -45,9 +57,16 @@
 	m.attempts = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "attempts_total", Help: "Statements sent to servers, repeated ones included."})
 	m.promotions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "promotions_total", Help: "Promotions that this host ordered, by reason and result: done, refused or unconfirmed."}, []string{"reason", "result"})
 	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_losses_total", Help: "Times that the platform stopped answering, by kind of object."}, []string{"kind"})
-	m.Registry.MustRegister(m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
+	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_calls_total", Help: "Calls to the platform, by method, kind of object and result: answered, conflict, unavailable or failed."}, []string{"method", "kind", "result"})
+	m.phases = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "failover_phase_seconds", Help: "Phases of promotions that this host ordered: from the need to the order, and from the order to the lead.", Buckets: buckets}, []string{"phase"})
+	m.Registry.MustRegister(m.calls, m.phases, m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
 	m.gauge("sessions", "Sessions that are served.", func() float64 { return float64(g.Sessions()) })
 	m.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.Configuration()) })
+	m.gauge("configuration_age_seconds", "Time since the configuration was last confirmed.", func() float64 { return g.Age(blackboard.SectionConfiguration).Seconds() })
+	m.gauge("servers_age_seconds", "Time since the list of servers was last confirmed.", func() float64 { return g.Age(blackboard.SectionServers).Seconds() })
+	m.gauge("hosts_age_seconds", "Time since the list of entry hosts was last confirmed.", func() float64 { return g.Age(blackboard.SectionHosts).Seconds() })
+	m.gauge("primary_position_age_seconds", "Time since the primary whose position is oldest proved it.", func() float64 { return g.PositionAge().Seconds() })
+	m.gauge("groups_without_primary", "Database groups without a known primary.", func() float64 { return float64(g.Leaderless()) })
 	m.gauge("log_lines_dropped", "Log lines that found their queue full.", func() float64 { return float64(g.Dropped()) })
 	return m
 }
@@ -76,3 +95,13 @@
 func (m *Metrics) PlatformLost(kind string) {
 	m.losses.WithLabelValues(kind).Inc()
 }
+
+// PlatformCall counts a call to the platform.
+func (m *Metrics) PlatformCall(method, kind, result string) {
+	m.calls.WithLabelValues(method, kind, result).Inc()
+}
+
+// Phase notes how long a phase of a promotion took.
+func (m *Metrics) Phase(phase string, d time.Duration) {
+	m.phases.WithLabelValues(phase).Observe(d.Seconds())
+}
--- a/internal/proxy/reporter/reporter_test.go
+++ b/internal/proxy/reporter/reporter_test.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/cuminwick/cuminwick/internal/log/encoder"
+	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 )
@@ -22,7 +23,11 @@
 }
 
 func metrics() *Metrics {
-	return NewMetrics(Gauges{Sessions: func() int { return 3 }, Configuration: func() uint64 { return 7 }, Dropped: func() uint64 { return 0 }})
+	age := func() time.Duration { return 1500 * time.Millisecond }
+	return NewMetrics(Gauges{
+		Sessions: func() int { return 3 }, Configuration: func() uint64 { return 7 }, Dropped: func() uint64 { return 0 },
+		Age: func(blackboard.Section) time.Duration { return age() }, PositionAge: age, Leaderless: func() int { return 2 },
+	})
 }
 
 // The collector of logs has stopped reading. Callers mustn't wait for it, memory must
@@ -69,9 +74,11 @@
 	m := metrics()
 	m.Promotion("primary-absent", "done")
 	m.PlatformLost("servers")
+	m.PlatformCall("GET", "servers", "answered")
+	m.Phase("order-to-lead", time.Second)
 	m.statement(&executor.Report{Verb: declarer.VerbRead, Server: "i-1"}, outcomes[declarer.CodeNone])
 	n, err := testutil.GatherAndCount(m.Registry)
-	if err != nil || n < 10 {
+	if err != nil || n < 17 {
 		t.Errorf("%d metrics, %v", n, err)
 	}
 	if p, err := testutil.GatherAndLint(m.Registry); err != nil || len(p) > 0 {
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -56,9 +56,11 @@
 	after    <-chan struct{}
 	patience time.Duration
 	// first is closed with the first list.
-	first   chan struct{}
-	listed  atomic.Bool
-	failing bool
+	first chan struct{}
+	// confirmed is told of each answer.
+	confirmed func()
+	listed    atomic.Bool
+	failing   bool
 }
 
 // run lists and watches until ctx ends.
@@ -78,6 +80,7 @@
 		case err == nil:
 			fresh = true
 			f.gate.answered()
+			f.confirmed()
 		case errors.Is(err, mirrorer.ErrForgotten):
 			fresh = false
 		default:
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -150,6 +150,8 @@
 
 // Counter counts what isn't a statement.
 type Counter interface {
+	// Phase notes how long a phase of a promotion took.
+	Phase(phase string, d time.Duration)
 	Promotion(reason, result string)
 	PlatformLost(kind string)
 }
@@ -191,7 +193,7 @@
 	h.prober = prober{dialer: &h.detours, parse: h.ParseStatus}
 	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.detours, observer: h, roster: &h.roster, link: h.Link}
 	h.hosts = follower[declarer.Host]{
-		name: "entry hosts", source: h.Hosts, wait: hostsWait, first: make(chan struct{}), gate: &h.gate,
+		name: "entry hosts", source: h.Hosts, wait: hostsWait, first: make(chan struct{}), gate: &h.gate, confirmed: h.confirms(blackboard.SectionHosts),
 		reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost,
 	}
 	if h.FirstStart {
@@ -201,15 +203,22 @@
 	h.observer = executor.Observer{Board: h.Board, Pools: &h.pools}
 	h.catalogue = catalogue{publish: h.publish}
 	h.configurations = follower[*declarer.Configuration]{
-		name: "configuration", source: h.Configurations, wait: h.configurationWait(), after: h.hosts.first, patience: listPatience, gate: &h.gate,
+		name: "configuration", source: h.Configurations, wait: h.configurationWait(), after: h.hosts.first, patience: listPatience,
+		gate: &h.gate, confirmed: h.confirms(blackboard.SectionConfiguration),
 		reset: h.configure, apply: h.reconfigure, log: h.Log, lost: h.Counter.PlatformLost,
 	}
 	h.servers = follower[declarer.Server]{
-		name: "servers", source: h.Servers, wait: h.serversWait(), after: h.hosts.first, patience: listPatience, gate: &h.gate,
+		name: "servers", source: h.Servers, wait: h.serversWait(), after: h.hosts.first, patience: listPatience,
+		gate: &h.gate, confirmed: h.confirms(blackboard.SectionServers),
 		reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log, lost: h.Counter.PlatformLost,
 	}
 }
 
+// confirms returns what notes on the board that a section was confirmed.
+func (h *Host) confirms(s blackboard.Section) func() {
+	return func() { h.Board.Confirm(s) }
+}
+
 func (h *Host) start(ctx context.Context, callers, readiness net.Listener) {
 	m := http.NewServeMux()
 	m.HandleFunc(h.ReadinessPath, h.answerReadiness)
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -75,6 +75,8 @@
 	renewed time.Time
 	// needed says that the group needs another primary.
 	needed bool
+	// neededAt is since when.
+	neededAt time.Time
 	// rival is the token of the claim that was found since, rivalAt when it was.
 	rival   uint64
 	rivalAt time.Time
@@ -118,6 +120,7 @@
 	}
 	if !p.needed {
 		p.needed, p.warned, p.blind, p.rivalAt = true, false, false, time.Time{}
+		p.neededAt = time.Now()
 	}
 	if time.Since(p.looked) >= claimInterval {
 		p.looked = time.Now()
@@ -183,6 +186,7 @@
 		return
 	}
 	l = l.WithFields(log.Fields{"heir": heir.Server.ID, "position": heir.Status.Received.String(), "token": claim.Token, "above": claim.Above})
+	p.host.Counter.Phase(phaseDecide, time.Since(p.neededAt))
 	if r == successor.ReasonLeaving {
 		p.stepDown(ctx, s.Primary.Server, heir, claim.Above, l)
 	}
@@ -212,6 +216,14 @@
 	l.WithField("want", s.Received.String()).Warn("heir did not catch up")
 }
 
+// Phases of a promotion.
+const (
+	// phaseDecide is from the need, which shows within a second of the loss, to the order.
+	phaseDecide = "need-to-order"
+	// phaseLead is from the order to the lead.
+	phaseLead = "order-to-lead"
+)
+
 // Results of an order.
 const (
 	resultDone        = "done"
@@ -233,6 +245,7 @@
 			l.WithError(err).Warn("promotion not answered")
 		}
 		if p.awaitLead(ctx, s, began) {
+			p.host.Counter.Phase(phaseLead, time.Since(began))
 			l.WithField("took", time.Since(began).String()).Info("promotion done")
 			return resultDone
 		}
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -46,6 +46,8 @@
 	// heard says that other hosts hear from servers that this one doesn't reach.
 	heard bool
 	steps []string
+	// phases are the times of promotions by phase.
+	phases map[string]time.Duration
 }
 
 func newCluster() *cluster {
@@ -130,7 +132,17 @@
 }
 
 func (c *cluster) Promotion(string, string) {}
-func (c *cluster) PlatformLost(string)      {}
+
+func (c *cluster) Phase(phase string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phases == nil {
+		c.phases = make(map[string]time.Duration)
+	}
+	c.phases[phase] += d
+}
+
+func (c *cluster) PlatformLost(string) {}
 
 func (c *cluster) hosts() []declarer.Host {
 	var l []declarer.Host
@@ -220,6 +232,9 @@
 		if d := time.Since(began); d > 6*time.Second {
 			t.Errorf("took %s", d)
 		}
+		if c.phases[phaseDecide] > 2*time.Second || c.phases[phaseLead] > time.Second || len(c.phases) != 2 {
+			t.Errorf("phases %v", c.phases)
+		}
 		if x := c.claims[0]; x.Holder != "h1" || x.Server != "b" || x.Above != 1 {
 			t.Errorf("claim %+v", x)
 		}
