feat(commander): say on SIGHUP whether the settings are valid and what they would change

Cause: SIGHUP was ignored, and an operator who had changed a settings file learnt of a typing error with the next start only. Ruled out: taking a part over while callers are served, as each setting is bound to sockets, pools or limits of the start; a part in force would be neither old nor new.

Change: the file is read anew and the log says unchanged, changed with the names (in force with the next start), or not valid. Before: nothing was said.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -38,6 +38,9 @@
 type Assembler struct {
 	Settings  platform.Settings
 	LogOutput io.Writer
+	// Reload, if it isn't nil, asks for the settings to be read anew by Load.
+	Reload <-chan struct{}
+	Load   func() (platform.Settings, error)
 
 	store *platform.Store
 }
@@ -72,6 +75,9 @@
 	a.store.Called = m.PlatformCall
 	h.Counter = m
 	h.Reporter = &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
+	if a.Reload != nil {
+		go (&reloader{current: a.Settings, load: a.Load, asked: a.Reload, log: h.Log}).run(ctx)
+	}
 	l, err := net.Listen("tcp4", a.Settings.MetricsAddress())
 	if err != nil {
 		return errors.Annotate(err, "listen for metrics")
--- a/internal/proxy/commander/serve.go
+++ b/internal/proxy/commander/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -13,8 +14,8 @@
 // serve runs an entry host. Its settings are in the file that the environment names.
 type serve struct{}
 
-// run serves until SIGTERM and then drains. SIGHUP changes nothing: what the settings
-// say of this host doesn't change while it runs.
+// run serves until SIGTERM and then drains. SIGHUP has the settings read anew and the log say
+// what they would change; what a host is doesn't change while it runs.
 func (*serve) run(out io.Writer) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
@@ -22,7 +23,22 @@
 	}
 	c, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	h := &assembler.Assembler{Settings: s, LogOutput: out}
+	signal.Ignore(syscall.SIGPIPE)
+	r := &relay{signals: make(chan os.Signal, 1), asked: make(chan struct{})}
+	signal.Notify(r.signals, syscall.SIGHUP)
+	go r.run()
+	h := &assembler.Assembler{Settings: s, LogOutput: out, Reload: r.asked, Load: platform.LoadSettings}
 	return h.Run(context.Background(), c.Done())
 }
+
+// relay passes signals on as questions.
+type relay struct {
+	signals chan os.Signal
+	asked   chan struct{}
+}
+
+func (r *relay) run() {
+	for range r.signals {
+		r.asked <- struct{}{}
+	}
+}
