--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -26,37 +26,14 @@
 )
 
 const (
-	// rotation is how long the balancer may send new connections after the host has
-	// said that it isn't ready: it asks once a second and twice before it believes.
-	rotation = 2200 * time.Millisecond
-	// exitSpare is what is left of the grace for the process to end.
-	exitSpare = 500 * time.Millisecond
-	// boundShare is the part, in tenths, of the time allowed for a change that one
-	// waiting call may last: a watch gone silent is noticed then, and the change is read
-	// anew in what is left.
-	boundShare = 6
-	// hostsWait is how long a call that waits for other entry hosts lasts. One that has
-	// gone is found out by asking it.
-	hostsWait = 15 * time.Second
-	// firstServersRest to longestHostsRest are the pauses after changes. Which server leads
-	// matters within a fraction of a second, which hosts there are doesn't.
-	firstServersRest   = 50 * time.Millisecond
-	longestServersRest = 400 * time.Millisecond
-	firstHostsRest     = 500 * time.Millisecond
-	longestHostsRest   = 2 * time.Second
 	// listPatience bounds the wait for the list of entry hosts before the other lists are
 	// asked for: an answer of the store takes milliseconds, and where the store is away
 	// nothing can be read anyway.
 	listPatience = 300 * time.Millisecond
-	// startSpread is within which all hosts of a deployment start that starts for the
-	// first time, with what it takes each to enter the store.
-	startSpread = 400 * time.Millisecond
 	// entryPatience bounds the wait for a host's own entry at such a start.
 	entryPatience = time.Second
 	// trimInterval is how often unused connections are looked for.
 	trimInterval = 500 * time.Millisecond
-	// drainStep is how often a draining host looks whether all sessions have ended.
-	drainStep = 50 * time.Millisecond
 )
 
 // Host is one entry host. Its exported fields are set before Run.
@@ -122,32 +99,6 @@
 	running context.Context
 }
 
-// Pace says how one kind of object is read from the store.
-type Pace struct {
-	// Trust is how long after an answer of the store what was read counts as current: as
-	// long as the next waiting call may last.
-	Trust time.Duration
-	// FirstRest and LongestRest bound the pause after changes.
-	FirstRest, LongestRest time.Duration
-}
-
-// ConfigurationPace is how the configuration is read.
-func (h *Host) ConfigurationPace() Pace { return Pace{Trust: h.configurationWait() + watchSlack} }
-
-// ServersPace is how the servers are read.
-func (h *Host) ServersPace() Pace {
-	return Pace{Trust: h.serversWait() + watchSlack, FirstRest: firstServersRest, LongestRest: longestServersRest}
-}
-
-// HostsPace is how the entry hosts are read.
-func (h *Host) HostsPace() Pace {
-	return Pace{Trust: hostsWait + watchSlack, FirstRest: firstHostsRest, LongestRest: longestHostsRest}
-}
-
-func (h *Host) configurationWait() time.Duration { return h.ConfigurationBound * boundShare / 10 }
-
-func (h *Host) serversWait() time.Duration { return h.DrainBound * boundShare / 10 }
-
 // Counter counts what isn't a statement.
 type Counter interface {
 	// Phase notes how long a phase of a promotion took.
@@ -327,123 +278,3 @@
 func (h *Host) Unreachable(s declarer.Server, err error) {
 	h.Board.Unreachable(s.Group, s.ID, h.Board.Time(), err)
 }
-
-// lend serves a host that borrows this host's connections to a server.
-func (h *Host) lend(c net.Conn, server string) {
-	l := &lender.Link{
-		Borrower: h.Borrower(c),
-		Lent:     &h.lent,
-		Pool:     func() *keeper.Pool { return h.pools.own(server) },
-		Answered: func() {
-			s, ok := h.pools.find(server)
-			if ok {
-				h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(server, h.Board.Time(), 0, marker.Mark{}) })
-			}
-		},
-	}
-	l.Run()
-}
-
-// aliveFor is how long a server's last answer counts as a sign of life.
-const aliveFor = 500 * time.Millisecond
-
-// alive reports whether the server has answered this host a moment ago.
-func (h *Host) alive(s declarer.Server) bool {
-	alive := false
-	h.Board.Do(s.Group, func(g *viewer.Group) {
-		x := g.Find(s.ID)
-		alive = x != nil && x.AnsweredAt != 0 && h.Board.Time()-x.AnsweredAt < aliveFor
-	})
-	return alive
-}
-
-// acceptor takes callers.
-type acceptor struct {
-	host     *Host
-	listener net.Listener
-}
-
-// acceptPause is waited after a failed accept, such as for want of descriptors.
-const acceptPause = 10 * time.Millisecond
-
-func (a *acceptor) run() {
-	for {
-		c, err := a.listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case err != nil:
-			a.host.Log.WithError(err).Warn("caller not accepted")
-			time.Sleep(acceptPause)
-		default:
-			a.host.serve(c)
-		}
-	}
-}
-
-func (h *Host) serve(c net.Conn) {
-	s := &executor.Session{Caller: h.Accept(c), Board: h.Board, Pools: &h.pools, Observer: &h.observer, Reporter: h.Reporter, Ready: h.ready}
-	h.mu.Lock()
-	h.sessions[s] = struct{}{}
-	h.mu.Unlock()
-	go (&service{host: h, session: s}).run()
-}
-
-// service is one session that is being served.
-type service struct {
-	host    *Host
-	session *executor.Session
-}
-
-func (s *service) run() {
-	defer s.host.forget(s.session)
-	s.session.Run()
-}
-
-func (h *Host) forget(s *executor.Session) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.sessions, s)
-}
-
-// drain says that the host isn't ready, waits until the balancer knows, has sessions
-// end where nothing is cut off, and cuts open transactions off at half the grace.
-func (h *Host) drain(ctx context.Context) {
-	began := time.Now()
-	h.draining.Store(true)
-	h.Log.WithField("sessions", h.Sessions()).Info("draining")
-	// Others borrow from the next owner then; what they have borrowed here may end.
-	h.leave()
-	_ = scheduler.Pause(ctx, min(rotation, h.Grace/2))
-	h.each((*executor.Session).Stop)
-	for time.Since(began) < h.Grace-exitSpare && h.Sessions()+int(h.lent.Load()) > 0 {
-		if time.Since(began) > h.Grace*5/8 {
-			h.each((*executor.Session).Cut)
-		} else {
-			h.each((*executor.Session).Stop)
-		}
-		if scheduler.Pause(ctx, drainStep) != nil {
-			return
-		}
-	}
-	h.Log.WithField("sessions", h.Sessions()).WithField("lent", h.lent.Load()).Info("drained")
-}
-
-// Sessions returns how many sessions are served.
-func (h *Host) Sessions() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.sessions)
-}
-
-func (h *Host) each(f func(*executor.Session)) {
-	h.mu.Lock()
-	l := make([]*executor.Session, 0, len(h.sessions))
-	for s := range h.sessions {
-		l = append(l, s)
-	}
-	h.mu.Unlock()
-	for _, s := range l {
-		f(s)
-	}
-}
--- /dev/null
+++ b/internal/proxy/runner/lending.go
@@ -0,0 +1,41 @@
+package runner
+
+import (
+	"net"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/lender"
+	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+)
+
+// lend serves a host that borrows this host's connections to a server.
+func (h *Host) lend(c net.Conn, server string) {
+	l := &lender.Link{
+		Borrower: h.Borrower(c),
+		Lent:     &h.lent,
+		Pool:     func() *keeper.Pool { return h.pools.own(server) },
+		Answered: func() {
+			s, ok := h.pools.find(server)
+			if ok {
+				h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(server, h.Board.Time(), 0, marker.Mark{}) })
+			}
+		},
+	}
+	l.Run()
+}
+
+// aliveFor is how long a server's last answer counts as a sign of life.
+const aliveFor = 500 * time.Millisecond
+
+// alive reports whether the server has answered this host a moment ago.
+func (h *Host) alive(s declarer.Server) bool {
+	alive := false
+	h.Board.Do(s.Group, func(g *viewer.Group) {
+		x := g.Find(s.ID)
+		alive = x != nil && x.AnsweredAt != 0 && h.Board.Time()-x.AnsweredAt < aliveFor
+	})
+	return alive
+}
--- /dev/null
+++ b/internal/proxy/runner/pace.go
@@ -0,0 +1,47 @@
+package runner
+
+import (
+	"time"
+)
+
+const (
+	// boundShare is the part, in tenths, of the time allowed for a change that one
+	// waiting call may last: a watch gone silent is noticed then, and the change is read
+	// anew in what is left.
+	boundShare = 6
+	// hostsWait is how long a call that waits for other entry hosts lasts. One that has
+	// gone is found out by asking it.
+	hostsWait = 15 * time.Second
+	// firstServersRest to longestHostsRest are the pauses after changes. Which server leads
+	// matters within a fraction of a second, which hosts there are doesn't.
+	firstServersRest   = 50 * time.Millisecond
+	longestServersRest = 400 * time.Millisecond
+	firstHostsRest     = 500 * time.Millisecond
+	longestHostsRest   = 2 * time.Second
+)
+
+// Pace says how one kind of object is read from the store.
+type Pace struct {
+	// Trust is how long after an answer of the store what was read counts as current: as
+	// long as the next waiting call may last.
+	Trust time.Duration
+	// FirstRest and LongestRest bound the pause after changes.
+	FirstRest, LongestRest time.Duration
+}
+
+// ConfigurationPace is how the configuration is read.
+func (h *Host) ConfigurationPace() Pace { return Pace{Trust: h.configurationWait() + watchSlack} }
+
+// ServersPace is how the servers are read.
+func (h *Host) ServersPace() Pace {
+	return Pace{Trust: h.serversWait() + watchSlack, FirstRest: firstServersRest, LongestRest: longestServersRest}
+}
+
+// HostsPace is how the entry hosts are read.
+func (h *Host) HostsPace() Pace {
+	return Pace{Trust: hostsWait + watchSlack, FirstRest: firstHostsRest, LongestRest: longestHostsRest}
+}
+
+func (h *Host) configurationWait() time.Duration { return h.ConfigurationBound * boundShare / 10 }
+
+func (h *Host) serversWait() time.Duration { return h.DrainBound * boundShare / 10 }
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -133,6 +133,10 @@
 	return r.hosts[h.Name] == h
 }
 
+// startSpread is within which all hosts of a deployment start that starts for the first
+// time, with what it takes each to enter the store.
+const startSpread = 400 * time.Millisecond
+
 // registration enters this host into the store.
 type registration struct {
 	host *Host
