feat(successor): promote only what has each commit where replicas are synchronous

With synchronous replicas a majority's answers aren't enough: of five servers with one such, three may answer and the only replica with the last commit be silent; one that leaves may be the only one that has it; and a planned move went on where its heir hadn't caught up.

Change: so many must answer that one of them has each commit; one that leaves leads if nobody else has as much; a planned move whose heir doesn't catch up is given up, and the longest log looked for anew.

Without synchronous replicas nothing changes.

--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -35,6 +35,8 @@
 	Name string
 	// MaximumConnections bounds the connections to each server, of all callers.
 	MaximumConnections int
+	// Synchronous is how many replicas have a commit before it is acknowledged.
+	Synchronous int
 }
 
 // Configuration is one version of what the operator declared, in full.
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -173,7 +173,7 @@
 	if s.Primary != nil {
 		zone = s.Primary.AvailabilityZone
 	}
-	heir, ok := successor.Choose(c, len(s.Servers), zone)
+	heir, ok := successor.Choose(c, len(s.Servers), p.synchronous(), zone)
 	if !ok {
 		if !p.warned {
 			p.warned = true
@@ -187,33 +187,46 @@
 	}
 	l = l.WithFields(log.Fields{"heir": heir.Server.ID, "position": heir.Status.Received.String(), "token": claim.Token, "above": claim.Above})
 	p.host.Counter.Phase(phaseDecide, time.Since(p.neededAt))
-	if r == successor.ReasonLeaving {
-		p.stepDown(ctx, s.Primary.Server, heir, claim.Above, l)
+	if r == successor.ReasonLeaving && !p.stepDown(ctx, s.Primary.Server, heir, claim.Above, l) && p.synchronous() > 0 {
+		// Another replica may have an acknowledged commit that the heir lacks. Without a
+		// leader the longest log is looked for anew.
+		return
 	}
 	p.host.Counter.Promotion(string(r), p.order(ctx, heir.Server, claim, l))
 }
 
+// synchronous returns how many replicas have a commit of the group before it is
+// acknowledged.
+func (p *promoter) synchronous() int {
+	if c := p.host.Board.Configuration(); c != nil {
+		return c.Groups[p.group].Synchronous
+	}
+	return 0
+}
+
 // stepDown has the leaving primary stop leading, and waits until the heir has all of
-// its log. Commits that it made until the promotion took effect would be dropped.
-func (p *promoter) stepDown(ctx context.Context, old declarer.Server, heir successor.Candidate, above marker.Term, l log.Interface) {
+// its log, which it reports. Commits that it made until the promotion took effect would be
+// dropped.
+func (p *promoter) stepDown(ctx context.Context, old declarer.Server, heir successor.Candidate, above marker.Term, l log.Interface) bool {
 	c, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s, err := p.host.prober.Demote(c, old, above+1)
 	if err != nil {
 		l.WithError(err).Warn("leaving primary did not step down")
-		return
+		return false
 	}
 	end := time.Now().Add(catchUp)
 	for time.Now().Before(end) {
 		h, err := p.host.prober.Status(c, heir.Server)
 		if err == nil && h.Received.Covers(s.Received) {
-			return
+			return true
 		}
 		if scheduler.Pause(c, catchUpStep) != nil {
 			break
 		}
 	}
 	l.WithField("want", s.Received.String()).Warn("heir did not catch up")
+	return false
 }
 
 // Phases of a promotion.
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -147,14 +147,19 @@
 // host with the old primary alone, another host may have promoted one beyond the cut:
 // giving the lead back would drop all that was written there since, and bring back what
 // was dropped before.
-func Choose(l []Candidate, listed int, zone string) (Candidate, bool) {
+//
+// Where commits are acknowledged once so many replicas have them, synchronous isn't zero,
+// so many must have answered that one of them has each commit: all but as many as would
+// have one, and the primary. One that leaves then leads for as long as it runs, if nobody
+// else has as much.
+func Choose(l []Candidate, listed, synchronous int, zone string) (Candidate, bool) {
 	var best Candidate
 	found := false
-	if 2*len(l) <= listed {
+	if 2*len(l) <= listed || synchronous > 0 && len(l) < listed-synchronous {
 		return best, false
 	}
 	for _, c := range l {
-		if c.Server.Draining || c.Status.Primary {
+		if c.Status.Primary || c.Server.Draining && synchronous == 0 {
 			continue
 		}
 		if !found || better(c, best, zone) {
@@ -168,6 +173,9 @@
 	if n := c.Status.Received.Compare(o.Status.Received); n != 0 {
 		return n > 0
 	}
+	if c.Server.Draining != o.Server.Draining {
+		return o.Server.Draining
+	}
 	if n := c.Server.AvailabilityZone == zone; n != (o.Server.AvailabilityZone == zone) {
 		return n
 	}
--- a/internal/proxy/successor/successor_test.go
+++ b/internal/proxy/successor/successor_test.go
@@ -81,26 +81,38 @@
 	}
 	leaving := at("c", "z", 99)
 	leaving.Server.Draining = true
+	ahead := at("c", "z", 9)
+	ahead.Server.Draining = true
 	leads := at("d", "z", 99)
 	leads.Status.Primary = true
 	for name, c := range map[string]struct {
 		l      []Candidate
 		listed int
 		want   string
+		// synchronous is how many replicas have each commit.
+		synchronous int
 	}{
-		"longest log":           {[]Candidate{at("a", "z", 3), at("b", "y", 5)}, 3, "b"},
-		"same zone of equal":    {[]Candidate{at("a", "y", 5), at("b", "z", 5)}, 3, "b"},
-		"first by id":           {[]Candidate{at("b", "z", 5), at("a", "z", 5)}, 3, "a"},
-		"not one that stops":    {[]Candidate{leaving, at("a", "y", 1)}, 3, "a"},
-		"not the leader":        {[]Candidate{leads, at("a", "y", 1)}, 3, "a"},
-		"nobody may":            {[]Candidate{leaving}, 1, ""},
-		"one of three answers":  {[]Candidate{at("a", "z", 9)}, 3, ""},
-		"one of two answers":    {[]Candidate{at("a", "z", 9)}, 2, ""},
-		"the only one listed":   {[]Candidate{at("a", "z", 9)}, 1, "a"},
-		"none listed, none may": {nil, 0, ""},
+		"longest log":           {[]Candidate{at("a", "z", 3), at("b", "y", 5)}, 3, "b", 0},
+		"same zone of equal":    {[]Candidate{at("a", "y", 5), at("b", "z", 5)}, 3, "b", 0},
+		"first by id":           {[]Candidate{at("b", "z", 5), at("a", "z", 5)}, 3, "a", 0},
+		"not one that stops":    {[]Candidate{leaving, at("a", "y", 1)}, 3, "a", 0},
+		"not the leader":        {[]Candidate{leads, at("a", "y", 1)}, 3, "a", 0},
+		"nobody may":            {[]Candidate{leaving}, 1, "", 0},
+		"one of three answers":  {[]Candidate{at("a", "z", 9)}, 3, "", 0},
+		"one of two answers":    {[]Candidate{at("a", "z", 9)}, 2, "", 0},
+		"the only one listed":   {[]Candidate{at("a", "z", 9)}, 1, "a", 0},
+		"none listed, none may": {nil, 0, "", 0},
+		// With a synchronous replica of five servers, two that didn't answer could be the
+		// primary and the only one that has the last commit.
+		"three of five, synchronous": {[]Candidate{at("a", "z", 5), at("b", "z", 5), at("e", "z", 5)}, 5, "", 1},
+		"four of five, synchronous":  {[]Candidate{at("a", "z", 5), at("b", "z", 6), at("e", "z", 5), at("f", "z", 5)}, 5, "b", 1},
+		"two of three, synchronous":  {[]Candidate{at("a", "z", 5), at("b", "z", 6)}, 3, "b", 1},
+		// One that leaves counts among those that must have a commit.
+		"only the one that leaves has it": {[]Candidate{ahead, at("a", "z", 5)}, 3, "c", 1},
+		"another has as much":             {[]Candidate{ahead, at("z", "y", 9)}, 3, "z", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, ok := Choose(c.l, c.listed, "z")
+			got, ok := Choose(c.l, c.listed, c.synchronous, "z")
 			if got.Server.ID != c.want || ok != (c.want != "") {
 				t.Errorf("chose %q %t, want %q", got.Server.ID, ok, c.want)
 			}
