fix(mirrorer): send nobody away when the store drops its history

The host that reads the store for its zone took a dropped history for a lost store and sent the other hosts away, so that each listed at the store itself: three calls a host, at once. Ruled out: that the list is too old then; it is as old as on any waiting call, and read next.

Change: the others wait for the list that is read next, and read it there.

Before and after: TestForgottenHistorySendsNobodyAway fails without (host has lost the store).

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -124,7 +124,7 @@
 	store := platform.NewStore(s.StoreAddress)
 	a.store = store
 	faulty := func(err error) { l.WithError(err).Warn("object left out") }
-	f := &feeder{store: store, relay: &platform.Feeds{}, mirrors: make(map[string]*mirrorer.Mirror)}
+	f := &feeder{store: store, remote: &platform.Feeds{}, mirrors: make(map[string]*mirrorer.Mirror)}
 	h := &runner.Host{
 		Name:               s.HostName,
 		CallerAddress:      s.CallerAddress,
--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -13,7 +13,7 @@
 // feeder makes the readers of what the platform lists, and serves other hosts from them.
 type feeder struct {
 	store   *platform.Store
-	relay   mirrorer.Relay
+	remote  mirrorer.Remote
 	host    *runner.Host
 	mirrors map[string]*mirrorer.Mirror
 }
@@ -22,7 +22,7 @@
 func (f *feeder) reader(kind string, p runner.Pace) mirrorer.Reader {
 	m := &mirrorer.Mirror{Store: &platform.Reader{Store: f.store, Kind: kind}, Now: steady.Now, Trust: p.Trust, FirstRest: p.FirstRest, LongestRest: p.LongestRest}
 	f.mirrors[kind] = m
-	return &mirrorer.Selector{Kind: kind, Mirror: m, Relay: f.relay, Host: f.host.RelayHost, Failed: f.host.RelayFailed}
+	return &mirrorer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.ReaderHost, Failed: f.host.ReaderFailed}
 }
 
 // serve answers a host that reads a kind by way of this one.
--- a/internal/proxy/mirrorer/mirrorer.go
+++ b/internal/proxy/mirrorer/mirrorer.go
@@ -131,6 +131,11 @@
 	if err == nil && len(p.Entries) > 0 {
 		m.restNow()
 	}
+	if errors.Is(err, ErrForgotten) {
+		// The whole list is read next. Until then what is here is as old as it may be on any
+		// waiting call; sent away, every host of the zone would read the list itself.
+		return p, err
+	}
 	if err != nil || after != m.revision {
 		// Without the state that the changes are based on there is nothing to vouch for.
 		m.lose()
--- a/internal/proxy/mirrorer/mirrorer_test.go
+++ b/internal/proxy/mirrorer/mirrorer_test.go
@@ -151,6 +151,27 @@
 	})
 }
 
+// The store drops its history. The host that reads it lists anew; if it sent the others of
+// its zone away meanwhile, each of them would list at the store as well.
+func TestForgottenHistorySendsNobodyAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5, names: []string{"a"}}
+		m := newMirror(s)
+		_, _ = m.List(t.Context())
+		time.AfterFunc(300*time.Millisecond, func() {
+			s.err = ErrForgotten
+			_, _ = m.Watch(t.Context(), 5, time.Second)
+			s.err, s.revision, s.names = nil, 9, []string{"a", "b"}
+			_, _ = m.List(t.Context())
+		})
+		if _, err := m.ServeWatch(t.Context(), 5, time.Second); !errors.Is(err, ErrForgotten) {
+			t.Errorf("while the history is dropped: %v", err)
+		}
+		p, err := m.ServeList(t.Context())
+		expect(t, "list after it", p, err, "a", "b")
+	})
+}
+
 // More changes come than are kept. Whoever missed the first ones has to read the whole list.
 func TestMirrorForgets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -198,7 +219,7 @@
 func newSelection(s *store, n network, hosts ...string) *selection {
 	x := &selection{hosts: hosts}
 	x.Selector = Selector{
-		Kind: "k", Mirror: newMirror(s), Relay: n,
+		Kind: "k", Mirror: newMirror(s), Remote: n,
 		Host: func() (declarer.Host, bool) {
 			for _, h := range x.hosts {
 				if !slices.Contains(x.failed, h) {
@@ -264,7 +285,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{revision: 5, names: []string{"a"}}
 		x := newSelection(s, network{}, "dark")
-		x.Relay = darkness{}
+		x.Remote = darkness{}
 		start := time.Now()
 		p, err := x.List(t.Context())
 		expect(t, "list of the store", p, err, "a")
--- a/internal/proxy/mirrorer/selector.go
+++ b/internal/proxy/mirrorer/selector.go
@@ -10,19 +10,19 @@
 )
 
 const (
-	// relayWait is how long one waiting call to another host lasts. A host that stands
+	// remoteWait is how long one waiting call to another host lasts. A host that stands
 	// still, or whose connection has gone silent, is noticed after it.
-	relayWait = time.Second
-	// relaySlack is what such a call may take longer.
-	relaySlack = 300 * time.Millisecond
-	// relayList bounds the reading of a list by way of another host, which is in the same
+	remoteWait = time.Second
+	// remoteSlack is what such a call may take longer.
+	remoteSlack = 300 * time.Millisecond
+	// remoteList bounds the reading of a list by way of another host, which is in the same
 	// zone. One without power doesn't even refuse: a host that starts would take callers as
 	// much later as it waits, while the store answers in a few milliseconds.
-	relayList = 100 * time.Millisecond
+	remoteList = 100 * time.Millisecond
 )
 
-// Relay reads from another host's mirrors.
-type Relay interface {
+// Remote reads from another host's mirrors.
+type Remote interface {
 	List(ctx context.Context, h declarer.Host, kind string) (Page, error)
 	Watch(ctx context.Context, h declarer.Host, kind string, after uint64, wait time.Duration) (Page, error)
 }
@@ -33,7 +33,7 @@
 type Selector struct {
 	Kind   string
 	Mirror *Mirror
-	Relay  Relay
+	Remote Remote
 	// Host returns the host to read from, false for the store. Failed is told of one that
 	// didn't answer or can't vouch for what it has.
 	Host   func() (declarer.Host, bool)
@@ -53,9 +53,9 @@
 func (s *Selector) List(ctx context.Context) (Page, error) {
 	h, ok := s.Host()
 	if ok && !s.failed {
-		c, cancel := context.WithTimeout(ctx, relayList)
+		c, cancel := context.WithTimeout(ctx, remoteList)
 		defer cancel()
-		p, err := s.Relay.List(c, h, s.Kind)
+		p, err := s.Remote.List(c, h, s.Kind)
 		switch {
 		case err != nil:
 			s.Failed(h, s.Kind, err)
@@ -73,7 +73,7 @@
 	h, ok := s.Host()
 	switch {
 	case ok:
-		return s.watchRelay(ctx, h, after, min(wait, relayWait))
+		return s.watchRemote(ctx, h, after, min(wait, remoteWait))
 	case !s.reads:
 		// Other hosts are to read from this one now, which needs the whole list for that.
 		return Page{}, errors.Annotate(ErrForgotten, "the store is read from now on")
@@ -81,12 +81,12 @@
 	return s.reach(s.Mirror.Watch(ctx, after, wait))
 }
 
-// watchRelay waits at another host. Where that fails the list is read anew.
-func (s *Selector) watchRelay(ctx context.Context, h declarer.Host, after uint64, wait time.Duration) (Page, error) {
-	c, cancel := context.WithTimeout(ctx, wait+relaySlack)
+// watchRemote waits at another host. Where that fails the list is read anew.
+func (s *Selector) watchRemote(ctx context.Context, h declarer.Host, after uint64, wait time.Duration) (Page, error) {
+	c, cancel := context.WithTimeout(ctx, wait+remoteSlack)
 	defer cancel()
 	s.leave()
-	p, err := s.Relay.Watch(c, h, s.Kind, after, wait)
+	p, err := s.Remote.Watch(c, h, s.Kind, after, wait)
 	if err == nil || errors.Is(err, ErrForgotten) {
 		return s.reach(p, err)
 	}
--- a/internal/proxy/runner/relays.go
+++ b/internal/proxy/runner/readers.go
@@ -12,19 +12,19 @@
 )
 
 const (
-	// relayHosts is how many hosts of an availability zone read the store by way of one
+	// readerHosts is how many hosts of an availability zone read the store by way of one
 	// of them: each makes a call a second for each kind of object, 75 in all, which takes
 	// the host that answers well under 1% of a core.
-	relayHosts = 25
-	// relaySilent is how long a host that didn't answer, or has lost the store, isn't read
+	readerHosts = 25
+	// readerSilent is how long a host that didn't answer, or has lost the store, isn't read
 	// from.
-	relaySilent = 3 * time.Second
+	readerSilent = 3 * time.Second
 )
 
-// relay returns the host of this availability zone from which to read what the platform
+// reader returns the host of this availability zone from which to read what the platform
 // lists, false if this host is to read the store itself. Hosts of a zone that see the same
 // hosts come to the same ones.
-func (r *roster) relay(zone string) (declarer.Host, bool) {
+func (r *roster) reader(zone string) (declarer.Host, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.assigner == nil {
@@ -54,13 +54,13 @@
 			n++
 		}
 	}
-	return max(1, (n+relayHosts-1)/relayHosts)
+	return max(1, (n+readerHosts-1)/readerHosts)
 }
 
 // first returns the first host in the order of a part of the zone that isn't left out, false
 // if there is none. The mutex is held.
 func (r *roster) first(zone string, slot int) (declarer.Host, bool) {
-	o := r.assigner.Owners(assigner.Server{Name: "relay-" + strconv.Itoa(slot), AvailabilityZone: zone, Region: r.regions[zone]}, assigner.MaximumOwners)
+	o := r.assigner.Owners(assigner.Server{Name: "reader-" + strconv.Itoa(slot), AvailabilityZone: zone, Region: r.regions[zone]}, assigner.MaximumOwners)
 	for _, n := range o.Hosts[:o.Count] {
 		h := r.hosts[n]
 		if n == r.self || h.AvailabilityZone == zone && time.Now().After(r.silent[n]) {
@@ -78,16 +78,16 @@
 		r.silent = make(map[string]time.Time)
 	}
 	before := r.silent[host]
-	r.silent[host] = time.Now().Add(relaySilent)
-	return time.Since(before) > relaySilent
+	r.silent[host] = time.Now().Add(readerSilent)
+	return time.Since(before) > readerSilent
 }
 
-// RelayHost returns the host from which to read what the platform lists, false for the
+// ReaderHost returns the host from which to read what the platform lists, false for the
 // platform's store itself.
-func (h *Host) RelayHost() (declarer.Host, bool) { return h.roster.relay(h.Self.AvailabilityZone) }
+func (h *Host) ReaderHost() (declarer.Host, bool) { return h.roster.reader(h.Self.AvailabilityZone) }
 
-// RelayFailed notes a host that didn't answer, or can't vouch for what it has.
-func (h *Host) RelayFailed(x declarer.Host, kind string, err error) {
+// ReaderFailed notes a host that didn't answer, or can't vouch for what it has.
+func (h *Host) ReaderFailed(x declarer.Host, kind string, err error) {
 	if h.roster.passOver(x.Name) {
 		h.Log.WithError(err).WithFields(log.Fields{"host": x.Name, "kind": kind}).Warn("platform not read by way of another host")
 	}
--- a/internal/proxy/runner/relays_test.go
+++ b/internal/proxy/runner/readers_test.go
@@ -30,7 +30,7 @@
 		direct := 0
 		all := rosters(l)
 		for name, r := range all {
-			h, ok := r.relay(r.hosts[name].AvailabilityZone)
+			h, ok := r.reader(r.hosts[name].AvailabilityZone)
 			if !ok {
 				direct++
 				continue
@@ -56,14 +56,14 @@
 	all := rosters(l)
 	lost := ""
 	for _, r := range all {
-		if h, ok := r.relay("a"); ok {
+		if h, ok := r.reader("a"); ok {
 			lost = h.Name
 			r.passOver(lost)
 		}
 	}
 	direct := 0
 	for name, r := range all {
-		h, ok := r.relay("a")
+		h, ok := r.reader("a")
 		if name != lost && !ok {
 			direct++
 		}
