test(mirrorer): have the test of a dropped history fail without its guard

Found by taking the guard out.

Change: 10 ms between the two. Before: passes with the guard taken out; after: fails (host has lost the store). Conclusion: product code unchanged.

--- a/internal/proxy/mirrorer/mirrorer_test.go
+++ b/internal/proxy/mirrorer/mirrorer_test.go
@@ -161,6 +161,7 @@
 		time.AfterFunc(300*time.Millisecond, func() {
 			s.err = ErrForgotten
 			_, _ = m.Watch(t.Context(), 5, time.Second)
+			time.Sleep(10 * time.Millisecond) // until the store has answered
 			s.err, s.revision, s.names = nil, 9, []string{"a", "b"}
 			_, _ = m.List(t.Context())
 		})
