fix(runner): don't move a group again at once after a planned move was given up

Cause: the branch that gives a planned move up, of the commit on synchronous replicas, had no test: taking it out failed none of 13 tries. With one, it showed that the old primary, promoted again as it alone has every commit, was moved again at once: no primary for half of the time.

Ruled out: letting the heir lead after all, as another replica may have what it lacks.

--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -52,6 +52,9 @@
 	leaseSlack = 200 * time.Millisecond
 	// claimInterval is the least time between two looks at the claim.
 	claimInterval = 200 * time.Millisecond
+	// moveInterval is the least time between two planned moves of which the first was given
+	// up, as each leaves the group without a primary for a second or so.
+	moveInterval = 3 * time.Second
 	// renewInterval is the least time between two attempts to renew a claim.
 	renewInterval = 2 * time.Second
 	// leadTimeout bounds the wait until a promoted server leads.
@@ -71,6 +74,8 @@
 	probed time.Time
 	// held is this host's claim, if it made the last one it knows of.
 	held Claim
+	// unmoved is when a planned move was last given up.
+	unmoved time.Time
 	// renewed is when it was last put anew.
 	renewed time.Time
 	// needed says that the group needs another primary.
@@ -122,6 +127,9 @@
 		p.needed, p.warned, p.blind, p.rivalAt = true, false, false, time.Time{}
 		p.neededAt = time.Now()
 	}
+	if r == successor.ReasonLeaving && time.Since(p.unmoved) < moveInterval {
+		return
+	}
 	if time.Since(p.looked) >= claimInterval {
 		p.looked = time.Now()
 		p.replace(ctx, s, r)
@@ -190,6 +198,8 @@
 	if r == successor.ReasonLeaving && !p.stepDown(ctx, s.Primary.Server, heir, claim.Above, l) && p.synchronous() > 0 {
 		// Another replica may have an acknowledged commit that the heir lacks. Without a
 		// leader the longest log is looked for anew.
+		p.unmoved = time.Now()
+		p.host.Board.Do(p.group, func(g *viewer.Group) { g.Refused(s.Primary.ID) })
 		return
 	}
 	p.host.Counter.Promotion(string(r), p.order(ctx, heir.Server, claim, l))
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -30,6 +30,8 @@
 	term    marker.Term
 	length  marker.Position
 	gone    bool
+	// deaf receives nothing.
+	deaf bool
 }
 
 // cluster is one group with the platform's calls about it.
@@ -185,7 +187,7 @@
 	x := declarer.Status{Primary: s.primary, Term: s.term, Received: marker.Mark{Term: s.term, Position: s.length}}
 	if !s.primary {
 		for _, o := range c.servers {
-			if o.length > s.length && !o.gone {
+			if o.length > s.length && !o.gone && !s.deaf {
 				s.length++
 				break
 			}
@@ -345,6 +347,24 @@
 	})
 }
 
+// The primary leaves as planned, each commit is on one of two replicas before it is
+// acknowledged, and the heir receives nothing any more. Promoted all the same, it would lack
+// what the other replica has.
+func TestHeirThatLacksSynchronousCommitsIsNotPromoted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.servers["b"].deaf, c.servers["c"].deaf = true, true
+		p := promoterOf(c, "h1")
+		p.host.Board.Configure(&declarer.Configuration{Version: 1, Groups: map[string]declarer.Group{"db": {Name: "db", Synchronous: 1}}})
+		p.host.Board.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true, Draining: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
+		steps(p, 2500*time.Millisecond)
+		want := []string{"demote a below 2", "promote a by h1 with 9 at length 10"}
+		if !slices.Equal(c.steps, want) {
+			t.Errorf("steps %q, want %q: only the old one has every commit, and it isn't moved again at once", c.steps, want)
+		}
+	})
+}
+
 // The store makes the claim and its answer is lost. Taking it for not made would leave
 // the group without a primary until another host tries.
 func TestLostAnswerToClaimIsReadBack(t *testing.T) {
