fix(soak): guard a server's address by its group's lock

The soak had been run without the race detector only. Ruled out: the entry hosts, which run with the detector as well and reported nothing.

Change: set once, under the lock.

--- a/internal/soak/replicator/replicator.go
+++ b/internal/soak/replicator/replicator.go
@@ -24,11 +24,11 @@
 type Server struct {
 	ID   string
 	Zone string
-	// Address is set once its responder listens.
-	Address string
 
-	term uint64
-	log  []Record
+	// address is set once its responder listens.
+	address string
+	term    uint64
+	log     []Record
 	// down doesn't run, mute answers no statement, deaf receives nothing.
 	down, mute, deaf bool
 }
@@ -75,6 +75,18 @@
 	return slices.Clone(g.servers)
 }
 
+func (g *Group) address(s *Server) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return s.address
+}
+
+func (g *Group) locate(s *Server, address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.address = address
+}
+
 // Leader returns the server that leads.
 func (g *Group) Leader() *Server {
 	g.mu.Lock()
@@ -215,5 +227,5 @@
 	if s == g.leader {
 		role = "primary"
 	}
-	return entry{Backend: g.Name, Address: s.Address, Zone: s.Zone, Capacity: slots, State: "ready", Role: role, Sequence: 1}, !s.down
+	return entry{Backend: g.Name, Address: s.address, Zone: s.Zone, Capacity: slots, State: "ready", Role: role, Sequence: 1}, !s.down
 }
--- a/internal/soak/replicator/responder.go
+++ b/internal/soak/replicator/responder.go
@@ -35,7 +35,7 @@
 // Open listens at the server's address, at a free one of the network address for the first
 // time.
 func (r *Responder) Open(ip string) error {
-	a := r.Server.Address
+	a := r.Group.address(r.Server)
 	if a == "" {
 		a = net.JoinHostPort(ip, "0")
 	}
@@ -43,9 +43,9 @@
 	if err != nil {
 		return errors.Annotatef(err, "listen for server %s", r.Server.ID)
 	}
+	r.Group.locate(r.Server, l.Addr().String())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Server.Address = l.Addr().String()
 	r.listener, r.open = l, make(map[*connection]struct{})
 	if r.slots == nil {
 		r.slots = make(chan struct{}, slots)
