fix(runner): say in the log that a claim was not renewed, or was given up

Cause: found reading the whole change once more: a failed renewal was swallowed, and a claim that another host had overtaken was forgotten without a line, so that nobody could tell afterwards why this host did not promote while the store was away.

--- a/internal/proxy/runner/claims.go
+++ b/internal/proxy/runner/claims.go
@@ -97,13 +97,17 @@
 	c, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	n, err := p.host.Orderer.PutClaim(c, p.group, x)
+	l := p.log.WithFields(log.Fields{"database-group": p.group, "token": x.Token})
 	switch {
 	case err == nil:
 		p.held = n
-		p.log.WithFields(log.Fields{"database-group": p.group, "token": n.Token}).Info("claim renewed")
+		l.WithField("token", n.Token).Info("claim renewed")
 	case errors.Is(err, ErrOvertaken):
 		// Another host has it, or this call's answer was lost the last time.
 		p.held = Claim{}
+		l.WithError(err).Info("claim given up")
+	default:
+		l.WithError(err).Warn("claim not renewed")
 	}
 }
 
