fix(runner): replace a silent primary only on evidence

Cause: after a loss of power all hosts found a primary at its limit of connections, or without a slot for their status. Both counted as a failure of the primary, and after 4 s of failures a host promoted whatever the others said.

Ruled out: processor time (the same with --no-cpu), a fault of the servers (each of the replaced primaries answered some hosts).

Change: a refusal for want of room is an answer, of a status as of a connection. The other hosts are asked before each promotion for silence; after 4 s they are asked whether the server itself has answered them, since a process that hangs goes on to take connections.

--- a/internal/proxy/detourer/detourer.go
+++ b/internal/proxy/detourer/detourer.go
@@ -37,10 +37,36 @@
 type Way interface {
 	keeper.Dialer
 	Via(ctx context.Context, host string, s declarer.Server) (keeper.Connection, marker.Mark, error)
-	// Heard asks a host whether it hears from the server: keeper.ErrAlive, or ErrLost.
-	Heard(ctx context.Context, host string, s declarer.Server) error
+	// Heard asks a host about the server. The answer is keeper.ErrAlive or keeper.ErrLost;
+	// any other error is no answer.
+	Heard(ctx context.Context, host string, s declarer.Server, q Question) error
 }
 
+// Question is what another host is asked about a server.
+type Question uint8
+
+// Questions.
+const (
+	// QuestionReach: does it reach the server, or has heard from it a moment ago?
+	QuestionReach Question = iota
+	// QuestionAnswer: has the server itself answered there within the last seconds? That a
+	// connection can be made says nothing of a process that hangs.
+	QuestionAnswer
+)
+
+// Word is what other hosts say of a server.
+type Word uint8
+
+// Words.
+const (
+	// WordNone: no host could be asked.
+	WordNone Word = iota
+	// WordLost: some don't hear from it, and none does.
+	WordLost
+	// WordAlive: one does.
+	WordAlive
+)
+
 // Dialer opens connections directly where it can, and else by way of other hosts. Its
 // exported fields are set before use.
 type Dialer struct {
@@ -92,25 +118,25 @@
 	return nil, marker.Mark{}, keeper.ErrNoWay
 }
 
-// Lost reports whether other hosts say that they don't hear from the server either,
-// and none says that it does. A host that can't be asked says nothing.
-func (d *Dialer) Lost(ctx context.Context, s declarer.Server) bool {
+// Ask returns what other hosts say of the server. A host that can't be asked says nothing.
+func (d *Dialer) Ask(ctx context.Context, s declarer.Server, q Question) Word {
 	c, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
 	l := shuffled(d.Hosts(), witnesses)
 	r := make(chan error, len(l))
 	for _, h := range l {
-		go (&witness{way: d.Way, host: h, server: s, words: r}).run(c)
+		go (&witness{way: d.Way, host: h, server: s, question: q, words: r}).run(c)
 	}
-	lost := false
+	word := WordNone
 	for range l {
-		err := <-r
-		if errors.Is(err, keeper.ErrAlive) {
-			return false
+		switch err := <-r; {
+		case errors.Is(err, keeper.ErrAlive):
+			return WordAlive
+		case errors.Is(err, keeper.ErrLost):
+			word = WordLost
 		}
-		lost = lost || errors.Is(err, keeper.ErrLost)
 	}
-	return lost
+	return word
 }
 
 // Answers reports whether the named host answers a question about the server, whatever
@@ -120,7 +146,7 @@
 	defer cancel()
 	for _, h := range d.Hosts() {
 		if h.Name == host {
-			return told(d.Way.Heard(c, h.Address, s))
+			return told(d.Way.Heard(c, h.Address, s, QuestionReach))
 		}
 	}
 	return false
@@ -128,14 +154,15 @@
 
 // witness is one host asked whether it hears from a server.
 type witness struct {
-	way    Way
-	host   declarer.Host
-	server declarer.Server
-	words  chan<- error
+	way      Way
+	host     declarer.Host
+	server   declarer.Server
+	question Question
+	words    chan<- error
 }
 
 func (w *witness) run(ctx context.Context) {
-	w.words <- w.way.Heard(ctx, w.host.Address, w.server)
+	w.words <- w.way.Heard(ctx, w.host.Address, w.server, w.question)
 }
 
 // answered reports whether the error is the server's own word.
--- a/internal/proxy/detourer/detourer_test.go
+++ b/internal/proxy/detourer/detourer_test.go
@@ -49,7 +49,7 @@
 	return w.answer(host, w.via[host])
 }
 
-func (w *ways) Heard(_ context.Context, host string, _ declarer.Server) error {
+func (w *ways) Heard(_ context.Context, host string, _ declarer.Server, _ Question) error {
 	return w.via[host]
 }
 
@@ -135,7 +135,7 @@
 				l = append(l, h)
 			}
 			d := &Dialer{Way: &ways{via: c.via}, Hosts: hosts(l...)}
-			if got := d.Lost(t.Context(), declarer.Server{ID: "i"}); got != c.want {
+			if got := d.Ask(t.Context(), declarer.Server{ID: "i"}, QuestionReach) == WordLost; got != c.want {
 				t.Errorf("lost %t, want %t", got, c.want)
 			}
 		})
@@ -175,7 +175,7 @@
 		if len(d.pick(1)) != 1 {
 			t.Error("the host isn't asked any more")
 		}
-		if !d.Lost(t.Context(), declarer.Server{ID: "i"}) {
+		if d.Ask(t.Context(), declarer.Server{ID: "i"}, QuestionReach) != WordLost {
 			t.Error("the host's word isn't heard")
 		}
 	})
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -76,6 +76,8 @@
 
 // Observer is told what is learnt of the server.
 type Observer interface {
+	// Connected is told of an answer to the start of a connection, with the end of the
+	// server's log if the server told it.
 	Connected(s declarer.Server, m marker.Mark)
 	Unreachable(s declarer.Server, err error)
 }
@@ -286,7 +288,9 @@
 	switch {
 	case err == nil:
 		p.Observer.Connected(p.Server, m)
-	case !errors.Is(err, ErrCrowded):
+	case errors.Is(err, ErrCrowded):
+		p.Observer.Connected(p.Server, marker.Mark{})
+	default:
 		p.Observer.Unreachable(p.Server, err)
 	}
 }
--- a/internal/proxy/relayer/relayer.go
+++ b/internal/proxy/relayer/relayer.go
@@ -31,6 +31,8 @@
 	WishWay
 	// WishWord is whether the server is heard here.
 	WishWord
+	// WishAnswer is whether the server itself has answered here within the last seconds.
+	WishAnswer
 	// WishLink is to borrow connections of this host's.
 	WishLink
 	// WishFeed is to read what the platform lists by way of this host.
@@ -53,6 +55,8 @@
 	Dial func(address string, t time.Duration) (net.Conn, error)
 	// Alive reports whether the server has answered this host a moment ago.
 	Alive func(s declarer.Server) bool
+	// Answered reports whether the server itself has answered within the last seconds.
+	Answered func(s declarer.Server) bool
 	// Refuse answers that there is no way to the server.
 	Refuse func(c net.Conn, id string, alive bool)
 	Log    log.Interface
@@ -112,6 +116,10 @@
 		r.Lend(x.from, id)
 		return
 	}
+	if wish == WishAnswer {
+		r.Refuse(x.from, id, r.Answered(s))
+		return
+	}
 	question := wish == WishWord
 	if question && r.Alive(s) {
 		r.Refuse(x.from, id, true)
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -180,6 +180,7 @@
 	go (&registration{host: h}).run(ctx)
 	h.Relayer.Find = h.pools.find
 	h.Relayer.Alive = h.alive
+	h.Relayer.Answered = h.answered
 	h.Relayer.Lend = h.lend
 	go h.Relayer.Run()
 	go (&acceptor{host: h, listener: callers}).run()
--- a/internal/proxy/runner/lending.go
+++ b/internal/proxy/runner/lending.go
@@ -27,15 +27,24 @@
 	l.Run()
 }
 
-// aliveFor is how long a server's last answer counts as a sign of life.
-const aliveFor = 500 * time.Millisecond
+const (
+	// aliveFor is how long a server's last answer counts as a sign of life.
+	aliveFor = 500 * time.Millisecond
+	// answeredFor is the same where another host has had none for long.
+	answeredFor = 4 * time.Second
+)
 
 // alive reports whether the server has answered this host a moment ago.
-func (h *Host) alive(s declarer.Server) bool {
+func (h *Host) alive(s declarer.Server) bool { return h.answeredWithin(s, aliveFor) }
+
+// answered reports whether it has within the last seconds.
+func (h *Host) answered(s declarer.Server) bool { return h.answeredWithin(s, answeredFor) }
+
+func (h *Host) answeredWithin(s declarer.Server, d time.Duration) bool {
 	alive := false
 	h.Board.Do(s.Group, func(g *viewer.Group) {
 		x := g.Find(s.ID)
-		alive = x != nil && x.AnsweredAt != 0 && h.Board.Time()-x.AnsweredAt < aliveFor
+		alive = x != nil && x.AnsweredAt != 0 && h.Board.Time()-x.AnsweredAt < d
 	})
 	return alive
 }
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -154,13 +154,7 @@
 // replace gives the group another primary, unless another host is about to.
 func (p *promoter) replace(ctx context.Context, s successor.Sight, r successor.Reason) {
 	l := p.log.WithFields(log.Fields{"database-group": p.group, "reason": r})
-	lost := &inquiry{dialer: &p.host.detours, done: make(chan bool, 1)}
-	if r == successor.ReasonSilent {
-		lost.server = s.Primary.Server
-		go lost.run(ctx)
-	} else {
-		lost.done <- true
-	}
+	others := p.inquire(ctx, s, r)
 	// The claim is read before the servers are asked: where another host promotes in
 	// between, this host's claim fails, and its old answers decide nothing.
 	present, err := p.claim(ctx)
@@ -169,8 +163,8 @@
 		l.WithError(err).Warn("claim not read")
 	}
 	c := p.ask(ctx, reachable(s))
-	if !<-lost.done {
-		return // somebody hears from it, or nobody can be asked
+	if !confirms(r, <-others.done) {
+		return
 	}
 	for _, x := range c {
 		if x.Status.Primary && r != successor.ReasonLeaving {
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -32,6 +32,8 @@
 	gone    bool
 	// deaf receives nothing.
 	deaf bool
+	// full is how it refuses for want of room, nil if it doesn't.
+	full error
 }
 
 // cluster is one group with the platform's calls about it.
@@ -45,8 +47,9 @@
 	away, lost bool
 	// refuses makes promotions fail as fenced.
 	refuses bool
-	// heard says that other hosts hear from servers that this one doesn't reach.
-	heard bool
+	// heard says that other hosts hear from servers that this one doesn't reach, and hung
+	// that they only reach them.
+	heard, hung bool
 	steps []string
 	// phases are the times of promotions by phase.
 	phases map[string]time.Duration
@@ -116,6 +119,9 @@
 	if c.servers[s.ID].gone {
 		return nil, marker.Mark{}, keeper.ErrNoWay
 	}
+	if f := c.servers[s.ID].full; f == keeper.ErrCrowded {
+		return nil, marker.Mark{}, f
+	}
 	return &line{cluster: c, id: s.ID}, marker.Mark{}, nil
 }
 
@@ -124,10 +130,11 @@
 }
 
 // Heard is what another host says of the server.
-func (c *cluster) Heard(_ context.Context, _ string, s declarer.Server) error {
+func (c *cluster) Heard(_ context.Context, _ string, s declarer.Server, q detourer.Question) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.servers[s.ID].gone && !c.heard {
+	x := c.servers[s.ID]
+	if (x.gone || x.full != nil) && (!c.heard || c.hung && q == detourer.QuestionAnswer) {
 		return keeper.ErrLost
 	}
 	return keeper.ErrAlive
@@ -174,6 +181,11 @@
 }
 
 func (l *line) Receive(a *declarer.Answer, _ time.Time) error {
+	l.cluster.mu.Lock()
+	defer l.cluster.mu.Unlock()
+	if l.cluster.servers[l.id].full != nil {
+		a.Code = declarer.CodeBusy
+	}
 	a.Row = l.id
 	return nil
 }
@@ -270,13 +282,45 @@
 		c.servers["a"].gone, c.heard = true, true
 		p := promoterOf(c, "h1")
 		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
-		steps(p, 3*time.Second)
+		steps(p, 12*time.Second)
 		if len(c.steps) > 0 {
 			t.Errorf("steps %q", c.steps)
 		}
 	})
 }
 
+// Guards against a process that hangs: its host goes on to take connections, so others
+// reach the primary, but none gets an answer. The group would stay without a primary.
+func TestHungPrimaryIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.servers["a"].gone, c.heard, c.hung = true, true, true
+		p := promoterOf(c, "h1")
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+		steps(p, 8*time.Second)
+		if len(c.steps) != 1 || !c.servers["b"].primary {
+			t.Errorf("steps %q", c.steps)
+		}
+	})
+}
+
+// Guards against overload taken for death: after a loss of power the primary is at its
+// limit of connections, or has no slot for a status. Replacing it would drop commits.
+func TestOverloadedPrimaryIsKept(t *testing.T) {
+	for _, cause := range []error{keeper.ErrCrowded, ErrCommand} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster()
+			c.servers["a"].full = cause
+			p := promoterOf(c, "h1")
+			p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+			steps(p, 12*time.Second)
+			if len(c.steps) > 0 {
+				t.Errorf("%v: steps %q", cause, c.steps)
+			}
+		})
+	}
+}
+
 // A cut leaves this host with the old primary alone, which has lost the lead to a server
 // beyond the cut. Giving it back would drop all that was written there since.
 func TestMinorityDoesNotPromote(t *testing.T) {
--- a/internal/proxy/runner/questions.go
+++ b/internal/proxy/runner/questions.go
@@ -5,8 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
+	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
@@ -91,7 +95,12 @@
 
 func (q *question) note(asked time.Duration, s declarer.Status, err error) {
 	b := q.promoter.host.Board
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrCommand), errors.Is(err, keeper.ErrCrowded), errors.Is(err, keeper.ErrAlive):
+		// It has no room for the question, but it lives.
+		b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, b.Time(), 0, marker.Mark{}) })
+		return
+	case err != nil:
 		b.Unreachable(q.server.Group, q.server.ID, asked, err)
 		return
 	}
@@ -101,15 +110,42 @@
 	}
 }
 
-// inquiry asks other hosts whether they hear from a primary that doesn't answer here.
+// inquiry asks other hosts about a primary that doesn't answer here.
 type inquiry struct {
-	dialer *detourer.Dialer
-	server declarer.Server
-	done   chan bool
+	dialer   *detourer.Dialer
+	server   declarer.Server
+	question detourer.Question
+	done     chan detourer.Word
 }
 
 func (x *inquiry) run(ctx context.Context) {
-	x.done <- x.dialer.Lost(ctx, x.server)
+	x.done <- x.dialer.Ask(ctx, x.server, x.question)
+}
+
+// inquire begins to ask other hosts what the reason to replace the primary needs.
+func (p *promoter) inquire(ctx context.Context, s successor.Sight, r successor.Reason) *inquiry {
+	x := &inquiry{dialer: &p.host.detours, done: make(chan detourer.Word, 1)}
+	switch r {
+	case successor.ReasonSilent:
+		x.server, x.question = s.Primary.Server, detourer.QuestionReach
+	case successor.ReasonUnheard:
+		x.server, x.question = s.Primary.Server, detourer.QuestionAnswer
+	default:
+		x.done <- detourer.WordLost
+		return x
+	}
+	go x.run(ctx)
+	return x
+}
+
+// confirms reports whether what other hosts say lets the primary be replaced. Silence
+// needs their word that they don't hear from it either; after long they may all be out of
+// reach, but none may have had an answer.
+func confirms(r successor.Reason, w detourer.Word) bool {
+	if r == successor.ReasonUnheard {
+		return w != detourer.WordAlive
+	}
+	return w == detourer.WordLost
 }
 
 // reachable returns the servers but for a primary that doesn't answer: to ask it once
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -20,8 +20,8 @@
 	// stalledAfter is how long a primary with statements under way may answer none of
 	// them before it is asked on a new connection.
 	stalledAfter = 250 * time.Millisecond
-	// unheardAfter is how long a primary may be unreachable where no other host can be
-	// asked. Its entry on the platform's list lapses after about as long.
+	// unheardAfter is how long a primary may be unreachable where no other host has had an
+	// answer of it either. Its entry on the platform's list lapses after about as long.
 	unheardAfter = 4 * time.Second
 	// leaderlessAfter is how long no server may report the lead. A promotion that
 	// somebody else ordered shows by then.
@@ -41,7 +41,8 @@
 	ReasonAbsent Reason = "primary-absent"
 	// ReasonSilent: the primary doesn't answer this host. Others must say so too.
 	ReasonSilent Reason = "primary-silent"
-	// ReasonUnheard: the primary doesn't answer for long, and nobody can be asked.
+	// ReasonUnheard: the primary doesn't answer for long. No other host may have had an
+	// answer; that none can be asked is enough.
 	ReasonUnheard Reason = "primary-unheard"
 	// ReasonLeaderless: no server reports the lead.
 	ReasonLeaderless Reason = "no-primary"
