fix(keeper): leave a server's connections to their owner

Cause: each host keeps its last connection to a server for good. Where one host owns a server's 30 connections and 78 hosts have opened one each while they didn't know the owner (after a loss of power, or while a link to it failed), the owner never gets any: all borrow from a host that can't lend. A pool without a connection also kept its callers to their deadlines.

Ruled out: processor time (the same with --no-cpu), silent connections (new ones were refused for the limit), the placing (it followed the pools' word).

Change: a host that doesn't own a server's connections keeps none unused. Who owns is looked at with each trim, not only when a connection is asked for. A pool that has found the server full twice in a row refuses who waits, with the time of the next attempt; the refusal is a typed error. What is owed on a connection is waited for 2 s, not 5.

--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -38,11 +38,13 @@
 	ReasonLeaving
 	// ReasonShutdown is an entry host or pool that stops.
 	ReasonShutdown
+	// ReasonConnections is a server that takes no connection for want of room.
+	ReasonConnections
 	// ReasonCancelled is a request that its caller gave up.
 	ReasonCancelled
 )
 
-var reasonNames = [...]string{"none", "queue-full", "team-limit", "expected-wait", "deadline", "leaving", "shutdown", "cancelled"}
+var reasonNames = [...]string{"none", "queue-full", "team-limit", "expected-wait", "deadline", "leaving", "shutdown", "no-connections", "cancelled"}
 
 // String returns the reason in kebab case.
 func (r Reason) String() string { return reasonNames[r] }
--- /dev/null
+++ b/internal/proxy/keeper/full_test.go
@@ -0,0 +1,51 @@
+package keeper
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Guards against hosts that each keep a connection which they don't use: the owner of a
+// server's connections would never get one, and nobody could use the server.
+func TestBorrowersLeaveTheOwnerRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{limit: 4}
+		var borrowers []*Pool
+		for range 4 {
+			p := newPool(f)
+			p.Keep = 0
+			acquire(t, p).Release(false)
+			borrowers = append(borrowers, p)
+		}
+		owner := newPool(f)
+		if _, err := owner.Acquire(ask(100 * time.Millisecond)); !errors.Is(err, ErrRefused) {
+			t.Fatalf("error %v while all connections are taken", err)
+		}
+		time.Sleep(idleFor + time.Millisecond)
+		for _, p := range borrowers {
+			p.Trim(time.Now())
+		}
+		acquire(t, owner).Release(false)
+		owner.Close()
+	})
+}
+
+// Guards against callers that are held to their deadline at a server that takes no more
+// connections, where there is none yet to wait for.
+func TestFullServerIsSaidSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fake{})
+		began := time.Now()
+		_, err := p.Acquire(ask(5 * time.Second))
+		if took := time.Since(began); took > time.Duration(patience)*(2*firstCrowded+opening) {
+			t.Errorf("refused after %s", took)
+		}
+		if r, ok := errors.AsType[*Refusal](err); !ok || r.RetryAfter <= 0 {
+			t.Errorf("error %v, want a refusal that says when to come back", err)
+		}
+		p.Close()
+	})
+}
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -15,6 +15,23 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
+// Refusal is a lease that wasn't given since it would take, or took, too long. It is an
+// ErrRefused.
+type Refusal struct {
+	Server string
+	Reason admitter.Reason
+	// RetryAfter is when there will be room.
+	RetryAfter time.Duration
+}
+
+// Error tells why there was no lease.
+func (r *Refusal) Error() string {
+	return "server " + r.Server + ": " + r.Reason.String() + ": " + ErrRefused.Error()
+}
+
+// Unwrap returns ErrRefused.
+func (r *Refusal) Unwrap() error { return ErrRefused }
+
 // Errors of a lease that wasn't given. Nothing was sent.
 const (
 	// ErrRefused is a wait that would take, or took, too long.
@@ -46,8 +63,12 @@
 	idleFor = time.Second
 	// linkIdleFor is the same for connections to other hosts, which nobody else needs.
 	linkIdleFor = 10 * time.Second
-	// recoverFor bounds the wait for an answer that nobody needs any more.
-	recoverFor = 5 * time.Second
+	// recoverFor bounds the wait for an answer that nobody needs any more. A connection that
+	// has gone silent takes up one of the server's few until it is closed.
+	recoverFor = 2 * time.Second
+	// patience is how many attempts in a row may find the server at its limit before those
+	// who wait for a first connection are refused.
+	patience = 2
 	// suspectAfter is how long a connection is unused before it is looked at.
 	suspectAfter = 50 * time.Millisecond
 )
@@ -87,8 +108,10 @@
 	Server   declarer.Server
 	Dialer   Dialer
 	Observer Observer
-	// Limit is the most connections that this host may open. Resize changes it later.
+	// Limit is the most connections that this host may open, and Keep how many stay open
+	// though unused. Resize changes both later.
 	Limit int
+	Keep  int
 	// Eager opens a connection for whoever waits: those to another entry host take
 	// nothing of the server's.
 	Eager bool
@@ -105,6 +128,8 @@
 	// crowded is until when no connection is opened, crowdedFor how long that was.
 	crowded    time.Time
 	crowdedFor time.Duration
+	// vain counts the attempts in a row that found the server at its limit.
+	vain int
 }
 
 // Ask is what a lease is wanted for.
@@ -156,6 +181,9 @@
 	if p.usable() == 0 {
 		p.queue.Forget()
 	}
+	if p.open == 0 && time.Now().Before(p.crowded) && e.Deadline < sinceEpoch(p.crowded) {
+		return p.noConnection()
+	}
 	p.queue.Slots = p.usable()
 	p.queue.Offer(e, sinceEpoch(time.Now()))
 	// Whoever is refused for the wait would have waited if there were more connections.
@@ -169,18 +197,37 @@
 	return nil
 }
 
+// noConnection is the refusal where there is no connection, and none to be had before the
+// next attempt. The mutex is held.
+func (p *Pool) noConnection() error {
+	return &Refusal{Server: p.Server.ID, Reason: admitter.ReasonConnections, RetryAfter: max(0, time.Until(p.crowded))}
+}
+
 // settle tells those whom the queue has just decided on. The mutex is held.
 func (p *Pool) settle() {
 	for _, e := range p.queue.Granted {
 		e.Owner.(*waiter).done <- nil
 	}
 	for _, e := range p.queue.Refused {
-		e.Owner.(*waiter).done <- errors.Annotatef(ErrRefused, "server %s: %s", p.Server.ID, e.Reason)
+		e.Owner.(*waiter).done <- p.refusal(e)
 	}
 	p.queue.Granted = p.queue.Granted[:0]
 	p.queue.Refused = p.queue.Refused[:0]
 }
 
+// refusal tells why the queue refused e. The mutex is held.
+func (p *Pool) refusal(e *admitter.Entry) error {
+	switch {
+	case p.closed:
+		return ErrClosed
+	case e.Reason == admitter.ReasonConnections:
+		return p.noConnection()
+	case e.Reason == admitter.ReasonLeaving:
+		return errors.Annotatef(ErrUnreachable, "server %s", p.Server.ID)
+	}
+	return &Refusal{Server: p.Server.ID, Reason: e.Reason, RetryAfter: e.RetryAfter}
+}
+
 // granted hands out an idle connection; each grant has one.
 func (p *Pool) granted(a Ask, e *admitter.Entry, err error) (*Lease, error) {
 	if err != nil {
@@ -205,7 +252,7 @@
 		return nil, ErrClosed
 	}
 	p.grow()
-	return nil, errors.Annotatef(ErrRefused, "server %s: its connections ended", p.Server.ID)
+	return nil, errors.Annotatef(ErrUnreachable, "server %s: its connections ended", p.Server.ID)
 }
 
 // usable is how many connections may be lent. The mutex is held.
@@ -258,11 +305,11 @@
 		l := &Lease{Connection: c, Values: make(map[string]string), Prepared: make(map[string]struct{}), pool: p, used: time.Now()}
 		p.open++
 		p.idle = append(p.idle, l)
-		p.crowdedFor = 0
+		p.crowdedFor, p.vain = 0, 0
 	case errors.Is(err, ErrCrowded):
 		p.pause()
 	case p.opening == 0:
-		p.refuse()
+		p.refuse(admitter.ReasonLeaving)
 	}
 	p.adjust()
 }
@@ -274,6 +321,10 @@
 		p.crowdedFor = firstCrowded
 	}
 	p.crowded = time.Now().Add(p.crowdedFor/2 + rand.N(p.crowdedFor))
+	p.vain++
+	if p.vain >= patience {
+		p.refuse(admitter.ReasonConnections)
+	}
 	time.AfterFunc(time.Until(p.crowded), p.resume)
 }
 
@@ -296,11 +347,11 @@
 }
 
 // refuse ends the wait of all: they had better try elsewhere. The mutex is held.
-func (p *Pool) refuse() {
+func (p *Pool) refuse(r admitter.Reason) {
 	if p.open > 0 {
 		return
 	}
-	p.queue.Closed = admitter.ReasonLeaving
+	p.queue.Closed = r
 	p.queue.Adjust(sinceEpoch(time.Now()))
 	p.settle()
 	p.queue.Closed = admitter.ReasonNone
@@ -362,17 +413,17 @@
 
 // Resize changes how many connections may be open: a host comes to own a server's
 // connections, or doesn't any more. What is open beyond is closed once it is idle.
-func (p *Pool) Resize(limit int) {
+func (p *Pool) Resize(limit, keep int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if limit == p.Limit {
+	if limit == p.Limit && keep == p.Keep {
 		return
 	}
-	p.Limit = limit
+	p.Limit, p.Keep = limit, keep
 	p.grow()
 }
 
-// Trim closes what has been idle for long, but for the last connection.
+// Trim closes what has been idle for long, but for as many connections as are kept.
 func (p *Pool) Trim(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -380,7 +431,7 @@
 	if p.Eager {
 		keep = linkIdleFor
 	}
-	for len(p.idle) > 0 && p.open > 1 && (p.open > p.Limit || now.Sub(p.idle[0].used) > keep) {
+	for len(p.idle) > 0 && p.open > p.Keep && (p.open > p.Limit || now.Sub(p.idle[0].used) > keep) {
 		l := p.idle[0]
 		p.idle = p.idle[1:]
 		p.drop(l)
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -91,25 +92,31 @@
 	if !ok {
 		return nil
 	}
-	n := p.share(s)
-	o := p.keep(way{server: id}, &keeper.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: n})
-	o.Resize(n)
+	limit, kept := p.share(s)
+	o := p.keep(way{server: id}, &keeper.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, Keep: kept})
+	o.Resize(limit, kept)
 	return o
 }
 
-// share returns how many connections to the server this host may open.
-func (p *pools) share(s declarer.Server) int {
+// share returns how many connections to the server this host may open, and how many it
+// keeps though unused: none where another host owns the server's. A connection kept by
+// each of many hosts would leave the owner without any.
+func (p *pools) share(s declarer.Server) (limit, kept int) {
 	n := p.limit(s.Group)
-	if o, ok := p.owner(s); ok && o.Name == p.self {
-		return max(leastShare, n-reserve)
+	o, ok := p.owner(s)
+	switch {
+	case !ok:
+		return max(leastShare, n/hostShare), 1
+	case o.Name == p.self:
+		return max(leastShare, n-reserve), 1
 	}
-	return max(leastShare, n/hostShare)
+	return max(leastShare, n/hostShare), 0
 }
 
 // borrowed returns the links to the owner.
 func (p *pools) borrowed(s declarer.Server, o declarer.Host) *keeper.Pool {
 	l := &links{pools: p, owner: o}
-	return p.keep(way{server: s.ID, owner: o.Name}, &keeper.Pool{Server: s, Dialer: l, Observer: l, Limit: linkLimit, Eager: true})
+	return p.keep(way{server: s.ID, owner: o.Name}, &keeper.Pool{Server: s, Dialer: l, Observer: l, Limit: linkLimit, Keep: 1, Eager: true})
 }
 
 // keep returns the pool that is there for the way, or puts n there.
@@ -170,15 +177,16 @@
 	return s, ok
 }
 
-// trim closes connections that nobody needs.
+// trim closes connections that nobody needs. The share of this host is looked at anew: it
+// may have ceased to own a server's connections, and then isn't asked for them any more.
 func (p *pools) trim(now time.Time) {
 	p.mu.Lock()
-	l := make([]*keeper.Pool, 0, len(p.pools))
-	for _, o := range p.pools {
-		l = append(l, o)
-	}
+	l := maps.Clone(p.pools)
 	p.mu.Unlock()
-	for _, o := range l {
+	for w, o := range l {
+		if w.owner == "" {
+			o.Resize(p.share(o.Server))
+		}
 		o.Trim(now)
 	}
 }
