fix(executor): end an overload when its cause ends

Cause: a statement that the owner of a server's connections had refused, since it can't run by its deadline, was sent there up to eight times at 10 to 100 ms. An owner gave up at the same moment as its borrower, so that a refusal came too late to be told: 'unknown' or 'timeout' for what had reached no server.

Change: limit/retrier decides what becomes of a statement that servers turn away, without a clock, a draw or a goroutine: a full queue is final and told at once with the time to come back, a busy server is tried again within a budget of half of the group's statements, a lagging replica after pauses that grow, unreachable servers for 150 ms. The owner is given less time than its borrower waits, by the way there and 20 ms, and waits for answers no longer than that. It tells a full queue from a server that it doesn't reach. Questions for the position go first.

--- /dev/null
+++ b/internal/limit/retrier/statement_test.go
@@ -0,0 +1,107 @@
+package retrier
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const deadline = 800 * time.Millisecond
+
+// Guards against statements that are sent again to a server whose queue is too long for
+// them: eight tries of each kept an overload going after its cause had ended.
+func TestFullServerIsNotTriedAgain(t *testing.T) {
+	s := Statement{Deadline: deadline, Fixed: true}
+	s.Sent()
+	if x := s.Refused("a", CauseCapacity, 40*time.Millisecond, time.Millisecond, 1); x.Action != ActionRefuse || x.RetryAfter != 40*time.Millisecond {
+		t.Errorf("step %+v", x)
+	}
+}
+
+func TestReadGoesElsewhere(t *testing.T) {
+	s := Statement{Deadline: deadline}
+	for i, name := range []string{"a", "b", "c"} {
+		s.Sent()
+		if x := s.Refused(name, CauseCapacity, time.Duration(3-i)*10*time.Millisecond, 0, 1); x.Action != ActionChoose {
+			t.Fatalf("step %+v after %s", x, name)
+		}
+		if !s.Excludes(name) {
+			t.Errorf("%s isn't excluded", name)
+		}
+	}
+	if x := s.Exhausted(time.Millisecond, 1); x.Action != ActionRefuse || x.RetryAfter != 10*time.Millisecond {
+		t.Errorf("step %+v, want a refusal that tells the soonest time", x)
+	}
+}
+
+// A replica that lags catches up: it is tried again, a server that is full isn't.
+func TestReplicaBehindIsTriedAgain(t *testing.T) {
+	s := Statement{Deadline: deadline}
+	s.Refused("a", CauseBehind, 0, 0, 1)
+	s.Refused("b", CauseCapacity, 0, 0, 1)
+	if x := s.Exhausted(0, 1); x.Action != ActionWait || x.Delay > 2*firstPause {
+		t.Errorf("step %+v", x)
+	}
+	if s.Excludes("a") || !s.Excludes("b") {
+		t.Errorf("excluded %q", s.Excluded())
+	}
+}
+
+// Guards against a statement that is held for as long as its caller waits though no
+// server can be reached.
+func TestUnreachableServersAreSaidSoon(t *testing.T) {
+	s := Statement{Deadline: deadline, Fixed: true}
+	now := time.Duration(0)
+	for {
+		x := s.Exhausted(now, 1)
+		if x.Action == ActionRefuse {
+			break
+		}
+		now += x.Delay
+	}
+	if now > unreachableHold {
+		t.Errorf("refused after %s", now)
+	}
+}
+
+// Guards against retries that outlast the statement or load a busy server without bound.
+func TestStatementsEnd(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		b := &Budget{Share: 0.5, Burst: 10}
+		s := Statement{Deadline: rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
+		}).Draw(r, "deadline"), Fixed: rapid.Bool().Draw(r, "fixed"), Budget: b}
+		servers := []string{"a", "b", "c"}
+		now := time.Duration(0)
+		for n := 0; ; n++ {
+			if n > 20*maximumTries {
+				t.Fatal("goes on and on")
+			}
+			name := ""
+			for _, x := range servers {
+				if !s.Excludes(x) {
+					name = x
+				}
+			}
+			var x Step
+			if name == "" || s.Fixed && rapid.Bool().Draw(r, "unknown") {
+				x = s.Exhausted(now, rapid.Uint64().Draw(r, "draw"))
+			} else {
+				s.Sent()
+				now += time.Duration(rapid.IntRange(0, 100).Draw(r, "took")) * time.Millisecond
+				x = s.Refused(name, Cause(rapid.IntRange(0, int(CauseDeposed)).Draw(r, "cause")), 0, now, rapid.Uint64().Draw(r, "draw"))
+			}
+			if x.Action == ActionRefuse {
+				break
+			}
+			now += x.Delay
+			if now >= s.Deadline && x.Action == ActionWait {
+				t.Fatalf("waits until %s, deadline %s", now, s.Deadline)
+			}
+		}
+		if s.Tries() > maximumTries {
+			t.Fatalf("%d tries", s.Tries())
+		}
+	})
+}
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -117,8 +117,11 @@
 	CodeMisrouted
 	CodeTooMany
 	CodeNoStatement
-	// CodeNoLease is the word of the host that owns the server's connections: it had
-	// none for the statement in time.
+	// CodeNoServer is the word of the host that owns the server's connections: it doesn't
+	// reach the server.
+	CodeNoServer
+	// CodeNoLease is the word of that host as well: it had no connection for the statement
+	// in time.
 	CodeNoLease
 	CodeAborted
 	CodeFailed
@@ -137,6 +140,10 @@
 	return c >= CodeBusy && c <= CodeNoLease
 }
 
+// OfOwner reports whether the code is the word of the host that owns the server's
+// connections: nothing was sent to the server.
+func (c Code) OfOwner() bool { return c == CodeNoServer || c == CodeNoLease }
+
 // State is where a session or connection stands.
 type State uint8
 
@@ -170,6 +177,8 @@
 	Code Code
 	// Detail is the text of an error.
 	Detail string
+	// RetryAfter goes with CodeNoLease: when there will be room, zero if that isn't known.
+	RetryAfter time.Duration
 	// Row is the first row, for statements of our own.
 	Row   string
 	State State
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -2,33 +2,21 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/limit/retrier"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
 
-const (
-	// pause is waited before a statement is tried again that found all busy.
-	pause = 10 * time.Millisecond
-	// observeSpare is the part of a route's staleness at which the primary is asked
-	// anew, so that reads don't have to wait for its position.
-	observeSpare = 2
-	// leaderlessHold is how long a statement waits where no primary is known. That a
-	// promotion is over shows within a few milliseconds; one that has only begun takes
-	// longer than most statements have, so that waiting on would end in a refusal all
-	// the same, and late. Over five plays of two days with lost primaries, waiting to
-	// the deadline earned 0.532 and 0.809 of what was owed, this 0.558 and 0.813.
-	leaderlessHold = 150 * time.Millisecond
-	// tries bounds how often one statement is sent.
-	tries = 8
-)
+// observeSpare is the part of a route's staleness at which the primary is asked anew, so
+// that reads don't have to wait for its position.
+const observeSpare = 2
 
 // attempt serves one statement: it looks for a server, sends, and looks for another
 // one while that is certain to have had no effect.
@@ -44,13 +32,12 @@
 	// begin opens a transaction before the statement, VerbUnknown for none.
 	begin declarer.Verb
 
-	excluded []string
-	sent     int
-	server   string
-	primary  bool
-	why      string
-	waited   time.Duration
-	answer   declarer.Answer
+	retries retrier.Statement
+	server  string
+	primary bool
+	why     string
+	waited  time.Duration
+	answer  declarer.Answer
 	// unproved says that the server wasn't seen to lead after it had read.
 	unproved bool
 	// deposed says that it refused the proof since it doesn't lead.
@@ -61,7 +48,12 @@
 
 func (s *Session) newAttempt(r declarer.Route, q *request) *attempt {
 	now := time.Now()
-	return &attempt{session: s, route: r, request: q, arrived: s.Board.Time(), began: now, deadline: now.Add(r.Timeout)}
+	b := s.Budgets.group(r.Group)
+	b.Count()
+	return &attempt{
+		session: s, route: r, request: q, arrived: s.Board.Time(), began: now, deadline: now.Add(r.Timeout),
+		retries: retrier.Statement{Deadline: r.Timeout, Budget: b},
+	}
 }
 
 // alone serves a statement outside of a transaction.
@@ -82,53 +74,76 @@
 // place tries servers until one has answered. It returns the lease that the statement
 // ran on, and an error of ours with its text, where there is no answer to pass on.
 func (a *attempt) place() (*keeper.Lease, declarer.Code, string) {
+	a.retries.Fixed = a.leads
 	for {
-		l, err := a.acquire()
-		if err != nil {
-			return nil, declarer.CodeBusy, err.Error()
-		}
-		if l == nil {
-			continue
-		}
-		again, code, text := a.try(l)
-		if !again {
-			if text != "" {
+		changed := a.session.Board.Changed()
+		l, next := a.acquire()
+		if l != nil {
+			var code declarer.Code
+			var text string
+			var again bool
+			next, again, code, text = a.try(l)
+			if !again && text != "" {
 				return nil, code, text
 			}
-			return l, code, ""
+			if !again {
+				return l, code, ""
+			}
 		}
-		if a.sent >= tries || !time.Now().Before(a.deadline) {
-			return nil, declarer.CodeBusy, "not run: no server took the statement in time"
+		switch next.Action {
+		case retrier.ActionRefuse:
+			return nil, declarer.CodeBusy, a.refusal(next)
+		case retrier.ActionWait:
+			a.wait(changed, next.Delay)
 		}
 	}
 }
 
-// errNotPlaced is a statement that no server was found for; it did not run.
-const errNotPlaced = errors.ConstError("not run: no server for it in time")
+// refusal tells the caller that the statement has not run, and when to come back.
+func (a *attempt) refusal(s retrier.Step) string {
+	t := "not run: " + a.why
+	if s.RetryAfter > 0 {
+		t += ", retry after " + s.RetryAfter.Round(time.Millisecond).String()
+	}
+	return t
+}
 
-// acquire finds a server and leases a connection to it. Neither a lease nor an error
-// means that there is something new to choose from.
-func (a *attempt) acquire() (*keeper.Lease, error) {
-	changed := a.session.Board.Changed()
-	id := a.choose()
-	if id == "" {
-		return nil, a.wait(changed)
+// acquire finds a server and leases a connection to it. Without a lease it returns what
+// to do next.
+func (a *attempt) acquire() (*keeper.Lease, retrier.Step) {
+	id, ok := a.choose()
+	switch {
+	case !ok:
+		return nil, a.retries.Unknown(a.elapsed(), unknownPause)
+	case id == "":
+		return nil, a.retries.Exhausted(a.elapsed(), rand.Uint64())
 	}
 	p := a.session.Pools.Pool(id)
 	if p == nil {
-		a.exclude(id)
-		return nil, a.late()
+		return nil, a.refused(id, retrier.CauseUnreachable, 0)
 	}
 	began := time.Now()
 	l, err := p.Acquire(keeper.Ask{Deadline: a.deadline, Class: a.class(), Team: a.route.Database})
 	a.waited += time.Since(began)
-	if err != nil {
-		a.why = err.Error()
-		a.exclude(id)
-		return nil, a.late()
+	if err == nil {
+		a.server = id
+		return l, retrier.Step{}
+	}
+	a.why = err.Error()
+	if r, ok := errors.AsType[*keeper.Refusal](err); ok {
+		return nil, a.refused(id, retrier.CauseCapacity, r.RetryAfter)
 	}
-	a.server = id
-	return l, nil
+	return nil, a.refused(id, retrier.CauseUnreachable, 0)
+}
+
+// unknownPause bounds the wait for news where the position that a read needs isn't known.
+const unknownPause = 100 * time.Millisecond
+
+func (a *attempt) elapsed() time.Duration { return time.Since(a.began) }
+
+// refused decides what to do after the server didn't run the statement.
+func (a *attempt) refused(server string, c retrier.Cause, retryAfter time.Duration) retrier.Step {
+	return a.retries.Refused(server, c, retryAfter, a.elapsed(), rand.Uint64())
 }
 
 func (a *attempt) class() admitter.Class {
@@ -138,44 +153,19 @@
 	return admitter.ClassRead
 }
 
-// exclude leaves the server out of the next choice. The primary is the only one that
-// takes writes, so it is tried again.
-func (a *attempt) exclude(id string) {
-	if !a.leads && !slices.Contains(a.excluded, id) {
-		a.excluded = append(a.excluded, id)
-		return
-	}
-	time.Sleep(pause)
-}
-
-func (a *attempt) late() error {
-	if !time.Now().Before(a.deadline) {
-		return errors.Annotatef(errNotPlaced, "%s", a.why)
-	}
-	return nil
-}
-
-// wait waits for news of the group's servers.
-func (a *attempt) wait(changed <-chan struct{}) error {
-	a.excluded = nil
-	t := time.NewTimer(min(time.Until(a.deadline), 10*pause))
+// wait waits for news of the group's servers, for d at most.
+func (a *attempt) wait(changed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-changed:
 	case <-t.C:
 	}
-	if a.leads && time.Since(a.began) > leaderlessHold {
-		return errNoPrimary
-	}
-	return a.late()
 }
 
-// errNoPrimary tells the caller when to come back: about when a promotion that has begun
-// will be over.
-const errNoPrimary = errors.ConstError("not run: no primary is known, come back in 1 s")
-
-// choose returns the server to try, empty if there is none now.
-func (a *attempt) choose() string {
+// choose returns the server to try, empty if there is none now, and false if it isn't
+// known what a server must have.
+func (a *attempt) choose() (string, bool) {
 	id := ""
 	if a.leads {
 		a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
@@ -188,23 +178,23 @@
 		if id == "" {
 			a.why = "no primary is known"
 		}
-		return id
+		return id, true
 	}
 	need, ok := a.need()
 	if !ok {
 		a.why = "no recent position of the primary is known"
-		return ""
+		return "", false
 	}
 	a.request.After = need
 	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
-		s, d := g.Read(need, a.excluded, rand.Uint64(), a.session.Board.Time())
+		s, d := g.Read(need, a.retries.Excluded(), rand.Uint64(), a.session.Board.Time())
 		a.why = d.Why.String()
 		if s != nil {
 			id = s.ID
 			a.primary = s == g.Primary()
 		}
 	})
-	return id
+	return id, true
 }
 
 // need returns the position that the read's server must have. If no proof is recent
@@ -234,10 +224,10 @@
 	return need, ok, old
 }
 
-// try sends the statement on l. It reports whether it is to be tried again; then it
-// had no effect and the lease is given back.
-func (a *attempt) try(l *keeper.Lease) (again bool, code declarer.Code, text string) {
-	a.sent++
+// try sends the statement on l. It reports whether it had no effect, and what to do next
+// then; the lease is given back.
+func (a *attempt) try(l *keeper.Lease) (next retrier.Step, again bool, code declarer.Code, text string) {
+	a.retries.Sent()
 	asked := a.session.Board.Time()
 	sent := time.Now()
 	a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Began(a.server) })
@@ -247,13 +237,12 @@
 	if err != nil {
 		return a.broken(l, err)
 	}
-	if a.answer.Code != declarer.CodeNoLease {
+	if !a.answer.Code.OfOwner() {
 		a.learn(asked, took)
 	}
 	if a.answer.Code.NotRun() {
 		l.Release(false)
-		a.turnedAway()
-		return true, declarer.CodeNone, ""
+		return a.turnedAway(), true, declarer.CodeNone, ""
 	}
 	if a.unproved {
 		// The server answered, and may not have led any more right after: what it read may
@@ -262,9 +251,9 @@
 		if a.deposed {
 			a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Refused(a.server) })
 		}
-		return true, declarer.CodeNone, ""
+		return a.refused(a.server, retrier.CauseDeposed, 0), true, declarer.CodeNone, ""
 	}
-	return false, a.answer.Code, ""
+	return retrier.Step{}, false, a.answer.Code, ""
 }
 
 // exchange sends what is to be sent, and reads the answers. What opens a transaction
@@ -337,36 +326,37 @@
 	}
 }
 
-// turnedAway notes why the server didn't run the statement.
-func (a *attempt) turnedAway() {
-	c := a.answer.Code
-	a.why = "turned away: " + a.answer.Detail
-	a.answer = declarer.Answer{Body: a.answer.Body[:0]}
-	switch c {
+// turnedAway notes why the server didn't run the statement, and decides what to do next.
+func (a *attempt) turnedAway() retrier.Step {
+	x := a.answer
+	a.why = "turned away: " + x.Detail
+	a.answer = declarer.Answer{Body: x.Body[:0]}
+	switch x.Code {
 	case declarer.CodeReadOnly:
 		a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Refused(a.server) })
+		return a.refused(a.server, retrier.CauseDeposed, 0)
 	case declarer.CodeLagging:
 		a.lagging()
-	default:
-		a.exclude(a.server)
+		return a.refused(a.server, retrier.CauseBehind, 0)
+	case declarer.CodeNoLease:
+		return a.refused(a.server, retrier.CauseCapacity, x.RetryAfter)
+	case declarer.CodeNoServer:
+		return a.refused(a.server, retrier.CauseUnreachable, 0)
 	}
+	return a.refused(a.server, retrier.CauseBusy, 0)
 }
 
-// lagging leaves the server out. Only where it lacks what any read by age needs, it
-// is left out for others too: a session's own commit of a moment ago is missing at
-// each replica for a few milliseconds.
+// lagging notes for others that the server is behind, unless it only lacks the session's
+// own commit of a moment ago: each replica does for a few milliseconds.
 func (a *attempt) lagging() {
-	own := a.request.After == a.session.own(a.route.Group)
-	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
-		if !own {
-			g.Lagged(a.server, a.session.Board.Time())
-		}
-	})
-	a.exclude(a.server)
+	if a.request.After == a.session.own(a.route.Group) {
+		return
+	}
+	a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Lagged(a.server, a.session.Board.Time()) })
 }
 
 // broken judges an exchange without an answer.
-func (a *attempt) broken(l *keeper.Lease, err error) (again bool, code declarer.Code, text string) {
+func (a *attempt) broken(l *keeper.Lease, err error) (next retrier.Step, again bool, code declarer.Code, text string) {
 	timeout := errors.Is(err, keeper.ErrTimeout)
 	l.Release(!timeout)
 	if !timeout {
@@ -375,22 +365,21 @@
 	a.why = err.Error()
 	switch {
 	case a.request.Writes && a.begin == declarer.VerbUnknown:
-		return false, declarer.CodeUnknown, "the server's answer didn't come; whether the write ran isn't known"
+		return next, false, declarer.CodeUnknown, "the server's answer didn't come; whether the write ran isn't known"
 	case a.begin != declarer.VerbUnknown && timeout:
-		return false, declarer.CodeAborted, "no answer in time; the transaction is rolled back"
+		return next, false, declarer.CodeAborted, "no answer in time; the transaction is rolled back"
 	case timeout:
-		return false, declarer.CodeTimeout, "no answer in time"
+		return next, false, declarer.CodeTimeout, "no answer in time"
 	}
 	// A read, or a transaction that was never asked to commit, may run again.
 	a.answer = declarer.Answer{Body: a.answer.Body[:0]}
-	a.exclude(a.server)
-	return true, declarer.CodeNone, ""
+	return a.refused(a.server, retrier.CauseUnreachable, 0), true, declarer.CodeNone, ""
 }
 
 func (a *attempt) report(c declarer.Code) {
 	a.session.Reporter.Statement(&Report{
 		Group: a.route.Group, Database: a.route.Database, Statement: a.request.ID, Verb: a.request.verb,
-		Server: a.server, Primary: a.primary, Code: c, Why: a.why, Attempts: a.sent,
+		Server: a.server, Primary: a.primary, Code: c, Why: a.why, Attempts: a.retries.Tries(),
 		Need: a.request.After, Version: a.session.version(),
 		Wait: a.waited, Took: time.Since(a.began),
 	})
--- a/internal/proxy/executor/attempt_test.go
+++ b/internal/proxy/executor/attempt_test.go
@@ -109,6 +109,25 @@
 	})
 }
 
+// Guards against statements that are sent to an overloaded owner again and again: its
+// word that the statement can't run in time is final, and told at once.
+func TestOwnersRefusalIsFinal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newDeployment(w, "z-0")
+		d.pools["i-0"] = &keeper.Pool{Server: w.list()[0], Dialer: owner{d}, Observer: d, Limit: 6}
+		c := start(d, "primary")
+		began := time.Now()
+		if _, r := c.ask("WRITE x 1"); r.code != declarer.CodeBusy {
+			t.Errorf("code %d, want busy", r.code)
+		}
+		if took := time.Since(began); took > 50*time.Millisecond {
+			t.Errorf("refused after %s", took)
+		}
+		end(d, c)
+	})
+}
+
 // noLease is a link to an owner that has no connection for anybody.
 type noLease struct{ keeper.Connection }
 
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -72,7 +72,7 @@
 		if err := e.receive(&a); err != nil {
 			return err
 		}
-		if a.Code == declarer.CodeNoLease {
+		if a.Code.OfOwner() {
 			continue // the statement itself is answered so as well; nothing was sent
 		}
 		if a.Code != declarer.CodeNone {
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -80,7 +80,8 @@
 }
 
 // run asks by an empty transaction, which only a leading server begins, and which
-// uses no slot.
+// uses no slot. It goes before statements: where the primary is overloaded, reads could
+// else not be sent to replicas, and would make the overload last.
 func (f *observation) run() {
 	defer close(f.done)
 	id := ""
@@ -94,7 +95,7 @@
 		return
 	}
 	end := time.Now().Add(observeTimeout)
-	l, err := p.Acquire(keeper.Ask{Deadline: end, Class: admitter.ClassRead})
+	l, err := p.Acquire(keeper.Ask{Deadline: end, Class: admitter.ClassTransaction})
 	if err != nil {
 		return
 	}
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -5,6 +5,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/limit/retrier"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
@@ -115,8 +116,10 @@
 // too busy and the transaction stands.
 func (a *attempt) repeat(t *transaction) error {
 	a.server, a.primary = t.server, t.primary
+	// To break the transaction off costs more than the tries do.
+	a.retries.Fixed, a.retries.Budget = true, nil
 	for {
-		a.sent++
+		a.retries.Sent()
 		e := &exchange{lease: t.lease, deadline: a.deadline}
 		e.dress(a.session, a.request)
 		e.add(a.request.Request)
@@ -125,10 +128,14 @@
 			return err
 		}
 		busy := a.answer.Code == declarer.CodeBusy && a.answer.State == declarer.StateTransaction
-		if !busy || a.sent >= tries || time.Until(a.deadline) < pause {
+		if !busy {
 			return nil
 		}
-		time.Sleep(pause)
+		next := a.refused(t.server, retrier.CauseBusy, 0)
+		if next.Action != retrier.ActionWait {
+			return nil
+		}
+		time.Sleep(next.Delay)
 	}
 }
 
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -33,14 +33,24 @@
 // Event is what a borrower sends.
 type Event struct {
 	Kind Kind
-	// Wait, Class and Team go with KindLend.
-	Wait  time.Duration
+	// Wait is how long the borrower waits: for a connection, or for the answers.
+	Wait time.Duration
+	// Class and Team go with KindLend.
 	Class admitter.Class
 	Team  string
 	// Requests go with KindStatements.
 	Requests []declarer.Request
 }
 
+// Refusal says why a borrower got no connection.
+type Refusal struct {
+	// Unreachable says that there is none to be had: the server can't be reached from here.
+	Unreachable bool
+	// RetryAfter is when there will be one, zero if that isn't known.
+	RetryAfter time.Duration
+	Why        string
+}
+
 // Borrower is another host that borrows.
 type Borrower interface {
 	Greet(deadline time.Time) error
@@ -49,15 +59,14 @@
 	// Answer, Done and Refuse add an answer each, which Flush sends.
 	Answer(a *declarer.Answer)
 	Done(s declarer.State)
-	Refuse(why string)
+	Refuse(r Refusal)
 	Flush() error
 }
 
 const (
 	// greetTimeout bounds the start of a link.
 	greetTimeout = time.Second
-	// answerTimeout bounds a server's answer. The borrower gives up sooner, by what
-	// its caller's statement may take.
+	// answerTimeout bounds a server's answer, whatever time the borrower gives.
 	answerTimeout = 10 * time.Second
 )
 
@@ -75,7 +84,7 @@
 	// fresh says that nothing was run on the lease yet.
 	fresh bool
 	// refused says why there is no lease.
-	refused string
+	refused Refusal
 }
 
 // Run serves the borrower until the link ends. What it holds then is put in order.
@@ -105,7 +114,7 @@
 	if l.lease == nil {
 		return l.refuse(len(e.Requests))
 	}
-	if err := l.run(e.Requests); err != nil {
+	if err := l.run(e.Requests, min(e.Wait, answerTimeout)); err != nil {
 		l.giveBack(!errors.Is(err, keeper.ErrTimeout))
 		return false
 	}
@@ -114,7 +123,7 @@
 
 func (l *Link) lend(e Event) {
 	l.giveBack(false)
-	l.refused = "server isn't listed here"
+	l.refused = Refusal{Unreachable: true, Why: "server isn't listed here"}
 	p := l.Pool()
 	if p == nil {
 		return
@@ -122,7 +131,7 @@
 	var err error
 	l.lease, err = p.Acquire(keeper.Ask{Deadline: time.Now().Add(e.Wait), Class: e.Class, Team: e.Team})
 	if err != nil {
-		l.refused = err.Error()
+		l.refused = refusalOf(err)
 		return
 	}
 	l.fresh = true
@@ -135,7 +144,18 @@
 		l.lease = nil
 		l.Lent.Add(-1)
 	}
-	l.refused = "nothing was borrowed"
+	l.refused = Refusal{Unreachable: true, Why: "nothing was borrowed"}
+}
+
+// refusalOf tells the borrower why the pool gave no connection.
+func refusalOf(err error) Refusal {
+	r := Refusal{Why: err.Error()}
+	if q, ok := errors.AsType[*keeper.Refusal](err); ok {
+		r.RetryAfter = q.RetryAfter
+		return r
+	}
+	r.Unreachable = true
+	return r
 }
 
 func (l *Link) refuse(n int) bool {
@@ -147,9 +167,9 @@
 
 // run sends the statements but for those that would set up what is there already, and
 // answers each.
-func (l *Link) run(requests []declarer.Request) error {
+func (l *Link) run(requests []declarer.Request, wait time.Duration) error {
 	skipped, out := l.dress(requests)
-	end := time.Now().Add(answerTimeout)
+	end := time.Now().Add(wait)
 	if len(out) > 0 {
 		if err := l.lease.Send(out, end); err != nil {
 			return err
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -107,7 +107,7 @@
 	b.answers = append(b.answers, fmt.Sprintf("answer %d", a.State))
 }
 func (b *borrower) Done(s declarer.State) { b.answers = append(b.answers, fmt.Sprintf("done %d", s)) }
-func (b *borrower) Refuse(string)         { b.answers = append(b.answers, "refused") }
+func (b *borrower) Refuse(Refusal)        { b.answers = append(b.answers, "refused") }
 func (b *borrower) Flush() error          { return nil }
 
 // play serves the events over one pool and returns the borrower.
