--- a/internal/limit/retrier/statement.go
+++ b/internal/limit/retrier/statement.go
@@ -80,7 +80,7 @@
 	// failing says that no server can be reached, since failingSince.
 	failing      bool
 	failingSince time.Duration
-	retryAfter time.Duration
+	retryAfter   time.Duration
 }
 
 // Excludes reports whether the server isn't to be chosen now.
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -50,7 +50,7 @@
 	// heard says that other hosts hear from servers that this one doesn't reach, and hung
 	// that they only reach them.
 	heard, hung bool
-	steps []string
+	steps       []string
 	// phases are the times of promotions by phase.
 	phases map[string]time.Duration
 }
@@ -119,7 +119,7 @@
 	if c.servers[s.ID].gone {
 		return nil, marker.Mark{}, keeper.ErrNoWay
 	}
-	if f := c.servers[s.ID].full; f == keeper.ErrCrowded {
+	if f := c.servers[s.ID].full; errors.Is(f, keeper.ErrCrowded) {
 		return nil, marker.Mark{}, f
 	}
 	return &line{cluster: c, id: s.ID}, marker.Mark{}, nil
