feat(commander): show where statements were lost, by window, group, server and reason

An engineer on call had one request's story (explain) and counters. losses reads the same log files and says when, in which group, at which server and for what reason statements were lost, how long their callers were held and how often one was sent.

--- a/internal/proxy/commander/commander_test.go
+++ b/internal/proxy/commander/commander_test.go
@@ -33,6 +33,11 @@
 		"explain as json":    {[]string{"explain", "--request", "141bc760d96d8f76", "--format", "json", log}, exitDone, `"holes":`, ""},
 		"explain, no line":   {[]string{"explain", "--request", "x", log}, exitFailed, "", "no line of the request"},
 		"explain, bad form":  {[]string{"explain", "--request", "x", "--format", "xml", log}, exitFailed, "", `format "xml"`},
+		"losses":             {[]string{"losses", log}, exitDone, "statements lost from", ""},
+		"losses as json":     {[]string{"losses", "--format", "json", "--window", "1s", log}, exitDone, `"causes":`, ""},
+		"losses, bad form":   {[]string{"losses", "--format", "xml", log}, exitFailed, "", `format "xml"`},
+		"losses, bad window": {[]string{"losses", "--window", "-1s", log}, exitFailed, "", "window -1s"},
+		"losses, no line":    {[]string{"losses", "--group", "none", log}, exitFailed, "", "no line of a statement"},
 		"explain, no id":     {[]string{"explain", log}, exitUsage, "", "--request"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proxy/commander/explain.go
+++ b/internal/proxy/commander/explain.go
@@ -20,7 +20,7 @@
 }
 
 func (e *explain) run(out io.Writer) error {
-	if e.Format != "table" && e.Format != "json" {
+	if e.Format != formatTable && e.Format != formatJSON {
 		return errors.Errorf("format %q is neither table nor json", e.Format)
 	}
 	var l []explainer.File
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	if e.Format == "json" {
+	if e.Format == formatJSON {
 		return json.NewEncoder(out).Encode(s)
 	}
 	return s.Write(out)
