--- a/internal/proxy/analyzer/writer.go
+++ b/internal/proxy/analyzer/writer.go
@@ -15,41 +15,62 @@
 func (s *Summary) Write(w io.Writer) error {
 	b := &strings.Builder{}
 	fmt.Fprintf(b, "%d statements lost from %s, held %s in the median, %s in the 90th percentile\n\n", s.Lost, s.From.Format(time.RFC3339), short(s.Median), short(s.Ninetieth))
-	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', tabwriter.AlignRight)
-	s.writeGroups(t)
-	_ = t.Flush()
-	b.WriteByte('\n')
-	t = tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
-	fmt.Fprint(t, "lost\tmedian\t90th\toutcome\tcode\twhy\n")
-	for _, c := range s.Causes[:min(len(s.Causes), listed)] {
-		fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%s\n", c.Lost, short(c.Median), short(c.Ninetieth), c.Outcome, c.Code, c.Why)
+	if _, err := io.WriteString(w, b.String()); err != nil {
+		return err
 	}
-	_ = t.Flush()
-	writeCounts(b, "server", s.Servers)
-	writeCounts(b, "operation", s.Operations)
-	b.WriteString("\nsent")
-	for i, n := range s.Tries {
-		fmt.Fprintf(b, "  %d times: %d", i, n)
+	if err := align(w, s.groups(), tabwriter.AlignRight); err != nil {
+		return err
 	}
-	b.WriteByte('\n')
-	_, err := io.WriteString(w, b.String())
+	if err := align(w, s.causes(), 0); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, counted("server", s.Servers)+counted("operation", s.Operations)+s.tries())
 	return err
 }
 
-// writeGroups prints a row for each window and a column for each group.
-func (s *Summary) writeGroups(w io.Writer) {
-	fmt.Fprint(w, "from\t")
+// align prints columns that are separated by tabs.
+func align(w io.Writer, text string, flags uint) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', flags)
+	if _, err := io.WriteString(t, text+"\n"); err != nil {
+		return err
+	}
+	return t.Flush()
+}
+
+// groups is a row for each window with a column for each group.
+func (s *Summary) groups() string {
+	b := &strings.Builder{}
+	b.WriteString("from\t")
 	for _, g := range s.Groups {
-		fmt.Fprintf(w, "%s\t", g.Group)
+		b.WriteString(g.Group + "\t")
 	}
-	fmt.Fprintln(w)
 	for i := range s.windows() {
-		fmt.Fprintf(w, "%s\t", time.Duration(i)*s.Window)
+		fmt.Fprintf(b, "\n%s\t", time.Duration(i)*s.Window)
 		for _, g := range s.Groups {
-			fmt.Fprintf(w, "%d\t", g.Windows[i])
+			fmt.Fprintf(b, "%d\t", g.Windows[i])
 		}
-		fmt.Fprintln(w)
 	}
+	b.WriteByte('\n')
+	return b.String()
+}
+
+func (s *Summary) causes() string {
+	b := &strings.Builder{}
+	b.WriteString("lost\tmedian\t90th\toutcome\tcode\twhy\n")
+	for _, c := range s.Causes[:min(len(s.Causes), listed)] {
+		fmt.Fprintf(b, "%d\t%s\t%s\t%s\t%s\t%s\n", c.Lost, short(c.Median), short(c.Ninetieth), c.Outcome, c.Code, c.Why)
+	}
+	return b.String()
+}
+
+func (s *Summary) tries() string {
+	b := &strings.Builder{}
+	b.WriteString("sent")
+	for i, n := range s.Tries {
+		fmt.Fprintf(b, "  %d times: %d", i, n)
+	}
+	b.WriteByte('\n')
+	return b.String()
 }
 
 func (s *Summary) windows() int {
@@ -59,12 +80,14 @@
 	return len(s.Groups[0].Windows)
 }
 
-func writeCounts(b *strings.Builder, name string, l []Count) {
-	fmt.Fprintf(b, "\n%s:", name)
+func counted(name string, l []Count) string {
+	b := &strings.Builder{}
+	b.WriteString(name + ":")
 	for _, c := range l[:min(len(l), listed)] {
 		fmt.Fprintf(b, "  %s %d", c.Name, c.Lost)
 	}
-	b.WriteByte('\n')
+	b.WriteString("\n\n")
+	return b.String()
 }
 
 func short(d time.Duration) string { return d.Round(100 * time.Microsecond).String() }
