feat(admitter): refuse on arrival what would wait longer than its objective

Hypothesis: a group whose replicas lag has the primary's two slots for three times the load; with deadlines of 0.8 s its queue answers most after their objective of 0.3 or 0.5 s. Change: a statement goes into a connection's queue only if the expected wait is within half of its route's objective; the other half is for the statement and for others of its operation. The objective is passed on to the owner of a server's connections.

--- a/internal/limit/admitter/admission.go
+++ b/internal/limit/admitter/admission.go
@@ -27,7 +27,7 @@
 		return ReasonNone
 	}
 	w := q.expectedWait(e.team, e.Class)
-	if e.Deadline != 0 && now+w+q.ServiceTime() > e.Deadline {
+	if e.Deadline != 0 && now+w+q.ServiceTime() > e.Deadline || e.Objective != 0 && now+w > e.Objective {
 		return ReasonExpectedWait
 	}
 	if q.waiting[ClassRead]+q.waiting[ClassWrite] >= q.length() && !q.makeRoom(e) {
--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -66,6 +66,10 @@
 	Class Class
 	// Deadline is on the clock of now, zero for none.
 	Deadline time.Duration
+	// Objective is by when the request should be granted, on the same clock, zero for none.
+	// One that would wait longer is refused on arrival: under a standing overload a long
+	// queue answers everybody late.
+	Objective time.Duration
 	// Holding says that the request holds a connection already. It is taken in
 	// whatever the queue's length, and goes before others of its team and class.
 	Holding bool
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -28,6 +28,9 @@
 	Kind             RouteKind
 	Timeout          time.Duration
 	MaximumStaleness time.Duration
+	// Objective is within which callers expect the answer to a whole operation, zero for
+	// none.
+	Objective time.Duration
 }
 
 // Group is the declaration of one database group.
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -123,7 +123,7 @@
 		return nil, a.refused(id, retrier.CauseUnreachable, 0)
 	}
 	began := time.Now()
-	l, err := p.Acquire(keeper.Ask{Deadline: a.deadline, Class: a.class(), Team: a.route.Database})
+	l, err := p.Acquire(a.ask())
 	a.waited += time.Since(began)
 	if err == nil {
 		a.server = id
@@ -139,6 +139,19 @@
 // unknownPause bounds the wait for news where the position that a read needs isn't known.
 const unknownPause = 100 * time.Millisecond
 
+// objectiveShare is the part of a route's objective that may go by until a connection is
+// given. The rest is for the statement, and for the others of its operation.
+const objectiveShare = 2
+
+// ask is what the statement wants of a pool.
+func (a *attempt) ask() keeper.Ask {
+	k := keeper.Ask{Deadline: a.deadline, Class: a.class(), Team: a.route.Database}
+	if a.route.Objective > 0 {
+		k.Objective = a.began.Add(a.route.Objective / objectiveShare)
+	}
+	return k
+}
+
 func (a *attempt) elapsed() time.Duration { return time.Since(a.began) }
 
 // refused decides what to do after the server didn't run the statement.
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -135,7 +135,10 @@
 // Ask is what a lease is wanted for.
 type Ask struct {
 	Deadline time.Time
-	Class    admitter.Class
+	// Objective is by when it should be given, zero for none: a longer wait that is foreseen
+	// is refused.
+	Objective time.Time
+	Class     admitter.Class
 	// Team shares the connections fairly with others.
 	Team string
 }
@@ -153,6 +156,9 @@
 // Acquire waits for a connection until the deadline.
 func (p *Pool) Acquire(a Ask) (*Lease, error) {
 	e := &admitter.Entry{Team: a.Team, Class: a.Class, Deadline: sinceEpoch(a.Deadline)}
+	if !a.Objective.IsZero() {
+		e.Objective = sinceEpoch(a.Objective)
+	}
 	w := &waiter{done: make(chan error, 1)}
 	e.Owner = w
 	if err := p.offer(e); err != nil {
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -35,9 +35,11 @@
 	Kind Kind
 	// Wait is how long the borrower waits: for a connection, or for the answers.
 	Wait time.Duration
-	// Class and Team go with KindLend.
-	Class admitter.Class
-	Team  string
+	// Objective, Class and Team go with KindLend. Objective is within which the connection
+	// should be lent, zero for none.
+	Objective time.Duration
+	Class     admitter.Class
+	Team      string
 	// Requests go with KindStatements.
 	Requests []declarer.Request
 }
@@ -129,7 +131,7 @@
 		return
 	}
 	var err error
-	l.lease, err = p.Acquire(keeper.Ask{Deadline: time.Now().Add(e.Wait), Class: e.Class, Team: e.Team})
+	l.lease, err = p.Acquire(e.ask(time.Now()))
 	if err != nil {
 		l.refused = refusalOf(err)
 		return
@@ -138,6 +140,15 @@
 	l.Lent.Add(1)
 }
 
+// ask is what the borrower wants of the pool.
+func (e *Event) ask(now time.Time) keeper.Ask {
+	a := keeper.Ask{Deadline: now.Add(e.Wait), Class: e.Class, Team: e.Team}
+	if e.Objective > 0 {
+		a.Objective = now.Add(e.Objective)
+	}
+	return a
+}
+
 func (l *Link) giveBack(broken bool) {
 	if l.lease != nil {
 		l.lease.Release(broken)
