perf(mirrorer): ask the next host where the one that was read from has lost the store

Change: a host that says itself that it has lost the store answers in a millisecond; up to two more are asked then. After a host that doesn't answer the store is still asked first. TestSelectorGoesOnWithoutTheOtherHost said that the store is asked after either; it now has a row of hosts, two that have lost it, one that is silent and one that mustn't be asked.

--- a/internal/proxy/mirrorer/mirrorer_test.go
+++ b/internal/proxy/mirrorer/mirrorer_test.go
@@ -258,16 +258,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{revision: 5, names: []string{"a"}}
 		away := newMirror(s)
-		x := newSelection(s, network{"away": away}, "gone", "away", "gone too")
+		x := newSelection(s, network{"away": away, "too": newMirror(s)}, "gone", "away", "too", "silent", "never")
 		p, err := x.List(t.Context())
 		expect(t, "list", p, err, "a")
 		if _, err := x.Watch(t.Context(), 5, time.Second); !errors.Is(err, ErrForgotten) {
 			t.Fatalf("from a host that has lost the store: %v", err)
 		}
-		// The store is asked before yet another host.
+		// The next host says so too, the one after it doesn't answer: the store is asked
+		// before yet another one.
 		p, err = x.List(t.Context())
 		expect(t, "list of the store", p, err, "a")
-		if !slices.Equal(x.failed, []string{"gone", "away"}) {
+		if !slices.Equal(x.failed, []string{"gone", "away", "too", "silent"}) {
 			t.Errorf("passed over %q", x.failed)
 		}
 		x.hosts = nil
--- a/internal/proxy/mirrorer/selector.go
+++ b/internal/proxy/mirrorer/selector.go
@@ -19,6 +19,8 @@
 	// zone. One without power doesn't even refuse: a host that starts would take callers as
 	// much later as it waits, while the store answers in a few milliseconds.
 	remoteList = 100 * time.Millisecond
+	// remotes is how many hosts are asked for a list before the store is.
+	remotes = 3
 )
 
 // Remote reads from another host's mirrors.
@@ -43,31 +45,49 @@
 	reached uint64
 	// reads says that the last call was to the store.
 	reads bool
-	// failed says that the host that was read from has just failed. The store is asked then
-	// before another host is: to try one after the other could take longer than a change may
-	// stay unknown, where many hosts are cut off at once.
+	// failed says that the host that was read from has just not answered. The store is asked
+	// then before another host is: to try one after the other could take longer than a change
+	// may stay unknown, where many hosts are cut off at once. One that says itself that it has
+	// lost the store costs no time.
 	failed bool
 }
 
 // List returns all objects.
 func (s *Selector) List(ctx context.Context) (Page, error) {
-	h, ok := s.Host()
-	if ok && !s.failed {
-		c, cancel := context.WithTimeout(ctx, remoteList)
-		defer cancel()
-		p, err := s.Remote.List(c, h, s.Kind)
-		switch {
-		case err != nil:
-			s.Failed(h, s.Kind, err)
-		case p.Revision >= s.reached: // an older list would take back what is known
+	for range remotes {
+		h, ok := s.Host()
+		if !ok || s.failed {
+			break
+		}
+		p, err := s.listRemote(ctx, h)
+		if err == nil {
 			s.leave()
 			return s.reach(p, nil)
 		}
+		s.failed = !errors.Is(err, ErrAway)
 	}
 	s.reads, s.failed = true, false
 	return s.reach(s.Mirror.List(ctx))
 }
 
+// listRemote returns the list of another host.
+func (s *Selector) listRemote(ctx context.Context, h declarer.Host) (Page, error) {
+	c, cancel := context.WithTimeout(ctx, remoteList)
+	defer cancel()
+	p, err := s.Remote.List(c, h, s.Kind)
+	if err != nil {
+		s.Failed(h, s.Kind, err)
+		return p, err
+	}
+	if p.Revision < s.reached {
+		return p, errOld
+	}
+	return p, nil
+}
+
+// errOld is a list that would take back what is known.
+const errOld = errors.ConstError("list is older than what is known")
+
 // Watch waits for changes.
 func (s *Selector) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
 	h, ok := s.Host()
@@ -91,7 +111,7 @@
 		return s.reach(p, err)
 	}
 	s.Failed(h, s.Kind, err)
-	s.failed = true
+	s.failed = !errors.Is(err, ErrAway)
 	return Page{}, errors.WithType(err, ErrForgotten)
 }
 
