--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -273,18 +273,30 @@
 	q.Refused = append(q.Refused, e)
 }
 
+// RefuseWaiting refuses all that wait, those of transactions as well: there is nothing left
+// to wait for.
+func (q *Queue) RefuseWaiting(r Reason) {
+	q.clear()
+	for c := range classes {
+		q.refuseClass(c, r)
+	}
+}
+
 func (q *Queue) refuseAll() {
 	for c := range classes {
-		if c == ClassTransaction && q.Closed != ReasonShutdown {
-			continue
+		if c != ClassTransaction || q.Closed == ReasonShutdown {
+			q.refuseClass(c, q.Closed)
 		}
-		for _, t := range q.teams {
-			for len(t.heaps[c]) > 0 {
-				e := t.heaps[c][0]
-				q.remove(e)
-				q.refuse(e, q.Closed)
-			}
-			q.dropIdle(t)
+	}
+}
+
+func (q *Queue) refuseClass(c Class, r Reason) {
+	for _, t := range q.teams {
+		for len(t.heaps[c]) > 0 {
+			e := t.heaps[c][0]
+			q.remove(e)
+			q.refuse(e, r)
 		}
+		q.dropIdle(t)
 	}
 }
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -113,6 +113,9 @@
 func (a *attempt) acquire() (*keeper.Lease, retrier.Step) {
 	id, ok := a.choose()
 	switch {
+	case !ok && a.leaderless():
+		// A position would have to come from a primary that doesn't answer.
+		return nil, a.retries.Exhausted(a.elapsed(), rand.Uint64())
 	case !ok:
 		return nil, a.retries.Unknown(a.elapsed(), unknownPause)
 	case id == "":
@@ -136,6 +139,21 @@
 	return nil, a.refused(id, retrier.CauseUnreachable, 0)
 }
 
+// leaderless reports whether no primary is known that answers.
+func (a *attempt) leaderless() bool {
+	lost := true
+	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
+		if p := g.Primary(); p != nil {
+			lost = p.FailingSince != 0 && a.session.Board.Time()-p.FailingSince > failingFor
+		}
+	})
+	return lost
+}
+
+// failingFor is how long a primary may fail before reads that need its position are
+// refused soon. Most failures of that length end with a promotion.
+const failingFor = 300 * time.Millisecond
+
 // unknownPause bounds the wait for news where the position that a read needs isn't known.
 const unknownPause = 100 * time.Millisecond
 
--- a/internal/proxy/executor/attempt_test.go
+++ b/internal/proxy/executor/attempt_test.go
@@ -207,3 +207,22 @@
 		end(d, c)
 	})
 }
+
+// Guards against reads that are held to their deadline for the position of a primary that is
+// lost.
+func TestReadsAreNotHeldForALostPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newDeployment(w, "z-0")
+		w.servers[0].cut = true
+		d.board.Do("db", func(g *viewer.Group) { g.Failed("i-0", d.board.Time(), d.board.Time()) })
+		time.Sleep(2 * time.Second)
+		c := start(d, "bounded")
+		began := time.Now()
+		_, r := c.ask("READ x")
+		if took := time.Since(began); r.code != declarer.CodeBusy || took > 400*time.Millisecond {
+			t.Errorf("code %d after %s, want a refusal soon", r.code, took)
+		}
+		end(d, c)
+	})
+}
--- a/internal/proxy/keeper/full_test.go
+++ b/internal/proxy/keeper/full_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 )
 
 // Guards against hosts that each keep a connection which they don't use: the owner of a
@@ -49,3 +51,19 @@
 		p.Close()
 	})
 }
+
+// Guards against a question for the primary's position that waits at a server which can't
+// be reached, while another server has come to lead: it goes before statements, but not on
+// for longer than they do.
+func TestQuestionsDoNotOutlastAnUnreachableServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fake{err: ErrNoWay})
+		a := ask(time.Minute)
+		a.Class = admitter.ClassTransaction
+		began := time.Now()
+		if _, err := p.Acquire(a); !errors.Is(err, ErrUnreachable) || time.Since(began) > 2*opening {
+			t.Errorf("error %v after %s", err, time.Since(began))
+		}
+		p.Close()
+	})
+}
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/keeper/keeper.go
@@ -365,10 +365,8 @@
 	if p.open > 0 {
 		return
 	}
-	p.queue.Closed = r
-	p.queue.Adjust(sinceEpoch(time.Now()))
+	p.queue.RefuseWaiting(r)
 	p.settle()
-	p.queue.Closed = admitter.ReasonNone
 }
 
 // adjust gives out what has become free. The mutex is held.
@@ -461,7 +459,6 @@
 		p.drop(l)
 	}
 	p.idle = nil
-	p.queue.Closed = admitter.ReasonLeaving
-	p.queue.Adjust(sinceEpoch(time.Now()))
+	p.queue.RefuseWaiting(admitter.ReasonLeaving)
 	p.settle()
 }
