--- a/internal/proxy/analyzer/writer.go
+++ b/internal/proxy/analyzer/writer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -90,4 +91,4 @@
 	return b.String()
 }
 
-func short(d time.Duration) string { return d.Round(100 * time.Microsecond).String() }
+func short(d time.Duration) string { return strconv.FormatFloat(d.Seconds()*1000, 'f', 1, 64) + " ms" }
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -103,7 +104,7 @@
 func (a *attempt) refusal(s retrier.Step) string {
 	t := "not run: " + a.why
 	if s.RetryAfter > 0 {
-		t += ", retry after " + s.RetryAfter.Round(time.Millisecond).String()
+		t += ", retry after " + strconv.FormatInt(s.RetryAfter.Milliseconds(), 10) + " ms"
 	}
 	return t
 }
