feat(assembler): take changed settings into force while a host runs

A reload was only reported, and a file that changed without a signal not noticed. No connection is touched.

Ruled out: applying all by rebuilding the host within the process, as callers would be cut off.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -38,7 +38,8 @@
 type Assembler struct {
 	Settings  platform.Settings
 	LogOutput io.Writer
-	// Reload, if it isn't nil, asks for the settings to be read anew by Load.
+	// Reload, if it isn't nil, asks for the settings to be read anew by Load. They are also
+	// read now and then unasked.
 	Reload <-chan struct{}
 	Load   func() (platform.Settings, error)
 
@@ -47,7 +48,7 @@
 
 // Run serves until drain is closed and the host has drained.
 func (a *Assembler) Run(ctx context.Context, drain <-chan struct{}) error {
-	debug.SetMemoryLimit(a.Settings.MemoryBytes * memoryShare / 10)
+	limitMemory(a.Settings)
 	e := &encoder.Encoder{Writer: a.LogOutput, QueueBytes: queueBytes}
 	c, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -76,7 +77,11 @@
 	h.Counter = m
 	h.Reporter = &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
 	if a.Reload != nil {
-		go (&reloader{current: a.Settings, load: a.Load, asked: a.Reload, log: h.Log}).run(ctx)
+		adopt := func(s platform.Settings) {
+			limitMemory(s)
+			h.Adjust(bounds(s))
+		}
+		go (&reloader{current: a.Settings, seen: a.Settings, load: a.Load, asked: a.Reload, adopt: adopt, log: h.Log}).run(ctx)
 	}
 	l, err := net.Listen("tcp4", a.Settings.MetricsAddress())
 	if err != nil {
@@ -93,6 +98,13 @@
 	return h.Run(ctx, drain)
 }
 
+// bounds are the settings that may change while the host runs.
+func bounds(s platform.Settings) runner.Bounds {
+	return runner.Bounds{Grace: s.Grace, Configuration: s.ConfigurationLimit, Drain: s.DrainLimit, Lease: s.Lease}
+}
+
+func limitMemory(s platform.Settings) { debug.SetMemoryLimit(s.MemoryBytes * memoryShare / 10) }
+
 const errNotReady = errors.ConstError("host takes no callers")
 
 // exposition serves the metrics.
@@ -126,26 +138,23 @@
 	faulty := func(err error) { l.WithError(err).Warn("object left out") }
 	f := &feeder{store: store, remote: &platform.Feeds{}, mirrors: make(map[string]*mirrorer.Mirror)}
 	h := &runner.Host{
-		Name:               s.HostName,
-		CallerAddress:      s.CallerAddress,
-		ReadinessAddress:   s.ReadinessAddress,
-		ReadinessPath:      platform.ReadinessPath,
-		Grace:              s.Grace,
-		ConfigurationBound: s.ConfigurationLimit,
-		DrainBound:         s.DrainLimit,
-		FirstStart:         s.FirstStart,
-		Lease:              s.Lease,
-		Board:              &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
-		Registrar:          &platform.Registrar{Store: store},
-		Way:                platform.Dialer{},
-		ParseStatus:        platform.ParseStatus,
-		Link:               platform.DialLink,
-		Borrower:           func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
-		Relayer:            &relayer.Relayer{Ask: platform.ReadVia, Dial: platform.DialRaw, Refuse: platform.RefuseVia, Feed: f.serve, Log: l},
-		Self:               declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone},
-		Orderer:            &platform.Orderer{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
-		Accept:             func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
-		Log:                l,
+		Name:             s.HostName,
+		CallerAddress:    s.CallerAddress,
+		ReadinessAddress: s.ReadinessAddress,
+		ReadinessPath:    platform.ReadinessPath,
+		Bounds:           bounds(s),
+		FirstStart:       s.FirstStart,
+		Board:            &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
+		Registrar:        &platform.Registrar{Store: store},
+		Way:              platform.Dialer{},
+		ParseStatus:      platform.ParseStatus,
+		Link:             platform.DialLink,
+		Borrower:         func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
+		Relayer:          &relayer.Relayer{Ask: platform.ReadVia, Dial: platform.DialRaw, Refuse: platform.RefuseVia, Feed: f.serve, Log: l},
+		Self:             declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone},
+		Orderer:          &platform.Orderer{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
+		Accept:           func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
+		Log:              l,
 	}
 	f.host = h
 	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(platform.KindConfiguration, h.ConfigurationPace()), Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true}
--- a/internal/proxy/commander/serve.go
+++ b/internal/proxy/commander/serve.go
@@ -14,8 +14,8 @@
 // serve runs an entry host. Its settings are in the file that the environment names.
 type serve struct{}
 
-// run serves until SIGTERM and then drains. SIGHUP has the settings read anew and the log say
-// what they would change; what a host is doesn't change while it runs.
+// run serves until SIGTERM and then drains. SIGHUP has the settings read anew: what may
+// change while a host runs comes into force, and the log names the rest.
 func (*serve) run(out io.Writer) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
--- a/internal/proxy/mirrorer/mirrorer.go
+++ b/internal/proxy/mirrorer/mirrorer.go
@@ -68,7 +68,7 @@
 	Now func() time.Duration
 	// Trust is how long after an answer of the store what was read counts as current: as
 	// long as the next waiting call may last.
-	Trust time.Duration
+	Trust func() time.Duration
 	// FirstRest is the pause after a change before more are asked for, so that the first
 	// change of a row is known at once. It doubles up to LongestRest while changes go on:
 	// where many hosts or servers start at once, there would be a call for each.
@@ -211,7 +211,7 @@
 
 // fresh reports whether the host may vouch for what it has read. The mutex is held.
 func (m *Mirror) fresh() bool {
-	return m.current && m.Now()-m.answered <= m.Trust
+	return m.current && m.Now()-m.answered <= m.Trust()
 }
 
 // firstWait is how long another host's question waits for this one's first answer of the
--- a/internal/proxy/mirrorer/mirrorer_test.go
+++ b/internal/proxy/mirrorer/mirrorer_test.go
@@ -55,7 +55,7 @@
 
 func newMirror(s *store) *Mirror {
 	began := time.Now()
-	return &Mirror{Store: s, Trust: 2 * time.Second, Now: func() time.Duration { return time.Since(began) }}
+	return &Mirror{Store: s, Trust: func() time.Duration { return 2 * time.Second }, Now: func() time.Duration { return time.Since(began) }}
 }
 
 func names(p Page) []string {
@@ -139,7 +139,7 @@
 		}
 		s.err = nil
 		_, _ = m.List(t.Context())
-		time.Sleep(m.Trust + 1)
+		time.Sleep(m.Trust() + 1)
 		if _, err := m.ServeList(t.Context()); !errors.Is(err, ErrAway) {
 			t.Errorf("after a pause: %v", err)
 		}
--- a/internal/proxy/runner/claims.go
+++ b/internal/proxy/runner/claims.go
@@ -66,7 +66,7 @@
 	if p.rivalAt.IsZero() || c.Token != p.rival {
 		p.rival, p.rivalAt = c.Token, time.Now()
 	}
-	if time.Since(p.rivalAt) >= max(deference, p.host.Lease+leaseSlack) {
+	if time.Since(p.rivalAt) >= max(deference, p.host.bounds().Lease+leaseSlack) {
 		return false
 	}
 	return p.host.detours.Answers(ctx, c.Holder, declarer.Server{ID: server})
--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -21,15 +21,15 @@
 // drain says that the host isn't ready, waits until the balancer knows, has sessions
 // end where nothing is cut off, and cuts open transactions off at half the grace.
 func (h *Host) drain(ctx context.Context) {
-	began := time.Now()
+	began, grace := time.Now(), h.bounds().Grace
 	h.draining.Store(true)
 	h.Log.WithField("sessions", h.Sessions()).Info("draining")
 	// Others borrow from the next owner then; what they have borrowed here may end.
 	h.leave()
-	_ = scheduler.Pause(ctx, min(rotation, h.Grace/2))
+	_ = scheduler.Pause(ctx, min(rotation, grace/2))
 	h.each((*executor.Session).Stop)
-	for time.Since(began) < h.Grace-exitSpare && h.Sessions()+int(h.lent.Load()) > 0 {
-		if time.Since(began) > h.Grace*5/8 {
+	for time.Since(began) < grace-exitSpare && h.Sessions()+int(h.lent.Load()) > 0 {
+		if time.Since(began) > grace*5/8 {
 			h.each((*executor.Session).Cut)
 		} else {
 			h.each((*executor.Session).Stop)
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -42,7 +42,7 @@
 	// wait is how long a waiting call lasts. It bounds for how long a change stays
 	// unknown that was missed on a watch that went silent, and each call is counted by
 	// the platform.
-	wait time.Duration
+	wait func() time.Duration
 	// reset takes the whole list, apply one change.
 	reset func([]T)
 	apply func([]Change[T])
@@ -117,9 +117,10 @@
 }
 
 func (f *follower[T]) watch(ctx context.Context, at uint64) (uint64, error) {
-	c, cancel := context.WithTimeout(ctx, f.wait+watchSlack)
+	wait := f.wait()
+	c, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	l, next, err := f.source.Watch(c, at, f.wait)
+	l, next, err := f.source.Watch(c, at, wait)
 	if err != nil {
 		return at, err
 	}
--- a/internal/proxy/runner/follower_test.go
+++ b/internal/proxy/runner/follower_test.go
@@ -64,7 +64,7 @@
 		}}
 		var seen []string
 		f := &follower[string]{
-			name: "test", source: s, gate: &gate{}, confirmed: func() {}, wait: 1800 * time.Millisecond, log: quiet, lost: func(string) {},
+			name: "test", source: s, gate: &gate{}, confirmed: func() {}, wait: lasting(1800 * time.Millisecond), log: quiet, lost: func(string) {},
 			reset: func(l []string) { seen = append(append(seen, "all"), l...) },
 			apply: func(l []Change[string]) { seen = append(seen, l[0].Value) },
 		}
@@ -87,7 +87,7 @@
 func TestSilentWatchIsGivenUpInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{answers: []answer{{at: 5}}}
-		f := &follower[string]{name: "test", source: s, gate: &gate{}, confirmed: func() {}, wait: 1800 * time.Millisecond, log: quiet, lost: func(string) {}, reset: func([]string) {}, apply: func([]Change[string]) {}}
+		f := &follower[string]{name: "test", source: s, gate: &gate{}, confirmed: func() {}, wait: lasting(1800 * time.Millisecond), log: quiet, lost: func(string) {}, reset: func([]string) {}, apply: func([]Change[string]) {}}
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.run(ctx)
 		time.Sleep(2900 * time.Millisecond)
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -44,15 +44,10 @@
 	ReadinessAddress string
 	// ReadinessPath is where the balancer asks.
 	ReadinessPath string
-	Grace         time.Duration
-	// ConfigurationBound is how soon a configuration must be in force everywhere, and
-	// DrainBound how soon a leaving server gets no more work.
-	ConfigurationBound time.Duration
-	DrainBound         time.Duration
+	// Bounds are those at the start; Adjust changes them later.
+	Bounds Bounds
 	// FirstStart says that all hosts of the deployment start now for the first time.
 	FirstStart bool
-	// Lease is how long a host that has ordered a promotion is respected by the others.
-	Lease time.Duration
 
 	Board          *blackboard.Board
 	Configurations Source[*declarer.Configuration]
@@ -88,6 +83,8 @@
 	prober         prober
 	detours        detourer.Dialer
 	draining       atomic.Bool
+	// adjusted are the bounds that came after those at the start.
+	adjusted atomic.Pointer[Bounds]
 	// entered is closed once the hosts of a first start have entered the store.
 	entered chan struct{}
 	// lent counts the connections that other hosts have borrowed.
@@ -145,7 +142,7 @@
 	h.prober = prober{dialer: &h.detours, parse: h.ParseStatus}
 	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.detours, observer: h, roster: &h.roster, link: h.Link}
 	h.hosts = follower[declarer.Host]{
-		name: "entry hosts", source: h.Hosts, wait: hostsWait, first: make(chan struct{}), gate: &h.gate, confirmed: h.confirms(blackboard.SectionHosts),
+		name: "entry hosts", source: h.Hosts, wait: lasting(hostsWait), first: make(chan struct{}), gate: &h.gate, confirmed: h.confirms(blackboard.SectionHosts),
 		reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost,
 	}
 	patience := listPatience
@@ -157,12 +154,12 @@
 	h.observer = executor.Observer{Board: h.Board, Pools: &h.pools}
 	h.catalogue = catalogue{publish: h.publish}
 	h.configurations = follower[*declarer.Configuration]{
-		name: "configuration", source: h.Configurations, wait: h.configurationWait(), after: h.hosts.first, patience: patience,
+		name: "configuration", source: h.Configurations, wait: h.configurationWait, after: h.hosts.first, patience: patience,
 		gate: &h.gate, confirmed: h.confirms(blackboard.SectionConfiguration),
 		reset: h.configure, apply: h.reconfigure, log: h.Log, lost: h.Counter.PlatformLost,
 	}
 	h.servers = follower[declarer.Server]{
-		name: "servers", source: h.Servers, wait: h.serversWait(), after: h.hosts.first, patience: patience,
+		name: "servers", source: h.Servers, wait: h.serversWait, after: h.hosts.first, patience: patience,
 		gate: &h.gate, confirmed: h.confirms(blackboard.SectionServers),
 		reset: h.catalogue.reset, apply: h.catalogue.apply, log: h.Log, lost: h.Counter.PlatformLost,
 	}
--- a/internal/proxy/runner/pace.go
+++ b/internal/proxy/runner/pace.go
@@ -24,24 +24,28 @@
 type Pace struct {
 	// Trust is how long after an answer of the store what was read counts as current: as
 	// long as the next waiting call may last.
-	Trust time.Duration
+	Trust func() time.Duration
 	// FirstRest and LongestRest bound the pause after changes.
 	FirstRest, LongestRest time.Duration
 }
 
 // ConfigurationPace is how the configuration is read.
-func (h *Host) ConfigurationPace() Pace { return Pace{Trust: h.configurationWait() + watchSlack} }
+func (h *Host) ConfigurationPace() Pace { return Pace{Trust: trust(h.configurationWait)} }
 
 // ServersPace is how the servers are read.
 func (h *Host) ServersPace() Pace {
-	return Pace{Trust: h.serversWait() + watchSlack, FirstRest: firstServersRest, LongestRest: longestServersRest}
+	return Pace{Trust: trust(h.serversWait), FirstRest: firstServersRest, LongestRest: longestServersRest}
 }
 
 // HostsPace is how the entry hosts are read.
 func (h *Host) HostsPace() Pace {
-	return Pace{Trust: hostsWait + watchSlack, FirstRest: firstHostsRest, LongestRest: longestHostsRest}
+	return Pace{Trust: trust(lasting(hostsWait)), FirstRest: firstHostsRest, LongestRest: longestHostsRest}
 }
 
-func (h *Host) configurationWait() time.Duration { return h.ConfigurationBound * boundShare / 10 }
+func trust(wait func() time.Duration) func() time.Duration {
+	return func() time.Duration { return wait() + watchSlack }
+}
+
+func (h *Host) configurationWait() time.Duration { return h.bounds().Configuration * boundShare / 10 }
 
-func (h *Host) serversWait() time.Duration { return h.DrainBound * boundShare / 10 }
+func (h *Host) serversWait() time.Duration { return h.bounds().Drain * boundShare / 10 }
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -542,7 +542,7 @@
 func TestLeaseIsRespected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := promoterOf(newCluster(), "h1")
-		p.host.Lease = 3 * time.Second
+		p.host.Bounds.Lease = 3 * time.Second
 		c := Claim{Holder: "h9", Server: "b", Token: 4}
 		for range 15 {
 			if !p.defers(t.Context(), c, "b") {
