--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -13,10 +13,10 @@
 	"github.com/cuminwick/cuminwick/internal/log/encoder"
 	"github.com/cuminwick/cuminwick/internal/metric/server"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
-	"github.com/cuminwick/cuminwick/internal/proxy/mirrorer"
 	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
 	"github.com/cuminwick/cuminwick/internal/proxy/reporter"
 	"github.com/cuminwick/cuminwick/internal/proxy/runner"
@@ -136,7 +136,7 @@
 	store := platform.NewStore(s.StoreAddress)
 	a.store = store
 	faulty := func(err error) { l.WithError(err).Warn("object left out") }
-	f := &feeder{store: store, remote: &platform.Feeds{}, mirrors: make(map[string]*mirrorer.Mirror)}
+	f := &feeder{store: store, remote: &platform.Feeds{}, mirrors: make(map[string]*cachesyncer.Mirror)}
 	h := &runner.Host{
 		Name:             s.HostName,
 		CallerAddress:    s.CallerAddress,
@@ -146,7 +146,7 @@
 		FirstStart:       s.FirstStart,
 		Board:            &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
 		Registrar:        &platform.Registrar{Store: store},
-		Way:              platform.Dialer{},
+		Transport:        platform.Dialer{},
 		ParseStatus:      platform.ParseStatus,
 		Link:             platform.DialLink,
 		Borrower:         func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
--- a/internal/proxy/assembler/assembler_test.go
+++ b/internal/proxy/assembler/assembler_test.go
@@ -19,8 +19,8 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/platform"
 )
 
@@ -349,7 +349,7 @@
 	}
 	defer l.Close()
 	end := time.Now().Add(30 * time.Second)
-	l.Borrow(keeper.Ask{Deadline: end, Class: admitter.ClassWrite, Team: "books"})
+	l.Borrow(connpooler.Ask{Deadline: end, Class: admitter.ClassWrite, Team: "books"})
 	exchange := func(text string) {
 		t.Helper()
 		if err := l.Send([]declarer.Request{{ID: "x", Text: text}}, end); err != nil {
--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -5,7 +5,7 @@
 	"net"
 
 	"github.com/cuminwick/cuminwick/internal/clock/steady"
-	"github.com/cuminwick/cuminwick/internal/proxy/mirrorer"
+	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
 	"github.com/cuminwick/cuminwick/internal/proxy/runner"
 	"github.com/cuminwick/cuminwick/platform"
 )
@@ -13,19 +13,19 @@
 // feeder makes the readers of what the platform lists, and serves other hosts from them.
 type feeder struct {
 	store   *platform.Store
-	remote  mirrorer.Remote
+	remote  cachesyncer.Remote
 	host    *runner.Host
-	mirrors map[string]*mirrorer.Mirror
+	mirrors map[string]*cachesyncer.Mirror
 }
 
 // reader returns the reader of a kind.
-func (f *feeder) reader(kind string, p runner.Pace) mirrorer.Reader {
-	m := &mirrorer.Mirror{Store: &platform.Reader{Store: f.store, Kind: kind}, Now: steady.Now, Trust: p.Trust, FirstRest: p.FirstRest, LongestRest: p.LongestRest}
+func (f *feeder) reader(kind string, p runner.Pace) cachesyncer.Reader {
+	m := &cachesyncer.Mirror{Store: &platform.Reader{Store: f.store, Kind: kind}, Now: steady.Now, Trust: p.Trust, FirstRest: p.FirstRest, LongestRest: p.LongestRest}
 	f.mirrors[kind] = m
-	return &mirrorer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.ReaderHost, Failed: f.host.ReaderFailed}
+	return &cachesyncer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.ReaderHost, Failed: f.host.ReaderFailed}
 }
 
-// serve answers a host that reads a kind by way of this one.
+// serve answers a host that reads a kind through this one.
 func (f *feeder) serve(c net.Conn, kind string) {
 	if m := f.mirrors[kind]; m != nil {
 		platform.ServeFeed(context.Background(), c, m)
--- a/internal/proxy/blackboard/blackboard.go
+++ b/internal/proxy/blackboard/blackboard.go
@@ -12,7 +12,7 @@
 	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 	"github.com/cuminwick/cuminwick/internal/route/chooser"
 )
 
@@ -39,7 +39,7 @@
 	configuration atomic.Pointer[declarer.Configuration]
 
 	mu      sync.Mutex
-	groups  map[string]*viewer.Group
+	groups  map[string]*grouptracker.Group
 	changed chan struct{}
 	// confirmed is when each section was last confirmed, zero for never.
 	confirmed [sections]time.Duration
@@ -86,20 +86,20 @@
 }
 
 // group returns the group, which it makes if it isn't there. The mutex is held.
-func (b *Board) group(name string) *viewer.Group {
+func (b *Board) group(name string) *grouptracker.Group {
 	if b.groups == nil {
-		b.groups = make(map[string]*viewer.Group)
+		b.groups = make(map[string]*grouptracker.Group)
 	}
 	g := b.groups[name]
 	if g == nil {
-		g = &viewer.Group{Name: name, Zone: b.Zone, Region: b.Region, Regions: b.Regions, Chooser: chooser.Chooser{}}
+		g = &grouptracker.Group{Name: name, Zone: b.Zone, Region: b.Region, Regions: b.Regions, Chooser: chooser.Chooser{}}
 		b.groups[name] = g
 	}
 	return g
 }
 
 // Do runs f on the group alone. f must not wait for anything.
-func (b *Board) Do(group string, f func(*viewer.Group)) {
+func (b *Board) Do(group string, f func(*grouptracker.Group)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	f(b.group(group))
@@ -116,7 +116,7 @@
 	return l
 }
 
-// Confirm notes that the platform has just confirmed a section, directly or by way of another
+// Confirm notes that the platform has just confirmed a section, directly or through another
 // host.
 func (b *Board) Confirm(s Section) {
 	now := b.Time()
--- a/internal/proxy/mirrorer/mirrorer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -1,11 +1,11 @@
-// Package mirrorer lets one entry host of an availability zone read the platform's store
+// Package cachesyncer lets one entry host of an availability zone read the platform's store
 // for the others.
 //
 // The store counts each call, a waiting one as well, and its rates grow more slowly than
 // the number of entry hosts. A host that reads the store keeps what it has read in a
 // Mirror; a Selector has the other hosts of its zone read from there, and from the store
 // where that host doesn't answer or has itself lost the store.
-package mirrorer
+package cachesyncer
 
 import (
 	"cmp"
--- a/internal/proxy/mirrorer/mirrorer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -1,4 +1,4 @@
-package mirrorer
+package cachesyncer
 
 import (
 	"context"
--- a/internal/proxy/mirrorer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -1,4 +1,4 @@
-package mirrorer
+package cachesyncer
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	remoteWait = time.Second
 	// remoteSlack is what such a call may take longer.
 	remoteSlack = 300 * time.Millisecond
-	// remoteList bounds the reading of a list by way of another host, which is in the same
+	// remoteList bounds the reading of a list through another host, which is in the same
 	// zone. One without power doesn't even refuse: a host that starts would take callers as
 	// much later as it waits, while the store answers in a few milliseconds.
 	remoteList = 100 * time.Millisecond
--- a/internal/proxy/keeper/keeper.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -1,6 +1,6 @@
-// Package keeper keeps the connections of one entry host to one backend server, and
+// Package connpooler keeps the connections of one entry host to one backend server, and
 // lends each to one session at a time.
-package keeper
+package connpooler
 
 import (
 	"context"
@@ -35,7 +35,7 @@
 // Errors of a lease that wasn't given. Nothing was sent.
 const (
 	// ErrRefused is a wait that would take, or took, too long.
-	ErrRefused = errors.ConstError("no connection in time")
+	ErrRefused = errors.ConstError("connection pool exhausted")
 	// ErrUnreachable is a server that takes no connection.
 	ErrUnreachable = errors.ConstError("server can't be reached")
 	// ErrClosed is a pool that was closed.
@@ -48,12 +48,12 @@
 	// connectTimeout bounds the opening of a connection: a distance of 16 ms there
 	// and back, tens of milliseconds at the server, and its queue.
 	connectTimeout = 700 * time.Millisecond
-	// firstCrowded is how long a server that took no more connections isn't asked for
-	// another; each further time in a row it is twice as long, up to longestCrowded.
+	// firstBackoff is how long a server that took no more connections isn't asked for
+	// another; each further time in a row it is twice as long, up to longestBackoff.
 	// An attempt in vain takes a slot at the server like any other. A host without any
 	// connection asks more often: it can serve nothing at that server until it has one.
-	firstCrowded   = 150 * time.Millisecond
-	longestCrowded = 2 * time.Second
+	firstBackoff   = 150 * time.Millisecond
+	longestBackoff = 2 * time.Second
 	// growWait is the expected wait above which another connection is opened. Opening
 	// one takes 10 to 30 ms of one of the server's few slots; below, one that is in use
 	// comes free sooner.
@@ -66,29 +66,29 @@
 	// recoverFor bounds the wait for an answer that nobody needs any more. A connection that
 	// has gone silent takes up one of the server's few until it is closed.
 	recoverFor = 2 * time.Second
-	// patience is how many attempts in a row may find the server at its limit before those
+	// maximumRefusals is how many attempts in a row may find the server at its limit before those
 	// who wait for a first connection are refused.
-	patience = 2
+	maximumRefusals = 2
 	// suspectAfter is how long a connection is unused before it is looked at.
 	suspectAfter = 50 * time.Millisecond
 )
 
 // Dialer opens a connection, and tells the end of the server's log. An error of
-// type ErrCrowded says that the server is at its limit of connections.
+// type ErrTooManyConnections says that the server is at its limit of connections.
 type Dialer interface {
 	Dial(ctx context.Context, s declarer.Server) (Connection, marker.Mark, error)
 }
 
 // Errors of opening a connection. Where nothing else is said they are the server's word.
 const (
-	// ErrCrowded is a server at its limit of connections.
-	ErrCrowded = errors.ConstError("server is at its limit of connections")
-	// ErrNoWay is a server to which no connection of the network can be made. It is
+	// ErrTooManyConnections is a server at its limit of connections.
+	ErrTooManyConnections = errors.ConstError("server is at its limit of connections")
+	// ErrNoRoute is a server to which no connection of the network can be made. It is
 	// not the server's word, but that of whoever tried.
-	ErrNoWay = errors.ConstError("no way to the server")
-	// ErrLost is ErrNoWay where other entry hosts say so as well.
-	ErrLost = errors.ConstError("no host has a way to the server")
-	// ErrAlive is ErrNoWay from a host that the server has just answered on another
+	ErrNoRoute = errors.ConstError("no route to the server")
+	// ErrLost is ErrNoRoute where other entry hosts say so as well.
+	ErrLost = errors.ConstError("no host has a route to the server")
+	// ErrAlive is ErrNoRoute from a host that the server has just answered on another
 	// connection: it takes no new ones now.
 	ErrAlive = errors.ConstError("server lives, but takes no connection")
 	// ErrTurnedAway is a server that refuses, as it isn't the one that is meant.
@@ -112,9 +112,9 @@
 	// though unused. Resize changes both later.
 	Limit int
 	Keep  int
-	// Eager opens a connection for whoever waits: those to another entry host take
+	// OnDemand opens a connection for whoever waits: those to another entry host take
 	// nothing of the server's.
-	Eager bool
+	OnDemand bool
 
 	mu      sync.Mutex
 	queue   admitter.Queue
@@ -126,11 +126,11 @@
 	// come that nobody needs any more.
 	recovering int
 	closed     bool
-	// crowded is until when no connection is opened, crowdedFor how long that was.
-	crowded    time.Time
-	crowdedFor time.Duration
-	// vain counts the attempts in a row that found the server at its limit.
-	vain int
+	// retryAt is until when no connection is opened after the server was at its limit, backoff how long that was.
+	retryAt time.Time
+	backoff time.Duration
+	// refusals counts the attempts in a row that found the server at its limit.
+	refusals int
 }
 
 // Ask is what a lease is wanted for.
@@ -188,7 +188,7 @@
 	if p.usable() == 0 {
 		p.queue.Forget()
 	}
-	if p.open == 0 && time.Now().Before(p.crowded) && e.Deadline < sinceEpoch(p.crowded) {
+	if p.open == 0 && time.Now().Before(p.retryAt) && e.Deadline < sinceEpoch(p.retryAt) {
 		return p.noConnection()
 	}
 	p.queue.Slots = p.usable()
@@ -207,7 +207,7 @@
 // noConnection is the refusal where there is no connection, and none to be had before the
 // next attempt. The mutex is held.
 func (p *Pool) noConnection() error {
-	return &Refusal{Server: p.Server.ID, Reason: admitter.ReasonConnections, RetryAfter: max(0, time.Until(p.crowded))}
+	return &Refusal{Server: p.Server.ID, Reason: admitter.ReasonConnections, RetryAfter: max(0, time.Until(p.retryAt))}
 }
 
 // settle tells those whom the queue has just decided on. The mutex is held.
@@ -284,7 +284,7 @@
 	if p.closed || wanting <= p.opening || p.open+p.opening >= p.Limit {
 		return
 	}
-	if !p.Eager && (p.opening > 0 || time.Now().Before(p.crowded) || !p.worth(wanting)) {
+	if !p.OnDemand && (p.opening > 0 || time.Now().Before(p.retryAt) || !p.worth(wanting)) {
 		return
 	}
 	p.opening++
@@ -319,27 +319,27 @@
 		l := &Lease{Connection: c, Values: make(map[string]string), Prepared: make(map[string]struct{}), pool: p, used: time.Now()}
 		p.open++
 		p.idle = append(p.idle, l)
-		p.crowdedFor, p.vain = 0, 0
-	case errors.Is(err, ErrCrowded):
-		p.pause()
+		p.backoff, p.refusals = 0, 0
+	case errors.Is(err, ErrTooManyConnections):
+		p.backOff()
 	case p.opening == 0:
 		p.refuse(admitter.ReasonLeaving)
 	}
 	p.adjust()
 }
 
-// pause keeps from asking a crowded server for a while. The mutex is held.
-func (p *Pool) pause() {
-	p.crowdedFor = min(max(firstCrowded, 2*p.crowdedFor), longestCrowded)
+// backOff keeps from asking a server at its limit for a while. The mutex is held.
+func (p *Pool) backOff() {
+	p.backoff = min(max(firstBackoff, 2*p.backoff), longestBackoff)
 	if p.open == 0 {
-		p.crowdedFor = firstCrowded
+		p.backoff = firstBackoff
 	}
-	p.crowded = time.Now().Add(p.crowdedFor/2 + rand.N(p.crowdedFor))
-	p.vain++
-	if p.vain >= patience {
+	p.retryAt = time.Now().Add(p.backoff/2 + rand.N(p.backoff))
+	p.refusals++
+	if p.refusals >= maximumRefusals {
 		p.refuse(admitter.ReasonConnections)
 	}
-	time.AfterFunc(time.Until(p.crowded), p.resume)
+	time.AfterFunc(time.Until(p.retryAt), p.resume)
 }
 
 // resume opens what is still wanted after a pause.
@@ -353,7 +353,7 @@
 	switch {
 	case err == nil:
 		p.Observer.Connected(p.Server, m)
-	case errors.Is(err, ErrCrowded):
+	case errors.Is(err, ErrTooManyConnections):
 		p.Observer.Connected(p.Server, marker.Mark{})
 	default:
 		p.Observer.Unreachable(p.Server, err)
@@ -440,7 +440,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	keep := idleFor
-	if p.Eager {
+	if p.OnDemand {
 		keep = linkIdleFor
 	}
 	for len(p.idle) > 0 && p.open > p.Keep && (p.open > p.Limit || now.Sub(p.idle[0].used) > keep) {
--- a/internal/proxy/keeper/keeper_test.go
+++ b/internal/proxy/connpooler/connpooler_test.go
@@ -1,4 +1,4 @@
-package keeper
+package connpooler
 
 import (
 	"context"
@@ -46,7 +46,7 @@
 	case f.err != nil:
 		return nil, marker.Mark{}, f.err
 	case f.open >= f.limit:
-		return nil, marker.Mark{}, ErrCrowded
+		return nil, marker.Mark{}, ErrTooManyConnections
 	}
 	f.open++
 	return &link{fake: f}, marker.Mark{}, nil
@@ -260,11 +260,11 @@
 			t.Fatalf("error %v", err)
 		}
 		f.mu.Lock()
-		if f.attempts < 2 || f.attempts > int(2*time.Second/(firstCrowded/2)) {
+		if f.attempts < 2 || f.attempts > int(2*time.Second/(firstBackoff/2)) {
 			t.Errorf("%d attempts in two seconds", f.attempts)
 		}
 		if f.unreachable > 0 {
-			t.Error("a crowded server counts as unreachable")
+			t.Error("a server at its limit counts as unreachable")
 		}
 		f.limit = 1
 		f.mu.Unlock()
@@ -277,7 +277,7 @@
 // server may do.
 func TestUnreachableServerRefusesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fake{err: ErrNoWay}
+		f := &fake{err: ErrNoRoute}
 		p := newPool(f)
 		began := time.Now()
 		if _, err := p.Acquire(ask(time.Minute)); !errors.Is(err, ErrUnreachable) {
--- a/internal/proxy/keeper/full_test.go
+++ b/internal/proxy/connpooler/full_test.go
@@ -1,4 +1,4 @@
-package keeper
+package connpooler
 
 import (
 	"testing"
@@ -42,7 +42,7 @@
 		p := newPool(&fake{})
 		began := time.Now()
 		_, err := p.Acquire(ask(5 * time.Second))
-		if took := time.Since(began); took > time.Duration(patience)*(2*firstCrowded+opening) {
+		if took := time.Since(began); took > time.Duration(maximumRefusals)*(2*firstBackoff+opening) {
 			t.Errorf("refused after %s", took)
 		}
 		if r, ok := errors.AsType[*Refusal](err); !ok || r.RetryAfter <= 0 {
@@ -57,7 +57,7 @@
 // for longer than they do.
 func TestQuestionsDoNotOutlastAnUnreachableServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPool(&fake{err: ErrNoWay})
+		p := newPool(&fake{err: ErrNoRoute})
 		a := ask(time.Minute)
 		a.Class = admitter.ClassTransaction
 		began := time.Now()
--- a/internal/proxy/keeper/lease.go
+++ b/internal/proxy/connpooler/lease.go
@@ -1,4 +1,4 @@
-package keeper
+package connpooler
 
 import (
 	"time"
--- a/internal/proxy/keeper/turn.go
+++ b/internal/proxy/connpooler/turn.go
@@ -1,4 +1,4 @@
-package keeper
+package connpooler
 
 import (
 	"context"
@@ -52,7 +52,7 @@
 // connection that belongs to another host, that host sees to it.
 func (l *Lease) Turn(a Ask) (*Turn, error) {
 	p := l.pool
-	if p.Eager {
+	if p.OnDemand {
 		return &Turn{}, nil
 	}
 	p.mu.Lock()
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -10,9 +10,9 @@
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/limit/retrier"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 )
 
 // observeSpare is the part of a route's staleness at which the primary is asked anew, so
@@ -74,7 +74,7 @@
 
 // place tries servers until one has answered. It returns the lease that the statement
 // ran on, and an error of ours with its text, where there is no answer to pass on.
-func (a *attempt) place() (*keeper.Lease, declarer.Code, string) {
+func (a *attempt) place() (*connpooler.Lease, declarer.Code, string) {
 	a.retries.Fixed = a.leads
 	for {
 		changed := a.session.Board.Changed()
@@ -111,7 +111,7 @@
 
 // acquire finds a server and leases a connection to it. Without a lease it returns what
 // to do next.
-func (a *attempt) acquire() (*keeper.Lease, retrier.Step) {
+func (a *attempt) acquire() (*connpooler.Lease, retrier.Step) {
 	id, ok := a.choose()
 	switch {
 	case !ok && a.leaderless():
@@ -134,7 +134,7 @@
 		return l, retrier.Step{}
 	}
 	a.why = err.Error()
-	if r, ok := errors.AsType[*keeper.Refusal](err); ok {
+	if r, ok := errors.AsType[*connpooler.Refusal](err); ok {
 		return nil, a.refused(id, retrier.CauseCapacity, r.RetryAfter)
 	}
 	return nil, a.refused(id, retrier.CauseUnreachable, 0)
@@ -143,7 +143,7 @@
 // leaderless reports whether no primary is known that answers.
 func (a *attempt) leaderless() bool {
 	lost := true
-	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
+	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
 		if p := g.Primary(); p != nil {
 			lost = p.FailingSince != 0 && a.session.Board.Time()-p.FailingSince > failingFor
 		}
@@ -163,8 +163,8 @@
 const objectiveShare = 4
 
 // ask is what the statement wants of a pool.
-func (a *attempt) ask() keeper.Ask {
-	k := keeper.Ask{Deadline: a.deadline, Class: a.class(), Team: a.route.Database}
+func (a *attempt) ask() connpooler.Ask {
+	k := connpooler.Ask{Deadline: a.deadline, Class: a.class(), Team: a.route.Database}
 	if a.route.Objective > 0 {
 		k.Objective = a.began.Add(a.route.Objective / objectiveShare)
 	}
@@ -200,7 +200,7 @@
 func (a *attempt) choose() (string, bool) {
 	id := ""
 	if a.leads {
-		a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
+		a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
 			if s := g.Primary(); s != nil {
 				id = s.ID
 			}
@@ -218,7 +218,7 @@
 		return "", false
 	}
 	a.request.After = need
-	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
+	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
 		s, d := g.Read(need, a.retries.Excluded(), rand.Uint64(), a.session.Board.Time())
 		a.why = d.Why.String()
 		if s != nil {
@@ -245,7 +245,7 @@
 // known returns what need does from what is known, and whether the primary should be
 // asked anew.
 func (a *attempt) known() (need marker.Mark, ok, old bool) {
-	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
+	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
 		need, ok = g.Need(a.arrived, a.route.MaximumStaleness)
 		if ok && a.route.Kind == declarer.KindOwnWrites {
 			need = marker.Max(need, g.Lift(a.session.own(a.route.Group)))
@@ -258,15 +258,15 @@
 
 // try sends the statement on l. It reports whether it had no effect, and what to do next
 // then; the lease is given back.
-func (a *attempt) try(l *keeper.Lease) (next retrier.Step, again bool, code declarer.Code, text string) {
+func (a *attempt) try(l *connpooler.Lease) (next retrier.Step, again bool, code declarer.Code, text string) {
 	a.retries.Sent()
 	asked := a.session.Board.Time()
 	sent := time.Now()
-	a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Began(a.server) })
+	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Began(a.server) })
 	err := a.exchange(l)
 	took := time.Since(sent)
-	a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Ended(a.server) })
-	if r, ok := errors.AsType[*keeper.Refusal](err); ok {
+	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Ended(a.server) })
+	if r, ok := errors.AsType[*connpooler.Refusal](err); ok {
 		l.Release(false)
 		a.why = r.Error()
 		return a.refused(a.server, retrier.CauseCapacity, r.RetryAfter), true, declarer.CodeNone, ""
@@ -286,7 +286,7 @@
 		// lack a commit that a new primary has acknowledged.
 		l.Release(false)
 		if a.deposed {
-			a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Refused(a.server) })
+			a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Refused(a.server) })
 		}
 		return a.refused(a.server, retrier.CauseDeposed, 0), true, declarer.CodeNone, ""
 	}
@@ -296,7 +296,7 @@
 // exchange sends what is to be sent, and reads the answers. What opens a transaction
 // is awaited before the statement goes out: if it were refused, a statement that
 // followed at once would run outside of the transaction.
-func (a *attempt) exchange(l *keeper.Lease) error {
+func (a *attempt) exchange(l *connpooler.Lease) error {
 	a.unproved = false
 	e := &exchange{lease: l, deadline: a.deadline}
 	if a.begin == declarer.VerbUnknown {
@@ -304,7 +304,7 @@
 			return err
 		}
 	}
-	e.dress(a.session, a.request)
+	e.setUp(a.session, a.request)
 	if a.begin != declarer.VerbUnknown {
 		e.add(declarer.Request{Verb: a.begin, After: a.beginAfter()})
 		if err := e.run(&a.answer); err != nil || a.answer.Code != declarer.CodeNone {
@@ -355,10 +355,10 @@
 func (a *attempt) learn(asked, took time.Duration) {
 	m := a.answer.Position
 	ran := a.answer.Code == declarer.CodeNone
-	a.session.Board.Do(a.route.Group, func(g *viewer.Group) {
+	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
 		g.Answered(a.server, a.session.Board.Time(), took, m)
 		if ran && !a.leads {
-			g.Caught(a.server)
+			g.CaughtUp(a.server)
 		}
 	})
 	switch {
@@ -378,7 +378,7 @@
 	a.answer = declarer.Answer{Body: x.Body[:0]}
 	switch x.Code {
 	case declarer.CodeReadOnly:
-		a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Refused(a.server) })
+		a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Refused(a.server) })
 		return a.refused(a.server, retrier.CauseDeposed, 0)
 	case declarer.CodeLagging:
 		a.lagging()
@@ -397,15 +397,15 @@
 	if a.request.After == a.session.own(a.route.Group) {
 		return
 	}
-	a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Lagged(a.server, a.session.Board.Time()) })
+	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Lagged(a.server, a.session.Board.Time()) })
 }
 
 // broken judges an exchange without an answer.
-func (a *attempt) broken(l *keeper.Lease, err error) (next retrier.Step, again bool, code declarer.Code, text string) {
-	timeout := errors.Is(err, keeper.ErrTimeout)
+func (a *attempt) broken(l *connpooler.Lease, err error) (next retrier.Step, again bool, code declarer.Code, text string) {
+	timeout := errors.Is(err, connpooler.ErrTimeout)
 	l.Release(!timeout)
 	if !timeout {
-		a.session.Board.Do(a.route.Group, func(g *viewer.Group) { g.Failed(a.server, a.session.Board.Time(), a.session.Board.Time()) })
+		a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Failed(a.server, a.session.Board.Time(), a.session.Board.Time()) })
 	}
 	a.why = err.Error()
 	switch {
--- a/internal/proxy/executor/attempt_test.go
+++ b/internal/proxy/executor/attempt_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 )
 
 // start begins a session of the kind at a host before the world.
@@ -39,7 +39,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
 		d := newDeployment(w, "z-0")
-		d.board.Do("db", func(g *viewer.Group) { g.Refused("i-0") })
+		d.board.Do("db", func(g *grouptracker.Group) { g.Refused("i-0") })
 		c := start(d, "primary")
 		began := time.Now()
 		_, r := c.ask("WRITE x 1")
@@ -99,7 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
 		d := newDeployment(w, "z-0")
-		d.pools["i-0"] = &keeper.Pool{Server: w.list()[0], Dialer: owner{d}, Observer: d, Limit: 6}
+		d.pools["i-0"] = &connpooler.Pool{Server: w.list()[0], Dialer: owner{d}, Observer: d, Limit: 6}
 		c := start(d, "primary")
 		c.ask("SET zone 1")
 		if _, r := c.ask("WRITE x 1"); r.code != declarer.CodeBusy {
@@ -115,7 +115,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
 		d := newDeployment(w, "z-0")
-		d.pools["i-0"] = &keeper.Pool{Server: w.list()[0], Dialer: owner{d}, Observer: d, Limit: 6}
+		d.pools["i-0"] = &connpooler.Pool{Server: w.list()[0], Dialer: owner{d}, Observer: d, Limit: 6}
 		c := start(d, "primary")
 		began := time.Now()
 		if _, r := c.ask("WRITE x 1"); r.code != declarer.CodeBusy {
@@ -129,7 +129,7 @@
 }
 
 // noLease is a link to an owner that has no connection for anybody.
-type noLease struct{ keeper.Connection }
+type noLease struct{ connpooler.Connection }
 
 func (noLease) Send([]declarer.Request, time.Time) error { return nil }
 func (noLease) Owed() int                                { return 0 }
@@ -144,7 +144,7 @@
 // owner is the dialer of such links.
 type owner struct{ *deployment }
 
-func (owner) Dial(context.Context, declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (owner) Dial(context.Context, declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	return noLease{}, marker.Mark{}, nil
 }
 
@@ -155,15 +155,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
 		d := newDeployment(w, "z-0")
-		d.pools["i-0"] = &keeper.Pool{Server: w.list()[0], Dialer: owner{d}, Observer: d, Limit: 6}
+		d.pools["i-0"] = &connpooler.Pool{Server: w.list()[0], Dialer: owner{d}, Observer: d, Limit: 6}
 		c := start(d, "primary")
 		var before time.Duration
-		d.board.Do("db", func(g *viewer.Group) { before = g.Find("i-0").AnsweredAt })
+		d.board.Do("db", func(g *grouptracker.Group) { before = g.Find("i-0").AnsweredAt })
 		connected := d.board.Time()
 		if _, r := c.ask("WRITE x 1"); r.code != declarer.CodeBusy {
 			t.Errorf("code %d, want a refusal", r.code)
 		}
-		d.board.Do("db", func(g *viewer.Group) {
+		d.board.Do("db", func(g *grouptracker.Group) {
 			if at := g.Find("i-0").AnsweredAt; at > connected {
 				t.Errorf("answered at %s, was %s when the link was made", at, before)
 			}
@@ -215,7 +215,7 @@
 		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
 		d := newDeployment(w, "z-0")
 		w.servers[0].cut = true
-		d.board.Do("db", func(g *viewer.Group) { g.Failed("i-0", d.board.Time(), d.board.Time()) })
+		d.board.Do("db", func(g *grouptracker.Group) { g.Failed("i-0", d.board.Time(), d.board.Time()) })
 		time.Sleep(2 * time.Second)
 		c := start(d, "bounded")
 		began := time.Now()
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -7,20 +7,20 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
 // exchange gathers requests, sends them at once and reads their answers.
 type exchange struct {
-	lease    *keeper.Lease
+	lease    *connpooler.Lease
 	deadline time.Time
 	requests []declarer.Request
 	// setup is how many of the requests prepare the connection for the session.
 	setup int
 	// turn is that of the caller's statement among them, nil if there is none: statements of
 	// our own need no slot of the server.
-	turn *keeper.Turn
+	turn *connpooler.Turn
 }
 
 // errSetup is a connection that can't be given the session's values.
@@ -30,9 +30,9 @@
 	e.requests = append(e.requests, q)
 }
 
-// dress gives the connection the session's values and the statement that it prepared,
+// setUp gives the connection the session's values and the statement that it prepared,
 // as far as they differ from what the connection has of its last use.
-func (e *exchange) dress(s *Session, q *request) {
+func (e *exchange) setUp(s *Session, q *request) {
 	l := e.lease
 	for name := range l.Values {
 		if _, ok := s.values[name]; !ok {
@@ -65,7 +65,7 @@
 
 // wait waits until a statement of the caller may be sent. It comes before the connection is
 // set up for the statement, as nothing is sent after a refusal.
-func (e *exchange) wait(a keeper.Ask) error {
+func (e *exchange) wait(a connpooler.Ask) error {
 	t, err := e.lease.Turn(a)
 	e.turn = t
 	return err
--- a/internal/proxy/executor/model_test.go
+++ b/internal/proxy/executor/model_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 )
 
 // staleness is what the model's routes allow.
@@ -32,12 +32,12 @@
 	budgets  executor.Budgets
 
 	mu    sync.Mutex
-	pools map[string]*keeper.Pool
+	pools map[string]*connpooler.Pool
 }
 
 func newDeployment(w *world, zone string) *deployment {
 	began := time.Now()
-	d := &deployment{world: w, pools: make(map[string]*keeper.Pool)}
+	d := &deployment{world: w, pools: make(map[string]*connpooler.Pool)}
 	d.board = &blackboard.Board{Zone: zone, Region: "r", Regions: map[string]string{"z-0": "r", "z-1": "r", "z-2": "r"}, Now: func() time.Duration { return time.Since(began) + time.Hour }}
 	d.observer = executor.Observer{Board: d.board, Pools: d}
 	c := &declarer.Configuration{Version: 1, Routes: make(map[string]declarer.Route), IdleTransaction: time.Second}
@@ -49,7 +49,7 @@
 	return d
 }
 
-func (d *deployment) Pool(id string) *keeper.Pool {
+func (d *deployment) Pool(id string) *connpooler.Pool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if p := d.pools[id]; p != nil {
@@ -57,7 +57,7 @@
 	}
 	for _, s := range d.world.list() {
 		if s.ID == id {
-			d.pools[id] = &keeper.Pool{Server: s, Dialer: d.world, Observer: d, Limit: 6}
+			d.pools[id] = &connpooler.Pool{Server: s, Dialer: d.world, Observer: d, Limit: 6}
 			return d.pools[id]
 		}
 	}
@@ -65,7 +65,7 @@
 }
 
 func (d *deployment) Connected(s declarer.Server, m marker.Mark) {
-	d.board.Do(s.Group, func(g *viewer.Group) { g.Answered(s.ID, d.board.Time(), 0, m) })
+	d.board.Do(s.Group, func(g *grouptracker.Group) { g.Answered(s.ID, d.board.Time(), 0, m) })
 }
 
 func (d *deployment) Unreachable(s declarer.Server, err error) {
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -6,9 +6,9 @@
 
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 )
 
 const (
@@ -85,7 +85,7 @@
 func (f *observation) run() {
 	defer close(f.done)
 	id := ""
-	f.observer.Board.Do(f.group, func(g *viewer.Group) {
+	f.observer.Board.Do(f.group, func(g *grouptracker.Group) {
 		if s := g.Primary(); s != nil {
 			id = s.ID
 		}
@@ -95,14 +95,14 @@
 		return
 	}
 	end := time.Now().Add(observeTimeout)
-	l, err := p.Acquire(keeper.Ask{Deadline: end, Class: admitter.ClassTransaction})
+	l, err := p.Acquire(connpooler.Ask{Deadline: end, Class: admitter.ClassTransaction})
 	if err != nil {
 		return
 	}
 	f.ask(id, l, end)
 }
 
-func (f *observation) ask(id string, l *keeper.Lease, end time.Time) {
+func (f *observation) ask(id string, l *connpooler.Lease, end time.Time) {
 	asked := f.observer.Board.Time()
 	e := &exchange{lease: l, deadline: end}
 	e.add(declarer.Request{Verb: declarer.VerbBegin})
@@ -112,9 +112,9 @@
 	l.Release(err != nil)
 	switch {
 	case err != nil:
-		f.observer.Board.Do(f.group, func(g *viewer.Group) { g.Failed(id, f.observer.Board.Time(), f.observer.Board.Time()) })
+		f.observer.Board.Do(f.group, func(g *grouptracker.Group) { g.Failed(id, f.observer.Board.Time(), f.observer.Board.Time()) })
 	case begun.Code == declarer.CodeReadOnly:
-		f.observer.Board.Do(f.group, func(g *viewer.Group) { g.Refused(id) })
+		f.observer.Board.Do(f.group, func(g *grouptracker.Group) { g.Refused(id) })
 	case begun.Code == declarer.CodeNone:
 		f.observer.Board.Led(f.group, id, asked, begun.Position)
 	}
--- a/internal/proxy/executor/ports.go
+++ b/internal/proxy/executor/ports.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
 // Caller is the connection of one caller.
@@ -30,7 +30,7 @@
 
 // Pools gives out connections by server.
 type Pools interface {
-	Pool(server string) *keeper.Pool
+	Pool(server string) *connpooler.Pool
 }
 
 // Reporter writes down what became of a statement.
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -7,9 +7,9 @@
 
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/limit/retrier"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 )
 
 // transaction is one that a caller has begun. It gets a connection with its first
@@ -19,7 +19,7 @@
 	arrived time.Duration
 	// reads says that the caller only reads.
 	reads   bool
-	lease   *keeper.Lease
+	lease   *connpooler.Lease
 	server  string
 	primary bool
 	wrote   bool
@@ -105,12 +105,12 @@
 
 // drop ends a transaction whose server didn't answer.
 func (s *Session) drop(t *transaction, err error) {
-	if errors.Is(err, keeper.ErrTimeout) || errors.Is(err, keeper.ErrRefused) {
+	if errors.Is(err, connpooler.ErrTimeout) || errors.Is(err, connpooler.ErrRefused) {
 		t.fail()
 		return
 	}
 	t.lose()
-	s.Board.Do(t.route.Group, func(g *viewer.Group) { g.Failed(t.server, s.Board.Time(), s.Board.Time()) })
+	s.Board.Do(t.route.Group, func(g *grouptracker.Group) { g.Failed(t.server, s.Board.Time(), s.Board.Time()) })
 }
 
 // repeat sends a statement on the transaction's connection, again while the server is
@@ -122,11 +122,11 @@
 	for {
 		a.retries.Sent()
 		e := &exchange{lease: t.lease, deadline: a.deadline}
-		if err := e.wait(keeper.Ask{Deadline: a.deadline, Class: admitter.ClassTransaction, Team: a.route.Database}); err != nil {
+		if err := e.wait(connpooler.Ask{Deadline: a.deadline, Class: admitter.ClassTransaction, Team: a.route.Database}); err != nil {
 			a.why = err.Error()
 			return err
 		}
-		e.dress(a.session, a.request)
+		e.setUp(a.session, a.request)
 		e.add(a.request.Request)
 		if err := e.run(&a.answer); err != nil {
 			a.why = err.Error()
@@ -134,7 +134,7 @@
 		}
 		if a.answer.Code.OfOwner() {
 			a.why = a.answer.Detail
-			return errors.Annotatef(keeper.ErrRefused, "server %s: %s", t.server, a.answer.Detail)
+			return errors.Annotatef(connpooler.ErrRefused, "server %s: %s", t.server, a.answer.Detail)
 		}
 		busy := a.answer.Code == declarer.CodeBusy && a.answer.State == declarer.StateTransaction
 		if !busy {
@@ -204,7 +204,7 @@
 	s.drop(t, err)
 	code, text := declarer.CodeUnknown, "the server's answer to the commit didn't come; whether it took effect isn't known"
 	switch {
-	case errors.Is(err, keeper.ErrRefused):
+	case errors.Is(err, connpooler.ErrRefused):
 		code, text = declarer.CodeAborted, "not run: "+err.Error()+"; the transaction is rolled back"
 	case !t.wrote:
 		code, text = declarer.CodeAborted, "the server's answer to the commit didn't come; nothing had been written"
--- a/internal/proxy/executor/world_test.go
+++ b/internal/proxy/executor/world_test.go
@@ -12,8 +12,8 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
 // record is one committed write.
@@ -143,7 +143,7 @@
 }
 
 // Dial opens a connection.
-func (w *world) Dial(_ context.Context, d declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (w *world) Dial(_ context.Context, d declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	time.Sleep(5 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -151,15 +151,15 @@
 		switch {
 		case s.id != d.ID:
 		case s.cut:
-			return nil, marker.Mark{}, keeper.ErrNoWay
+			return nil, marker.Mark{}, connpooler.ErrNoRoute
 		case s.conns >= w.limit:
-			return nil, marker.Mark{}, keeper.ErrCrowded
+			return nil, marker.Mark{}, connpooler.ErrTooManyConnections
 		default:
 			s.conns++
 			return &connection{server: s, values: make(map[string]string), prepared: make(map[string]string)}, s.position(), nil
 		}
 	}
-	return nil, marker.Mark{}, keeper.ErrTurnedAway
+	return nil, marker.Mark{}, connpooler.ErrTurnedAway
 }
 
 // pending is an answer that is on its way.
@@ -237,7 +237,7 @@
 	}
 	if p.at.After(deadline) {
 		time.Sleep(time.Until(deadline))
-		return keeper.ErrTimeout
+		return connpooler.ErrTimeout
 	}
 	time.Sleep(time.Until(p.at))
 	c.answers = c.answers[1:]
--- a/internal/proxy/explainer/explainer.go
+++ b/internal/proxy/explainer/explainer.go
@@ -153,7 +153,7 @@
 	last := own[len(own)-1]
 	if last.Outcome == "unknown" && !replaced(all, from, to, last.DatabaseGroup) {
 		l = append(l, "no line of a loss or change of a primary of "+last.DatabaseGroup+": server "+last.Server+
-			" or its way may have failed alone, or the host that replaced it isn't among the files")
+			" or the route to it may have failed alone, or the host that replaced it isn't among the files")
 	}
 	return l
 }
--- a/internal/proxy/viewer/viewer.go
+++ b/internal/proxy/grouptracker/grouptracker.go
@@ -1,6 +1,6 @@
-// Package viewer decides what an entry host believes of one database group: who
+// Package grouptracker decides what an entry host believes of one database group: who
 // leads it, which servers may be used, and how fresh a read must be.
-package viewer
+package grouptracker
 
 import (
 	"cmp"
@@ -198,8 +198,8 @@
 	}
 }
 
-// Caught notes that the server's log had what a read by age needed.
-func (g *Group) Caught(id string) {
+// CaughtUp notes that the server's log had what a read by age needed.
+func (g *Group) CaughtUp(id string) {
 	if s := g.Find(id); s != nil {
 		s.behindFor = 0
 	}
--- a/internal/proxy/viewer/viewer_test.go
+++ b/internal/proxy/grouptracker/grouptracker_test.go
@@ -1,4 +1,4 @@
-package viewer
+package grouptracker
 
 import (
 	"testing"
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -14,8 +14,8 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
 // Kind is what a borrower does.
@@ -77,13 +77,13 @@
 type Link struct {
 	Borrower Borrower
 	// Pool returns this host's own connections to the server, nil if it isn't listed.
-	Pool func() *keeper.Pool
+	Pool func() *connpooler.Pool
 	// Answered is told of each answer of the server.
 	Answered func()
 	// Lent counts the leases that are out.
 	Lent *atomic.Int64
 
-	lease *keeper.Lease
+	lease *connpooler.Lease
 	// use is what the borrower wanted when it asked for the lease.
 	use Event
 	// fresh says that nothing was run on the lease yet.
@@ -122,12 +122,12 @@
 		return l.refuse(len(e.Requests))
 	}
 	err := l.run(e.Requests, min(e.Wait, answerTimeout))
-	if errors.Is(err, keeper.ErrRefused) {
+	if errors.Is(err, connpooler.ErrRefused) {
 		l.refused = refusalOf(err)
 		return l.refuse(len(e.Requests))
 	}
 	if err != nil {
-		l.giveBack(!errors.Is(err, keeper.ErrTimeout))
+		l.giveBack(!errors.Is(err, connpooler.ErrTimeout))
 		return false
 	}
 	return l.Borrower.Flush() == nil
@@ -151,8 +151,8 @@
 }
 
 // ask is what the borrower wants of the pool.
-func (e *Event) ask(now time.Time) keeper.Ask {
-	a := keeper.Ask{Deadline: now.Add(e.Wait), Class: e.Class, Team: e.Team}
+func (e *Event) ask(now time.Time) connpooler.Ask {
+	a := connpooler.Ask{Deadline: now.Add(e.Wait), Class: e.Class, Team: e.Team}
 	if e.Objective > 0 {
 		a.Objective = now.Add(e.Objective)
 	}
@@ -171,7 +171,7 @@
 // refusalOf tells the borrower why the pool gave no connection.
 func refusalOf(err error) Refusal {
 	r := Refusal{Why: err.Error()}
-	if q, ok := errors.AsType[*keeper.Refusal](err); ok {
+	if q, ok := errors.AsType[*connpooler.Refusal](err); ok {
 		r.RetryAfter = q.RetryAfter
 		return r
 	}
@@ -189,7 +189,7 @@
 // run sends the statements but for those that would set up what is there already, and
 // answers each.
 //
-// A keeper.Refusal says that nothing was sent.
+// A connpooler.Refusal says that nothing was sent.
 func (l *Link) run(requests []declarer.Request, wait time.Duration) error {
 	end := time.Now().Add(wait)
 	if !slices.ContainsFunc(requests, func(r declarer.Request) bool { return r.ID != "" }) {
@@ -211,7 +211,7 @@
 
 // perform has the statements run and answers the borrower.
 func (l *Link) perform(requests []declarer.Request, end time.Time) error {
-	skipped, out := l.dress(requests)
+	skipped, out := l.setUp(requests)
 	if len(out) > 0 {
 		if err := l.lease.Send(out, end); err != nil {
 			return err
@@ -261,10 +261,10 @@
 	return nil
 }
 
-// dress returns which statements need not be sent, and what is sent in their place. The
+// setUp returns which statements need not be sent, and what is sent in their place. The
 // first ones of a use set all values of the borrower's session: these must be the only
 // ones on the connection. What is prepared may be there from another use.
-func (l *Link) dress(requests []declarer.Request) (skipped []bool, out []declarer.Request) {
+func (l *Link) setUp(requests []declarer.Request) (skipped []bool, out []declarer.Request) {
 	skipped = make([]bool, len(requests))
 	values := make(map[string]string)
 	for _, r := range requests {
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -13,8 +13,8 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
 // server notes what is sent to it; each connection answers everything.
@@ -30,9 +30,9 @@
 	state  declarer.State
 }
 
-func (s *server) Dial(context.Context, declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (s *server) Dial(context.Context, declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	if s.full {
-		return nil, marker.Mark{}, keeper.ErrCrowded
+		return nil, marker.Mark{}, connpooler.ErrTooManyConnections
 	}
 	return &connection{server: s}, marker.Mark{}, nil
 }
@@ -111,10 +111,10 @@
 func (b *borrower) Flush() error          { return nil }
 
 // play serves the events over one pool and returns the borrower.
-func play(s *server, p *keeper.Pool, events ...Event) *borrower {
+func play(s *server, p *connpooler.Pool, events ...Event) *borrower {
 	b := &borrower{events: events}
 	var lent atomic.Int64
-	l := &Link{Borrower: b, Pool: func() *keeper.Pool { return p }, Answered: func() {}, Lent: &lent}
+	l := &Link{Borrower: b, Pool: func() *connpooler.Pool { return p }, Answered: func() {}, Lent: &lent}
 	l.Run()
 	if n := lent.Load(); n != 0 {
 		panic(fmt.Sprintf("%d leases are out after the end", n))
@@ -123,8 +123,8 @@
 	return b
 }
 
-func pool(s *server) *keeper.Pool {
-	return &keeper.Pool{Server: declarer.Server{ID: "i"}, Dialer: s, Observer: s, Limit: 1}
+func pool(s *server) *connpooler.Pool {
+	return &connpooler.Pool{Server: declarer.Server{ID: "i"}, Dialer: s, Observer: s, Limit: 1}
 }
 
 func lend() Event { return Event{Kind: KindLend, Wait: time.Second} }
--- a/internal/proxy/detourer/detourer.go
+++ b/internal/proxy/relaydialer/relaydialer.go
@@ -1,6 +1,6 @@
-// Package detourer reaches backend servers by way of other entry hosts where the
+// Package relaydialer reaches backend servers through other entry hosts where the
 // direct way is cut.
-package detourer
+package relaydialer
 
 import (
 	"context"
@@ -12,20 +12,20 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
 const (
-	// blockedFor is how long the direct way isn't tried after it failed.
+	// blockedFor is how long the direct route isn't tried after it failed.
 	blockedFor = 2 * time.Second
-	// deafFor is how long a host isn't asked after it failed.
-	deafFor = 2 * time.Second
+	// unresponsiveFor is how long a host isn't asked after it failed.
+	unresponsiveFor = 2 * time.Second
 	// width is how many hosts are asked for a way at once: one may be cut off as well,
 	// and one may be gone without our having heard.
 	width = 3
 	// witnesses is how many are asked whether they hear a server. A cut may leave only
-	// a part of the hosts with a way: of twelve all miss it in 1 of 170 cases where
+	// a part of the hosts with a route: of twelve all miss it in 1 of 170 cases where
 	// two thirds are cut off.
 	witnesses = 12
 	// witnessTimeout bounds their answers: there and back, and a connection that they
@@ -33,11 +33,11 @@
 	witnessTimeout = 350 * time.Millisecond
 )
 
-// Way opens a connection to a server, directly or through the host's address.
-type Way interface {
-	keeper.Dialer
-	Via(ctx context.Context, host string, s declarer.Server) (keeper.Connection, marker.Mark, error)
-	// Heard asks a host about the server. The answer is keeper.ErrAlive or keeper.ErrLost;
+// Transport opens a connection to a server, directly or through the host's address.
+type Transport interface {
+	connpooler.Dialer
+	Via(ctx context.Context, host string, s declarer.Server) (connpooler.Connection, marker.Mark, error)
+	// Heard asks a host about the server. The answer is connpooler.ErrAlive or connpooler.ErrLost;
 	// any other error is no answer.
 	Heard(ctx context.Context, host string, s declarer.Server, q Question) error
 }
@@ -67,46 +67,46 @@
 	WordAlive
 )
 
-// Dialer opens connections directly where it can, and else by way of other hosts. Its
+// Dialer opens connections directly where it can, and else through other hosts. Its
 // exported fields are set before use.
 type Dialer struct {
-	Way Way
+	Transport Transport
 	// Hosts returns the other entry hosts.
 	Hosts func() []declarer.Host
 
 	mu sync.Mutex
-	// blocked and deaf are until when a server or host isn't tried.
-	blocked map[string]time.Time
-	deaf    map[string]time.Time
+	// blocked and unresponsive are until when a server or host isn't tried.
+	blocked      map[string]time.Time
+	unresponsive map[string]time.Time
 }
 
 // Dial opens a connection to the server. An answer of the server itself, or of its
 // host that no process listens, ends the search: another way leads to the same.
-func (d *Dialer) Dial(ctx context.Context, s declarer.Server) (keeper.Connection, marker.Mark, error) {
-	var cause error = keeper.ErrNoWay
+func (d *Dialer) Dial(ctx context.Context, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
+	var cause error = connpooler.ErrNoRoute
 	if !d.until(d.blocked, s.ID) {
-		c, m, err := d.Way.Dial(ctx, s)
-		if err == nil || !errors.Is(err, keeper.ErrNoWay) || errors.Is(err, syscall.ECONNREFUSED) {
+		c, m, err := d.Transport.Dial(ctx, s)
+		if err == nil || !errors.Is(err, connpooler.ErrNoRoute) || errors.Is(err, syscall.ECONNREFUSED) {
 			return c, m, err
 		}
 		cause = err
 		d.note(&d.blocked, s.ID, blockedFor)
 	}
-	c, m, err := d.around(ctx, s)
-	if errors.Is(err, keeper.ErrNoWay) {
+	c, m, err := d.dialRelays(ctx, s)
+	if errors.Is(err, connpooler.ErrNoRoute) {
 		return nil, m, cause
 	}
 	return c, m, err
 }
 
-// around asks some of the other hosts at once and takes the first that gets through.
-func (d *Dialer) around(ctx context.Context, s declarer.Server) (keeper.Connection, marker.Mark, error) {
+// dialRelays asks some of the other hosts at once and takes the first that gets through.
+func (d *Dialer) dialRelays(ctx context.Context, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	l := d.pick(width)
 	c, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := make(chan result, len(l))
 	for _, h := range l {
-		go (&detour{dialer: d, host: h, server: s, results: r}).run(c)
+		go (&relayAttempt{dialer: d, host: h, server: s, results: r}).run(c)
 	}
 	for i := range l {
 		x := <-r
@@ -115,7 +115,7 @@
 			return x.connection, x.mark, x.err
 		}
 	}
-	return nil, marker.Mark{}, keeper.ErrNoWay
+	return nil, marker.Mark{}, connpooler.ErrNoRoute
 }
 
 // Ask returns what other hosts say of the server. A host that can't be asked says nothing.
@@ -125,14 +125,14 @@
 	l := shuffled(d.Hosts(), witnesses)
 	r := make(chan error, len(l))
 	for _, h := range l {
-		go (&witness{way: d.Way, host: h, server: s, question: q, words: r}).run(c)
+		go (&witness{transport: d.Transport, host: h, server: s, question: q, words: r}).run(c)
 	}
 	word := WordNone
 	for range l {
 		switch err := <-r; {
-		case errors.Is(err, keeper.ErrAlive):
+		case errors.Is(err, connpooler.ErrAlive):
 			return WordAlive
-		case errors.Is(err, keeper.ErrLost):
+		case errors.Is(err, connpooler.ErrLost):
 			word = WordLost
 		}
 	}
@@ -146,7 +146,7 @@
 	defer cancel()
 	for _, h := range d.Hosts() {
 		if h.Name == host {
-			return told(d.Way.Heard(c, h.Address, s, QuestionReach))
+			return told(d.Transport.Heard(c, h.Address, s, QuestionReach))
 		}
 	}
 	return false
@@ -154,27 +154,27 @@
 
 // witness is one host asked whether it hears from a server.
 type witness struct {
-	way      Way
-	host     declarer.Host
-	server   declarer.Server
-	question Question
-	words    chan<- error
+	transport Transport
+	host      declarer.Host
+	server    declarer.Server
+	question  Question
+	words     chan<- error
 }
 
 func (w *witness) run(ctx context.Context) {
-	w.words <- w.way.Heard(ctx, w.host.Address, w.server, w.question)
+	w.words <- w.transport.Heard(ctx, w.host.Address, w.server, w.question)
 }
 
 // answered reports whether the error is the server's own word.
 func answered(err error) bool {
-	return errors.Is(err, keeper.ErrCrowded) || errors.Is(err, keeper.ErrTurnedAway)
+	return errors.Is(err, connpooler.ErrTooManyConnections) || errors.Is(err, connpooler.ErrTurnedAway)
 }
 
 // pick returns up to n hosts by lot, without those that failed a moment ago.
 func (d *Dialer) pick(n int) []declarer.Host {
 	var l []declarer.Host
 	for _, h := range d.Hosts() {
-		if !d.until(d.deaf, h.Name) {
+		if !d.until(d.unresponsive, h.Name) {
 			l = append(l, h)
 		}
 	}
@@ -204,31 +204,31 @@
 
 // result is what one way led to.
 type result struct {
-	connection keeper.Connection
+	connection connpooler.Connection
 	mark       marker.Mark
 	err        error
 }
 
-// detour is the way through one host.
-type detour struct {
+// relayAttempt is the way through one host.
+type relayAttempt struct {
 	dialer  *Dialer
 	host    declarer.Host
 	server  declarer.Server
 	results chan<- result
 }
 
-func (x *detour) run(ctx context.Context) {
-	c, m, err := x.dialer.Way.Via(ctx, x.host.Address, x.server)
+func (x *relayAttempt) run(ctx context.Context) {
+	c, m, err := x.dialer.Transport.Via(ctx, x.host.Address, x.server)
 	if err != nil && ctx.Err() == nil && !told(err) {
 		// Not where the time ran out: the host may only have been asked late.
-		x.dialer.note(&x.dialer.deaf, x.host.Name, deafFor)
+		x.dialer.note(&x.dialer.unresponsive, x.host.Name, unresponsiveFor)
 	}
 	x.results <- result{connection: c, mark: m, err: err}
 }
 
 // told reports whether the error is the asked host's word.
 func told(err error) bool {
-	return answered(err) || errors.Is(err, keeper.ErrLost) || errors.Is(err, keeper.ErrAlive)
+	return answered(err) || errors.Is(err, connpooler.ErrLost) || errors.Is(err, connpooler.ErrAlive)
 }
 
 // rest closes connections that came too late.
--- a/internal/proxy/detourer/detourer_test.go
+++ b/internal/proxy/relaydialer/relaydialer_test.go
@@ -1,4 +1,4 @@
-package detourer
+package relaydialer
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
 // ways answers by what each way is set to.
@@ -25,13 +25,13 @@
 
 // end is a connection that only counts its closing.
 type end struct {
-	keeper.Connection
+	connpooler.Connection
 	closed bool
 }
 
 func (e *end) Close() { e.closed = true }
 
-func (w *ways) answer(way string, err error) (keeper.Connection, marker.Mark, error) {
+func (w *ways) answer(way string, err error) (connpooler.Connection, marker.Mark, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.asked = append(w.asked, way)
@@ -41,11 +41,11 @@
 	return &end{}, marker.Mark{}, nil
 }
 
-func (w *ways) Dial(context.Context, declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (w *ways) Dial(context.Context, declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	return w.answer("direct", w.direct)
 }
 
-func (w *ways) Via(_ context.Context, host string, _ declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (w *ways) Via(_ context.Context, host string, _ declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	return w.answer(host, w.via[host])
 }
 
@@ -64,7 +64,7 @@
 }
 
 func TestDial(t *testing.T) {
-	noWay := errors.WithType(errors.New("timeout"), keeper.ErrNoWay)
+	noWay := errors.WithType(errors.New("timeout"), connpooler.ErrNoRoute)
 	for name, c := range map[string]struct {
 		direct error
 		via    map[string]error
@@ -73,18 +73,18 @@
 	}{
 		"direct": {},
 		// The primary is cut from this host, and from another one.
-		"through another host":        {direct: noWay, via: map[string]error{"h1": keeper.ErrLost}, hosts: []string{"h1", "h2"}},
-		"nobody to ask":               {direct: noWay, want: keeper.ErrNoWay},
-		"others can't be asked":       {direct: noWay, via: map[string]error{"h1": noWay, "h2": noWay}, hosts: []string{"h1", "h2"}, want: keeper.ErrNoWay},
-		"others have no way":          {direct: noWay, via: map[string]error{"h1": keeper.ErrLost, "h2": noWay}, hosts: []string{"h1", "h2"}, want: keeper.ErrNoWay},
-		"crowded, as seen from there": {direct: noWay, via: map[string]error{"h1": keeper.ErrCrowded}, hosts: []string{"h1"}, want: keeper.ErrCrowded},
-		"crowded, as seen from here":  {direct: keeper.ErrCrowded, hosts: []string{"h1"}, want: keeper.ErrCrowded},
-		"another server there":        {direct: keeper.ErrTurnedAway, hosts: []string{"h1"}, want: keeper.ErrTurnedAway},
-		"no process listens":          {direct: errors.WithType(syscall.ECONNREFUSED, keeper.ErrNoWay), hosts: []string{"h1"}, want: syscall.ECONNREFUSED},
+		"through another host":        {direct: noWay, via: map[string]error{"h1": connpooler.ErrLost}, hosts: []string{"h1", "h2"}},
+		"nobody to ask":               {direct: noWay, want: connpooler.ErrNoRoute},
+		"others can't be asked":       {direct: noWay, via: map[string]error{"h1": noWay, "h2": noWay}, hosts: []string{"h1", "h2"}, want: connpooler.ErrNoRoute},
+		"others have no way":          {direct: noWay, via: map[string]error{"h1": connpooler.ErrLost, "h2": noWay}, hosts: []string{"h1", "h2"}, want: connpooler.ErrNoRoute},
+		"crowded, as seen from there": {direct: noWay, via: map[string]error{"h1": connpooler.ErrTooManyConnections}, hosts: []string{"h1"}, want: connpooler.ErrTooManyConnections},
+		"crowded, as seen from here":  {direct: connpooler.ErrTooManyConnections, hosts: []string{"h1"}, want: connpooler.ErrTooManyConnections},
+		"another server there":        {direct: connpooler.ErrTurnedAway, hosts: []string{"h1"}, want: connpooler.ErrTurnedAway},
+		"no process listens":          {direct: errors.WithType(syscall.ECONNREFUSED, connpooler.ErrNoRoute), hosts: []string{"h1"}, want: syscall.ECONNREFUSED},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := &ways{direct: c.direct, via: c.via}
-			d := &Dialer{Way: w, Hosts: hosts(c.hosts...)}
+			d := &Dialer{Transport: w, Hosts: hosts(c.hosts...)}
 			_, _, err := d.Dial(t.Context(), declarer.Server{ID: "i"})
 			if c.want == nil && err != nil || c.want != nil && !errors.Is(err, c.want) {
 				t.Errorf("error %v, want %v", err, c.want)
@@ -96,8 +96,8 @@
 // The direct way stays cut for seconds. Each connection would wait for it in vain.
 func TestCutWayIsLeftAloneForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &ways{direct: keeper.ErrNoWay}
-		d := &Dialer{Way: w, Hosts: hosts("h1")}
+		w := &ways{direct: connpooler.ErrNoRoute}
+		d := &Dialer{Transport: w, Hosts: hosts("h1")}
 		for range 3 {
 			if _, _, err := d.Dial(t.Context(), declarer.Server{ID: "i"}); err != nil {
 				t.Fatal(err)
@@ -125,16 +125,16 @@
 	}{
 		"nobody to ask":     {},
 		"nobody answers":    {via: map[string]error{"h1": silent, "h2": silent}},
-		"one hears it":      {via: map[string]error{"h1": keeper.ErrLost, "h2": keeper.ErrAlive, "h3": keeper.ErrLost}},
-		"nobody hears it":   {via: map[string]error{"h1": keeper.ErrLost, "h2": keeper.ErrLost}, want: true},
-		"one answers, lost": {via: map[string]error{"h1": silent, "h2": keeper.ErrLost}, want: true},
+		"one hears it":      {via: map[string]error{"h1": connpooler.ErrLost, "h2": connpooler.ErrAlive, "h3": connpooler.ErrLost}},
+		"nobody hears it":   {via: map[string]error{"h1": connpooler.ErrLost, "h2": connpooler.ErrLost}, want: true},
+		"one answers, lost": {via: map[string]error{"h1": silent, "h2": connpooler.ErrLost}, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var l []string
 			for h := range c.via {
 				l = append(l, h)
 			}
-			d := &Dialer{Way: &ways{via: c.via}, Hosts: hosts(l...)}
+			d := &Dialer{Transport: &ways{via: c.via}, Hosts: hosts(l...)}
 			if got := d.Ask(t.Context(), declarer.Server{ID: "i"}, QuestionReach) == WordLost; got != c.want {
 				t.Errorf("lost %t, want %t", got, c.want)
 			}
@@ -143,8 +143,8 @@
 }
 
 func TestAnswers(t *testing.T) {
-	w := &ways{via: map[string]error{"h1": keeper.ErrLost, "h2": keeper.ErrAlive, "h3": errors.New("timeout")}}
-	d := &Dialer{Way: w, Hosts: hosts("h1", "h2", "h3")}
+	w := &ways{via: map[string]error{"h1": connpooler.ErrLost, "h2": connpooler.ErrAlive, "h3": errors.New("timeout")}}
+	d := &Dialer{Transport: w, Hosts: hosts("h1", "h2", "h3")}
 	for h, want := range map[string]bool{"h1": true, "h2": true, "h3": false, "h4": false} {
 		if got := d.Answers(t.Context(), h, declarer.Server{ID: "i"}); got != want {
 			t.Errorf("%s answers: %t, want %t", h, got, want)
@@ -155,7 +155,7 @@
 // slow is a way on which nothing is answered before the time is up.
 type slow struct{ ways }
 
-func (s *slow) Via(ctx context.Context, _ string, _ declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (s *slow) Via(ctx context.Context, _ string, _ declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	<-ctx.Done()
 	return nil, marker.Mark{}, ctx.Err()
 }
@@ -165,8 +165,8 @@
 // word, and the primary wouldn't be replaced for as long as they are left alone.
 func TestHostAskedLateIsNotTakenForGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &slow{ways{direct: keeper.ErrNoWay, via: map[string]error{"h1": keeper.ErrLost}}}
-		d := &Dialer{Way: w, Hosts: hosts("h1")}
+		w := &slow{ways{direct: connpooler.ErrNoRoute, via: map[string]error{"h1": connpooler.ErrLost}}}
+		d := &Dialer{Transport: w, Hosts: hosts("h1")}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		if _, _, err := d.Dial(ctx, declarer.Server{ID: "i"}); err == nil {
--- a/internal/proxy/relayer/relayer.go
+++ b/internal/proxy/relayer/relayer.go
@@ -27,15 +27,15 @@
 // Wishes.
 const (
 	WishNone Wish = iota
-	// WishWay is a connection that is carried on.
-	WishWay
-	// WishWord is whether the server is heard here.
-	WishWord
-	// WishAnswer is whether the server itself has answered here within the last seconds.
-	WishAnswer
+	// WishRelay is a connection that is carried on.
+	WishRelay
+	// WishReachable is whether the server is heard here.
+	WishReachable
+	// WishAnswered is whether the server itself has answered here within the last seconds.
+	WishAnswered
 	// WishLink is to borrow connections of this host's.
 	WishLink
-	// WishFeed is to read what the platform lists by way of this host.
+	// WishFeed is to read what the platform lists through this host.
 	WishFeed
 )
 
@@ -57,7 +57,7 @@
 	Alive func(s declarer.Server) bool
 	// Answered reports whether the server itself has answered within the last seconds.
 	Answered func(s declarer.Server) bool
-	// Refuse answers that there is no way to the server.
+	// Refuse answers that there is no route to the server.
 	Refuse func(c net.Conn, id string, alive bool)
 	Log    log.Interface
 
@@ -116,11 +116,11 @@
 		r.Lend(x.from, id)
 		return
 	}
-	if wish == WishAnswer {
+	if wish == WishAnswered {
 		r.Refuse(x.from, id, r.Answered(s))
 		return
 	}
-	question := wish == WishWord
+	question := wish == WishReachable
 	if question && r.Alive(s) {
 		r.Refuse(x.from, id, true)
 		return
--- a/internal/proxy/relayer/relayer_test.go
+++ b/internal/proxy/relayer/relayer_test.go
@@ -27,7 +27,7 @@
 		Ask: func(c net.Conn, _ time.Time) (string, Wish, error) {
 			b := make([]byte, 4)
 			_, err := c.Read(b)
-			return string(b[:3]), map[byte]Wish{'?': WishWord, '+': WishLink}[b[3]], err
+			return string(b[:3]), map[byte]Wish{'?': WishReachable, '+': WishLink}[b[3]], err
 		},
 		Lend:   func(c net.Conn, id string) { _, _ = fmt.Fprintf(c, "lends of %s\n", id) },
 		Find:   func(id string) (declarer.Server, bool) { return declarer.Server{ID: id, Address: "there"}, id == "i-1" },
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -38,7 +38,7 @@
 	Configuration func() uint64
 	// Dropped are the log lines that found their queue full.
 	Dropped func() uint64
-	// Age is how long ago what the platform lists was last confirmed, directly or by way of
+	// Age is how long ago what the platform lists was last confirmed, directly or through
 	// another host.
 	Age func(blackboard.Section) time.Duration
 	// PositionAge is how long ago the primary whose position is oldest proved it.
--- a/internal/proxy/runner/claims.go
+++ b/internal/proxy/runner/claims.go
@@ -31,11 +31,11 @@
 	Promote(ctx context.Context, group, server, holder string, token uint64) error
 }
 
-// standIn claims the group if nobody has, so that its holder can order a promotion
+// claimUnclaimed claims the group if nobody has, so that its holder can order a promotion
 // while the platform's store is away. Only the first hosts of the group's order do, each
 // a little later than the other: all at once would make two calls a host and group.
-func (p *promoter) standIn(ctx context.Context) {
-	if scheduler.Pause(ctx, standInAfter+standInSpread*p.judge.Delay()) != nil || !p.host.roster.claims(p.group) {
+func (p *promoter) claimUnclaimed(ctx context.Context) {
+	if scheduler.Pause(ctx, firstClaimDelay+firstClaimSpread*p.judge.Delay()) != nil || !p.host.roster.claims(p.group) {
 		return
 	}
 	if _, err := p.claim(ctx); errors.Is(err, ErrNoClaim) {
@@ -69,7 +69,7 @@
 	if time.Since(p.rivalAt) >= max(deference, p.host.bounds().Lease+leaseSlack) {
 		return false
 	}
-	return p.host.detours.Answers(ctx, c.Holder, declarer.Server{ID: server})
+	return p.host.dialer.Answers(ctx, c.Holder, declarer.Server{ID: server})
 }
 
 // fromHeld goes on with the claim that this host made last, where the store can't be
--- a/internal/proxy/runner/deployment_test.go
+++ b/internal/proxy/runner/deployment_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
 )
 
@@ -116,7 +116,7 @@
 }
 
 // Dial opens a connection to a server.
-func (d *deployment) Dial(_ context.Context, x declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (d *deployment) Dial(_ context.Context, x declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	for _, s := range d.servers {
 		if s.declared.ID != x.ID {
 			continue
@@ -131,11 +131,11 @@
 		s.mu.Unlock()
 		time.Sleep(time.Until(end))
 		if full {
-			return nil, m, keeper.ErrCrowded
+			return nil, m, connpooler.ErrTooManyConnections
 		}
 		return &session{instance: s}, m, nil
 	}
-	return nil, marker.Mark{}, keeper.ErrNoWay
+	return nil, marker.Mark{}, connpooler.ErrNoRoute
 }
 
 // session is a connection to a server.
@@ -228,7 +228,7 @@
 	p := c.answers[0]
 	if p.at.After(deadline) {
 		time.Sleep(time.Until(deadline))
-		return keeper.ErrTimeout
+		return connpooler.ErrTimeout
 	}
 	time.Sleep(time.Until(p.at))
 	c.answers = c.answers[1:]
@@ -330,14 +330,14 @@
 const messageTime = time.Millisecond
 
 // link connects to the host that owns a server's connections.
-func (d *deployment) link(_ context.Context, owner string, s declarer.Server) (keeper.Connection, error) {
+func (d *deployment) link(_ context.Context, owner string, s declarer.Server) (connpooler.Connection, error) {
 	time.Sleep(2 * messageTime)
 	x := d.find(owner)
 	if x == nil || x.gone.Load() {
-		return nil, keeper.ErrNoWay
+		return nil, connpooler.ErrNoRoute
 	}
 	c := &link{events: make(chan lender.Event, 64), answers: make(chan declarer.Answer, 256)}
-	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func() *keeper.Pool { return x.host.pools.own(s.ID) }, Answered: func() {}, Lent: &x.lent}
+	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func() *connpooler.Pool { return x.host.pools.own(s.ID) }, Answered: func() {}, Lent: &x.lent}
 	go l.Run()
 	return c, nil
 }
@@ -351,7 +351,7 @@
 	closed  bool
 }
 
-func (l *link) Borrow(a keeper.Ask) {
+func (l *link) Borrow(a connpooler.Ask) {
 	l.lend = &lender.Event{Kind: lender.KindLend, Wait: time.Until(a.Deadline) - 20*messageTime, Class: a.Class, Team: a.Team}
 	if !a.Objective.IsZero() {
 		l.lend.Objective = max(time.Millisecond, time.Until(a.Objective)-20*messageTime)
@@ -388,7 +388,7 @@
 		*a = x
 		return nil
 	case <-t.C:
-		return keeper.ErrTimeout
+		return connpooler.ErrTimeout
 	}
 }
 
--- a/internal/proxy/runner/follower_test.go
+++ b/internal/proxy/runner/follower_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/mirrorer"
 )
 
 // script answers calls in order; after the last one it waits.
@@ -59,7 +59,7 @@
 			{list: []string{"a"}, at: 5},
 			{list: []string{"b"}, at: 7},
 			{err: errors.New("away")},
-			{err: mirrorer.ErrForgotten},
+			{err: cachesyncer.ErrForgotten},
 			{list: []string{"a", "c"}, at: 20},
 		}}
 		var seen []string
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -15,14 +15,14 @@
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
+	"github.com/cuminwick/cuminwick/internal/proxy/relaydialer"
 	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
 
 const (
@@ -54,11 +54,11 @@
 	Servers        Source[declarer.Server]
 	Hosts          Source[declarer.Host]
 	Registrar      Registrar
-	Way            detourer.Way
+	Transport      relaydialer.Transport
 	Relayer        *relayer.Relayer
 	// Link opens a link to the host that owns a server's connections, Borrower takes
 	// over the other end of one.
-	Link     func(ctx context.Context, owner string, s declarer.Server) (keeper.Connection, error)
+	Link     func(ctx context.Context, owner string, s declarer.Server) (connpooler.Connection, error)
 	Borrower func(c net.Conn) lender.Borrower
 	// Self is how other hosts reach this one.
 	Self declarer.Host
@@ -81,7 +81,7 @@
 	roster         roster
 	gate           gate
 	prober         prober
-	detours        detourer.Dialer
+	dialer         relaydialer.Dialer
 	draining       atomic.Bool
 	// adjusted are the bounds that came after those at the start.
 	adjusted atomic.Pointer[Bounds]
@@ -138,9 +138,9 @@
 	h.promoters = make(map[string]bool)
 	h.roster.self = h.Name
 	h.roster.regions = h.Board.Regions
-	h.detours = detourer.Dialer{Way: h.Way, Hosts: h.roster.others}
-	h.prober = prober{dialer: &h.detours, parse: h.ParseStatus}
-	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.detours, observer: h, roster: &h.roster, link: h.Link}
+	h.dialer = relaydialer.Dialer{Transport: h.Transport, Hosts: h.roster.others}
+	h.prober = prober{dialer: &h.dialer, parse: h.ParseStatus}
+	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.dialer, observer: h, roster: &h.roster, link: h.Link}
 	h.hosts = follower[declarer.Host]{
 		name: "entry hosts", source: h.Hosts, wait: lasting(hostsWait), first: make(chan struct{}), gate: &h.gate, confirmed: h.confirms(blackboard.SectionHosts),
 		reset: h.roster.reset, apply: h.roster.apply, log: h.Log, lost: h.Counter.PlatformLost,
@@ -272,7 +272,7 @@
 
 // Connected and Unreachable note what pools learn.
 func (h *Host) Connected(s declarer.Server, m marker.Mark) {
-	h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(s.ID, h.Board.Time(), 0, m) })
+	h.Board.Do(s.Group, func(g *grouptracker.Group) { g.Answered(s.ID, h.Board.Time(), 0, m) })
 }
 
 // Unreachable is the counterpart of Connected.
--- a/internal/proxy/runner/lending.go
+++ b/internal/proxy/runner/lending.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
 
 // lend serves a host that borrows this host's connections to a server.
@@ -16,11 +16,11 @@
 	l := &lender.Link{
 		Borrower: h.Borrower(c),
 		Lent:     &h.lent,
-		Pool:     func() *keeper.Pool { return h.pools.own(server) },
+		Pool:     func() *connpooler.Pool { return h.pools.own(server) },
 		Answered: func() {
 			s, ok := h.pools.find(server)
 			if ok {
-				h.Board.Do(s.Group, func(g *viewer.Group) { g.Answered(server, h.Board.Time(), 0, marker.Mark{}) })
+				h.Board.Do(s.Group, func(g *grouptracker.Group) { g.Answered(server, h.Board.Time(), 0, marker.Mark{}) })
 			}
 		},
 	}
@@ -42,7 +42,7 @@
 
 func (h *Host) answeredWithin(s declarer.Server, d time.Duration) bool {
 	alive := false
-	h.Board.Do(s.Group, func(g *viewer.Group) {
+	h.Board.Do(s.Group, func(g *grouptracker.Group) {
 		x := g.Find(s.ID)
 		alive = x != nil && x.AnsweredAt != 0 && h.Board.Time()-x.AnsweredAt < d
 	})
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -8,8 +8,8 @@
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
 const (
@@ -26,14 +26,14 @@
 	// linkLimit bounds the links to one owner for one server.
 	linkLimit = 64
 	// scarce is the number of connections a host below which one host owns those to a
-	// server and the others borrow: with fewer, a host's statements have no way more.
+	// server and the others borrow: with fewer, a host often has none for its statements.
 	scarce = 3
 	// silentFor is how long an owner that can't be reached is passed over.
 	silentFor = 3 * time.Second
 )
 
-// way is how this host comes to a server: by its own connections, or by another host's.
-type way struct {
+// poolKey is how this host comes to a server: by its own connections, or by another host's.
+type poolKey struct {
 	server string
 	// owner is empty for its own.
 	owner string
@@ -43,15 +43,15 @@
 type pools struct {
 	self     string
 	board    *blackboard.Board
-	dialer   keeper.Dialer
-	observer keeper.Observer
+	dialer   connpooler.Dialer
+	observer connpooler.Observer
 	roster   *roster
 	// link opens a link to the owner of a server's connections.
-	link func(ctx context.Context, owner string, s declarer.Server) (keeper.Connection, error)
+	link func(ctx context.Context, owner string, s declarer.Server) (connpooler.Connection, error)
 
 	mu      sync.Mutex
 	servers map[string]declarer.Server
-	pools   map[way]*keeper.Pool
+	pools   map[poolKey]*connpooler.Pool
 	// silent is until when an owner is passed over.
 	silent map[string]time.Time
 }
@@ -74,7 +74,7 @@
 }
 
 // Pool returns the connections to the server, nil if it isn't listed.
-func (p *pools) Pool(id string) *keeper.Pool {
+func (p *pools) Pool(id string) *connpooler.Pool {
 	s, ok := p.find(id)
 	if !ok {
 		return nil
@@ -86,13 +86,13 @@
 }
 
 // own returns this host's own connections to the server, nil if it isn't listed.
-func (p *pools) own(id string) *keeper.Pool {
+func (p *pools) own(id string) *connpooler.Pool {
 	s, ok := p.find(id)
 	if !ok {
 		return nil
 	}
 	limit, kept := p.share(s)
-	o := p.keep(way{server: id}, &keeper.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, Keep: kept})
+	o := p.keep(poolKey{server: id}, &connpooler.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, Keep: kept})
 	o.Resize(limit, kept)
 	return o
 }
@@ -113,20 +113,20 @@
 }
 
 // borrowed returns the links to the owner.
-func (p *pools) borrowed(s declarer.Server, o declarer.Host) *keeper.Pool {
+func (p *pools) borrowed(s declarer.Server, o declarer.Host) *connpooler.Pool {
 	l := &links{pools: p, owner: o}
-	return p.keep(way{server: s.ID, owner: o.Name}, &keeper.Pool{Server: s, Dialer: l, Observer: l, Limit: linkLimit, Keep: 1, Eager: true})
+	return p.keep(poolKey{server: s.ID, owner: o.Name}, &connpooler.Pool{Server: s, Dialer: l, Observer: l, Limit: linkLimit, Keep: 1, OnDemand: true})
 }
 
 // keep returns the pool that is there for the way, or puts n there.
-func (p *pools) keep(w way, n *keeper.Pool) *keeper.Pool {
+func (p *pools) keep(w poolKey, n *connpooler.Pool) *connpooler.Pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if o := p.pools[w]; o != nil {
 		return o
 	}
 	if p.pools == nil {
-		p.pools = make(map[way]*keeper.Pool)
+		p.pools = make(map[poolKey]*connpooler.Pool)
 	}
 	p.pools[w] = n
 	return n
@@ -197,7 +197,7 @@
 }
 
 // Dial opens a link.
-func (l *links) Dial(ctx context.Context, s declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (l *links) Dial(ctx context.Context, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	c, err := l.pools.link(ctx, l.owner.Address, s)
 	return c, marker.Mark{}, err
 }
--- a/internal/proxy/runner/prober.go
+++ b/internal/proxy/runner/prober.go
@@ -7,8 +7,8 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
 )
 
 // ErrCommand is a command that a server refused.
@@ -17,7 +17,7 @@
 // prober asks servers on new connections: an old one may have gone silent though the
 // server is well.
 type prober struct {
-	dialer keeper.Dialer
+	dialer connpooler.Dialer
 	// parse reads the row in which a server tells its status.
 	parse func(row string) (declarer.Status, error)
 }
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/runner/promotions.go
@@ -10,8 +10,8 @@
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
 
 // Errors of claims. After any other error the claim may have been made.
@@ -25,10 +25,10 @@
 )
 
 const (
-	// standInAfter is when after its start a host claims a group that nobody has, and
-	// standInSpread times its own delay is added.
-	standInAfter  = 2 * time.Second
-	standInSpread = 30
+	// firstClaimDelay is when after its start a host claims a group that nobody has, and
+	// firstClaimSpread times its own delay is added.
+	firstClaimDelay  = 2 * time.Second
+	firstClaimSpread = 30
 	// promoteTick is how often a group is looked at.
 	promoteTick = 50 * time.Millisecond
 	// outsideTick is the same at hosts that stand by for the others.
@@ -95,7 +95,7 @@
 
 // run looks at the group until ctx ends.
 func (p *promoter) run(ctx context.Context) {
-	p.standIn(ctx)
+	p.claimUnclaimed(ctx)
 	for scheduler.Pause(ctx, p.tick()) == nil {
 		p.step(ctx)
 	}
@@ -105,17 +105,17 @@
 // deployment only some hosts look often: all of them would fill a group's few slots with
 // their questions as soon as its primary is lost.
 func (p *promoter) tick() time.Duration {
-	if p.host.roster.looks(p.group) {
+	if p.host.roster.watches(p.group) {
 		return promoteTick
 	}
 	return outsideTick
 }
 
 func (p *promoter) step(ctx context.Context) {
-	s := p.sight()
+	s := p.view()
 	if p.judge.Suspect(s) && time.Since(p.probed) > probeInterval {
 		p.probe(ctx, s)
-		s = p.sight()
+		s = p.view()
 	}
 	r := p.judge.Decide(s)
 	if r == successor.ReasonNone {
@@ -136,9 +136,9 @@
 	}
 }
 
-func (p *promoter) sight() successor.Sight {
-	s := successor.Sight{Now: p.host.Board.Time()}
-	p.host.Board.Do(p.group, func(g *viewer.Group) {
+func (p *promoter) view() successor.View {
+	s := successor.View{Now: p.host.Board.Time()}
+	p.host.Board.Do(p.group, func(g *grouptracker.Group) {
 		if x := g.Primary(); x != nil {
 			c := *x
 			s.Primary = &c
@@ -152,7 +152,7 @@
 }
 
 // replace gives the group another primary, unless another host is about to.
-func (p *promoter) replace(ctx context.Context, s successor.Sight, r successor.Reason) {
+func (p *promoter) replace(ctx context.Context, s successor.View, r successor.Reason) {
 	l := p.log.WithFields(log.Fields{"database-group": p.group, "reason": r})
 	others := p.inquire(ctx, s, r)
 	// The claim is read before the servers are asked: where another host promotes in
@@ -193,7 +193,7 @@
 		// Another replica may have an acknowledged commit that the heir lacks. Without a
 		// leader the longest log is looked for anew.
 		p.unmoved = time.Now()
-		p.host.Board.Do(p.group, func(g *viewer.Group) { g.Refused(s.Primary.ID) })
+		p.host.Board.Do(p.group, func(g *grouptracker.Group) { g.Refused(s.Primary.ID) })
 		return
 	}
 	p.host.Counter.Promotion(string(r), p.order(ctx, heir.Server, claim, l))
@@ -283,7 +283,7 @@
 // awaitLead asks the server until it leads.
 func (p *promoter) awaitLead(ctx context.Context, s declarer.Server, began time.Time) bool {
 	for time.Since(began) < leadTimeout {
-		for _, c := range p.ask(ctx, []*viewer.Server{{Server: s}}) {
+		for _, c := range p.ask(ctx, []*grouptracker.Server{{Server: s}}) {
 			if c.Status.Primary {
 				return true
 			}
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/runner/promotions_test.go
@@ -15,11 +15,11 @@
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
+	"github.com/cuminwick/cuminwick/internal/proxy/relaydialer"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
 
 var quiet = &log.Logger{Handler: discard.New()}
@@ -113,31 +113,31 @@
 	return nil
 }
 
-func (c *cluster) Dial(_ context.Context, s declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (c *cluster) Dial(_ context.Context, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.servers[s.ID].gone {
-		return nil, marker.Mark{}, keeper.ErrNoWay
+		return nil, marker.Mark{}, connpooler.ErrNoRoute
 	}
-	if f := c.servers[s.ID].full; errors.Is(f, keeper.ErrCrowded) {
+	if f := c.servers[s.ID].full; errors.Is(f, connpooler.ErrTooManyConnections) {
 		return nil, marker.Mark{}, f
 	}
 	return &line{cluster: c, id: s.ID}, marker.Mark{}, nil
 }
 
-func (c *cluster) Via(ctx context.Context, _ string, s declarer.Server) (keeper.Connection, marker.Mark, error) {
+func (c *cluster) Via(ctx context.Context, _ string, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	return c.Dial(ctx, s)
 }
 
 // Heard is what another host says of the server.
-func (c *cluster) Heard(_ context.Context, _ string, s declarer.Server, q detourer.Question) error {
+func (c *cluster) Heard(_ context.Context, _ string, s declarer.Server, q relaydialer.Question) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x := c.servers[s.ID]
-	if (x.gone || x.full != nil) && (!c.heard || c.hung && q == detourer.QuestionAnswer) {
-		return keeper.ErrLost
+	if (x.gone || x.full != nil) && (!c.heard || c.hung && q == relaydialer.QuestionAnswer) {
+		return connpooler.ErrLost
 	}
-	return keeper.ErrAlive
+	return connpooler.ErrAlive
 }
 
 func (c *cluster) Promotion(string, string) {}
@@ -163,7 +163,7 @@
 
 // line is a connection on which only commands are given.
 type line struct {
-	keeper.Connection
+	connpooler.Connection
 	cluster *cluster
 	id      string
 }
@@ -213,7 +213,7 @@
 	began := time.Now()
 	b := &blackboard.Board{Now: func() time.Duration { return time.Since(began) + time.Hour }}
 	b.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
-	x := &Host{Name: h, Board: b, Orderer: c, Log: quiet, Counter: c, detours: detourer.Dialer{Way: c, Hosts: c.hosts}, prober: prober{dialer: c, parse: c.parse}}
+	x := &Host{Name: h, Board: b, Orderer: c, Log: quiet, Counter: c, dialer: relaydialer.Dialer{Transport: c, Hosts: c.hosts}, prober: prober{dialer: c, parse: c.parse}}
 	return &promoter{host: x, group: "db", log: quiet, judge: successor.Judge{Host: h, Group: "db"}}
 }
 
@@ -237,7 +237,7 @@
 		c := newCluster()
 		c.servers["a"].gone = true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
 		began := time.Now()
 		steps(p, 5*time.Second)
 		if len(c.steps) != 1 || !c.servers["b"].primary {
@@ -264,7 +264,7 @@
 		var g sync.WaitGroup
 		for _, h := range []string{"h1", "h2", "h3"} {
 			p := promoterOf(c, h)
-			p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+			p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
 			g.Go(func() { steps(p, 4*time.Second) })
 		}
 		g.Wait()
@@ -281,7 +281,7 @@
 		c := newCluster()
 		c.servers["a"].gone, c.heard = true, true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, 12*time.Second)
 		if len(c.steps) > 0 {
 			t.Errorf("steps %q", c.steps)
@@ -296,7 +296,7 @@
 		c := newCluster()
 		c.servers["a"].gone, c.heard, c.hung = true, true, true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, 8*time.Second)
 		if len(c.steps) != 1 || !c.servers["b"].primary {
 			t.Errorf("steps %q", c.steps)
@@ -307,12 +307,12 @@
 // Guards against overload taken for death: after a loss of power the primary is at its
 // limit of connections, or has no slot for a status. Replacing it would drop commits.
 func TestOverloadedPrimaryIsKept(t *testing.T) {
-	for _, cause := range []error{keeper.ErrCrowded, ErrCommand} {
+	for _, cause := range []error{connpooler.ErrTooManyConnections, ErrCommand} {
 		synctest.Test(t, func(t *testing.T) {
 			c := newCluster()
 			c.servers["a"].full = cause
 			p := promoterOf(c, "h1")
-			p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+			p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
 			steps(p, 12*time.Second)
 			if len(c.steps) > 0 {
 				t.Errorf("%v: steps %q", cause, c.steps)
@@ -329,7 +329,7 @@
 		c.servers["a"].primary = false
 		c.servers["b"].gone, c.servers["c"].gone = true, true
 		p := promoterOf(c, "h1")
-		p.host.Board.Do("db", func(g *viewer.Group) { g.Refused("a") })
+		p.host.Board.Do("db", func(g *grouptracker.Group) { g.Refused("a") })
 		steps(p, 10*time.Second)
 		if len(c.steps) > 0 {
 			t.Errorf("steps %q", c.steps)
@@ -452,7 +452,7 @@
 		c := newCluster()
 		c.servers["a"].gone = true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, 5*time.Second)
 		first := *c.claim
 		if !c.servers["b"].primary || first.Server != "" {
@@ -460,7 +460,7 @@
 		}
 		c.away = true
 		c.servers["a"].gone, c.servers["b"].gone = false, true
-		p.host.Board.Unreachable("db", "b", p.host.Board.Time(), keeper.ErrNoWay)
+		p.host.Board.Unreachable("db", "b", p.host.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, 5*time.Second)
 		if len(c.steps) != 2 || c.servers["b"].primary || c.servers["a"].primary == c.servers["c"].primary {
 			t.Errorf("steps %q", c.steps)
@@ -498,7 +498,7 @@
 		c.servers["a"].gone = true
 		c.claim = &Claim{Holder: "h9", Token: 40}
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), keeper.ErrNoWay)
+		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, deference)
 		if len(c.steps) > 0 {
 			t.Errorf("steps %q while the holder may act", c.steps)
@@ -565,7 +565,7 @@
 		var g sync.WaitGroup
 		for _, h := range []string{"h1", "h2", "h3"} {
 			p := promoterOf(c, h)
-			g.Go(func() { p.standIn(t.Context()) })
+			g.Go(func() { p.claimUnclaimed(t.Context()) })
 		}
 		g.Wait()
 		if c.claim == nil || c.claim.Token != 3 || c.claim.Server != "" {
--- a/internal/proxy/runner/questions.go
+++ b/internal/proxy/runner/questions.go
@@ -8,26 +8,26 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/detourer"
-	"github.com/cuminwick/cuminwick/internal/proxy/keeper"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
+	"github.com/cuminwick/cuminwick/internal/proxy/relaydialer"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
 )
 
 // probe asks a suspected primary, or all servers where none is known.
-func (p *promoter) probe(ctx context.Context, s successor.Sight) {
+func (p *promoter) probe(ctx context.Context, s successor.View) {
 	p.probed = time.Now()
 	l := s.Servers
 	if s.Primary != nil {
-		l = []*viewer.Server{s.Primary}
+		l = []*grouptracker.Server{s.Primary}
 	}
 	p.ask(ctx, l)
 }
 
 // ask has all of l tell their status at once, and returns those that did. Once more than
 // half have, the others are waited for only a little.
-func (p *promoter) ask(ctx context.Context, l []*viewer.Server) []successor.Candidate {
+func (p *promoter) ask(ctx context.Context, l []*grouptracker.Server) []successor.Candidate {
 	c, cancel := context.WithTimeout(ctx, probeTimeout)
 	r := make(chan reply, len(l))
 	g := &sync.WaitGroup{}
@@ -96,15 +96,15 @@
 func (q *question) note(asked time.Duration, s declarer.Status, err error) {
 	b := q.promoter.host.Board
 	switch {
-	case errors.Is(err, ErrCommand), errors.Is(err, keeper.ErrCrowded), errors.Is(err, keeper.ErrAlive):
+	case errors.Is(err, ErrCommand), errors.Is(err, connpooler.ErrTooManyConnections), errors.Is(err, connpooler.ErrAlive):
 		// It has no room for the question, but it lives.
-		b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, b.Time(), 0, marker.Mark{}) })
+		b.Do(q.server.Group, func(g *grouptracker.Group) { g.Answered(q.server.ID, b.Time(), 0, marker.Mark{}) })
 		return
 	case err != nil:
 		b.Unreachable(q.server.Group, q.server.ID, asked, err)
 		return
 	}
-	b.Do(q.server.Group, func(g *viewer.Group) { g.Answered(q.server.ID, b.Time(), 0, s.Received) })
+	b.Do(q.server.Group, func(g *grouptracker.Group) { g.Answered(q.server.ID, b.Time(), 0, s.Received) })
 	if s.Primary {
 		b.Led(q.server.Group, q.server.ID, asked, s.Received)
 	}
@@ -112,10 +112,10 @@
 
 // inquiry asks other hosts about a primary that doesn't answer here.
 type inquiry struct {
-	dialer   *detourer.Dialer
+	dialer   *relaydialer.Dialer
 	server   declarer.Server
-	question detourer.Question
-	done     chan detourer.Word
+	question relaydialer.Question
+	done     chan relaydialer.Word
 }
 
 func (x *inquiry) run(ctx context.Context) {
@@ -123,15 +123,15 @@
 }
 
 // inquire begins to ask other hosts what the reason to replace the primary needs.
-func (p *promoter) inquire(ctx context.Context, s successor.Sight, r successor.Reason) *inquiry {
-	x := &inquiry{dialer: &p.host.detours, done: make(chan detourer.Word, 1)}
+func (p *promoter) inquire(ctx context.Context, s successor.View, r successor.Reason) *inquiry {
+	x := &inquiry{dialer: &p.host.dialer, done: make(chan relaydialer.Word, 1)}
 	switch r {
 	case successor.ReasonSilent:
-		x.server, x.question = s.Primary.Server, detourer.QuestionReach
+		x.server, x.question = s.Primary.Server, relaydialer.QuestionReach
 	case successor.ReasonUnheard:
-		x.server, x.question = s.Primary.Server, detourer.QuestionAnswer
+		x.server, x.question = s.Primary.Server, relaydialer.QuestionAnswer
 	default:
-		x.done <- detourer.WordLost
+		x.done <- relaydialer.WordLost
 		return x
 	}
 	go x.run(ctx)
@@ -141,17 +141,17 @@
 // confirms reports whether what other hosts say lets the primary be replaced. Silence
 // needs their word that they don't hear from it either; after long they may all be out of
 // reach, but none may have had an answer.
-func confirms(r successor.Reason, w detourer.Word) bool {
+func confirms(r successor.Reason, w relaydialer.Word) bool {
 	if r == successor.ReasonUnheard {
-		return w != detourer.WordAlive
+		return w != relaydialer.WordAlive
 	}
-	return w == detourer.WordLost
+	return w == relaydialer.WordLost
 }
 
 // reachable returns the servers but for a primary that doesn't answer: to ask it once
 // more would only hold the promotion up.
-func reachable(s successor.Sight) []*viewer.Server {
-	var l []*viewer.Server
+func reachable(s successor.View) []*grouptracker.Server {
+	var l []*grouptracker.Server
 	for _, x := range s.Servers {
 		if s.Primary == nil || x.ID != s.Primary.ID || x.FailingSince == 0 {
 			l = append(l, x)
--- a/internal/proxy/runner/readers.go
+++ b/internal/proxy/runner/readers.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// readerHosts is how many hosts of an availability zone read the store by way of one
+	// readerHosts is how many hosts of an availability zone read the store through one
 	// of them. Each makes a call a second for each of three kinds of object, so it answers
 	// 72 a second at most.
 	readerHosts = 25
@@ -36,7 +36,7 @@
 	for i := range slots {
 		h, ok := r.first(zone, i)
 		if !ok || h.Name == r.self {
-			return declarer.Host{}, false // others read by way of this one
+			return declarer.Host{}, false // others read through this one
 		}
 		if i == own {
 			found = h
@@ -45,7 +45,7 @@
 	return found, true
 }
 
-// slots returns in how many parts the zone's hosts read by way of one each. The mutex is
+// slots returns in how many parts the zone's hosts read through one each. The mutex is
 // held.
 func (r *roster) slots(zone string) int {
 	n := 0
@@ -89,6 +89,6 @@
 // ReaderFailed notes a host that didn't answer, or can't vouch for what it has.
 func (h *Host) ReaderFailed(x declarer.Host, kind string, err error) {
 	if h.roster.passOver(x.Name) {
-		h.Log.WithError(err).WithFields(log.Fields{"host": x.Name, "kind": kind}).Warn("platform not read by way of another host")
+		h.Log.WithError(err).WithFields(log.Fields{"host": x.Name, "kind": kind}).Warn("platform not read through another host")
 	}
 }
--- a/internal/proxy/runner/readers_test.go
+++ b/internal/proxy/runner/readers_test.go
@@ -18,7 +18,7 @@
 	return m
 }
 
-// Every host of a zone reads by way of one of them, and that one reads the store. In a
+// Every host of a zone reads through one of them, and that one reads the store. In a
 // large zone there are several.
 func TestOneHostOfAZoneReadsTheStore(t *testing.T) {
 	for n, want := range map[int]int{1: 1, 3: 1, 25: 1, 26: 2, 100: 4} {
@@ -36,7 +36,7 @@
 				continue
 			}
 			if h.AvailabilityZone != "a" {
-				t.Errorf("%s reads by way of %s of another zone", name, h.Name)
+				t.Errorf("%s reads through %s of another zone", name, h.Name)
 			}
 		}
 		// The one of zone b reads for itself. Two parts of a zone may come to the same host.
@@ -47,7 +47,7 @@
 }
 
 // The host that reads the store is lost without a word. The next in order finds that it is
-// to read the store itself, the others read by way of it.
+// to read the store itself, the others read through it.
 func TestNextHostReadsTheStore(t *testing.T) {
 	var l []declarer.Host
 	for i := range 5 {
@@ -68,7 +68,7 @@
 			direct++
 		}
 		if ok && h.Name == lost {
-			t.Errorf("%s still reads by way of the lost host", name)
+			t.Errorf("%s still reads through the lost host", name)
 		}
 	}
 	if direct != 1 {
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -74,14 +74,14 @@
 }
 
 const (
-	// lookers is how many hosts look after a group at full rate.
-	lookers = 12
+	// watchers is how many hosts look after a group at full rate.
+	watchers = 12
 	// claimants is how many of them may claim a group that nobody has, one after the other.
 	claimants = 3
 )
 
-// looks reports whether this host is among those that look after the group.
-func (r *roster) looks(group string) bool { return r.rank(group) < lookers }
+// watches reports whether this host is among those that look after the group.
+func (r *roster) watches(group string) bool { return r.rank(group) < watchers }
 
 // claims reports whether it is among those that may claim it first.
 func (r *roster) claims(group string) bool { return r.rank(group) < claimants }
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -7,7 +7,7 @@
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 )
 
 const (
@@ -62,16 +62,16 @@
 	since      time.Duration
 }
 
-// Sight is what the judge is told.
-type Sight struct {
+// View is what the judge is told.
+type View struct {
 	Now time.Duration
 	// Primary is the one believed in, nil for none.
-	Primary *viewer.Server
-	Servers []*viewer.Server
+	Primary *grouptracker.Server
+	Servers []*grouptracker.Server
 }
 
 // Suspect reports whether the primary should be asked on a new connection now.
-func (j *Judge) Suspect(s Sight) bool {
+func (j *Judge) Suspect(s View) bool {
 	p := s.Primary
 	if p == nil {
 		return true
@@ -82,7 +82,7 @@
 
 // Decide returns why this host should give the group another primary now. Each host
 // waits a little differently, so that mostly one goes first.
-func (j *Judge) Decide(s Sight) Reason {
+func (j *Judge) Decide(s View) Reason {
 	r := j.reasonNow(s)
 	if r != j.reason {
 		j.reason, j.since = r, s.Now
@@ -93,7 +93,7 @@
 	return r
 }
 
-func (j *Judge) reasonNow(s Sight) Reason {
+func (j *Judge) reasonNow(s View) Reason {
 	if len(s.Servers) == 0 {
 		return ReasonNone
 	}
@@ -117,7 +117,7 @@
 	return ReasonNone
 }
 
-func (j *Judge) withoutPrimary(s Sight) Reason {
+func (j *Judge) withoutPrimary(s View) Reason {
 	if j.leaderless == 0 {
 		j.leaderless = s.Now
 	}
--- a/internal/proxy/successor/successor_test.go
+++ b/internal/proxy/successor/successor_test.go
@@ -6,39 +6,39 @@
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
-	"github.com/cuminwick/cuminwick/internal/proxy/viewer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 )
 
 const now = time.Minute
 
 // sight is that of a primary in good order.
-func sight(change func(p *viewer.Server)) Sight {
-	p := &viewer.Server{Server: declarer.Server{ID: "a"}, AnsweredAt: now}
+func sight(change func(p *grouptracker.Server)) View {
+	p := &grouptracker.Server{Server: declarer.Server{ID: "a"}, AnsweredAt: now}
 	change(p)
-	return Sight{Now: now, Primary: p, Servers: []*viewer.Server{p}}
+	return View{Now: now, Primary: p, Servers: []*grouptracker.Server{p}}
 }
 
 func TestDecide(t *testing.T) {
 	const long = 10 * time.Second
 	for name, c := range map[string]struct {
-		change func(p *viewer.Server)
+		change func(p *grouptracker.Server)
 		want   Reason
 	}{
-		"in good order": {change: func(*viewer.Server) {}},
-		"leaving":       {change: func(p *viewer.Server) { p.Draining = true }, want: ReasonLeaving},
-		"unreachable from here": {change: func(p *viewer.Server) {
+		"in good order": {change: func(*grouptracker.Server) {}},
+		"leaving":       {change: func(p *grouptracker.Server) { p.Draining = true }, want: ReasonLeaving},
+		"unreachable from here": {change: func(p *grouptracker.Server) {
 			p.FailingSince, p.AnsweredAt = now-time.Second, now-time.Second
 		}, want: ReasonSilent},
-		"unreachable for new connections, answers on others": {change: func(p *viewer.Server) {
+		"unreachable for new connections, answers on others": {change: func(p *grouptracker.Server) {
 			p.FailingSince = now - time.Second
 		}},
-		"unreachable from here, for long": {change: func(p *viewer.Server) {
+		"unreachable from here, for long": {change: func(p *grouptracker.Server) {
 			p.FailingSince, p.AnsweredAt = now-long, now-long
 		}, want: ReasonUnheard},
-		"no process listens": {change: func(p *viewer.Server) {
+		"no process listens": {change: func(p *grouptracker.Server) {
 			p.FailingSince, p.RefusedSince = now-time.Second, now-time.Second
 		}, want: ReasonAbsent},
-		"no process listens for a moment": {change: func(p *viewer.Server) {
+		"no process listens for a moment": {change: func(p *grouptracker.Server) {
 			p.FailingSince, p.RefusedSince = now-100*time.Millisecond, now-100*time.Millisecond
 		}},
 	} {
@@ -60,7 +60,7 @@
 // group would take no writes until an operator steps in.
 func TestLeaderlessGroupGetsPrimary(t *testing.T) {
 	j := &Judge{Host: "h", Group: "db"}
-	s := Sight{Now: now, Servers: []*viewer.Server{{}}}
+	s := View{Now: now, Servers: []*grouptracker.Server{{}}}
 	for s.Now < now+leaderlessAfter {
 		if r := j.Decide(s); r != ReasonNone {
 			t.Fatalf("decided %s after %s", r, s.Now-now)
