--- a/internal/proxy/runner/claims.go
+++ b/internal/proxy/promoter/claims.go
@@ -1,4 +1,4 @@
-package runner
+package promoter
 
 import (
 	"context"
@@ -34,18 +34,18 @@
 // claimUnclaimed claims the group if nobody has, so that its holder can order a promotion
 // while the platform's store is away. Only the first hosts of the group's order do, each
 // a little later than the other: all at once would make two calls a host and group.
-func (p *promoter) claimUnclaimed(ctx context.Context) {
-	if scheduler.Pause(ctx, firstClaimDelay+firstClaimSpread*p.judge.Delay()) != nil || !p.host.roster.claims(p.group) {
+func (p *Promoter) claimUnclaimed(ctx context.Context) {
+	if scheduler.Pause(ctx, firstClaimDelay+firstClaimSpread*p.judge.Delay()) != nil || !p.Hosts.Claims(p.Group) {
 		return
 	}
 	if _, err := p.claim(ctx); errors.Is(err, ErrNoClaim) {
-		_, _ = p.take(ctx, Claim{Holder: p.host.Name})
+		_, _ = p.take(ctx, Claim{Holder: p.Host})
 	}
 }
 
 // win makes the claim to promote the server in place of the present one, which was read
 // with err, and reports whether this host may.
-func (p *promoter) win(ctx context.Context, present Claim, err error, server string, above marker.Term) (Claim, bool) {
+func (p *Promoter) win(ctx context.Context, present Claim, err error, server string, above marker.Term) (Claim, bool) {
 	switch {
 	case errors.Is(err, ErrNoClaim):
 	case err != nil:
@@ -53,30 +53,30 @@
 	case p.defers(ctx, present, server):
 		return Claim{}, false
 	}
-	c, failure := p.take(ctx, Claim{Holder: p.host.Name, Server: server, Above: above, Token: present.Token})
+	c, failure := p.take(ctx, Claim{Holder: p.Host, Server: server, Above: above, Token: present.Token})
 	return c, failure == nil
 }
 
 // defers reports whether another host holds the claim and is let act first, anew with
 // each change of the claim. One that doesn't answer won't act.
-func (p *promoter) defers(ctx context.Context, c Claim, server string) bool {
-	if c.Holder == p.host.Name {
+func (p *Promoter) defers(ctx context.Context, c Claim, server string) bool {
+	if c.Holder == p.Host {
 		return false
 	}
 	if p.rivalAt.IsZero() || c.Token != p.rival {
 		p.rival, p.rivalAt = c.Token, time.Now()
 	}
-	if time.Since(p.rivalAt) >= max(deference, p.host.bounds().Lease+leaseSlack) {
+	if time.Since(p.rivalAt) >= max(deference, p.Lease()+leaseSlack) {
 		return false
 	}
-	return p.host.dialer.Answers(ctx, c.Holder, declarer.Server{ID: server})
+	return p.Dialer.Answers(ctx, c.Holder, declarer.Server{ID: server})
 }
 
 // fromHeld goes on with the claim that this host made last, where the store can't be
 // asked. If another host has made one since, the platform refuses the order. The claim
 // serves for one server only: an order for another one, carried out late, would have
 // the same token.
-func (p *promoter) fromHeld(server string, above marker.Term) (Claim, bool) {
+func (p *Promoter) fromHeld(server string, above marker.Term) (Claim, bool) {
 	if p.held.Token == 0 || p.held.Server != "" && p.held.Server != server {
 		return Claim{}, false
 	}
@@ -87,7 +87,7 @@
 // renew puts the claim anew for no server, once the order that it was made for is over. Where
 // the store is lost together with the next primary, the host could else not act, as its claim
 // serves for the server of the last order only.
-func (p *promoter) renew(ctx context.Context) {
+func (p *Promoter) renew(ctx context.Context) {
 	if p.held.Server == "" || time.Since(p.renewed) < renewInterval {
 		return
 	}
@@ -96,8 +96,8 @@
 	x.Server = ""
 	c, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	n, err := p.host.Orderer.PutClaim(c, p.group, x)
-	l := p.log.WithFields(log.Fields{"database-group": p.group, "token": x.Token})
+	n, err := p.Orderer.PutClaim(c, p.Group, x)
+	l := p.Log.WithFields(log.Fields{"database-group": p.Group, "token": x.Token})
 	switch {
 	case err == nil:
 		p.held = n
@@ -111,29 +111,29 @@
 	}
 }
 
-func (p *promoter) claim(ctx context.Context) (Claim, error) {
+func (p *Promoter) claim(ctx context.Context) (Claim, error) {
 	c, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	return p.host.Orderer.Claim(c, p.group)
+	return p.Orderer.Claim(c, p.Group)
 }
 
 // take puts the claim. Where the answer is lost it reads back whether it was made.
-func (p *promoter) take(ctx context.Context, x Claim) (Claim, error) {
+func (p *Promoter) take(ctx context.Context, x Claim) (Claim, error) {
 	c, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	n, err := p.host.Orderer.PutClaim(c, p.group, x)
+	n, err := p.Orderer.PutClaim(c, p.Group, x)
 	if err != nil && !errors.Is(err, ErrOvertaken) {
 		n, err = p.settle(ctx, x, err)
 	}
 	if err != nil {
-		p.log.WithError(err).WithField("database-group", p.group).Warn("claim not made")
+		p.Log.WithError(err).WithField("database-group", p.Group).Warn("claim not made")
 		return n, err
 	}
 	p.held = n
 	return n, nil
 }
 
-func (p *promoter) settle(ctx context.Context, x Claim, cause error) (Claim, error) {
+func (p *Promoter) settle(ctx context.Context, x Claim, cause error) (Claim, error) {
 	n, err := p.claim(ctx)
 	if err != nil {
 		return n, errors.Annotatef(cause, "and not read back: %v", err)
--- a/internal/proxy/runner/prober.go
+++ b/internal/proxy/promoter/prober.go
@@ -1,4 +1,4 @@
-package runner
+package promoter
 
 import (
 	"context"
@@ -14,26 +14,26 @@
 // ErrCommand is a command that a server refused.
 const ErrCommand = errors.ConstError("command refused")
 
-// prober asks servers on new connections: an old one may have gone silent though the
+// Prober asks servers on new connections: an old one may have gone silent though the
 // server is well.
-type prober struct {
-	dialer connpooler.Dialer
-	// parse reads the row in which a server tells its status.
-	parse func(row string) (declarer.Status, error)
+type Prober struct {
+	Dialer connpooler.Dialer
+	// Parse reads the row in which a server tells its status.
+	Parse func(row string) (declarer.Status, error)
 }
 
 // Status returns the server's word on itself.
-func (p *prober) Status(ctx context.Context, s declarer.Server) (declarer.Status, error) {
+func (p *Prober) Status(ctx context.Context, s declarer.Server) (declarer.Status, error) {
 	return p.command(ctx, s, declarer.Request{Verb: declarer.VerbStatus})
 }
 
 // Demote has a primary below the term step down.
-func (p *prober) Demote(ctx context.Context, s declarer.Server, t marker.Term) (declarer.Status, error) {
+func (p *Prober) Demote(ctx context.Context, s declarer.Server, t marker.Term) (declarer.Status, error) {
 	return p.command(ctx, s, declarer.Request{Verb: declarer.VerbDemote, Term: t})
 }
 
-func (p *prober) command(ctx context.Context, s declarer.Server, q declarer.Request) (declarer.Status, error) {
-	c, _, err := p.dialer.Dial(ctx, s)
+func (p *Prober) command(ctx context.Context, s declarer.Server, q declarer.Request) (declarer.Status, error) {
+	c, _, err := p.Dialer.Dial(ctx, s)
 	if err != nil {
 		return declarer.Status{}, err
 	}
@@ -52,5 +52,5 @@
 	if a.Code != declarer.CodeNone {
 		return declarer.Status{}, errors.Annotatef(ErrCommand, "server %s: %s", s.ID, a.Body)
 	}
-	return p.parse(a.Row)
+	return p.Parse(a.Row)
 }
--- a/internal/proxy/runner/promotions.go
+++ b/internal/proxy/promoter/promoter.go
@@ -1,4 +1,5 @@
-package runner
+// Package promoter gives a database group another primary when it needs one.
+package promoter
 
 import (
 	"context"
@@ -9,8 +10,10 @@
 
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
+	"github.com/cuminwick/cuminwick/internal/proxy/relaydialer"
 	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 )
 
@@ -65,12 +68,38 @@
 	catchUpStep = 10 * time.Millisecond
 )
 
-// promoter looks after the lead of one group.
-type promoter struct {
-	host   *Host
-	group  string
+// Hosts says which part this entry host has among the others in looking after a group.
+type Hosts interface {
+	// Watches reports whether it looks after the group at full rate.
+	Watches(group string) bool
+	// Claims reports whether it may claim a group that nobody has claimed.
+	Claims(group string) bool
+}
+
+// Counter counts promotions.
+type Counter interface {
+	// Phase notes how long a phase of a promotion took.
+	Phase(phase string, d time.Duration)
+	Promotion(reason, result string)
+}
+
+// Promoter looks after the lead of one group. Its exported fields are set before Run.
+type Promoter struct {
+	// Host is this entry host.
+	Host  string
+	Group string
+	Board *blackboard.Board
+	Hosts Hosts
+	// Dialer asks other hosts about a server, Prober asks servers.
+	Dialer  *relaydialer.Dialer
+	Prober  *Prober
+	Orderer Orderer
+	Counter Counter
+	// Lease returns how long a host that has ordered a promotion is respected.
+	Lease func() time.Duration
+	Log   log.Interface
+
 	judge  successor.Judge
-	log    log.Interface
 	probed time.Time
 	// held is this host's claim, if it made the last one it knows of.
 	held Claim
@@ -93,8 +122,9 @@
 	looked time.Time
 }
 
-// run looks at the group until ctx ends.
-func (p *promoter) run(ctx context.Context) {
+// Run looks at the group until ctx ends.
+func (p *Promoter) Run(ctx context.Context) {
+	p.judge = successor.Judge{Host: p.Host, Group: p.Group}
 	p.claimUnclaimed(ctx)
 	for scheduler.Pause(ctx, p.tick()) == nil {
 		p.step(ctx)
@@ -104,14 +134,14 @@
 // tick is how long this host waits until it looks at the group again. In a large
 // deployment only some hosts look often: all of them would fill a group's few slots with
 // their questions as soon as its primary is lost.
-func (p *promoter) tick() time.Duration {
-	if p.host.roster.watches(p.group) {
+func (p *Promoter) tick() time.Duration {
+	if p.Hosts.Watches(p.Group) {
 		return promoteTick
 	}
 	return outsideTick
 }
 
-func (p *promoter) step(ctx context.Context) {
+func (p *Promoter) step(ctx context.Context) {
 	s := p.view()
 	if p.judge.Suspect(s) && time.Since(p.probed) > probeInterval {
 		p.probe(ctx, s)
@@ -136,9 +166,9 @@
 	}
 }
 
-func (p *promoter) view() successor.View {
-	s := successor.View{Now: p.host.Board.Time()}
-	p.host.Board.Do(p.group, func(g *grouptracker.Group) {
+func (p *Promoter) view() successor.View {
+	s := successor.View{Now: p.Board.Time()}
+	p.Board.Do(p.Group, func(g *grouptracker.Group) {
 		if x := g.Primary(); x != nil {
 			c := *x
 			s.Primary = &c
@@ -152,8 +182,8 @@
 }
 
 // replace gives the group another primary, unless another host is about to.
-func (p *promoter) replace(ctx context.Context, s successor.View, r successor.Reason) {
-	l := p.log.WithFields(log.Fields{"database-group": p.group, "reason": r})
+func (p *Promoter) replace(ctx context.Context, s successor.View, r successor.Reason) {
+	l := p.Log.WithFields(log.Fields{"database-group": p.Group, "reason": r})
 	others := p.inquire(ctx, s, r)
 	// The claim is read before the servers are asked: where another host promotes in
 	// between, this host's claim fails, and its old answers decide nothing.
@@ -188,22 +218,22 @@
 		return
 	}
 	l = l.WithFields(log.Fields{"heir": heir.Server.ID, "position": heir.Status.Received.String(), "token": claim.Token, "above": claim.Above})
-	p.host.Counter.Phase(phaseDecide, time.Since(p.neededAt))
+	p.Counter.Phase(phaseDecide, time.Since(p.neededAt))
 	if r == successor.ReasonLeaving && !p.stepDown(ctx, s.Primary.Server, heir, claim.Above, l) && p.synchronous() > 0 {
 		// Another replica may have an acknowledged commit that the heir lacks. Without a
 		// leader the longest log is looked for anew.
 		p.unmoved = time.Now()
-		p.host.Board.Do(p.group, func(g *grouptracker.Group) { g.Refused(s.Primary.ID) })
+		p.Board.Do(p.Group, func(g *grouptracker.Group) { g.Refused(s.Primary.ID) })
 		return
 	}
-	p.host.Counter.Promotion(string(r), p.order(ctx, heir.Server, claim, l))
+	p.Counter.Promotion(string(r), p.order(ctx, heir.Server, claim, l))
 }
 
 // synchronous returns how many replicas have a commit of the group before it is
 // acknowledged.
-func (p *promoter) synchronous() int {
-	if c := p.host.Board.Configuration(); c != nil {
-		return c.Groups[p.group].Synchronous
+func (p *Promoter) synchronous() int {
+	if c := p.Board.Configuration(); c != nil {
+		return c.Groups[p.Group].Synchronous
 	}
 	return 0
 }
@@ -211,17 +241,17 @@
 // stepDown has the leaving primary stop leading, and waits until the heir has all of
 // its log, which it reports. Commits that it made until the promotion took effect would be
 // dropped.
-func (p *promoter) stepDown(ctx context.Context, old declarer.Server, heir successor.Candidate, above marker.Term, l log.Interface) bool {
+func (p *Promoter) stepDown(ctx context.Context, old declarer.Server, heir successor.Candidate, above marker.Term, l log.Interface) bool {
 	c, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	s, err := p.host.prober.Demote(c, old, above+1)
+	s, err := p.Prober.Demote(c, old, above+1)
 	if err != nil {
 		l.WithError(err).Warn("leaving primary did not step down")
 		return false
 	}
 	end := time.Now().Add(catchUp)
 	for time.Now().Before(end) {
-		h, err := p.host.prober.Status(c, heir.Server)
+		h, err := p.Prober.Status(c, heir.Server)
 		if err == nil && h.Received.Covers(s.Received) {
 			return true
 		}
@@ -249,7 +279,7 @@
 )
 
 // order has the platform promote the server, and waits until it leads.
-func (p *promoter) order(ctx context.Context, s declarer.Server, x Claim, l log.Interface) string {
+func (p *Promoter) order(ctx context.Context, s declarer.Server, x Claim, l log.Interface) string {
 	began := time.Now()
 	l.Info("promotion ordered")
 	for time.Since(began) < leadTimeout {
@@ -262,7 +292,7 @@
 			l.WithError(err).Warn("promotion not answered")
 		}
 		if p.awaitLead(ctx, s, began) {
-			p.host.Counter.Phase(phaseLead, time.Since(began))
+			p.Counter.Phase(phaseLead, time.Since(began))
 			l.WithField("took", time.Since(began).String()).Info("promotion done")
 			return resultDone
 		}
@@ -274,14 +304,14 @@
 	return resultUnconfirmed
 }
 
-func (p *promoter) orderOnce(ctx context.Context, s declarer.Server, x Claim) error {
+func (p *Promoter) orderOnce(ctx context.Context, s declarer.Server, x Claim) error {
 	c, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return p.host.Orderer.Promote(c, p.group, s.ID, p.host.Name, x.Token)
+	return p.Orderer.Promote(c, p.Group, s.ID, p.Host, x.Token)
 }
 
 // awaitLead asks the server until it leads.
-func (p *promoter) awaitLead(ctx context.Context, s declarer.Server, began time.Time) bool {
+func (p *Promoter) awaitLead(ctx context.Context, s declarer.Server, began time.Time) bool {
 	for time.Since(began) < leadTimeout {
 		for _, c := range p.ask(ctx, []*grouptracker.Server{{Server: s}}) {
 			if c.Status.Primary {
--- a/internal/proxy/runner/promotions_test.go
+++ b/internal/proxy/promoter/promoter_test.go
@@ -1,4 +1,4 @@
-package runner
+package promoter
 
 import (
 	"context"
@@ -209,22 +209,32 @@
 }
 
 // promoterOf makes host h's promoter, which knows a as the primary.
-func promoterOf(c *cluster, h string) *promoter {
+func promoterOf(c *cluster, h string) *Promoter {
 	began := time.Now()
 	b := &blackboard.Board{Now: func() time.Duration { return time.Since(began) + time.Hour }}
 	b.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
-	x := &Host{Name: h, Board: b, Orderer: c, Log: quiet, Counter: c, dialer: relaydialer.Dialer{Transport: c, Hosts: c.hosts}, prober: prober{dialer: c, parse: c.parse}}
-	return &promoter{host: x, group: "db", log: quiet, judge: successor.Judge{Host: h, Group: "db"}}
+	return &Promoter{
+		Host: h, Group: "db", Board: b, Hosts: among{}, Orderer: c, Counter: c, Log: quiet,
+		Dialer: &relaydialer.Dialer{Transport: c, Hosts: c.hosts}, Prober: &Prober{Dialer: c, Parse: c.parse},
+		Lease: func() time.Duration { return 0 },
+		judge: successor.Judge{Host: h, Group: "db"},
+	}
 }
 
+// among has a host look after every group.
+type among struct{}
+
+func (among) Watches(string) bool { return true }
+func (among) Claims(string) bool  { return true }
+
 // win reads the claim and makes one of the host's own.
-func win(p *promoter, server string) (Claim, bool) {
+func win(p *Promoter, server string) (Claim, bool) {
 	c, err := p.claim(context.Background())
 	return p.win(context.Background(), c, err, server, 1)
 }
 
 // steps runs the promoter for the time.
-func steps(p *promoter, d time.Duration) {
+func steps(p *Promoter, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(promoteTick) {
 		p.step(context.Background())
 	}
@@ -237,7 +247,7 @@
 		c := newCluster()
 		c.servers["a"].gone = true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
+		p.Board.Unreachable("db", "a", p.Board.Time(), connpooler.ErrNoRoute)
 		began := time.Now()
 		steps(p, 5*time.Second)
 		if len(c.steps) != 1 || !c.servers["b"].primary {
@@ -264,7 +274,7 @@
 		var g sync.WaitGroup
 		for _, h := range []string{"h1", "h2", "h3"} {
 			p := promoterOf(c, h)
-			p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
+			p.Board.Unreachable("db", "a", p.Board.Time(), connpooler.ErrNoRoute)
 			g.Go(func() { steps(p, 4*time.Second) })
 		}
 		g.Wait()
@@ -281,7 +291,7 @@
 		c := newCluster()
 		c.servers["a"].gone, c.heard = true, true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
+		p.Board.Unreachable("db", "a", p.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, 12*time.Second)
 		if len(c.steps) > 0 {
 			t.Errorf("steps %q", c.steps)
@@ -296,7 +306,7 @@
 		c := newCluster()
 		c.servers["a"].gone, c.heard, c.hung = true, true, true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
+		p.Board.Unreachable("db", "a", p.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, 8*time.Second)
 		if len(c.steps) != 1 || !c.servers["b"].primary {
 			t.Errorf("steps %q", c.steps)
@@ -312,7 +322,7 @@
 			c := newCluster()
 			c.servers["a"].full = cause
 			p := promoterOf(c, "h1")
-			p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
+			p.Board.Unreachable("db", "a", p.Board.Time(), connpooler.ErrNoRoute)
 			steps(p, 12*time.Second)
 			if len(c.steps) > 0 {
 				t.Errorf("%v: steps %q", cause, c.steps)
@@ -329,7 +339,7 @@
 		c.servers["a"].primary = false
 		c.servers["b"].gone, c.servers["c"].gone = true, true
 		p := promoterOf(c, "h1")
-		p.host.Board.Do("db", func(g *grouptracker.Group) { g.Refused("a") })
+		p.Board.Do("db", func(g *grouptracker.Group) { g.Refused("a") })
 		steps(p, 10*time.Second)
 		if len(c.steps) > 0 {
 			t.Errorf("steps %q", c.steps)
@@ -382,7 +392,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
 		p := promoterOf(c, "h1")
-		p.host.Board.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true, Draining: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
+		p.Board.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true, Draining: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
 		steps(p, 3*time.Second)
 		want := []string{"demote a below 2", "promote b by h1 with 3 at length 10"}
 		if !slices.Equal(c.steps, want) {
@@ -399,8 +409,8 @@
 		c := newCluster()
 		c.servers["b"].deaf, c.servers["c"].deaf = true, true
 		p := promoterOf(c, "h1")
-		p.host.Board.Configure(&declarer.Configuration{Version: 1, Groups: map[string]declarer.Group{"db": {Name: "db", Synchronous: 1}}})
-		p.host.Board.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true, Draining: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
+		p.Board.Configure(&declarer.Configuration{Version: 1, Groups: map[string]declarer.Group{"db": {Name: "db", Synchronous: 1}}})
+		p.Board.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true, Draining: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
 		steps(p, 2500*time.Millisecond)
 		want := []string{"demote a below 2", "promote a by h1 with 9 at length 10"}
 		if !slices.Equal(c.steps, want) {
@@ -452,7 +462,7 @@
 		c := newCluster()
 		c.servers["a"].gone = true
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
+		p.Board.Unreachable("db", "a", p.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, 5*time.Second)
 		first := *c.claim
 		if !c.servers["b"].primary || first.Server != "" {
@@ -460,7 +470,7 @@
 		}
 		c.away = true
 		c.servers["a"].gone, c.servers["b"].gone = false, true
-		p.host.Board.Unreachable("db", "b", p.host.Board.Time(), connpooler.ErrNoRoute)
+		p.Board.Unreachable("db", "b", p.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, 5*time.Second)
 		if len(c.steps) != 2 || c.servers["b"].primary || c.servers["a"].primary == c.servers["c"].primary {
 			t.Errorf("steps %q", c.steps)
@@ -498,7 +508,7 @@
 		c.servers["a"].gone = true
 		c.claim = &Claim{Holder: "h9", Token: 40}
 		p := promoterOf(c, "h1")
-		p.host.Board.Unreachable("db", "a", p.host.Board.Time(), connpooler.ErrNoRoute)
+		p.Board.Unreachable("db", "a", p.Board.Time(), connpooler.ErrNoRoute)
 		steps(p, deference)
 		if len(c.steps) > 0 {
 			t.Errorf("steps %q while the holder may act", c.steps)
@@ -542,7 +552,7 @@
 func TestLeaseIsRespected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := promoterOf(newCluster(), "h1")
-		p.host.Bounds.Lease = 3 * time.Second
+		p.Lease = func() time.Duration { return 3 * time.Second }
 		c := Claim{Holder: "h9", Server: "b", Token: 4}
 		for range 15 {
 			if !p.defers(t.Context(), c, "b") {
--- a/internal/proxy/runner/questions.go
+++ b/internal/proxy/promoter/questions.go
@@ -1,4 +1,4 @@
-package runner
+package promoter
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 )
 
 // probe asks a suspected primary, or all servers where none is known.
-func (p *promoter) probe(ctx context.Context, s successor.View) {
+func (p *Promoter) probe(ctx context.Context, s successor.View) {
 	p.probed = time.Now()
 	l := s.Servers
 	if s.Primary != nil {
@@ -27,7 +27,7 @@
 
 // ask has all of l tell their status at once, and returns those that did. Once more than
 // half have, the others are waited for only a little.
-func (p *promoter) ask(ctx context.Context, l []*grouptracker.Server) []successor.Candidate {
+func (p *Promoter) ask(ctx context.Context, l []*grouptracker.Server) []successor.Candidate {
 	c, cancel := context.WithTimeout(ctx, probeTimeout)
 	r := make(chan reply, len(l))
 	g := &sync.WaitGroup{}
@@ -79,22 +79,22 @@
 
 // question is one status asked for.
 type question struct {
-	promoter *promoter
+	promoter *Promoter
 	server   declarer.Server
 	replies  chan<- reply
 }
 
 func (q *question) run(ctx context.Context, g *sync.WaitGroup) {
 	defer g.Done()
-	b := q.promoter.host.Board
+	b := q.promoter.Board
 	asked := b.Time()
-	s, err := q.promoter.host.prober.Status(ctx, q.server)
+	s, err := q.promoter.Prober.Status(ctx, q.server)
 	q.note(asked, s, err)
 	q.replies <- reply{candidate: successor.Candidate{Server: q.server, Status: s}, err: err}
 }
 
 func (q *question) note(asked time.Duration, s declarer.Status, err error) {
-	b := q.promoter.host.Board
+	b := q.promoter.Board
 	switch {
 	case errors.Is(err, ErrCommand), errors.Is(err, connpooler.ErrTooManyConnections), errors.Is(err, connpooler.ErrAlive):
 		// It has no room for the question, but it lives.
@@ -123,8 +123,8 @@
 }
 
 // inquire begins to ask other hosts what the reason to replace the primary needs.
-func (p *promoter) inquire(ctx context.Context, s successor.View, r successor.Reason) *inquiry {
-	x := &inquiry{dialer: &p.host.dialer, done: make(chan relaydialer.Word, 1)}
+func (p *Promoter) inquire(ctx context.Context, s successor.View, r successor.Reason) *inquiry {
+	x := &inquiry{dialer: p.Dialer, done: make(chan relaydialer.Word, 1)}
 	switch r {
 	case successor.ReasonSilent:
 		x.server, x.question = s.Primary.Server, relaydialer.QuestionReach
--- a/internal/proxy/runner/deployment_test.go
+++ b/internal/proxy/runner/deployment_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
@@ -20,6 +22,8 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
 )
 
+var quiet = &log.Logger{Handler: discard.New()}
+
 // deployment is one database group before many entry hosts, in virtual time.
 type deployment struct {
 	began   time.Time
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -20,9 +20,9 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
+	"github.com/cuminwick/cuminwick/internal/proxy/promoter"
 	"github.com/cuminwick/cuminwick/internal/proxy/relaydialer"
 	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
-	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 )
 
 const (
@@ -64,7 +64,7 @@
 	Self declarer.Host
 	// ParseStatus reads the row in which a server tells its status.
 	ParseStatus func(row string) (declarer.Status, error)
-	Orderer     Orderer
+	Orderer     promoter.Orderer
 	// Accept makes a caller of a connection.
 	Accept   func(net.Conn) executor.Caller
 	Reporter executor.Reporter
@@ -80,7 +80,7 @@
 	catalogue      catalogue
 	roster         roster
 	gate           gate
-	prober         prober
+	prober         promoter.Prober
 	dialer         relaydialer.Dialer
 	draining       atomic.Bool
 	// adjusted are the bounds that came after those at the start.
@@ -99,9 +99,7 @@
 
 // Counter counts what isn't a statement.
 type Counter interface {
-	// Phase notes how long a phase of a promotion took.
-	Phase(phase string, d time.Duration)
-	Promotion(reason, result string)
+	promoter.Counter
 	PlatformLost(kind string)
 }
 
@@ -139,7 +137,7 @@
 	h.roster.self = h.Name
 	h.roster.regions = h.Board.Regions
 	h.dialer = relaydialer.Dialer{Transport: h.Transport, Hosts: h.roster.others}
-	h.prober = prober{dialer: &h.dialer, parse: h.ParseStatus}
+	h.prober = promoter.Prober{Dialer: &h.dialer, Parse: h.ParseStatus}
 	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.dialer, observer: h, roster: &h.roster, link: h.Link}
 	h.hosts = follower[declarer.Host]{
 		name: "entry hosts", source: h.Hosts, wait: lasting(hostsWait), first: make(chan struct{}), gate: &h.gate, confirmed: h.confirms(blackboard.SectionHosts),
@@ -265,8 +263,11 @@
 			continue
 		}
 		h.promoters[g] = true
-		p := &promoter{host: h, group: g, log: h.Log, judge: successor.Judge{Host: h.Name, Group: g}}
-		go p.run(h.running)
+		p := &promoter.Promoter{
+			Host: h.Name, Group: g, Board: h.Board, Hosts: &h.roster, Dialer: &h.dialer, Prober: &h.prober,
+			Orderer: h.Orderer, Counter: h.Counter, Lease: func() time.Duration { return h.bounds().Lease }, Log: h.Log,
+		}
+		go p.Run(h.running)
 	}
 }
 
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -80,11 +80,11 @@
 	claimants = 3
 )
 
-// watches reports whether this host is among those that look after the group.
-func (r *roster) watches(group string) bool { return r.rank(group) < watchers }
+// Watches reports whether this host is among those that look after the group.
+func (r *roster) Watches(group string) bool { return r.rank(group) < watchers }
 
-// claims reports whether it is among those that may claim it first.
-func (r *roster) claims(group string) bool { return r.rank(group) < claimants }
+// Claims reports whether it is among those that may claim it first.
+func (r *roster) Claims(group string) bool { return r.rank(group) < claimants }
 
 // rank returns how many hosts go before this one for the group.
 func (r *roster) rank(group string) int {
