fix(connpooler): let the turns at a server fall to one a host

Hypothesis: where each host has connections of its own, six hosts with four statements each, the least that a host kept to, are more than a server of two slots and a queue of 16 takes. The test is a table of a small and a large deployment now.

--- a/internal/proxy/connpooler/turn.go
+++ b/internal/proxy/connpooler/turn.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// leastUnderWay is how many statements for each slot of a server may always be under
-	// way: one that runs, and one that is there when it ends.
-	leastUnderWay = 2
-	// mostUnderWay is the same where the server refuses none. What is beyond waits where it
-	// can be refused, and where transactions go first; a way of 16 ms there and back is
-	// bridged.
+	// leastUnderWay is how many statements may always be under way. Where each of many hosts
+	// has connections of its own, more would add up to more than the server has room for.
+	leastUnderWay = 1
+	// mostUnderWay is how many there are for each slot of a server that refuses none. What is
+	// beyond waits where it can be refused, and where transactions go first; a distance of
+	// 16 ms there and back is bridged.
 	mostUnderWay = 4
 )
 
@@ -41,7 +41,7 @@
 func (t *turns) open(p *Pool) {
 	t.regulator.Least, t.regulator.Most = leastUnderWay, max(p.Limit, leastUnderWay)
 	if n := p.Server.Slots; n > 0 {
-		t.regulator.Least, t.regulator.Most = n*leastUnderWay, n*mostUnderWay
+		t.regulator.Most = n * mostUnderWay
 	}
 	t.gate.BackendServer = p.Server.ID
 	n := t.regulator.Limit()
--- a/internal/proxy/runner/load_test.go
+++ b/internal/proxy/runner/load_test.go
@@ -232,19 +232,27 @@
 	})
 }
 
-// Guards against retries that keep a burst's load up after it has ended.
+// Guards against retries that keep a burst's load up after it has ended, in a deployment
+// whose hosts have connections of their own and in one where they borrow.
 func TestGoodputReturnsAfterBurst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		l := play(t, 24, 30, 14*time.Second, func(at time.Duration) float64 {
-			if at > 4*time.Second && at < 7*time.Second {
-				return 3 * usual
-			}
-			return usual
-		}, func(*deployment) {})
-		if g := l.goodput(7+recovery, 14); g < healthy {
-			t.Errorf("goodput %.3f after the burst", g)
-		}
-	})
+	for name, hosts := range map[string]int{"small": 6, "large": 120} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := play(t, hosts, 30, 14*time.Second, func(at time.Duration) float64 {
+					if at > 4*time.Second && at < 7*time.Second {
+						return 3 * usual
+					}
+					return usual
+				}, func(*deployment) {})
+				if g := l.goodput(7+recovery, 14); g < healthy {
+					t.Errorf("goodput %.3f after the burst", g)
+				}
+				if d := l.deployment; d.shed*100 > 3*d.arrivals {
+					t.Errorf("servers shed %d of %d", d.shed, d.arrivals)
+				}
+			})
+		})
+	}
 }
 
 // Guards against servers that nobody can use after all hosts lost power: hosts that don't
