--- a/internal/host/deployer/pools_test.go
+++ b/internal/host/deployer/pools_test.go
@@ -73,13 +73,17 @@
 }
 
 // owner returns the number of the host that owns the primary's pool, and of
-// one that forwards to it.
+// one that forwards to it. A host that has just started names no owner until it has
+// ranked the members.
 func owner(t testing.TB, d *deployer.Deployment) (own, away int) {
 	t.Helper()
 	p := primary(t, d)
+	last := d.Hosts[len(d.Hosts)-1]
+	until(t, "an owner of the pool", func() bool { return last.PoolOwner("db", p) != "" })
+	name := last.PoolOwner("db", p)
 	own, away = -1, -1
 	for i, h := range d.Hosts {
-		if d.Hosts[len(d.Hosts)-1].PoolOwner("db", p) == h.Settings.HostName {
+		if name == h.Settings.HostName {
 			own = i
 		} else {
 			away = i
