feat(admitter): refuse where a queue has stalled

Change: while all slots are taken the next is expected to come free no sooner than after as long again as the last one has been out. TestStalledServerIsFoundOut fails without.

--- a/internal/limit/admitter/admission.go
+++ b/internal/limit/admitter/admission.go
@@ -26,7 +26,7 @@
 	if q.mayRun(e.Class) && q.Waiting() == 0 {
 		return ReasonNone
 	}
-	w := q.expectedWait(e.team, e.Class)
+	w := max(q.expectedWait(e.team, e.Class), q.stalled(now))
 	if e.Deadline != 0 && now+w+q.ServiceTime() > e.Deadline || e.Objective != 0 && now+w > e.Objective {
 		return ReasonExpectedWait
 	}
@@ -36,6 +36,15 @@
 	return ReasonNone
 }
 
+// stalled returns for how long no slot has come free though all are taken. The next one
+// will hardly come sooner than after as long again, whatever requests took before.
+func (q *Queue) stalled(now time.Duration) time.Duration {
+	if q.running == 0 || q.running < q.Slots {
+		return 0
+	}
+	return now - q.progress
+}
+
 // expectedWait returns how long a request of t that comes now will wait.
 func (q *Queue) expectedWait(t *team, c Class) time.Duration {
 	if q.Slots <= 0 {
@@ -152,6 +161,7 @@
 	t := e.team
 	e.State = StateGranted
 	e.granted = now
+	q.progress = now
 	e.charged = q.ServiceTime()
 	q.virtual = max(q.virtual, t.virtual)
 	t.virtual += e.charged / time.Duration(t.share)
--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -138,8 +138,10 @@
 	service time.Duration
 	// deviation is the smoothed distance of service times from their mean.
 	deviation time.Duration
-	running   int
-	waiting   [classes]int
+	// progress is when a slot last came free, or was taken while another one was free.
+	progress time.Duration
+	running  int
+	waiting  [classes]int
 	run       int
 	order     uint64
 }
@@ -207,6 +209,7 @@
 func (q *Queue) end(e *Entry, took, now time.Duration) {
 	e.State = StateReleased
 	q.running--
+	q.progress = now
 	e.team.running--
 	// What was charged at the grant was an estimate.
 	e.team.virtual += (took - e.charged) / time.Duration(e.team.share)
--- a/internal/limit/admitter/objective_test.go
+++ b/internal/limit/admitter/objective_test.go
@@ -26,3 +26,39 @@
 		}
 	}
 }
+
+// Guards against requests that wait to their deadlines behind a server that has stopped
+// answering: what requests took before says nothing about it.
+func TestStalledServerIsFoundOut(t *testing.T) {
+	q := Queue{Slots: 2}
+	now := time.Duration(0)
+	var held []*Entry
+	for range 2 {
+		for range 10 {
+			e := &Entry{Class: ClassRead, Deadline: now + time.Second}
+			q.Offer(e, now)
+			now += 5 * time.Millisecond
+			q.Release(e, now)
+		}
+		e := &Entry{Class: ClassRead, Deadline: now + time.Second}
+		q.Offer(e, now)
+		held = append(held, e)
+	}
+	offer := func() *Entry {
+		e := &Entry{Class: ClassRead, Deadline: now + time.Second, Objective: now + 100*time.Millisecond}
+		q.Offer(e, now)
+		return e
+	}
+	now += 50 * time.Millisecond
+	if e := offer(); e.State != StateWaiting {
+		t.Errorf("state %d after a short silence, want waiting", e.State)
+	}
+	now += 100 * time.Millisecond
+	if e := offer(); e.State != StateRefused {
+		t.Errorf("state %d after a long silence, want refused", e.State)
+	}
+	q.Release(held[0], now)
+	if e := offer(); e.State == StateRefused {
+		t.Error("refused though a slot has just come free")
+	}
+}
