--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -142,8 +142,8 @@
 	progress time.Duration
 	running  int
 	waiting  [classes]int
-	run       int
-	order     uint64
+	run      int
+	order    uint64
 }
 
 // Offer grants e, queues it, or refuses it.
