--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -156,6 +156,19 @@
 
 // Acquire waits for a connection until the deadline.
 func (p *Pool) Acquire(a Ask) (*Lease, error) {
+	for {
+		l, err := p.acquire(a)
+		if !errors.Is(err, errEnded) {
+			return l, err
+		}
+	}
+}
+
+// errEnded is a grant for which no connection was left that the server hadn't closed. They
+// are dropped, so that the next attempt waits for a new one.
+const errEnded = errors.ConstError("connections ended")
+
+func (p *Pool) acquire(a Ask) (*Lease, error) {
 	e := &admitter.Entry{Team: a.Team, Class: a.Class, Deadline: sinceEpoch(a.Deadline)}
 	w := &waiter{done: make(chan error, 1)}
 	e.Owner = w
@@ -258,8 +271,7 @@
 	if p.closed {
 		return nil, ErrClosed
 	}
-	p.grow()
-	return nil, errors.Annotatef(ErrUnreachable, "server %s: its connections ended", p.Server.ID)
+	return nil, errEnded
 }
 
 // full reports whether another connection wouldn't shorten a wait: there may be none, or the
--- a/internal/proxy/connpooler/full_test.go
+++ b/internal/proxy/connpooler/full_test.go
@@ -35,6 +35,26 @@
 	})
 }
 
+// Guards against callers that are turned away after the host at the other end of idle
+// connections has restarted, though a new connection can be had at once.
+func TestEndedConnectionsAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fake{limit: 4})
+		p.OnDemand = true
+		var leases []*Lease
+		for range 3 {
+			leases = append(leases, acquire(t, p))
+		}
+		for _, l := range leases {
+			l.Connection.(*link).ended = true
+			l.Release(false)
+		}
+		time.Sleep(2 * suspectAfter)
+		acquire(t, p).Release(false)
+		p.Close()
+	})
+}
+
 // Guards against callers that are held to their deadline at a server that takes no more
 // connections, where there is none yet to wait for.
 func TestFullServerIsSaidSoon(t *testing.T) {
--- a/internal/proxy/runner/load_test.go
+++ b/internal/proxy/runner/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 )
@@ -179,13 +181,15 @@
 	go d.trim(ctx)
 	go disturb(d)
 	l.run(end, rate)
-	cancel()
-	for _, x := range d.nodes {
-		for _, p := range x.host.pools.pools {
-			p.Close()
+	t.Cleanup(func() {
+		cancel()
+		for _, x := range d.nodes {
+			for _, p := range x.host.pools.pools {
+				p.Close()
+			}
 		}
-	}
-	time.Sleep(time.Minute)
+		time.Sleep(time.Minute)
+	})
 	for i := range int(end / time.Second) {
 		t.Logf("%2d s: %d of %d in time", i, l.inTime[i], l.asked[i])
 	}
@@ -255,6 +259,89 @@
 	}
 }
 
+// seeds is how many courses of faults are played.
+var seeds = flag.Uint64("load.seeds", 6, "courses of faults that are played under load")
+
+// fault is one that is over after a while.
+type fault struct {
+	name string
+	// begin begins it and returns when its last effect is over.
+	begin func(d *deployment, r *rand.Rand) time.Duration
+}
+
+var faults = []fault{
+	{"replicas lag", func(d *deployment, r *rand.Rand) time.Duration {
+		lag := time.Duration(1+r.IntN(3)) * time.Second
+		d.lagBy(lag)
+		time.AfterFunc(2*time.Second, func() { d.lagBy(90 * time.Millisecond) })
+		return 2*time.Second + lag
+	}},
+	{"a replica is dark", func(d *deployment, r *rand.Rand) time.Duration {
+		t := time.Duration(1+r.IntN(4)) * time.Second
+		go d.servers[1+r.IntN(2)].darken(t)
+		return t
+	}},
+	{"a host restarts", func(d *deployment, r *rand.Rand) time.Duration {
+		go d.restart(r.Uint64())
+		return 3 * time.Second
+	}},
+	{"all hosts lose power", func(d *deployment, _ *rand.Rand) time.Duration {
+		go d.loseAll(1200*time.Millisecond, 3*time.Second)
+		return 1200*time.Millisecond + acquaintance
+	}},
+}
+
+// Guards against a state that outlives what brought it about: two faults at random times,
+// and two seconds after the last of them callers are served as before, by every server from
+// every host.
+func TestServiceReturnsWhateverFailed(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := rand.New(rand.NewPCG(seed, 5))
+				var over time.Duration
+				l := play(t, 30, 30, 22*time.Second, steady(usual), func(d *deployment) {
+					for range 2 {
+						time.Sleep(time.Duration(1000+r.IntN(3000)) * time.Millisecond)
+						f := faults[r.IntN(len(faults))]
+						t.Logf("%s at %s", f.name, time.Since(d.began))
+						over = max(over, time.Since(d.began)+f.begin(d, r))
+					}
+				})
+				from := int(over/time.Second) + 1 + recovery
+				if g := l.goodput(from, 22); g < healthy {
+					t.Errorf("goodput %.3f from %d s", g, from)
+				}
+				l.deployment.askAll(t)
+			})
+		})
+	}
+}
+
+// askAll has every host ask every server.
+func (d *deployment) askAll(t *testing.T) {
+	t.Helper()
+	for _, x := range d.nodes {
+		for _, s := range d.servers {
+			p := x.host.pools.Pool(s.declared.ID)
+			l, err := p.Acquire(connpooler.Ask{Deadline: time.Now().Add(time.Second)})
+			if err != nil {
+				t.Errorf("%s has no connection to %s: %v", x.host.Name, s.declared.ID, err)
+				continue
+			}
+			var a declarer.Answer
+			err = l.Send([]declarer.Request{{Verb: declarer.VerbReset}}, time.Now().Add(time.Second))
+			if err == nil {
+				err = l.Receive(&a, time.Now().Add(time.Second))
+			}
+			if err != nil || a.Code != declarer.CodeNone {
+				t.Errorf("%s asks %s: code %d, %v", x.host.Name, s.declared.ID, a.Code, err)
+			}
+			l.Release(err != nil)
+		}
+	}
+}
+
 // Guards against servers that nobody can use after all hosts lost power: hosts that don't
 // know the owners yet each open a connection, and keep it.
 func TestServersServeAgainAfterLossOfPower(t *testing.T) {
