refactor(retrier): take the budget of tries at busy servers out again

Since a full queue is final and turns keep statements from servers without room there is little left for it to bound. The PostgreSQL side's budget stays, which its own tests hold.

--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -29,7 +29,6 @@
 	Pools    Pools
 	Reporter Reporter
 	Observer *Observer
-	Budgets  *Budgets
 	// Ready says that the host has what it needs to serve.
 	Ready func() bool
 
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -73,7 +73,6 @@
 
 	pools          pools
 	observer       executor.Observer
-	budgets        executor.Budgets
 	configurations follower[*declarer.Configuration]
 	servers        follower[declarer.Server]
 	hosts          follower[declarer.Host]
