--- a/internal/limit/regulator/regulator.go
+++ b/internal/limit/regulator/regulator.go
@@ -1,4 +1,5 @@
-// Package regulator learns how many requests a server takes at a time, from its refusals.
+// Package regulator learns how many requests a server takes at a time, by additive increase and
+// multiplicative decrease.
 package regulator
 
 import "time"
--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -118,7 +118,7 @@
 
 	mu      sync.Mutex
 	queue   admitter.Queue
-	turns   turns
+	permits permits
 	idle    []*Lease
 	open    int
 	opening int
@@ -276,7 +276,7 @@
 
 // full reports whether another connection wouldn't shorten a wait: there may be none, or the
 // server has as many statements as it gets. The mutex is held.
-func (p *Pool) full() bool { return p.open+p.opening >= p.Limit || p.turns.taken() }
+func (p *Pool) full() bool { return p.open+p.opening >= p.Limit || p.permits.taken() }
 
 // usable is how many connections may be lent. The mutex is held.
 func (p *Pool) usable() int { return p.open - p.recovering }
@@ -309,7 +309,7 @@
 	if p.usable() == 0 {
 		return true
 	}
-	if p.turns.taken() {
+	if p.permits.taken() {
 		return false
 	}
 	return time.Duration(wanting)*p.queue.ServiceTime()/time.Duration(p.usable()) > growWait
--- a/internal/proxy/connpooler/turn.go
+++ b/internal/proxy/connpooler/permit.go
@@ -22,23 +22,23 @@
 	mostUnderWay = 4
 )
 
-// turns bounds how many statements are under way at the server, and orders those that
+// permits bounds how many statements are under way at the server, and orders those that
 // wait. The server sheds what its own queue has no room for, whatever it is worth, and
 // what is shed has waited in vain. Connections don't bound them well: some rest inside
 // transactions.
-type turns struct {
+type permits struct {
 	gate      gate.Gate
 	regulator regulator.Regulator
 }
 
-// Turn is the right to have one statement under way.
-type Turn struct {
+// Permit is the right to have one statement under way.
+type Permit struct {
 	pool *Pool
 	slot *gate.Slot
 }
 
 // open makes the gate ready for a pool. The pool's mutex is held.
-func (t *turns) open(p *Pool) {
+func (t *permits) open(p *Pool) {
 	t.regulator.Least, t.regulator.Most = leastUnderWay, max(p.Limit, leastUnderWay)
 	if n := p.Server.Slots; n > 0 {
 		t.regulator.Most = n * mostUnderWay
@@ -48,46 +48,46 @@
 	t.gate.Adjust(func(q *admitter.Queue) { q.Slots = n })
 }
 
-// Turn waits until a statement of the caller that has the lease may be sent. On a
+// Permit waits until a statement of the caller that has the lease may be sent. On a
 // connection that belongs to another host, that host sees to it.
-func (l *Lease) Turn(a Ask) (*Turn, error) {
+func (l *Lease) Permit(a Ask) (*Permit, error) {
 	p := l.pool
 	if p.OnDemand {
-		return &Turn{}, nil
+		return &Permit{}, nil
 	}
 	p.mu.Lock()
-	p.turns.open(p)
+	p.permits.open(p)
 	p.mu.Unlock()
-	s, err := p.turns.gate.Acquire(context.Background(), gate.Request{Team: a.Team, Class: a.Class, Timeout: time.Until(a.Deadline)})
+	s, err := p.permits.gate.Acquire(context.Background(), gate.Request{Team: a.Team, Class: a.Class, Timeout: time.Until(a.Deadline)})
 	if r, ok := errors.AsType[*gate.Refusal](err); ok {
 		return nil, &Refusal{Server: p.Server.ID, Reason: r.Reason, RetryAfter: r.RetryAfter}
 	}
 	if err != nil {
 		return nil, err
 	}
-	return &Turn{pool: p, slot: s}, nil
+	return &Permit{pool: p, slot: s}, nil
 }
 
-// End ends the turn, with what the server answered.
-func (t *Turn) End(c declarer.Code) {
+// End ends the permit, with what the server answered.
+func (t *Permit) End(c declarer.Code) {
 	if t.slot == nil {
 		return
 	}
 	p := t.pool
 	p.mu.Lock()
-	n := p.turns.gate.Load().Running
+	n := p.permits.gate.Load().Running
 	if c == declarer.CodeBusy {
-		p.turns.regulator.Refused(n, sinceEpoch(time.Now()))
+		p.permits.regulator.Refused(n, sinceEpoch(time.Now()))
 	} else {
-		p.turns.regulator.Taken(n)
+		p.permits.regulator.Taken(n)
 	}
-	p.turns.open(p)
+	p.permits.open(p)
 	p.mu.Unlock()
 	t.slot.Release()
 }
 
 // taken reports whether as many statements are under way as may be.
-func (t *turns) taken() bool {
+func (t *permits) taken() bool {
 	l := t.gate.Load()
 	return l.Slots > 0 && l.Running >= l.Slots
 }
--- a/internal/proxy/connpooler/turn_test.go
+++ b/internal/proxy/connpooler/permit_test.go
@@ -13,25 +13,25 @@
 
 // Guards against statements that a server sheds since its own queue is full: those beyond
 // what it gets wait at their host, and one inside a transaction goes first.
-func TestTurnsBoundStatements(t *testing.T) {
+func TestPermitsBoundStatements(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(&fake{limit: 16})
 		p.Server.Slots = 1
 		l := acquire(t, p)
-		var turns []*Turn
+		var permits []*Permit
 		for range mostUnderWay {
-			x, err := l.Turn(ask(time.Second))
+			x, err := l.Permit(ask(time.Second))
 			if err != nil {
 				t.Fatal(err)
 			}
-			turns = append(turns, x)
+			permits = append(permits, x)
 		}
 		order := make(chan admitter.Class, 2)
 		for _, class := range []admitter.Class{admitter.ClassRead, admitter.ClassTransaction} {
 			a := ask(time.Second)
 			a.Class = class
 			go func() {
-				x, err := l.Turn(a)
+				x, err := l.Permit(a)
 				if err != nil {
 					t.Error(err)
 					return
@@ -44,12 +44,12 @@
 		if len(order) > 0 {
 			t.Fatal("more statements under way than may be")
 		}
-		turns[0].End(declarer.CodeNone)
+		permits[0].End(declarer.CodeNone)
 		if first := <-order; first != admitter.ClassTransaction {
 			t.Errorf("class %d goes first", first)
 		}
 		<-order
-		for _, x := range turns[1:] {
+		for _, x := range permits[1:] {
 			x.End(declarer.CodeNone)
 		}
 		l.Release(false)
@@ -57,27 +57,27 @@
 	})
 }
 
-// Guards against a statement that waits for its turn beyond its deadline: nothing was sent,
+// Guards against a statement that waits for its permit beyond its deadline: nothing was sent,
 // so its caller can be told that it has not run.
-func TestTurnIsRefusedInTime(t *testing.T) {
+func TestPermitIsRefusedInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(&fake{limit: 16})
 		p.Server.Slots = 1
 		l := acquire(t, p)
-		var turns []*Turn
+		var permits []*Permit
 		for range mostUnderWay {
-			x, err := l.Turn(ask(time.Second))
+			x, err := l.Permit(ask(time.Second))
 			if err != nil {
 				t.Fatal(err)
 			}
-			turns = append(turns, x)
+			permits = append(permits, x)
 		}
 		began := time.Now()
-		_, err := l.Turn(ask(200 * time.Millisecond))
+		_, err := l.Permit(ask(200 * time.Millisecond))
 		if !errors.Is(err, ErrRefused) || time.Since(began) > 200*time.Millisecond {
 			t.Errorf("error %v after %s", err, time.Since(began))
 		}
-		for _, x := range turns {
+		for _, x := range permits {
 			x.End(declarer.CodeNone)
 		}
 		l.Release(false)
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -18,9 +18,9 @@
 	requests []declarer.Request
 	// setup is how many of the requests prepare the connection for the session.
 	setup int
-	// turn is that of the caller's statement among them, nil if there is none: statements of
+	// permit is that of the caller's statement among them, nil if there is none: statements of
 	// our own need no slot of the server.
-	turn *connpooler.Turn
+	permit *connpooler.Permit
 }
 
 // errSetup is a connection that can't be given the session's values.
@@ -66,8 +66,8 @@
 // wait waits until a statement of the caller may be sent. It comes before the connection is
 // set up for the statement, as nothing is sent after a refusal.
 func (e *exchange) wait(a connpooler.Ask) error {
-	t, err := e.lease.Turn(a)
-	e.turn = t
+	t, err := e.lease.Permit(a)
+	e.permit = t
 	return err
 }
 
@@ -75,9 +75,9 @@
 // them is that to the caller's statement.
 func (e *exchange) run(l ...*declarer.Answer) error {
 	err := e.perform(l)
-	if e.turn != nil {
-		e.turn.End(l[0].Code)
-		e.turn = nil
+	if e.permit != nil {
+		e.permit.End(l[0].Code)
+		e.permit = nil
 	}
 	return err
 }
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -200,7 +200,7 @@
 	if l.lease.State == declarer.StateTransaction {
 		a.Class = admitter.ClassTransaction
 	}
-	t, err := l.lease.Turn(a)
+	t, err := l.lease.Permit(a)
 	if err != nil {
 		return err
 	}
