fix(admitter): let a stall refuse by objective only

Found on the read-through: on the PostgreSQL side, which has no objectives, a request of ten seconds would have been refused once a long statement had held all slots for ten seconds, though they may come free at any moment; it goes on to wait for its deadline. On the platform's path each route has an objective, a quarter of which is less than any deadline, so nothing changes there.

--- a/internal/limit/admitter/admission.go
+++ b/internal/limit/admitter/admission.go
@@ -26,8 +26,11 @@
 	if q.mayRun(e.Class) && q.Waiting() == 0 {
 		return ReasonNone
 	}
-	w := max(q.expectedWait(e.team, e.Class), q.stalled(now))
-	if e.Deadline != 0 && now+w+q.ServiceTime() > e.Deadline || e.Objective != 0 && now+w > e.Objective {
+	w := q.expectedWait(e.team, e.Class)
+	if e.Deadline != 0 && now+w+q.ServiceTime() > e.Deadline {
+		return ReasonExpectedWait
+	}
+	if e.Objective != 0 && now+max(w, q.stalled(now)) > e.Objective {
 		return ReasonExpectedWait
 	}
 	if q.waiting[ClassRead]+q.waiting[ClassWrite] >= q.length() && !q.makeRoom(e) {
