--- a/internal/limit/retrier/statement.go
+++ b/internal/limit/retrier/statement.go
@@ -66,6 +66,8 @@
 	Deadline time.Duration
 	// Fixed says that only the primary will do.
 	Fixed bool
+	// Budget bounds the tries at servers that had no room, unbounded if nil.
+	Budget *Budget
 
 	// full are servers that can't run the statement by its deadline, passed those that
 	// are left out until the others have been tried.
@@ -151,7 +153,12 @@
 
 // again decides on trying servers once more that didn't run the statement for c.
 func (s *Statement) again(c Cause, now time.Duration, draw uint64) Step {
-	if c == CauseUnreachable {
+	switch c {
+	case CauseBusy:
+		if s.Budget != nil && !s.Budget.Allow(OutcomeNotRun, true) {
+			return s.refuse()
+		}
+	case CauseUnreachable:
 		if !s.failing {
 			s.failing, s.failingSince = true, now
 		}
--- a/internal/limit/retrier/statement_test.go
+++ b/internal/limit/retrier/statement_test.go
@@ -68,9 +68,10 @@
 // Guards against retries that outlast the statement or load a busy server without bound.
 func TestStatementsEnd(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
+		b := &Budget{Share: 0.5, Burst: 10}
 		s := Statement{Deadline: rapid.Custom(func(t *rapid.T) time.Duration {
 			return time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
-		}).Draw(r, "deadline"), Fixed: rapid.Bool().Draw(r, "fixed")}
+		}).Draw(r, "deadline"), Fixed: rapid.Bool().Draw(r, "fixed"), Budget: b}
 		servers := []string{"a", "b", "c"}
 		now := time.Duration(0)
 		for n := 0; ; n++ {
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -49,9 +49,11 @@
 
 func (s *Session) newAttempt(r declarer.Route, q *request) *attempt {
 	now := time.Now()
+	b := s.Budgets.group(r.Group)
+	b.Count()
 	return &attempt{
 		session: s, route: r, request: q, arrived: s.Board.Time(), began: now, deadline: now.Add(r.Timeout),
-		retries: retrier.Statement{Deadline: r.Timeout},
+		retries: retrier.Statement{Deadline: r.Timeout, Budget: b},
 	}
 }
 
--- a/internal/proxy/executor/model_test.go
+++ b/internal/proxy/executor/model_test.go
@@ -29,6 +29,7 @@
 	world    *world
 	board    *blackboard.Board
 	observer executor.Observer
+	budgets  executor.Budgets
 
 	mu    sync.Mutex
 	pools map[string]*connpooler.Pool
@@ -160,7 +161,7 @@
 
 func newClient(d *deployment, name, kind string, seed uint64) *client {
 	c := newCaller(kind)
-	s := &executor.Session{Caller: c, Board: d.board, Pools: d, Observer: &d.observer, Reporter: d, Ready: func() bool { return true }}
+	s := &executor.Session{Caller: c, Board: d.board, Pools: d, Observer: &d.observer, Budgets: &d.budgets, Reporter: d, Ready: func() bool { return true }}
 	return &client{name: name, kind: kind, random: rand.New(rand.NewPCG(seed, 1)), history: d.world.history, caller: c, session: s}
 }
 
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -29,6 +29,7 @@
 	Pools    Pools
 	Reporter Reporter
 	Observer *Observer
+	Budgets  *Budgets
 	// Ready says that the host has what it needs to serve.
 	Ready func() bool
 
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -117,7 +117,8 @@
 // too busy and the transaction stands.
 func (a *attempt) repeat(t *transaction) error {
 	a.server, a.primary = t.server, t.primary
-	a.retries.Fixed = true
+	// To break the transaction off costs more than the tries do.
+	a.retries.Fixed, a.retries.Budget = true, nil
 	for {
 		a.retries.Sent()
 		e := &exchange{lease: t.lease, deadline: a.deadline}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -73,6 +73,7 @@
 
 	pools          pools
 	observer       executor.Observer
+	budgets        executor.Budgets
 	configurations follower[*declarer.Configuration]
 	servers        follower[declarer.Server]
 	hosts          follower[declarer.Host]
