--- a/internal/limit/regulator/regulator.go
+++ b/internal/limit/regulator/regulator.go
@@ -7,7 +7,7 @@
 const (
 	// increase is by how much a whole round of requests that were taken raises the limit. It
 	// is small as each way beyond the server's room costs refusals.
-	increase = 0.05
+	increase = 0.02
 	// decrease is the part of the limit that is left after a refusal.
 	decrease = 0.85
 	// rest is the least time between two decreases: refusals of requests that were under
--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -16,10 +16,10 @@
 	// leastUnderWay is how many statements may always be under way. Where each of many hosts
 	// has connections of its own, more would add up to more than the server has room for.
 	leastUnderWay = 1
-	// mostUnderWay is how many there are for each slot of a server that refuses none. What is
-	// beyond waits where it can be refused, and where transactions go first; a distance of
-	// 16 ms there and back is bridged.
-	mostUnderWay = 4
+	// mostUnderWay is how many there are for each slot of a server that refuses none: one that
+	// runs, and one that is there when it ends. What is beyond waits where it can be refused,
+	// and where transactions go first.
+	mostUnderWay = 2
 )
 
 // permits bounds how many statements are under way at the server, and orders those that
@@ -43,7 +43,9 @@
 	if n := p.Server.Slots; n > 0 {
 		t.regulator.Most = n * mostUnderWay
 	}
-	t.gate.BackendServer = p.Server.ID
+	if t.gate.BackendServer == "" {
+		t.gate.BackendServer = p.Server.ID // read without the pool's mutex from now on
+	}
 	n := t.regulator.Limit()
 	t.gate.Adjust(func(q *admitter.Queue) { q.Slots = n })
 }
