--- a/internal/limit/retrier/statement.go
+++ b/internal/limit/retrier/statement.go
@@ -83,11 +83,6 @@
 	retryAfter   time.Duration
 }
 
-// Excludes reports whether the server isn't to be chosen now.
-func (s *Statement) Excludes(server string) bool {
-	return slices.Contains(s.full, server) || slices.Contains(s.passed, server)
-}
-
 // Excluded returns the servers that aren't to be chosen now.
 func (s *Statement) Excluded() []string { return slices.Concat(s.full, s.passed) }
 
--- a/internal/limit/retrier/statement_test.go
+++ b/internal/limit/retrier/statement_test.go
@@ -1,6 +1,7 @@
 package retrier
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 		if x := s.Refused(name, CauseCapacity, time.Duration(3-i)*10*time.Millisecond, 0, 1); x.Action != ActionChoose {
 			t.Fatalf("step %+v after %s", x, name)
 		}
-		if !s.Excludes(name) {
+		if !slices.Contains(s.Excluded(), name) {
 			t.Errorf("%s isn't excluded", name)
 		}
 	}
@@ -43,7 +44,7 @@
 	if x := s.Exhausted(0, 1); x.Action != ActionWait || x.Delay > 2*firstPause {
 		t.Errorf("step %+v", x)
 	}
-	if s.Excludes("a") || !s.Excludes("b") {
+	if slices.Contains(s.Excluded(), "a") || !slices.Contains(s.Excluded(), "b") {
 		t.Errorf("excluded %q", s.Excluded())
 	}
 }
@@ -80,7 +81,7 @@
 			}
 			name := ""
 			for _, x := range servers {
-				if !s.Excludes(x) {
+				if !slices.Contains(s.Excluded(), x) {
 					name = x
 				}
 			}
--- a/internal/proxy/connpooler/permit_test.go
+++ b/internal/proxy/connpooler/permit_test.go
@@ -11,21 +11,28 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
+// exhaust takes all permits of a pool before a server with one slot.
+func exhaust(t *testing.T, p *Pool) (*Lease, []*Permit) {
+	t.Helper()
+	p.Server.Slots = 1
+	l := acquire(t, p)
+	var permits []*Permit
+	for range mostUnderWay {
+		x, err := l.Permit(ask(time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		permits = append(permits, x)
+	}
+	return l, permits
+}
+
 // Guards against statements that a server sheds since its own queue is full: those beyond
 // what it gets wait at their host, and one inside a transaction goes first.
 func TestPermitsBoundStatements(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(&fake{limit: 16})
-		p.Server.Slots = 1
-		l := acquire(t, p)
-		var permits []*Permit
-		for range mostUnderWay {
-			x, err := l.Permit(ask(time.Second))
-			if err != nil {
-				t.Fatal(err)
-			}
-			permits = append(permits, x)
-		}
+		l, permits := exhaust(t, p)
 		order := make(chan admitter.Class, 2)
 		for _, class := range []admitter.Class{admitter.ClassRead, admitter.ClassTransaction} {
 			a := ask(time.Second)
@@ -62,16 +69,7 @@
 func TestPermitIsRefusedInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(&fake{limit: 16})
-		p.Server.Slots = 1
-		l := acquire(t, p)
-		var permits []*Permit
-		for range mostUnderWay {
-			x, err := l.Permit(ask(time.Second))
-			if err != nil {
-				t.Fatal(err)
-			}
-			permits = append(permits, x)
-		}
+		l, permits := exhaust(t, p)
 		began := time.Now()
 		_, err := l.Permit(ask(200 * time.Millisecond))
 		if !errors.Is(err, ErrRefused) || time.Since(began) > 200*time.Millisecond {
