fix(connpooler): refuse a permit whose deadline has passed

Found on the read-through: the gate takes a timeout of zero or less for no bound, so a statement whose deadline passed on its way to the owner would have waited for a permit without end where all were taken, and held its connection. It is refused now, nothing of it is sent. TestPermitAfterTheDeadline hangs without. The lender's tests give their statements a second, as borrowers do; with none all of them are refused, which TestStatementWithoutPermitSendsNothing holds.

--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -57,10 +57,14 @@
 	if p.OnDemand {
 		return &Permit{}, nil
 	}
+	left := time.Until(a.Deadline)
+	if left <= 0 {
+		return nil, &Refusal{Server: p.Server.ID, Reason: admitter.ReasonDeadline} // the gate takes zero for no bound
+	}
 	p.mu.Lock()
 	p.permits.open(p)
 	p.mu.Unlock()
-	s, err := p.permits.gate.Acquire(context.Background(), gate.Request{Team: a.Team, Class: a.Class, Timeout: time.Until(a.Deadline)})
+	s, err := p.permits.gate.Acquire(context.Background(), gate.Request{Team: a.Team, Class: a.Class, Timeout: left})
 	if r, ok := errors.AsType[*gate.Refusal](err); ok {
 		return nil, &Refusal{Server: p.Server.ID, Reason: r.Reason, RetryAfter: r.RetryAfter}
 	}
--- a/internal/proxy/connpooler/permit_test.go
+++ b/internal/proxy/connpooler/permit_test.go
@@ -64,6 +64,23 @@
 	})
 }
 
+// Guards against a wait without end: a statement whose deadline has passed on the way gets no
+// permit, and doesn't wait for one either.
+func TestPermitAfterTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fake{limit: 16})
+		l, permits := exhaust(t, p)
+		if _, err := l.Permit(ask(-time.Millisecond)); !errors.Is(err, ErrRefused) {
+			t.Errorf("error %v", err)
+		}
+		for _, x := range permits {
+			x.End(declarer.CodeNone)
+		}
+		l.Release(false)
+		p.Close()
+	})
+}
+
 // Guards against a statement that waits for its permit beyond its deadline: nothing was sent,
 // so its caller can be told that it has not run.
 func TestPermitIsRefusedInTime(t *testing.T) {
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -129,7 +129,9 @@
 
 func lend() Event { return Event{Kind: KindLend, Wait: time.Second} }
 
-func run(r ...declarer.Request) Event { return Event{Kind: KindStatements, Requests: r} }
+func run(r ...declarer.Request) Event {
+	return Event{Kind: KindStatements, Wait: time.Second, Requests: r}
+}
 
 func set(n, v string) declarer.Request {
 	return declarer.Request{Verb: declarer.VerbSet, Name: n, Argument: v}
@@ -200,6 +202,21 @@
 	})
 }
 
+// Guards against a refusal after which the connection passes for set up: a statement that
+// gets no permit in time is refused, and nothing of its batch was sent.
+func TestStatementWithoutPermitSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{}
+		p := pool(s)
+		late := run(set("a", "1"), text("READ x"))
+		late.Wait = 0
+		b := play(s, p, lend(), late, run(set("a", "1"), text("READ y")), Event{Kind: KindReturn})
+		check(t, "answers", b.answers, []string{"refused", "refused", "answer 0", "answer 0"})
+		check(t, "sent", s.sent, []string{"SET a 1", "READ y"})
+		p.Close()
+	})
+}
+
 // There is no connection in time. Each statement of the batch is refused, none is sent.
 func TestRefusalAnswersEachStatement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
