refactor(proxy): one job a file, one reader of logs, and what a read-through found

Found on the way, each small: - A statement of a transaction that was refused a permit was answered "the server's answer didn't come", though it was never sent. It says "not run: ..." now, as the commit did; the code (ABORTED) stays. - `losses` left out lines that it couldn't decode without a word, undercounted a cause where `took` was malformed or above an hour, made a table of millions of rows for a line without a time, and panicked on a negative number of attempts. Such lines are counted and said; a window too short for the logs is an error. - A limit of statements under way stayed above a bound that had shrunk. - After a send that failed, the permit ended with the answer before: a BUSY could lower the limit twice. - The gate walked all its teams twice a statement.

Conclusion: answers, limits and routes are as before but for the cases above.

--- a/internal/group/promoter/fence.go
+++ b/internal/group/promoter/fence.go
@@ -82,8 +82,8 @@
 	return len(s) >= observer.Majority(len(a.Servers))
 }
 
-// graceOver reports whether the instances that haven't answered yet are waited
-// for no longer. They are waited for a little, since a log may be longer by
+// graceOver reports whether the wait for the instances that haven't answered yet
+// is over. They are waited for a little, since a log may be longer by
 // commits that nobody acknowledged yet, which then need not be told as superseded;
 // and longer where without them the avoided server would have to be chosen.
 func (a *Attempt) graceOver(waited time.Duration) bool {
--- a/internal/host/runner/ascender_test.go
+++ b/internal/host/runner/ascender_test.go
@@ -18,7 +18,7 @@
 func (observed) Observe(context.Context, uint64) error { return nil }
 
 // A message of a host that is at a later revision must wait until this host
-// decides by that revision, and no longer: the caller of the request waits too.
+// decides by that revision, and only so long: the caller of the request waits too.
 // Where the revision never comes, the message is refused in bounded time.
 func TestMessageWaitsForItsRevision(t *testing.T) {
 	tests := []struct {
--- a/internal/host/runner/reconciler.go
+++ b/internal/host/runner/reconciler.go
@@ -171,7 +171,7 @@
 	}
 }
 
-// retire stops groups that are no longer configured. Requests that still run
+// retire stops groups that aren't configured. Requests that still run
 // keep their connections, which close when they come back.
 func (r *reconciler) retire(keep map[string]*running) {
 	for n, g := range r.groups {
--- a/internal/limit/regulator/regulator.go
+++ b/internal/limit/regulator/regulator.go
@@ -6,7 +6,7 @@
 
 const (
 	// increase is by how much a whole round of requests that were taken raises the limit. It
-	// is small as each way beyond the server's room costs refusals.
+	// is small as each step beyond the server's room costs refusals.
 	increase = 0.02
 	// decrease is the part of the limit that is left after a refusal.
 	decrease = 0.85
@@ -24,9 +24,9 @@
 	Most  int
 
 	limit float64
-	// lowered is when the limit fell last, zero for never.
+	// lowered is when the limit fell last, fell whether it has.
 	lowered time.Duration
-	falls   bool
+	fell    bool
 }
 
 // Limit returns how many requests may be under way.
@@ -36,7 +36,7 @@
 	if r.limit == 0 {
 		return float64(r.Most)
 	}
-	return r.limit
+	return min(r.limit, float64(r.Most))
 }
 
 // Taken notes a request that the server took while so many were under way. A limit that
@@ -51,9 +51,9 @@
 
 // Refused notes one that it refused while so many were under way.
 func (r *Regulator) Refused(running int, now time.Duration) {
-	if r.falls && now-r.lowered < rest {
+	if r.fell && now-r.lowered < rest {
 		return
 	}
-	r.falls, r.lowered = true, now
+	r.fell, r.lowered = true, now
 	r.limit = max(float64(r.Least), min(r.present(), float64(running))*decrease)
 }
--- a/internal/limit/regulator/regulator_test.go
+++ b/internal/limit/regulator/regulator_test.go
@@ -62,3 +62,13 @@
 		}
 	})
 }
+
+// Guards against a limit that stays where a host's share of a server has shrunk.
+func TestLimitFollowsLowerMost(t *testing.T) {
+	r := Regulator{Least: 1, Most: 16}
+	r.Refused(16, time.Second)
+	r.Most = 4
+	if l := r.Limit(); l != 4 {
+		t.Errorf("limit %d, want 4", l)
+	}
+}
--- a/internal/member/gossiper/suspicion.go
+++ b/internal/member/gossiper/suspicion.go
@@ -124,7 +124,7 @@
 	return g.flush()
 }
 
-// clearSuspicions drops those of hosts that are no longer observed.
+// clearSuspicions drops those of hosts that aren't observed.
 func (g *Gossiper) clearSuspicions() {
 	for h := range g.suspicions {
 		if !slices.Contains(g.sources, h) {
--- a/internal/pool/messenger/message.go
+++ b/internal/pool/messenger/message.go
@@ -40,7 +40,7 @@
 }
 
 // Cancel cancels one exchange. A cancel that arrives after its exchange ended
-// names a sequence number that is no longer the present one and does nothing.
+// names a sequence number other than the present one and does nothing.
 type Cancel struct {
 	Sequence uint64 `cbor:"1,keyasint"`
 }
--- a/internal/proxy/analyzer/analyzer.go
+++ b/internal/proxy/analyzer/analyzer.go
@@ -3,8 +3,6 @@
 package analyzer
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"io"
@@ -14,13 +12,20 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/log/decoder"
 )
 
-// maximumLine is the longest line that is read, in bytes.
-const maximumLine = 1 << 20
+// Errors of logs that can't be summed up.
+const (
+	// ErrNoStatement is a log without a line of a statement.
+	ErrNoStatement = errors.ConstError("no line of a statement")
+	// ErrTooManyWindows is a window that is too short for the time that the logs span.
+	ErrTooManyWindows = errors.ConstError("window is too short for the time that the logs span")
+)
 
-// ErrNoStatement is a log without a line of a statement.
-const ErrNoStatement = errors.ConstError("no line of a statement")
+// maximumWindows is how many rows a table may have: two days in windows of 2 s.
+const maximumWindows = 100_000
 
 // Request says what to look at.
 type Request struct {
@@ -57,9 +62,11 @@
 // Summary is where statements were lost. Statements that ran are logged in part only and
 // aren't counted.
 type Summary struct {
-	From       time.Time     `json:"from"`
-	Window     time.Duration `json:"window"`
-	Lost       int           `json:"lost"`
+	From   time.Time     `json:"from"`
+	Window time.Duration `json:"window"`
+	Lost   int           `json:"lost"`
+	// Unreadable counts the lines that may have been those of lost statements.
+	Unreadable int           `json:"unreadable"`
 	Median     time.Duration `json:"median"`
 	Ninetieth  time.Duration `json:"ninetieth"`
 	Groups     []Series      `json:"groups"`
@@ -70,10 +77,14 @@
 	Tries []int `json:"tries"`
 }
 
+// kind is what tells a statement's line from others.
+type kind struct {
+	Message string `json:"message"`
+}
+
 // statement is the line of one.
 type statement struct {
 	Time      time.Time `json:"time"`
-	Message   string    `json:"message"`
 	Group     string    `json:"database-group"`
 	Operation string    `json:"operation"`
 	Outcome   string    `json:"outcome"`
@@ -81,7 +92,17 @@
 	Server    string    `json:"server"`
 	Why       string    `json:"why"`
 	Attempts  int       `json:"attempts"`
-	Took      string    `json:"took"`
+	Took      period    `json:"took"`
+}
+
+// period is a duration as logs have it, such as 1.5ms.
+type period time.Duration
+
+// UnmarshalText reads a period.
+func (p *period) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	*p = period(d)
+	return err
 }
 
 const (
@@ -92,104 +113,159 @@
 
 // Analyze reads the files of all hosts.
 func Analyze(q Request, files []io.Reader) (*Summary, error) {
-	var l []statement
+	t := &tally{group: q.Group}
 	for _, f := range files {
-		s, err := read(f, q.Group)
-		if err != nil {
+		if err := decoder.Each(f, t.take); err != nil {
 			return nil, errors.Annotate(err, "read log")
 		}
-		l = append(l, s...)
 	}
-	if len(l) == 0 {
+	if len(t.statements) == 0 {
 		return nil, ErrNoStatement
 	}
-	slices.SortStableFunc(l, func(a, b statement) int { return a.Time.Compare(b.Time) })
-	return summarize(cmp.Or(q.Window, defaultWindow), l), nil
+	slices.SortStableFunc(t.statements, func(a, b statement) int { return a.Time.Compare(b.Time) })
+	s, err := summarize(cmp.Or(q.Window, defaultWindow), t.statements)
+	if err != nil {
+		return nil, err
+	}
+	s.Unreadable = t.unreadable
+	return s, nil
 }
 
-// read returns the lines of statements; what a collector of logs writes before a line is
-// left out.
-func read(f io.Reader, group string) ([]statement, error) {
-	s := bufio.NewScanner(f)
-	s.Buffer(nil, maximumLine)
-	var l []statement
-	for s.Scan() {
-		i := bytes.IndexByte(s.Bytes(), '{')
-		if i < 0 {
-			continue
-		}
-		var x statement
-		if json.Unmarshal(s.Bytes()[i:], &x) != nil || x.Message != messageStatement {
-			continue
-		}
-		if group == "" || x.Group == group {
-			l = append(l, x)
-		}
+// tally gathers the statements of logs, those of one group if it is named.
+type tally struct {
+	group      string
+	statements []statement
+	unreadable int
+}
+
+func (t *tally) take(object []byte) {
+	var k kind
+	if json.Unmarshal(object, &k) != nil {
+		t.unreadable++
+		return
+	}
+	if k.Message != messageStatement {
+		return
+	}
+	var s statement
+	switch err := json.Unmarshal(object, &s); {
+	case err != nil, s.Time.IsZero(), s.Attempts < 0:
+		t.unreadable++
+	case t.group == "" || s.Group == t.group:
+		t.statements = append(t.statements, s)
 	}
-	return l, s.Err()
 }
 
+// longestHeld is the longest time that is told from longer ones. Statements have deadlines of
+// seconds.
+const longestHeld = time.Hour
+
 // held is how long statements were held, in microseconds.
 type held struct{ *hdrhistogram.Histogram }
 
-func newHeld() held { return held{hdrhistogram.New(1, time.Hour.Microseconds(), 3)} }
+func newHeld() held { return held{hdrhistogram.New(1, longestHeld.Microseconds(), 3)} }
 
-func (h held) add(took string) {
-	if d, err := time.ParseDuration(took); err == nil {
-		_ = h.RecordValue(max(1, d.Microseconds()))
-	}
+func (h held) add(took period) error {
+	d := min(time.Duration(took), longestHeld)
+	return h.RecordValue(max(1, d.Microseconds()))
 }
 
 func (h held) at(quantile float64) time.Duration {
 	return time.Duration(h.ValueAtQuantile(quantile)) * time.Microsecond
 }
 
-func summarize(window time.Duration, l []statement) *Summary {
-	s := &Summary{From: l[0].Time, Window: window}
-	windows := int(l[len(l)-1].Time.Sub(s.From)/window) + 1
-	groups := make(map[string]*Series)
-	servers, operations := make(map[string]int), make(map[string]int)
-	causes := make(map[Cause]held)
-	all := newHeld()
+// sums gathers what the statements that were lost have in common.
+type sums struct {
+	summary    *Summary
+	windows    int
+	all        held
+	groups     map[string]*Series
+	causes     map[Cause]held
+	servers    map[string]int
+	operations map[string]int
+}
+
+// summarize sums up statements, which are in the order of their time.
+func summarize(window time.Duration, l []statement) (*Summary, error) {
+	from := l[0].Time
+	n := l[len(l)-1].Time.Sub(from)/window + 1
+	if n > maximumWindows {
+		return nil, errors.Annotatef(ErrTooManyWindows, "%d of %s from %s", n, window, from.Format(time.RFC3339))
+	}
+	s := &sums{
+		summary: &Summary{From: from, Window: window}, windows: int(n), all: newHeld(),
+		groups: make(map[string]*Series), causes: make(map[Cause]held),
+		servers: make(map[string]int), operations: make(map[string]int),
+	}
 	for _, x := range l {
 		if x.Outcome == outcomeRan {
 			continue
 		}
-		s.Lost++
-		all.add(x.Took)
-		g := groups[x.Group]
-		if g == nil {
-			g = &Series{Group: x.Group, Windows: make([]int, windows)}
-			groups[x.Group] = g
-		}
-		g.Lost++
-		g.Windows[int(x.Time.Sub(s.From)/window)]++
-		servers[cmp.Or(x.Server, "none")]++
-		operations[x.Operation]++
-		c := Cause{Outcome: x.Outcome, Code: x.Code, Why: general(x.Why)}
-		if _, ok := causes[c]; !ok {
-			causes[c] = newHeld()
+		if err := s.add(x); err != nil {
+			return nil, errors.Annotatef(err, "statement at %s", x.Time)
 		}
-		causes[c].add(x.Took)
-		for len(s.Tries) <= x.Attempts {
-			s.Tries = append(s.Tries, 0)
-		}
-		s.Tries[x.Attempts]++
 	}
-	s.Median, s.Ninetieth = all.at(50), all.at(90)
-	for _, g := range groups {
-		s.Groups = append(s.Groups, *g)
+	return s.finish(), nil
+}
+
+// add counts a statement that was lost.
+func (s *sums) add(x statement) error {
+	s.summary.Lost++
+	s.addTries(x.Attempts)
+	g := s.group(x.Group)
+	g.Lost++
+	g.Windows[int(x.Time.Sub(s.summary.From)/s.summary.Window)]++
+	s.servers[cmp.Or(x.Server, "none")]++
+	s.operations[x.Operation]++
+	if err := s.all.add(x.Took); err != nil {
+		return err
+	}
+	return s.cause(x).add(x.Took)
+}
+
+func (s *sums) addTries(n int) {
+	for len(s.summary.Tries) <= n {
+		s.summary.Tries = append(s.summary.Tries, 0)
+	}
+	s.summary.Tries[n]++
+}
+
+func (s *sums) group(name string) *Series {
+	g := s.groups[name]
+	if g == nil {
+		g = &Series{Group: name, Windows: make([]int, s.windows)}
+		s.groups[name] = g
+	}
+	return g
+}
+
+func (s *sums) cause(x statement) held {
+	c := Cause{Outcome: x.Outcome, Code: x.Code, Why: general(x.Why)}
+	h, ok := s.causes[c]
+	if !ok {
+		h = newHeld()
+		s.causes[c] = h
+	}
+	return h
+}
+
+// finish puts what lost most first.
+func (s *sums) finish() *Summary {
+	r := s.summary
+	r.Median, r.Ninetieth = s.all.at(50), s.all.at(90)
+	for _, g := range s.groups {
+		r.Groups = append(r.Groups, *g)
 	}
-	slices.SortFunc(s.Groups, func(a, b Series) int { return cmp.Or(b.Lost-a.Lost, cmp.Compare(a.Group, b.Group)) })
-	for c, h := range causes {
+	slices.SortFunc(r.Groups, func(a, b Series) int { return cmp.Or(b.Lost-a.Lost, cmp.Compare(a.Group, b.Group)) })
+	for c, h := range s.causes {
 		c.Lost, c.Median, c.Ninetieth = int(h.TotalCount()), h.at(50), h.at(90)
-		s.Causes = append(s.Causes, c)
+		r.Causes = append(r.Causes, c)
 	}
-	slices.SortFunc(s.Causes, func(a, b Cause) int {
+	slices.SortFunc(r.Causes, func(a, b Cause) int {
 		return cmp.Or(b.Lost-a.Lost, cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Code, b.Code), cmp.Compare(a.Why, b.Why))
 	})
-	s.Servers, s.Operations = counts(servers), counts(operations)
-	return s
+	r.Servers, r.Operations = counts(s.servers), counts(s.operations)
+	return r
 }
 
 func counts(m map[string]int) []Count {
--- a/internal/proxy/analyzer/analyzer_test.go
+++ b/internal/proxy/analyzer/analyzer_test.go
@@ -64,3 +64,40 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Guards against lines that are left out without a word, and against a line without a time
+// that has the table begin in the year one.
+func TestUnreadableLinesAreCounted(t *testing.T) {
+	log := `{"time":"2026-12-03T06:00:00Z","message":"statement","outcome":"not-run","took":"2ms"}
+{"time":"2026-12-03T06:00:00Z","message":"statement","outcome":"not-run","took":"long"}
+{"message":"statement","outcome":"not-run","took":"2ms"}
+{"time":"2026-12-03T06:00:00Z","message":"statement","outcome":"not-run","took":"2ms","attempts":-1}
+{"time":"2026-12-03T06:00:00Z","message":"started","took":7}
+{"time":"2026-12-03T06:00:0`
+	s, err := Analyze(Request{}, []io.Reader{strings.NewReader(log)})
+	if err != nil || s.Lost != 1 || s.Unreadable != 4 {
+		t.Fatalf("summary %+v, %v, want 1 lost and 4 unreadable", s, err)
+	}
+	var b bytes.Buffer
+	if err := s.Write(&b); err != nil || !strings.Contains(b.String(), "4 lines can't be read") {
+		t.Errorf("%v, table\n%s", err, b.String())
+	}
+}
+
+// Guards against a table that takes all memory.
+func TestTooShortWindowIsRefused(t *testing.T) {
+	log := `{"time":"2026-12-03T06:00:00Z","message":"statement","outcome":"not-run","took":"2ms"}
+{"time":"2026-12-03T06:00:01Z","message":"statement","outcome":"not-run","took":"2ms"}`
+	if _, err := Analyze(Request{Window: time.Nanosecond}, []io.Reader{strings.NewReader(log)}); !errors.Is(err, ErrTooManyWindows) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against statements that are lost to the count since they were held for long.
+func TestLongHeldStatementIsCounted(t *testing.T) {
+	log := `{"time":"2026-12-03T06:00:00Z","message":"statement","outcome":"unknown","took":"25h"}`
+	s, err := Analyze(Request{}, []io.Reader{strings.NewReader(log)})
+	if err != nil || len(s.Causes) != 1 || s.Causes[0].Lost != 1 {
+		t.Errorf("summary %+v, %v", s, err)
+	}
+}
--- a/internal/proxy/analyzer/writer.go
+++ b/internal/proxy/analyzer/writer.go
@@ -16,6 +16,9 @@
 func (s *Summary) Write(w io.Writer) error {
 	b := &strings.Builder{}
 	fmt.Fprintf(b, "%d statements lost from %s, held %s in the median, %s in the 90th percentile\n\n", s.Lost, s.From.Format(time.RFC3339), short(s.Median), short(s.Ninetieth))
+	if s.Unreadable > 0 {
+		fmt.Fprintf(b, "%d lines can't be read and aren't counted\n\n", s.Unreadable)
+	}
 	if _, err := io.WriteString(w, b.String()); err != nil {
 		return err
 	}
--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -29,6 +29,8 @@
 type permits struct {
 	gate      gate.Gate
 	regulator regulator.Regulator
+	// limit is what the gate has.
+	limit int
 }
 
 // Permit is the right to have one statement under way.
@@ -37,8 +39,8 @@
 	slot *gate.Slot
 }
 
-// open makes the gate ready for a pool. The pool's mutex is held.
-func (t *permits) open(p *Pool) {
+// bound gives the gate the present limit of a pool. The pool's mutex is held.
+func (t *permits) bound(p *Pool) {
 	t.regulator.Least, t.regulator.Most = leastUnderWay, max(p.Limit, leastUnderWay)
 	if n := p.Server.Slots; n > 0 {
 		t.regulator.Most = n * mostUnderWay
@@ -47,6 +49,10 @@
 		t.gate.BackendServer = p.Server.ID // read without the pool's mutex from now on
 	}
 	n := t.regulator.Limit()
+	if n == t.limit {
+		return
+	}
+	t.limit = n
 	t.gate.Adjust(func(q *admitter.Queue) { q.Slots = n })
 }
 
@@ -62,7 +68,7 @@
 		return nil, &Refusal{Server: p.Server.ID, Reason: admitter.ReasonDeadline} // the gate takes zero for no bound
 	}
 	p.mu.Lock()
-	p.permits.open(p)
+	p.permits.bound(p)
 	p.mu.Unlock()
 	s, err := p.permits.gate.Acquire(context.Background(), gate.Request{Team: a.Team, Class: a.Class, Timeout: left})
 	if r, ok := errors.AsType[*gate.Refusal](err); ok {
@@ -87,7 +93,7 @@
 	} else {
 		p.permits.regulator.Taken(n)
 	}
-	p.permits.open(p)
+	p.permits.bound(p)
 	p.mu.Unlock()
 	t.slot.Release()
 }
--- a/internal/proxy/connpooler/permit_test.go
+++ b/internal/proxy/connpooler/permit_test.go
@@ -99,3 +99,31 @@
 		p.Close()
 	})
 }
+
+func BenchmarkPermit(b *testing.B) {
+	p := newPool(&fake{limit: 16})
+	p.Server.Slots = 16
+	l, err := p.Acquire(ask(time.Minute))
+	if err != nil {
+		b.Fatal(err)
+	}
+	a := ask(time.Hour)
+	var held []*Permit
+	for range 16*mostUnderWay - 1 {
+		x, err := l.Permit(a)
+		if err != nil {
+			b.Fatal(err)
+		}
+		held = append(held, x)
+	}
+	for b.Loop() {
+		x, err := l.Permit(a)
+		if err != nil {
+			b.Fatal(err)
+		}
+		x.End(declarer.CodeNone)
+	}
+	for _, x := range held {
+		x.End(declarer.CodeNone)
+	}
+}
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -15,10 +15,6 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 )
 
-// observeSpare is the part of a route's staleness at which the primary is asked anew, so
-// that reads don't have to wait for its position.
-const observeSpare = 2
-
 // attempt serves one statement: it looks for a server, sends, and looks for another
 // one while that is certain to have had no effect.
 type attempt struct {
@@ -80,15 +76,14 @@
 		changed := a.session.Board.Changed()
 		l, next := a.acquire()
 		if l != nil {
-			var code declarer.Code
-			var text string
-			var again bool
-			next, again, code, text = a.try(l)
-			if !again && text != "" {
-				return nil, code, text
-			}
-			if !again {
-				return l, code, ""
+			v := a.try(l)
+			switch {
+			case v.again:
+				next = v.next
+			case v.text != "":
+				return nil, v.code, v.text
+			default:
+				return l, v.code, ""
 			}
 		}
 		switch next.Action {
@@ -140,21 +135,6 @@
 	return nil, a.refused(id, retrier.CauseUnreachable, 0)
 }
 
-// leaderless reports whether no primary is known that answers.
-func (a *attempt) leaderless() bool {
-	lost := true
-	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
-		if p := g.Primary(); p != nil {
-			lost = p.FailingSince != 0 && a.session.Board.Time()-p.FailingSince > failingFor
-		}
-	})
-	return lost
-}
-
-// failingFor is how long a primary may fail before reads that need its position are
-// refused soon. Most failures of that length end with a promotion.
-const failingFor = 300 * time.Millisecond
-
 // unknownPause bounds the wait for news where the position that a read needs isn't known.
 const unknownPause = 100 * time.Millisecond
 
@@ -195,70 +175,22 @@
 	}
 }
 
-// choose returns the server to try, empty if there is none now, and false if it isn't
-// known what a server must have.
-func (a *attempt) choose() (string, bool) {
-	id := ""
-	if a.leads {
-		a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
-			if s := g.Primary(); s != nil {
-				id = s.ID
-			}
-		})
-		a.primary = true
-		a.why = "primary"
-		if id == "" {
-			a.why = "no primary is known"
-		}
-		return id, true
-	}
-	need, ok := a.need()
-	if !ok {
-		a.why = "no recent position of the primary is known"
-		return "", false
-	}
-	a.request.After = need
-	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
-		s, d := g.Read(need, a.retries.Excluded(), rand.Uint64(), a.session.Board.Time())
-		a.why = d.Why.String()
-		if s != nil {
-			id = s.ID
-			a.primary = s == g.Primary()
-		}
-	})
-	return id, true
+// verdict is what came of one try.
+type verdict struct {
+	// again says that the statement had no effect and that next is to be done. The lease was
+	// given back.
+	again bool
+	next  retrier.Step
+	// code and text are for the caller. Without a text there is an answer to pass on, and the
+	// lease is still held.
+	code declarer.Code
+	text string
 }
 
-// need returns the position that the read's server must have. If no proof is recent
-// enough, the primary is asked first.
-func (a *attempt) need() (marker.Mark, bool) {
-	m, ok, old := a.known()
-	if old {
-		a.session.Observer.Observe(a.route.Group, !ok, a.deadline)
-	}
-	if !ok {
-		m, ok, _ = a.known()
-	}
-	return m, ok
-}
-
-// known returns what need does from what is known, and whether the primary should be
-// asked anew.
-func (a *attempt) known() (need marker.Mark, ok, old bool) {
-	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
-		need, ok = g.Need(a.arrived, a.route.MaximumStaleness)
-		if ok && a.route.Kind == declarer.KindOwnWrites {
-			need = marker.Max(need, g.Lift(a.session.own(a.route.Group)))
-		}
-		l, known := g.Latest()
-		old = !known || a.session.Board.Time()-l.Asked > a.route.MaximumStaleness/observeSpare
-	})
-	return need, ok, old
-}
+func again(s retrier.Step) verdict { return verdict{again: true, next: s} }
 
-// try sends the statement on l. It reports whether it had no effect, and what to do next
-// then; the lease is given back.
-func (a *attempt) try(l *connpooler.Lease) (next retrier.Step, again bool, code declarer.Code, text string) {
+// try sends the statement on l.
+func (a *attempt) try(l *connpooler.Lease) verdict {
 	a.retries.Sent()
 	asked := a.session.Board.Time()
 	sent := time.Now()
@@ -269,7 +201,7 @@
 	if r, ok := errors.AsType[*connpooler.Refusal](err); ok {
 		l.Release(false)
 		a.why = r.Error()
-		return a.refused(a.server, retrier.CauseCapacity, r.RetryAfter), true, declarer.CodeNone, ""
+		return again(a.refused(a.server, retrier.CauseCapacity, r.RetryAfter))
 	}
 	if err != nil {
 		return a.broken(l, err)
@@ -279,7 +211,7 @@
 	}
 	if a.answer.Code.NotRun() {
 		l.Release(false)
-		return a.turnedAway(), true, declarer.CodeNone, ""
+		return again(a.turnedAway())
 	}
 	if a.unproved {
 		// The server answered, and may not have led any more right after: what it read may
@@ -288,9 +220,9 @@
 		if a.deposed {
 			a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Refused(a.server) })
 		}
-		return a.refused(a.server, retrier.CauseDeposed, 0), true, declarer.CodeNone, ""
+		return again(a.refused(a.server, retrier.CauseDeposed, 0))
 	}
-	return retrier.Step{}, false, a.answer.Code, ""
+	return verdict{code: a.answer.Code}
 }
 
 // exchange sends what is to be sent, and reads the answers. What opens a transaction
@@ -351,76 +283,6 @@
 	return nil
 }
 
-// learn notes on the blackboard what the answer shows.
-func (a *attempt) learn(asked, took time.Duration) {
-	m := a.answer.Position
-	ran := a.answer.Code == declarer.CodeNone
-	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) {
-		g.Answered(a.server, a.session.Board.Time(), took, m)
-		if ran && !a.leads {
-			g.CaughtUp(a.server)
-		}
-	})
-	switch {
-	case !ran || a.unproved || !a.leads:
-	case a.request.Writes && a.begin == declarer.VerbUnknown:
-		a.session.committed(a.route.Group, m)
-		a.session.Board.Led(a.route.Group, a.server, asked, m)
-	default:
-		a.session.Board.Led(a.route.Group, a.server, asked, a.opened)
-	}
-}
-
-// turnedAway notes why the server didn't run the statement, and decides what to do next.
-func (a *attempt) turnedAway() retrier.Step {
-	x := a.answer
-	a.why = "turned away: " + x.Detail
-	a.answer = declarer.Answer{Body: x.Body[:0]}
-	switch x.Code {
-	case declarer.CodeReadOnly:
-		a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Refused(a.server) })
-		return a.refused(a.server, retrier.CauseDeposed, 0)
-	case declarer.CodeLagging:
-		a.lagging()
-		return a.refused(a.server, retrier.CauseBehind, 0)
-	case declarer.CodeNoLease:
-		return a.refused(a.server, retrier.CauseCapacity, x.RetryAfter)
-	case declarer.CodeNoServer:
-		return a.refused(a.server, retrier.CauseUnreachable, 0)
-	}
-	return a.refused(a.server, retrier.CauseBusy, 0)
-}
-
-// lagging notes for others that the server is behind, unless it only lacks the session's
-// own commit of a moment ago: each replica does for a few milliseconds.
-func (a *attempt) lagging() {
-	if a.request.After == a.session.own(a.route.Group) {
-		return
-	}
-	a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Lagged(a.server, a.session.Board.Time()) })
-}
-
-// broken judges an exchange without an answer.
-func (a *attempt) broken(l *connpooler.Lease, err error) (next retrier.Step, again bool, code declarer.Code, text string) {
-	timeout := errors.Is(err, connpooler.ErrTimeout)
-	l.Release(!timeout)
-	if !timeout {
-		a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.Failed(a.server, a.session.Board.Time(), a.session.Board.Time()) })
-	}
-	a.why = err.Error()
-	switch {
-	case a.request.Writes && a.begin == declarer.VerbUnknown:
-		return next, false, declarer.CodeUnknown, "the server's answer didn't come; whether the write ran isn't known"
-	case a.begin != declarer.VerbUnknown && timeout:
-		return next, false, declarer.CodeAborted, "no answer in time; the transaction is rolled back"
-	case timeout:
-		return next, false, declarer.CodeTimeout, "no answer in time"
-	}
-	// A read, or a transaction that was never asked to commit, may run again.
-	a.answer = declarer.Answer{Body: a.answer.Body[:0]}
-	return a.refused(a.server, retrier.CauseUnreachable, 0), true, declarer.CodeNone, ""
-}
-
 func (a *attempt) report(c declarer.Code) {
 	a.session.Reporter.Statement(&Report{
 		Group: a.route.Group, Database: a.route.Database, Statement: a.request.ID, Verb: a.request.verb,
--- a/internal/proxy/executor/attempt_test.go
+++ b/internal/proxy/executor/attempt_test.go
@@ -226,3 +226,42 @@
 		end(d, c)
 	})
 }
+
+// Guards against a caller that is told that an answer was lost where its statement was never
+// sent: the server has as many statements as it gets, and one of a transaction waits in vain.
+func TestRefusedStatementOfTransactionIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newDeployment(w, "z-0")
+		c := start(d, "primary")
+		k := connpooler.Ask{Deadline: time.Now().Add(10 * time.Second)}
+		l, err := d.Pool("i-0").Acquire(k)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Release(false) // the transaction gets this connection
+		c.ask("BEGIN")
+		if _, r := c.ask("WRITE x 1"); r.code != declarer.CodeNone {
+			t.Fatalf("code %d to the write", r.code)
+		}
+		var permits []*connpooler.Permit
+		for range 4 { // two for each of the server's slots
+			x, err := l.Permit(k)
+			if err != nil {
+				t.Fatal(err)
+			}
+			permits = append(permits, x)
+		}
+		if _, r := c.ask("READ y"); r.code != declarer.CodeAborted || !strings.HasPrefix(r.text, "not run: ") {
+			t.Errorf("code %d, %q", r.code, r.text)
+		}
+		for _, x := range permits {
+			x.End(declarer.CodeNone)
+		}
+		time.Sleep(time.Second) // the server rolls the transaction back
+		if n := len(w.leader.log); n > 0 {
+			t.Errorf("%d lines at the server", n)
+		}
+		end(d, c)
+	})
+}
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -85,6 +85,9 @@
 func (e *exchange) perform(l []*declarer.Answer) error {
 	r, n := e.requests, e.setup
 	e.requests, e.setup = nil, 0
+	for _, a := range l {
+		*a = declarer.Answer{Body: a.Body[:0]} // an earlier answer says nothing where this one doesn't come
+	}
 	if err := e.lease.Send(r, e.deadline); err != nil {
 		return err
 	}
@@ -101,7 +104,6 @@
 		}
 	}
 	for _, a := range l {
-		*a = declarer.Answer{Body: a.Body[:0]}
 		if err := e.receive(a); err != nil {
 			return err
 		}
--- a/internal/proxy/executor/model_test.go
+++ b/internal/proxy/executor/model_test.go
@@ -86,6 +86,7 @@
 type reply struct {
 	code  declarer.Code
 	row   string
+	text  string
 	state declarer.State
 }
 
@@ -136,8 +137,8 @@
 	return nil
 }
 
-func (c *caller) Fail(k declarer.Code, _ string, s declarer.State) error {
-	c.out <- reply{code: k, state: s}
+func (c *caller) Fail(k declarer.Code, text string, s declarer.State) error {
+	c.out <- reply{code: k, text: text, state: s}
 	return nil
 }
 
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -97,12 +97,20 @@
 	if err := a.repeat(t); err != nil {
 		a.report(declarer.CodeAborted)
 		s.drop(t, err)
+		if errors.Is(err, connpooler.ErrRefused) {
+			return s.fail(declarer.CodeAborted, rolledBack(err))
+		}
 		return s.fail(declarer.CodeAborted, "the server's answer didn't come; the transaction is rolled back")
 	}
 	a.report(a.answer.Code)
 	return s.answered(t, a)
 }
 
+// rolledBack is the text for a statement of a transaction that was refused before it was sent.
+func rolledBack(err error) string {
+	return "not run: " + err.Error() + "; the transaction is rolled back"
+}
+
 // drop ends a transaction whose server didn't answer.
 func (s *Session) drop(t *transaction, err error) {
 	if errors.Is(err, connpooler.ErrTimeout) || errors.Is(err, connpooler.ErrRefused) {
@@ -205,7 +213,7 @@
 	code, text := declarer.CodeUnknown, "the server's answer to the commit didn't come; whether it took effect isn't known"
 	switch {
 	case errors.Is(err, connpooler.ErrRefused):
-		code, text = declarer.CodeAborted, "not run: "+err.Error()+"; the transaction is rolled back"
+		code, text = declarer.CodeAborted, rolledBack(err)
 	case !t.wrote:
 		code, text = declarer.CodeAborted, "the server's answer to the commit didn't come; nothing had been written"
 	}
--- a/internal/proxy/explainer/explainer.go
+++ b/internal/proxy/explainer/explainer.go
@@ -2,8 +2,6 @@
 package explainer
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/log/decoder"
 )
 
 const (
@@ -19,8 +19,6 @@
 	// story: a primary is replaced within five seconds.
 	before = 5 * time.Second
 	after  = 5 * time.Second
-	// maximumLine is the longest line that is read.
-	maximumLine = 1 << 20
 )
 
 // File is the log of one host.
@@ -81,24 +79,17 @@
 	return tell(request, own, all), nil
 }
 
-// read returns the JSON lines of a file; a prefix before them and other lines are left
-// out, as a collector of logs may add them.
+// read returns the lines of a file that are ours.
 func read(f File) ([]entry, error) {
-	s := bufio.NewScanner(f.Lines)
-	s.Buffer(nil, maximumLine)
 	var l []entry
-	for s.Scan() {
-		i := bytes.IndexByte(s.Bytes(), '{')
-		if i < 0 {
-			continue
-		}
+	err := decoder.Each(f.Lines, func(object []byte) {
 		e := entry{host: f.Host}
-		if json.Unmarshal(s.Bytes()[i:], &e) != nil || json.Unmarshal(s.Bytes()[i:], &e.raw) != nil || e.Message == "" {
-			continue
+		if json.Unmarshal(object, &e) != nil || json.Unmarshal(object, &e.raw) != nil || e.Message == "" {
+			return
 		}
 		l = append(l, e)
-	}
-	return l, s.Err()
+	})
+	return l, err
 }
 
 // tell gathers the request's lines and those about what it met.
--- a/internal/proxy/promoter/promoter_test.go
+++ b/internal/proxy/promoter/promoter_test.go
@@ -386,13 +386,18 @@
 	})
 }
 
+// drainPrimary has the platform say that the primary is to leave.
+func drainPrimary(p *Promoter) {
+	p.Board.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true, Draining: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
+}
+
 // The primary leaves as planned. Lines saved while the move is under way must not be
 // dropped: it steps down first, and the heir gets all of its log.
 func TestLeavingPrimaryStepsDownFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
 		p := promoterOf(c, "h1")
-		p.Board.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true, Draining: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
+		drainPrimary(p)
 		steps(p, 3*time.Second)
 		want := []string{"demote a below 2", "promote b by h1 with 3 at length 10"}
 		if !slices.Equal(c.steps, want) {
@@ -410,7 +415,7 @@
 		c.servers["b"].deaf, c.servers["c"].deaf = true, true
 		p := promoterOf(c, "h1")
 		p.Board.Configure(&declarer.Configuration{Version: 1, Groups: map[string]declarer.Group{"db": {Name: "db", Synchronous: 1}}})
-		p.Board.TakeServers([]declarer.Server{{ID: "a", Group: "db", Primary: true, Draining: true}, {ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
+		drainPrimary(p)
 		steps(p, 2500*time.Millisecond)
 		want := []string{"demote a below 2", "promote a by h1 with 9 at length 10"}
 		if !slices.Equal(c.steps, want) {
--- a/internal/proxy/promoter/questions.go
+++ b/internal/proxy/promoter/questions.go
@@ -96,7 +96,7 @@
 func (q *question) note(asked time.Duration, s declarer.Status, err error) {
 	b := q.promoter.Board
 	switch {
-	case errors.Is(err, ErrCommand), errors.Is(err, connpooler.ErrTooManyConnections), errors.Is(err, connpooler.ErrAlive):
+	case errors.Is(err, ErrCommand), errors.Is(err, connpooler.ErrTooManyConnections):
 		// It has no room for the question, but it lives.
 		b.Do(q.server.Group, func(g *grouptracker.Group) { g.Answered(q.server.ID, b.Time(), 0, marker.Mark{}) })
 		return
--- a/internal/proxy/relaydialer/relaydialer.go
+++ b/internal/proxy/relaydialer/relaydialer.go
@@ -1,5 +1,5 @@
 // Package relaydialer reaches backend servers through other entry hosts where the
-// direct way is cut.
+// direct route is cut.
 package relaydialer
 
 import (
@@ -21,7 +21,7 @@
 	blockedFor = 2 * time.Second
 	// unresponsiveFor is how long a host isn't asked after it failed.
 	unresponsiveFor = 2 * time.Second
-	// width is how many hosts are asked for a way at once: one may be cut off as well,
+	// width is how many hosts are asked for a route at once: one may be cut off as well,
 	// and one may be gone without our having heard.
 	width = 3
 	// witnesses is how many are asked whether they hear a server. A cut may leave only
@@ -81,7 +81,7 @@
 }
 
 // Dial opens a connection to the server. An answer of the server itself, or of its
-// host that no process listens, ends the search: another way leads to the same.
+// host that no process listens, ends the search: another route leads to the same.
 func (d *Dialer) Dial(ctx context.Context, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
 	var cause error = connpooler.ErrNoRoute
 	if !d.until(d.blocked, s.ID) {
@@ -202,14 +202,14 @@
 	(*m)[name] = time.Now().Add(t)
 }
 
-// result is what one way led to.
+// result is what one route led to.
 type result struct {
 	connection connpooler.Connection
 	mark       marker.Mark
 	err        error
 }
 
-// relayAttempt is the way through one host.
+// relayAttempt is the route through one host.
 type relayAttempt struct {
 	dialer  *Dialer
 	host    declarer.Host
--- a/internal/proxy/runner/lending.go
+++ b/internal/proxy/runner/lending.go
@@ -9,6 +9,7 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
+	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 )
 
 // lend serves a host that borrows this host's connections to a server.
@@ -27,18 +28,15 @@
 	l.Run()
 }
 
-const (
-	// aliveFor is how long a server's last answer counts as a sign of life.
-	aliveFor = 500 * time.Millisecond
-	// answeredFor is the same where another host has had none for long.
-	answeredFor = 4 * time.Second
-)
+// aliveFor is how long a server's last answer counts as a sign of life.
+const aliveFor = 500 * time.Millisecond
 
 // alive reports whether the server has answered this host a moment ago.
 func (h *Host) alive(s declarer.Server) bool { return h.answeredWithin(s, aliveFor) }
 
-// answered reports whether it has within the last seconds.
-func (h *Host) answered(s declarer.Server) bool { return h.answeredWithin(s, answeredFor) }
+// answered reports whether it has within the time after which another host, which has had no
+// answer, may replace it.
+func (h *Host) answered(s declarer.Server) bool { return h.answeredWithin(s, successor.UnheardAfter) }
 
 func (h *Host) answeredWithin(s declarer.Server, d time.Duration) bool {
 	alive := false
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -20,9 +20,6 @@
 	// stalledAfter is how long a primary with statements under way may answer none of
 	// them before it is asked on a new connection.
 	stalledAfter = 250 * time.Millisecond
-	// unheardAfter is how long a primary may be unreachable where no other host has had an
-	// answer of it either. Its entry on the platform's list lapses after about as long.
-	unheardAfter = 4 * time.Second
 	// leaderlessAfter is how long no server may report the lead. A promotion that
 	// somebody else ordered shows by then.
 	leaderlessAfter = 1500 * time.Millisecond
@@ -30,6 +27,10 @@
 	spread = 100 * time.Millisecond
 )
 
+// UnheardAfter is how long a primary may be unreachable where no other host has had an
+// answer of it either. Its entry on the platform's list lapses after about as long.
+const UnheardAfter = 4 * time.Second
+
 // Reason says why a group needs another primary.
 type Reason string
 
@@ -107,7 +108,7 @@
 	switch {
 	case failing && p.RefusedSince != 0 && s.Now-p.RefusedSince > absentAfter:
 		return ReasonAbsent
-	case mute && s.Now-p.FailingSince <= unheardAfter:
+	case mute && s.Now-p.FailingSince <= UnheardAfter:
 		return ReasonSilent
 	case mute:
 		return ReasonUnheard
