fix(driver): a stranger that answers first is no part of the group

A replica crashed before the host's first question, and a server of another group had its address by then. The control client keeps to the identifier that it is told first, so the stranger counted: a line would have been acknowledged as held by it. promises.md listed the case as not proved.

Also ruled out: to wait in the test for all first answers, which would only have hidden it; an identity shared by the clients, as statuses may come through another host that owns the connections.

Change: a status bears the server's system identifier. The driver, which has the statuses of the whole group, leaves out servers whose identifier differs from that of more than half, and all that differ as long as none has more than half; what they reported is forgotten, and they are given no command. The status grows by up to ten bytes between hosts; a host of the version before leaves the field out.

The two new driver tests fail without the check.

Conclusion: open is a group more than half of whose addresses strangers hold, and the right server, which the client refuses until a restart after it has met a stranger first (promises.md).

--- a/internal/backend/commander/read.go
+++ b/internal/backend/commander/read.go
@@ -18,28 +18,21 @@
 	err    error
 }
 
-// reply is a status row, with what tells which server sent it.
-type reply struct {
-	controller.Status
-	// systemIdentifier is shared by the servers of a group, zero if it isn't told.
-	systemIdentifier uint64
-}
-
 // read turns a status row of the server that is meant into a Status.
 func (c *Client) read(r *pgconn.Result) (controller.Status, error) {
 	p, err := c.parse(r)
 	if err != nil {
 		return controller.Status{}, err
 	}
-	return p.Status, c.verify(p)
+	return p, c.verify(p)
 }
 
-func (c *Client) parse(r *pgconn.Result) (reply, error) {
+func (c *Client) parse(r *pgconn.Result) (controller.Status, error) {
 	if len(r.Rows) != 1 {
-		return reply{}, errors.Errorf("status of backend server %s has %d rows", c.Name, len(r.Rows))
+		return controller.Status{}, errors.Errorf("status of backend server %s has %d rows", c.Name, len(r.Rows))
 	}
 	if n := len(r.Rows[0]); n != len(r.FieldDescriptions) {
-		return reply{}, errors.Errorf("status of backend server %s has %d values for %d columns", c.Name, n, len(r.FieldDescriptions))
+		return controller.Status{}, errors.Errorf("status of backend server %s has %d values for %d columns", c.Name, n, len(r.FieldDescriptions))
 	}
 	w := &row{fields: r.FieldDescriptions, values: r.Rows[0]}
 	s := controller.Status{
@@ -57,8 +50,8 @@
 	}
 	s.PreviousTerm = marker.Term(w.optional("previous_term"))
 	s.Writing = int(w.optional("writing"))
-	p := reply{Status: s, systemIdentifier: w.optional("system_identifier")}
-	return p, errors.Annotatef(w.err, "read status of backend server %s", c.Name)
+	s.SystemIdentifier = w.optional("system_identifier")
+	return s, errors.Annotatef(w.err, "read status of backend server %s", c.Name)
 }
 
 // find returns the value of a column; ok is false if there is no such column.
--- a/internal/backend/commander/verify.go
+++ b/internal/backend/commander/verify.go
@@ -14,13 +14,13 @@
 // at its address, where polls go on. Names such as db-1 occur in many groups, so the
 // identifier that the server told first counts too, unless it told none (zero). A
 // server that was set up anew with other data needs a restart of the entry host.
-func (c *Client) verify(p reply) error {
-	if p.BackendServer == c.Name && (c.identifier == 0 || p.systemIdentifier == c.identifier) {
-		c.identifier = p.systemIdentifier
+func (c *Client) verify(p controller.Status) error {
+	if p.BackendServer == c.Name && (c.identifier == 0 || p.SystemIdentifier == c.identifier) {
+		c.identifier = p.SystemIdentifier
 		c.verified = true
 		return nil
 	}
-	err := errors.Annotatef(controller.ErrStranger, "backend server %s at %s: got %s with system identifier %d, want %d", c.Name, c.Address, p.BackendServer, p.systemIdentifier, c.identifier)
+	err := errors.Annotatef(controller.ErrStranger, "backend server %s at %s: got %s with system identifier %d, want %d", c.Name, c.Address, p.BackendServer, p.SystemIdentifier, c.identifier)
 	c.dropBroken(err)
 	return err
 }
--- a/internal/backend/controller/controller.go
+++ b/internal/backend/controller/controller.go
@@ -58,6 +58,9 @@
 	// Writing counts the open transactions that have written, zero if the server
 	// doesn't say. A planned hand-over waits for their end.
 	Writing int `cbor:"10,keyasint" json:"writing"`
+	// SystemIdentifier is shared by the servers of a group and differs from those of others,
+	// zero if the server doesn't tell it.
+	SystemIdentifier uint64 `cbor:"11,keyasint,omitempty" json:"-"`
 }
 
 // Control is the control side of one backend server.
--- a/internal/group/acknowledger/acknowledger.go
+++ b/internal/group/acknowledger/acknowledger.go
@@ -68,6 +68,11 @@
 	a.observe(s)
 }
 
+// Forget drops what a server reported that turned out not to be the instance so named.
+func (l *Ledger) Forget(instance string) {
+	delete(l.accounts, instance)
+}
+
 func (a *account) observe(s controller.Status) {
 	a.hold(Holding{Term: s.Last.Term, Position: s.Last.Position, Start: s.TermStart, Previous: s.PreviousTerm})
 }
--- a/internal/group/driver/attempter.go
+++ b/internal/group/driver/attempter.go
@@ -279,6 +279,9 @@
 }
 
 func (c *call) ask(ctx context.Context, i *instance) (controller.Status, error) {
+	if err := c.driver.checkIdentity(i); err != nil {
+		return controller.Status{}, err
+	}
 	switch c.action.Kind {
 	case promoter.ActionRaiseTerm:
 		return i.control.RaiseTerm(ctx, c.action.Term)
--- a/internal/group/driver/driver.go
+++ b/internal/group/driver/driver.go
@@ -175,9 +175,11 @@
 	memory    promoter.ClaimMemory
 	calls     sync.WaitGroup
 
-	mu      sync.Mutex
-	ledger  acknowledger.Ledger
-	waiters map[*waiter]struct{}
+	mu     sync.Mutex
+	ledger acknowledger.Ledger
+	// identities tells strangers at the instances' addresses.
+	identities identities
+	waiters    map[*waiter]struct{}
 	// stopped says that Run's context has ended.
 	stopped  atomic.Bool
 	sequence uint64
@@ -232,6 +234,7 @@
 	d.astray = make(map[string]time.Duration)
 	d.attempts = make(chan struct{}, 1)
 	d.ledger.Instances = len(d.Group.BackendServers)
+	d.identities.servers = len(d.Group.BackendServers)
 	for _, b := range d.Group.BackendServers {
 		d.instances = append(d.instances, &instance{
 			name:    b.Name,
--- a/internal/group/driver/poller.go
+++ b/internal/group/driver/poller.go
@@ -102,6 +102,9 @@
 
 // take takes in the outcome of the call that began as number n. The mutex is held.
 func (d *Driver) take(i *instance, n uint64, at time.Duration, s controller.Status, err error) {
+	if err == nil {
+		err = d.identify(i, s.SystemIdentifier)
+	}
 	if err != nil {
 		i.observation.Failures++
 		i.observation.Refused = errors.Is(err, controller.ErrRefused)
--- a/internal/group/driver/stranger_test.go
+++ b/internal/group/driver/stranger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,3 +57,93 @@
 	<-x.Ready()
 	return x
 }
+
+// An entry host starts while a server of another group has a replica's address. Its first
+// answer is all that the host ever had from there, but its identifier isn't the others'.
+func TestStrangerBeforeFirstAnswer(t *testing.T) {
+	r := newRig(t, 1, near)
+	p := r.primary()
+	l := slices.DeleteFunc(slices.Clone(r.group.Servers), func(s *responder.Server) bool { return s == p })
+	l[0].Crash()
+	stranger := r.startStranger(l[0])
+	d := r.startDriver()
+	r.awaitStranger(d, l[0].Name)
+	r.awaitConfirmed(d)
+	l[1].Crash()
+	r.awaitStale(d, d.Now())
+	if _, err := d.WaitPrimary(r.ctx); err == nil {
+		t.Error("a primary confirmed by a stranger")
+	}
+	if g := stranger.Store().Status(time.Now()); g.Term != 1 {
+		t.Errorf("stranger was moved to term %d", g.Term)
+	}
+}
+
+// The same where no other replica answers: one identifier stands against one, and neither
+// server may be taken for the group's.
+func TestStrangerAgainstPrimary(t *testing.T) {
+	r := newRig(t, 1, near)
+	p := r.primary()
+	var stranger *responder.Server
+	for _, s := range r.group.Servers {
+		if s == p {
+			continue
+		}
+		s.Crash()
+		if stranger == nil {
+			stranger = r.startStranger(s)
+		}
+	}
+	d := r.startDriver()
+	r.awaitStranger(d, stranger.Name)
+	if _, err := d.WaitPrimary(r.ctx); err == nil {
+		t.Error("a primary confirmed by a stranger")
+	}
+	if g := stranger.Store().Status(time.Now()); g.Term != 1 {
+		t.Errorf("stranger was moved to term %d", g.Term)
+	}
+}
+
+// startDriver starts the driver of one more entry host.
+func (r *rig) startDriver() *Driver {
+	o := r.drivers[0]
+	d := &Driver{Group: o.Group, Host: "entry-late", Controls: r.controls(r.dialer(0)), Platform: r.store, Settings: o.Settings, Log: o.Log}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	r.tb.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return d
+}
+
+// awaitConfirmed returns once the driver has confirmed a primary.
+func (r *rig) awaitConfirmed(d *Driver) {
+	ctx, stop := context.WithTimeout(r.ctx, limit)
+	defer stop()
+	for {
+		_, err := d.WaitPrimary(ctx)
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil {
+			r.tb.Fatalf("the two others are a majority: %v", err)
+		}
+	}
+}
+
+// awaitStranger returns once the driver has refused an answer of the named server.
+func (r *rig) awaitStranger(d *Driver, name string) {
+	ctx, stop := context.WithTimeout(r.ctx, limit)
+	defer stop()
+	for {
+		if s, ok := d.View().Server(name); ok && s.Failures > 0 && !s.Answered {
+			return
+		}
+		if ctx.Err() != nil {
+			r.tb.Fatalf("no answer of %s was refused: %+v", name, d.View())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
