feat(reporter): tell how much of an answer came, from where and how fast

Cause: the record of the incident shows calls that were given up, but not whether anything of their answers had come, nor how long a host that reads for others took to answer. So a limit that is too short can't be told from a reader that is too slow.

Change: the client of the store, and both ends of a feed between hosts, tell of each answer: source, kind, bytes, time to the first byte, time to the last. Metrics count them; answers of 16 KiB or more, and those given up on the way, have a log line.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -13,7 +13,6 @@
 	"github.com/cuminwick/cuminwick/internal/log/encoder"
 	"github.com/cuminwick/cuminwick/internal/metric/server"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
-	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
@@ -44,6 +43,9 @@
 	Load   func() (platform.Settings, error)
 
 	store *platform.Store
+	feeds *platform.Feeds
+	// sent is told of answers to other hosts.
+	sent func(declarer.Transfer)
 }
 
 // Run serves until drain is closed and the host has drained.
@@ -73,7 +75,10 @@
 		Age:         h.Board.Age,
 		PositionAge: h.Board.PositionAge, Leaderless: h.Board.Leaderless,
 	})
-	a.store.Called = m.PlatformCall
+	x := &reporter.Transfers{Log: h.Log, Metrics: m}
+	a.store.Called, a.store.Received = m.PlatformCall, x.Received
+	a.feeds.Received = x.Received
+	a.sent = x.Sent
 	h.Counter = m
 	h.Reporter = &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
 	if a.Reload != nil {
@@ -136,7 +141,8 @@
 	store := platform.NewStore(s.StoreAddress)
 	a.store = store
 	faulty := func(err error) { l.WithError(err).Warn("object left out") }
-	f := &feeder{store: store, remote: &platform.Feeds{}, mirrors: make(map[string]*cachesyncer.Mirror)}
+	a.feeds = &platform.Feeds{}
+	f := &feeder{store: store, remote: a.feeds, sent: func(t declarer.Transfer) { a.sent(t) }, servers: make(map[string]*platform.FeedServer)}
 	h := &runner.Host{
 		Name:             s.HostName,
 		CallerAddress:    s.CallerAddress,
--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -6,28 +6,31 @@
 
 	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/runner"
 	"github.com/cuminwick/cuminwick/platform"
 )
 
 // feeder makes the readers of what the platform lists, and serves other hosts from them.
 type feeder struct {
-	store   *platform.Store
-	remote  cachesyncer.Remote
-	host    *runner.Host
-	mirrors map[string]*cachesyncer.Mirror
+	store  *platform.Store
+	remote cachesyncer.Remote
+	host   *runner.Host
+	// sent is told of each answer to another host.
+	sent    func(declarer.Transfer)
+	servers map[string]*platform.FeedServer
 }
 
 // reader returns the reader of a kind.
 func (f *feeder) reader(kind string, p runner.Pace) cachesyncer.Reader {
 	m := &cachesyncer.Mirror{Store: &platform.Reader{Store: f.store, Kind: kind}, Now: steady.Now, Trust: p.Trust, FirstRest: p.FirstRest, LongestRest: p.LongestRest}
-	f.mirrors[kind] = m
+	f.servers[kind] = &platform.FeedServer{Kind: kind, Mirror: m, Sent: f.sent}
 	return &cachesyncer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.ReaderHost, Failed: f.host.ReaderFailed}
 }
 
 // serve answers a host that reads a kind through this one.
 func (f *feeder) serve(c net.Conn, kind string) {
-	if m := f.mirrors[kind]; m != nil {
-		platform.ServeFeed(context.Background(), c, m)
+	if x := f.servers[kind]; x != nil {
+		x.Serve(context.Background(), c)
 	}
 }
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -209,3 +209,37 @@
 	Address          string
 	AvailabilityZone string
 }
+
+// Source is where an answer comes from.
+type Source uint8
+
+// Sources.
+const (
+	// SourceStore is the platform's object store.
+	SourceStore Source = iota
+	// SourceHost is another entry host.
+	SourceHost
+)
+
+// String returns the source's name in logs and metrics.
+func (s Source) String() string {
+	if s == SourceHost {
+		return "host"
+	}
+	return "store"
+}
+
+// Transfer is one answer that was received or sent, as far as it came.
+type Transfer struct {
+	Source Source
+	// Kind is the kind of object, Peer the other end.
+	Kind string
+	Peer string
+	// Bytes are those that were transferred.
+	Bytes int
+	// Waited is the time from the question to the answer's first byte, or what it took to
+	// encode an answer that is sent. Took is the time from the first byte to the last.
+	Waited, Took time.Duration
+	// Err is why the rest of the answer wasn't transferred, nil if all was.
+	Err error
+}
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 )
 
@@ -23,6 +24,9 @@
 	losses     *prometheus.CounterVec
 	calls      *prometheus.CounterVec
 	phases     *prometheus.HistogramVec
+	received   *prometheus.CounterVec
+	sent       *prometheus.CounterVec
+	transfers  *prometheus.HistogramVec
 }
 
 // buckets are those of latencies, from 0.5 ms to 8 s.
@@ -59,6 +63,10 @@
 	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_losses_total", Help: "Times that the platform stopped answering, by kind of object."}, []string{"kind"})
 	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_calls_total", Help: "Calls to the platform, by method, kind of object and result: answered, conflict, unavailable or failed."}, []string{"method", "kind", "result"})
 	m.phases = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "failover_phase_seconds", Help: "Phases of promotions that this host ordered: from the need to the order, and from the order to the lead.", Buckets: buckets}, []string{"phase"})
+	m.received = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_received_bytes_total", Help: "Bytes of answers about the platform's objects, by source (store, host), kind of object and result: whole, or cut if the answer was given up."}, []string{"source", "kind", "result"})
+	m.sent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_sent_bytes_total", Help: "Bytes of answers to other entry hosts, by kind of object and result: whole or cut."}, []string{"kind", "result"})
+	m.transfers = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "platform_transfer_seconds", Help: "Time from an answer's first byte to its last, by direction (received, sent) and kind of object.", Buckets: buckets}, []string{"direction", "kind"})
+	m.Registry.MustRegister(m.received, m.sent, m.transfers)
 	m.Registry.MustRegister(m.calls, m.phases, m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
 	m.gauge("sessions", "Sessions that are served.", func() float64 { return float64(g.Sessions()) })
 	m.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.Configuration()) })
@@ -105,3 +113,23 @@
 func (m *Metrics) Phase(phase string, d time.Duration) {
 	m.phases.WithLabelValues(phase).Observe(d.Seconds())
 }
+
+// Received counts an answer from the store or another host.
+func (m *Metrics) Received(t declarer.Transfer) {
+	m.received.WithLabelValues(t.Source.String(), t.Kind, completeness(t)).Add(float64(t.Bytes))
+	m.transfers.WithLabelValues("received", t.Kind).Observe(t.Took.Seconds())
+}
+
+// Sent counts an answer to another host.
+func (m *Metrics) Sent(t declarer.Transfer) {
+	m.sent.WithLabelValues(t.Kind, completeness(t)).Add(float64(t.Bytes))
+	m.transfers.WithLabelValues("sent", t.Kind).Observe(t.Took.Seconds())
+}
+
+// completeness tells whether all of an answer was transferred.
+func completeness(t declarer.Transfer) string {
+	if t.Err != nil {
+		return "cut"
+	}
+	return "whole"
+}
--- /dev/null
+++ b/internal/proxy/reporter/transfers.go
@@ -0,0 +1,46 @@
+package reporter
+
+import (
+	"github.com/apex/log"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+// largeAnswer is the length in bytes from which an answer about the platform's objects has
+// a line of its own: small ones come several times a second.
+const largeAnswer = 16 << 10
+
+// Transfers counts answers about the platform's objects, and writes down those that are
+// large or were given up on the way. Its fields are set before use.
+type Transfers struct {
+	Log     log.Interface
+	Metrics *Metrics
+}
+
+// Received notes an answer of the store or of another host.
+func (r *Transfers) Received(t declarer.Transfer) {
+	r.Metrics.Received(t)
+	r.write(t, "answer received")
+}
+
+// Sent notes an answer to another host.
+func (r *Transfers) Sent(t declarer.Transfer) {
+	r.Metrics.Sent(t)
+	r.write(t, "answer sent")
+}
+
+func (r *Transfers) write(t declarer.Transfer, message string) {
+	cut := t.Err != nil && t.Bytes > 0
+	if t.Bytes < largeAnswer && !cut {
+		return
+	}
+	l := r.Log.WithFields(log.Fields{
+		"source": t.Source.String(), "kind": t.Kind, "peer": t.Peer, "bytes": t.Bytes,
+		"waited": t.Waited.String(), "took": t.Took.String(),
+	})
+	if cut {
+		l.WithError(t.Err).Warn(message + " in part")
+		return
+	}
+	l.Info(message)
+}
