test(assembler): a growing configuration doesn't reach hosts behind a narrow link

Thirty hosts in a region that has 60 Mbit/s to the store, five beside it, 10 Mbit/s each, in virtual time: the clients of the store and of other hosts, the feeds and the followers are the program's own. The configuration grows by 1,400 routes three times, and is changed again two seconds after.

A host can follow the platform without serving, and a feeder is given its clock.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/log/encoder"
 	"github.com/cuminwick/cuminwick/internal/metric/server"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
@@ -142,7 +143,7 @@
 	a.store = store
 	faulty := func(err error) { l.WithError(err).Warn("object left out") }
 	a.feeds = &platform.Feeds{}
-	f := &feeder{store: store, remote: a.feeds, sent: func(t declarer.Transfer) { a.sent(t) }, servers: make(map[string]*platform.FeedServer)}
+	f := &feeder{store: store, remote: a.feeds, sent: func(t declarer.Transfer) { a.sent(t) }, servers: make(map[string]*platform.FeedServer), now: steady.Now}
 	h := &runner.Host{
 		Name:             s.HostName,
 		CallerAddress:    s.CallerAddress,
@@ -162,9 +163,6 @@
 		Accept:           func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
 		Log:              l,
 	}
-	f.host = h
-	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(platform.KindConfiguration, h.ConfigurationPace()), Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true}
-	h.Servers = &platform.Source[declarer.Server]{Reader: f.reader(platform.KindServers, h.ServersPace()), Parse: platform.ParseServer, Faulty: faulty}
-	h.Hosts = &platform.Source[declarer.Host]{Reader: f.reader(platform.KindHosts, h.HostsPace()), Parse: platform.ParseHost, Faulty: faulty}
+	f.attach(h, faulty)
 	return h
 }
--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"net"
+	"time"
 
-	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/runner"
@@ -19,11 +19,21 @@
 	// sent is told of each answer to another host.
 	sent    func(declarer.Transfer)
 	servers map[string]*platform.FeedServer
+	// now reads a clock that counts time in which the host stood still.
+	now func() time.Duration
+}
+
+// attach makes the sources of what the host follows.
+func (f *feeder) attach(h *runner.Host, faulty func(error)) {
+	f.host = h
+	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(platform.KindConfiguration, h.ConfigurationPace()), Parse: platform.ParseConfiguration, Faulty: faulty, Keep: true}
+	h.Servers = &platform.Source[declarer.Server]{Reader: f.reader(platform.KindServers, h.ServersPace()), Parse: platform.ParseServer, Faulty: faulty}
+	h.Hosts = &platform.Source[declarer.Host]{Reader: f.reader(platform.KindHosts, h.HostsPace()), Parse: platform.ParseHost, Faulty: faulty}
 }
 
 // reader returns the reader of a kind.
 func (f *feeder) reader(kind string, p runner.Pace) cachesyncer.Reader {
-	m := &cachesyncer.Mirror{Store: &platform.Reader{Store: f.store, Kind: kind}, Now: steady.Now, Trust: p.Trust, FirstRest: p.FirstRest, LongestRest: p.LongestRest}
+	m := &cachesyncer.Mirror{Store: &platform.Reader{Store: f.store, Kind: kind}, Now: f.now, Trust: p.Trust, FirstRest: p.FirstRest, LongestRest: p.LongestRest}
 	f.servers[kind] = &platform.FeedServer{Kind: kind, Mirror: m, Sent: f.sent}
 	return &cachesyncer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.ReaderHost, Failed: f.host.ReaderFailed}
 }
--- /dev/null
+++ b/internal/proxy/assembler/growth_test.go
@@ -0,0 +1,218 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/reporter"
+	"github.com/cuminwick/cuminwick/internal/proxy/runner"
+	"github.com/cuminwick/cuminwick/internal/soak/storekeeper"
+	"github.com/cuminwick/cuminwick/platform"
+)
+
+const (
+	storeAddress = "store:80"
+	// hostRate and crossingRate are those of a small host and of a narrow link between two
+	// regions, in bytes a second: 10 and 60 Mbit/s.
+	hostRate     = 10e6 / 8
+	crossingRate = 60e6 / 8
+)
+
+// fleet is a deployment of entry hosts that follow the configuration, in virtual time.
+// The store is in region "near".
+type fleet struct {
+	network *network
+	store   *storekeeper.Store
+	server  *http.Server
+	hosts   []*member
+	draw    *rand.Rand
+	routes  []string
+	version uint64
+	cancel  context.CancelFunc
+}
+
+// member is one of its hosts.
+type member struct {
+	host    *runner.Host
+	machine *machine
+	fleet   *fleet
+	feeder  *feeder
+}
+
+// startFleet starts a zone of five hosts near the store, and so many zones of so many hosts
+// in the other region.
+func startFleet(t *testing.T, zones, hosts int, seed uint64) *fleet {
+	t.Helper()
+	f := &fleet{network: newNetwork(crossingRate), store: &storekeeper.Store{}, draw: rand.New(rand.NewPCG(seed, 0))}
+	m := f.network.add(storeAddress, "near", 1e9/8)
+	f.server = &http.Server{Handler: storekeeper.View{Store: f.store}}
+	go (&storeServer{server: f.server, listener: m}).run()
+	f.grow(60)
+	ctx, cancel := context.WithCancel(t.Context())
+	f.cancel = cancel
+	regions := map[string]string{"near": "near"}
+	for i := range zones {
+		regions[fmt.Sprint("far-", i)] = "far"
+	}
+	for i := range 5 {
+		f.start(ctx, "near", "near", fmt.Sprint("near-", i), regions)
+	}
+	for i := range zones * hosts {
+		z := fmt.Sprint("far-", i%zones)
+		f.start(ctx, z, "far", fmt.Sprintf("%s-%d", z, i/zones), regions)
+	}
+	return f
+}
+
+// stop ends the fleet.
+func (f *fleet) stop() {
+	f.cancel()
+	f.network.close()
+	f.server.Close()
+	time.Sleep(time.Minute) // until what is on its way has arrived
+}
+
+// storeServer answers at the store.
+type storeServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (s *storeServer) run() { _ = s.server.Serve(s.listener) }
+
+// start starts one host.
+func (f *fleet) start(ctx context.Context, zone, region, name string, regions map[string]string) {
+	m := &member{fleet: f, machine: f.network.add(name, region, hostRate)}
+	store := platform.NewStore(storeAddress)
+	store.Dial = m.machine.Dial
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	m.feeder = &feeder{store: store, remote: &platform.Feeds{Dial: m.machine.Dial}, servers: make(map[string]*platform.FeedServer), now: now}
+	m.host = &runner.Host{
+		Name: name, FirstStart: true, Registrar: &platform.Registrar{Store: store},
+		Board:   &blackboard.Board{Zone: zone, Region: region, Regions: regions, Now: now},
+		Self:    declarer.Host{Name: name, Address: name, AvailabilityZone: zone},
+		Bounds:  runner.Bounds{Configuration: 5 * time.Second, Drain: 10 * time.Second},
+		Counter: reporter.NewMetrics(reporter.Gauges{}),
+		Log:     &log.Logger{Handler: discard.New()},
+	}
+	m.feeder.attach(m.host, func(error) {})
+	f.hosts = append(f.hosts, m)
+	go m.run(ctx)
+	go m.loopFeeds()
+}
+
+func (m *member) run(ctx context.Context) { m.host.Follow(ctx) }
+
+// loopFeeds answers hosts that read through this one.
+func (m *member) loopFeeds() {
+	for {
+		c, err := m.machine.Accept()
+		if err != nil {
+			return
+		}
+		go (&feedService{member: m, conn: c}).run()
+	}
+}
+
+// feedService answers one of them.
+type feedService struct {
+	member *member
+	conn   net.Conn
+}
+
+func (s *feedService) run() {
+	defer s.conn.Close()
+	kind, _, err := platform.ReadVia(s.conn, time.Now().Add(time.Second))
+	if err == nil {
+		s.member.feeder.serve(s.conn, kind)
+	}
+}
+
+// routeLength is a route's length in the configuration: as long as eight real ones, so that
+// the test decodes an eighth of the routes for the same bytes.
+const routeLength = 8 * 190
+
+// route returns a route that packs to about a tenth, as real ones do.
+func (f *fleet) route(i int) string {
+	unique := make([]byte, 0, routeLength/8)
+	for len(unique) < routeLength/16 {
+		unique = fmt.Appendf(unique, "%016x", f.draw.Uint64())
+	}
+	return fmt.Sprintf(`{"name":"route-%d","host":"database-%d","route_type":"primary","timeout_ms":800,"backend":"group","note":"%s%0*d"}`, i, i, unique, routeLength-len(unique)-110, 0)
+}
+
+// grow changes the configuration to one with n routes more, of real length, and returns
+// its version.
+func (f *fleet) grow(n int) uint64 {
+	for range max(1, n/8) {
+		f.routes = append(f.routes, f.route(len(f.routes)))
+	}
+	f.version += 1 + f.draw.Uint64N(3)
+	spec := []byte(fmt.Sprintf(`{"version":%d,"backends":[],"limits":{"idle_tx_ms":2000},"routes":[`, f.version))
+	for i, r := range f.routes {
+		if i > 0 {
+			spec = append(spec, ',')
+		}
+		spec = append(spec, r...)
+	}
+	spec = append(spec, "]}"...)
+	if _, err := f.store.Put(platform.KindConfiguration, platform.ConfigurationName, rawJSON(spec)); err != nil {
+		panic(err)
+	}
+	return f.version
+}
+
+// rawJSON is JSON that is encoded as it is.
+type rawJSON []byte
+
+// MarshalJSON returns it.
+func (r rawJSON) MarshalJSON() ([]byte, error) { return r, nil }
+
+// behind returns the hosts that don't have the version in force.
+func (f *fleet) behind(version uint64) []string {
+	var l []string
+	for _, m := range f.hosts {
+		if c := m.host.Board.Configuration(); c == nil || c.Version < version {
+			l = append(l, m.host.Name)
+		}
+	}
+	return l
+}
+
+// The configuration grows by many routes, and is changed again before all hosts have it.
+// Hosts behind a narrow link that give up on answers and ask anew fill it, and get none.
+func TestGrowingConfigurationReachesAllHosts(t *testing.T) {
+	for _, seed := range []uint64{0, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 3, 10, seed)
+				defer f.stop()
+				time.Sleep(10 * time.Second)
+				for range 3 {
+					time.Sleep(time.Duration(f.draw.Int64N(int64(3 * time.Second))))
+					f.grow(1400)
+					time.Sleep(2 * time.Second)
+					f.grow(1)
+					time.Sleep(time.Duration(f.draw.Int64N(int64(time.Second))))
+					v := f.grow(1)
+					time.Sleep(5 * time.Second)
+					if l := f.behind(v); len(l) > 0 {
+						t.Fatalf("%d of %d hosts haven't got version %d with %d routes after 5 s: %v", len(l), len(f.hosts), v, 8*len(f.routes), l)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -172,10 +172,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc(h.ReadinessPath, h.answerReadiness)
 	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Second}
-	go h.configurations.run(ctx)
-	go h.servers.run(ctx)
-	go h.hosts.run(ctx)
-	go (&registration{host: h}).run(ctx)
+	h.follow(ctx)
 	h.Relayer.Find = h.pools.find
 	h.Relayer.Alive = h.alive
 	h.Relayer.Answered = h.answered
@@ -187,6 +184,23 @@
 	h.Log.WithField("host", h.Name).Info("started")
 }
 
+// Follow enters the host into the platform and keeps up with what that lists until ctx
+// ends. It takes no callers.
+func (h *Host) Follow(ctx context.Context) {
+	h.prepare()
+	h.running = ctx
+	h.follow(ctx)
+	<-ctx.Done()
+}
+
+// follow starts what keeps up with the platform.
+func (h *Host) follow(ctx context.Context) {
+	go h.configurations.run(ctx)
+	go h.servers.run(ctx)
+	go h.hosts.run(ctx)
+	go (&registration{host: h}).run(ctx)
+}
+
 // readinessServer answers the balancer.
 type readinessServer struct {
 	server   *http.Server
--- a/internal/soak/storekeeper/handler.go
+++ b/internal/soak/storekeeper/handler.go
@@ -16,7 +16,7 @@
 type View struct {
 	Store *Store
 	// Address returns the way from this host to an address that an object names, so that a
-	// fault on one host's way is that host's alone.
+	// fault on one host's way is that host's alone. Addresses stay as they are if it is nil.
 	Address func(address string) string
 }
 
@@ -74,6 +74,9 @@
 
 // translate replaces the address that an object names by this host's way to it.
 func (v View) translate(o object) object {
+	if v.Address == nil {
+		return o
+	}
 	var spec map[string]any
 	if json.Unmarshal(o.Spec, &spec) != nil {
 		return o
