--- a/internal/proxy/assembler/network_test.go
+++ b/internal/proxy/assembler/network_test.go
@@ -29,12 +29,6 @@
 	return w.free
 }
 
-func (w *wire) bytes() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.sent
-}
-
 // machine is one end of connections, with its own wires to and from the network.
 type machine struct {
 	address string
@@ -107,13 +101,6 @@
 // Addr is part of a listener.
 func (m *machine) Addr() net.Addr { return &net.TCPAddr{} }
 
-// setDark takes the machine's power, or gives it back.
-func (m *machine) setDark(dark bool) {
-	m.network.mu.Lock()
-	defer m.network.mu.Unlock()
-	m.dark = dark
-}
-
 func (m *machine) isDark() bool {
 	m.network.mu.Lock()
 	defer m.network.mu.Unlock()
