fix(runner): go on with a call for as long as something of its answer comes

Cause: calls with a fixed limit. A list had 0.7 s, a watch 0.4 s beyond its wait, a list through another host 0.1 s in all, however much had come. 790 kB take 0.63 s on a host's own link of 10 Mbit/s, and longer where 35 hosts share 60 Mbit/s. What was given up was asked again from its beginning, so that the link carried answers that nobody read, and other kinds of object, and statements, starved beside them. A host that read for others said that it had lost the store while the store's answer was arriving, which sent its whole zone there as well.

Ruled out: a change that was missed, and a store that doesn't answer (it answered all calls).

Change: clock/watchdog ends a call when its answer hasn't begun in time, or nothing more of it comes for a while (0.7 s from the store, 0.3 s from a host). What arrives keeps what a host reads for others current, for as long as the store is trusted without an answer: nobody who asked the store then would have the answer sooner.

Still open: a host that loses the one that it reads through asks the store for a whole list, and each zone, or part of one, has a reader of its own at the store.

--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/clock/watchdog"
 )
 
 // Entry is one object of the store, not decoded.
@@ -85,6 +86,8 @@
 	// answered is when the store answered last, current that it did so to the last call.
 	answered time.Duration
 	current  bool
+	// arriving is when the answer that is being read began, zero if there is none.
+	arriving time.Duration
 	changed  chan struct{}
 	// asked says that it was decided whether this host reads the store: it has answered or
 	// failed to, or another host is read from.
@@ -103,9 +106,10 @@
 
 // List reads the store.
 func (m *Mirror) List(ctx context.Context) (Page, error) {
-	p, err := m.Store.List(ctx)
+	p, err := m.Store.List(watchdog.Observe(ctx, m.progress))
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.arriving = 0
 	if err != nil {
 		m.lose()
 		return p, err
@@ -125,9 +129,10 @@
 	if err := scheduler.Pause(ctx, rest); err != nil {
 		return Page{}, err
 	}
-	p, err := m.Store.Watch(ctx, after, wait-rest)
+	p, err := m.Store.Watch(watchdog.Observe(ctx, m.progress), after, wait-rest)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.arriving = 0
 	if err == nil && len(p.Entries) > 0 {
 		m.restNow()
 	}
@@ -149,6 +154,21 @@
 	return p, nil
 }
 
+// progress notes that more of an answer has come: the store has answered, and nobody who
+// asked it now would have the answer sooner. For how long that holds is bounded, as the way
+// to the store may be slow from this host only.
+func (m *Mirror) progress() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Now()
+	if m.arriving == 0 {
+		m.arriving = now
+	}
+	if m.current && now-m.arriving <= m.Trust() {
+		m.answered = now
+	}
+}
+
 // restLeft returns what is left of the pause after the last change.
 func (m *Mirror) restLeft() time.Duration {
 	m.mu.Lock()
--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/clock/watchdog"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
@@ -378,3 +379,54 @@
 		}
 	})
 }
+
+// slowStore answers a watch piece by piece.
+type slowStore struct {
+	store
+	pieces int
+}
+
+func (s *slowStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+	for range s.pieces {
+		time.Sleep(500 * time.Millisecond)
+		watchdog.Progress(ctx)
+	}
+	return s.store.Watch(ctx, after, wait)
+}
+
+// A large answer takes longer to arrive than what was read before counts as current. Sent
+// away, every host of the zone would ask the store for the same answer, over the same link.
+func TestArrivingAnswerKeepsOthersFromTheStore(t *testing.T) {
+	for name, x := range map[string]struct {
+		pieces int
+		want   error
+	}{
+		"for as long as the store is trusted": {pieces: 8},
+		"not without end":                     {pieces: 20, want: ErrAway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &slowStore{pieces: x.pieces, store: store{revision: 5, names: []string{"a"}}}
+				m := newMirror(&s.store)
+				m.Store = s
+				_, _ = m.List(t.Context())
+				s.put(Entry{Name: "b"})
+				done := time.AfterFunc(0, func() { _, _ = m.Watch(t.Context(), 5, 0) })
+				defer done.Stop()
+				var err error
+				for range x.pieces - 1 {
+					time.Sleep(500 * time.Millisecond)
+					if _, e := m.ServeWatch(t.Context(), 5, 0); e != nil {
+						err = e
+					}
+				}
+				if !errors.Is(err, x.want) {
+					t.Errorf("while the answer arrives: %v, want %v", err, x.want)
+				}
+				time.Sleep(time.Second) // until it has arrived
+				p, err := m.ServeWatch(t.Context(), 5, time.Second)
+				expect(t, "change", p, err, "b")
+			})
+		})
+	}
+}
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/clock/watchdog"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
@@ -13,12 +14,13 @@
 	// remoteWait is how long one waiting call to another host lasts. A host that stands
 	// still, or whose connection has gone silent, is noticed after it.
 	remoteWait = time.Second
-	// remoteSlack is what such a call may take longer.
+	// remoteSlack is what the answer to such a call may begin later, and how long the next
+	// part of an answer is waited for.
 	remoteSlack = 300 * time.Millisecond
-	// remoteList bounds the reading of a list through another host, which is in the same
-	// zone. One without power doesn't even refuse: a host that starts would take callers as
-	// much later as it waits, while the store answers in a few milliseconds.
-	remoteList = 100 * time.Millisecond
+	// remoteConnect bounds the wait for a connection to another host for a list. One without
+	// power doesn't even refuse: a host that starts would take callers as much later as it
+	// waits, while the store answers in a few milliseconds.
+	remoteConnect = 100 * time.Millisecond
 	// remotes is how many hosts are asked for a list before the store is.
 	remotes = 3
 )
@@ -72,7 +74,7 @@
 
 // listRemote returns the list of another host.
 func (s *Selector) listRemote(ctx context.Context, h declarer.Host) (Page, error) {
-	c, cancel := context.WithTimeout(ctx, remoteList)
+	c, cancel := watchdog.With(ctx, remoteConnect, remoteSlack)
 	defer cancel()
 	p, err := s.Remote.List(c, h, s.Kind)
 	if err != nil {
@@ -103,7 +105,7 @@
 
 // watchRemote waits at another host. Where that fails the list is read anew.
 func (s *Selector) watchRemote(ctx context.Context, h declarer.Host, after uint64, wait time.Duration) (Page, error) {
-	c, cancel := context.WithTimeout(ctx, wait+remoteSlack)
+	c, cancel := watchdog.With(ctx, wait+remoteSlack, remoteSlack)
 	defer cancel()
 	s.leave()
 	p, err := s.Remote.Watch(c, h, s.Kind, after, wait)
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -8,14 +8,17 @@
 	"github.com/apex/log"
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/clock/watchdog"
 	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
 )
 
 const (
-	// watchSlack is what a waiting call may take longer than it waits.
+	// watchSlack is what the answer to a waiting call may begin later than it waits.
 	watchSlack = 400 * time.Millisecond
-	// listTimeout bounds other calls.
+	// listTimeout bounds other calls, up to the beginning of an answer.
 	listTimeout = 700 * time.Millisecond
+	// stallTimeout ends a call of whose answer nothing more comes.
+	stallTimeout = 700 * time.Millisecond
 )
 
 // Source is one kind of object on the platform, decoded.
@@ -103,7 +106,7 @@
 }
 
 func (f *follower[T]) list(ctx context.Context) (uint64, error) {
-	c, cancel := context.WithTimeout(ctx, listTimeout)
+	c, cancel := watchdog.With(ctx, listTimeout, stallTimeout)
 	defer cancel()
 	l, at, err := f.source.List(c)
 	if err != nil {
@@ -118,7 +121,7 @@
 
 func (f *follower[T]) watch(ctx context.Context, at uint64) (uint64, error) {
 	wait := f.wait()
-	c, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	c, cancel := watchdog.With(ctx, wait+watchSlack, stallTimeout)
 	defer cancel()
 	l, next, err := f.source.Watch(c, at, wait)
 	if err != nil {
