fix(cachesyncer): one host of a region reads the store, and losing it costs no list

A reader for each part of each zone took a change from the store over the link between two regions, and a host that lost its reader asked the store for a whole list.

Change: the hosts of a region are ranked, those with more bandwidth first. The first one reads the store, the first one of each part of a zone reads from that, the others from the first of their part. Any host passes on what it has read, from wherever, so the next one in order can take over without a list; it goes on from the revision that it knows, at the next host and at the store. A host reads only from hosts before it in the order, so two never vouch for each other's state in a circle. What is passed over for one kind of object is passed over for that kind only, unless the host is silent. A mirror keeps the last change of an object, not the last 512 changes: of a configuration of a megabyte that would have been half a gigabyte.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -158,7 +158,7 @@
 		Link:             platform.DialLink,
 		Borrower:         func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
 		Relayer:          &relayer.Relayer{Ask: platform.ReadVia, Dial: platform.DialRaw, Refuse: platform.RefuseVia, Feed: f.serve, Log: l},
-		Self:             declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone},
+		Self:             declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone, Bandwidth: s.Bandwidth},
 		Orderer:          &platform.Orderer{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
 		Accept:           func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
 		Log:              l,
--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -216,3 +216,75 @@
 		})
 	}
 }
+
+// size returns the length of the configuration in bytes.
+func (f *fleet) size() int {
+	n := 0
+	for _, r := range f.routes {
+		n += len(r)
+	}
+	return n
+}
+
+// crossed returns how many bytes have come from the store's region to the other one.
+func (f *fleet) crossed() int { return f.network.crossing("near", "far").bytes() }
+
+// first returns the host of the far region that reads the store.
+func (f *fleet) first() *member {
+	for _, m := range f.hosts {
+		if _, ok := m.host.ReaderHost(platform.KindConfiguration); !ok && m.machine.region == "far" {
+			return m
+		}
+	}
+	return nil
+}
+
+// Each host, or each zone, of a region reads a change from the store. What that costs the
+// link between two regions grows with the hosts, until no host gets the change in time.
+func TestChangeCrossesALinkOnce(t *testing.T) {
+	for _, hosts := range []int{3, 12} {
+		t.Run(fmt.Sprint(hosts, " hosts a zone"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 3, hosts, 1)
+				defer f.stop()
+				time.Sleep(10 * time.Second)
+				f.grow(1400)
+				time.Sleep(5 * time.Second)
+				before := f.crossed()
+				v := f.grow(1400)
+				time.Sleep(5 * time.Second)
+				if l := f.behind(v); len(l) > 0 {
+					t.Errorf("hosts without the change: %v", l)
+				}
+				if n, most := f.crossed()-before, f.size()*3/2; n > most {
+					t.Errorf("%d bytes crossed for a configuration of %d", n, f.size())
+				}
+			})
+		})
+	}
+}
+
+// The host that a region reads through loses power as a large change is accepted. If the
+// others all turned to the store, the change would cross the link once for each of them.
+func TestLostReaderDoesNotSendItsRegionToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 10, 1)
+		defer f.stop()
+		time.Sleep(10 * time.Second)
+		f.grow(2800)
+		time.Sleep(5 * time.Second)
+		before := f.crossed()
+		lost := f.first()
+		lost.machine.fail()
+		v := f.grow(1400)
+		time.Sleep(5 * time.Second)
+		for _, n := range f.behind(v) {
+			if n != lost.host.Name {
+				t.Errorf("%s hasn't got the change", n)
+			}
+		}
+		if n, most := f.crossed()-before, 4*f.size(); n > most {
+			t.Errorf("%d bytes crossed for a configuration of %d", n, f.size())
+		}
+	})
+}
--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -1,10 +1,10 @@
-// Package cachesyncer lets one entry host of an availability zone read the platform's store
-// for the others.
+// Package cachesyncer lets one entry host of a region read the platform's store for the
+// others.
 //
 // The store counts each call, a waiting one as well, and its rates grow more slowly than
-// the number of entry hosts. A host that reads the store keeps what it has read in a
-// Mirror; a Selector has the other hosts of its zone read from there, and from the store
-// where that host doesn't answer or has itself lost the store.
+// the number of entry hosts; so does the link between the store's region and another one.
+// Each host keeps what it has read in a Mirror, from which others may read. A Selector
+// reads from another host's mirror, and from the store where there is none to read from.
 package cachesyncer
 
 import (
@@ -56,12 +56,12 @@
 	ErrAway = errors.ConstError("host has lost the store")
 )
 
-// maximumRecent bounds the changes that are kept for other hosts. One that asks for
-// older ones gets the whole list.
-const maximumRecent = 512
+// maximumRemoved bounds the removed objects that are kept for other hosts. One that asks
+// for changes before the oldest of them gets the whole list.
+const maximumRemoved = 512
 
-// Mirror reads one kind of object from the store, and keeps what it has read for other
-// hosts. Its exported fields are set before use.
+// Mirror keeps what was read of one kind of object for other hosts, and reads it from the
+// store. Its exported fields are set before use.
 type Mirror struct {
 	Store Reader
 	// Now reads a clock that counts time in which the host stood still: what was read
@@ -76,32 +76,38 @@
 	FirstRest   time.Duration
 	LongestRest time.Duration
 
-	mu      sync.Mutex
-	entries map[string]Entry
-	// revision is that of entries, zero before the first list.
+	mu sync.Mutex
+	// objects are the last changes by name, those of removed objects included.
+	objects map[string]change
+	// removed are the changes that removed an object, in order.
+	removed []change
+	// revision is that of objects, zero before the first list.
 	revision uint64
-	// recent are the last changes in order, all since the revision floor.
-	recent []change
-	floor  uint64
-	// answered is when the store answered last, current that it did so to the last call.
-	answered time.Duration
-	current  bool
+	// changes counts those since the first list, newest is the page of the last one, and
+	// floor the revision from which all are kept.
+	changes, newest, floor uint64
+	// answered is when the store or another host answered last, current that it did so to
+	// the last call, and trust for how long what was read then counts as current.
+	answered, trust time.Duration
+	current         bool
+	// direct says that the store answered last, not another host.
+	direct bool
 	// arriving is when the answer that is being read began, zero if there is none.
 	arriving time.Duration
 	changed  chan struct{}
-	// asked says that it was decided whether this host reads the store: it has answered or
-	// failed to, or another host is read from.
+	// asked says that a first call was answered or failed.
 	asked bool
 	// rest is the present pause, and restUntil when it ends.
 	rest      time.Duration
 	restUntil time.Duration
 }
 
-// change is an entry with the revision of the page that brought it. That of the entry
-// doesn't order changes: an object that is gone may have the one of its last change.
+// change is an entry with the revision of the page that brought it, and its place in the
+// order of changes. The entry's revision doesn't order changes: an object that is gone may
+// have the one of its last change.
 type change struct {
 	Entry
-	page uint64
+	page, order uint64
 }
 
 // List reads the store.
@@ -114,17 +120,51 @@
 		m.lose()
 		return p, err
 	}
-	m.entries = make(map[string]Entry, len(p.Entries))
+	m.replace(p)
+	m.gain(m.Trust(), true)
+	return p, nil
+}
+
+// TakeList takes a list that was read from another host, which vouches for it.
+func (m *Mirror) TakeList(p Page) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.replace(p)
+	m.gain(remoteTrust, false)
+}
+
+// TakeChanges takes changes that were read from another host.
+func (m *Mirror) TakeChanges(p Page) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.add(p)
+	m.gain(remoteTrust, false)
+}
+
+// replace takes a list. The mutex is held.
+func (m *Mirror) replace(p Page) {
+	m.objects = make(map[string]change, len(p.Entries))
+	m.removed = nil
 	for _, e := range p.Entries {
-		m.entries[e.Name] = e
+		m.objects[e.Name] = change{Entry: e, page: p.Revision}
 	}
-	m.revision, m.floor, m.recent = p.Revision, p.Revision, nil
-	m.gain()
-	return p, nil
+	m.revision, m.newest, m.floor = p.Revision, p.Revision, p.Revision
 }
 
-// Watch reads the store. A rest after changes is part of the wait.
+// add takes changes. The mutex is held.
+func (m *Mirror) add(p Page) {
+	m.revision = max(m.revision, p.Revision)
+	for _, e := range p.Entries {
+		m.take(e)
+	}
+}
+
+// Watch reads the store. A rest after changes is part of the wait. The first call after
+// another host was read from doesn't wait: what that host said isn't trusted for as long.
 func (m *Mirror) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+	if !m.isDirect() {
+		wait = min(wait, storeCheck)
+	}
 	rest := min(m.restLeft(), wait)
 	if err := scheduler.Pause(ctx, rest); err != nil {
 		return Page{}, err
@@ -146,17 +186,20 @@
 		m.lose()
 		return p, err
 	}
-	m.revision = max(m.revision, p.Revision)
-	for _, e := range p.Entries {
-		m.take(e)
-	}
-	m.gain()
+	m.add(p)
+	m.gain(m.Trust(), true)
 	return p, nil
 }
 
-// progress notes that more of an answer has come: the store has answered, and nobody who
-// asked it now would have the answer sooner. For how long that holds is bounded, as the way
-// to the store may be slow from this host only.
+func (m *Mirror) isDirect() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.direct
+}
+
+// progress notes that more of the store's answer has come: nobody who asked the store now
+// would have it sooner. For how long that holds is bounded, as the way to the store may be
+// slow from this host only.
 func (m *Mirror) progress() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -188,21 +231,33 @@
 
 // take folds one change in. The mutex is held.
 func (m *Mirror) take(e Entry) {
-	if e.Removed {
-		delete(m.entries, e.Name)
-	} else {
-		m.entries[e.Name] = e
+	m.changes++
+	c := change{Entry: e, page: m.revision, order: m.changes}
+	m.objects[e.Name], m.newest = c, m.revision
+	if !e.Removed {
+		return
 	}
-	m.recent = append(m.recent, change{Entry: e, page: m.revision})
-	if n := len(m.recent) - maximumRecent; n > 0 {
-		m.floor = m.recent[n-1].page
-		m.recent = slices.Delete(m.recent, 0, n)
+	m.removed = append(m.removed, c)
+	if len(m.removed) > maximumRemoved {
+		m.forget()
 	}
 }
 
-// gain notes an answer of the store. The mutex is held.
-func (m *Mirror) gain() {
-	m.answered, m.current, m.asked = m.Now(), true, true
+// forget drops the oldest removal. The mutex is held.
+func (m *Mirror) forget() {
+	c := m.removed[0]
+	m.removed = m.removed[1:]
+	m.floor = c.page
+	if m.objects[c.Name].order == c.order {
+		delete(m.objects, c.Name)
+	}
+}
+
+// gain notes an answer, for how long it counts as current, and whether it is the store's.
+// The mutex is held.
+func (m *Mirror) gain(trust time.Duration, direct bool) {
+	m.answered, m.trust, m.direct, m.current, m.asked = m.Now(), trust, direct, true, true
+	m.arriving = 0
 	m.announce()
 }
 
@@ -220,18 +275,9 @@
 	}
 }
 
-// Leave notes that this host doesn't read the store any more.
-func (m *Mirror) Leave() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.current || !m.asked {
-		m.lose()
-	}
-}
-
 // fresh reports whether the host may vouch for what it has read. The mutex is held.
 func (m *Mirror) fresh() bool {
-	return m.current && m.Now()-m.answered <= m.Trust()
+	return m.current && m.Now()-m.answered <= m.trust
 }
 
 // firstWait is how long another host's question waits for this one's first answer of the
@@ -246,9 +292,11 @@
 	if !m.fresh() {
 		return Page{}, ErrAway
 	}
-	p := Page{Revision: m.revision, Entries: make([]Entry, 0, len(m.entries))}
-	for _, e := range m.entries {
-		p.Entries = append(p.Entries, e)
+	p := Page{Revision: m.revision, Entries: make([]Entry, 0, len(m.objects))}
+	for _, c := range m.objects {
+		if !c.Removed {
+			p.Entries = append(p.Entries, c.Entry)
+		}
 	}
 	slices.SortFunc(p.Entries, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
 	return p, nil
@@ -309,11 +357,24 @@
 	case after < m.floor:
 		return Page{}, nil, ErrForgotten
 	}
-	p := Page{Revision: m.revision}
-	for _, c := range m.recent {
+	return Page{Revision: m.revision, Entries: m.later(after)}, m.next(), nil
+}
+
+// later returns the changes of pages after the revision, in order. The mutex is held.
+func (m *Mirror) later(after uint64) []Entry {
+	if after >= m.newest {
+		return nil
+	}
+	var l []change
+	for _, c := range m.objects {
 		if c.page > after {
-			p.Entries = append(p.Entries, c.Entry)
+			l = append(l, c)
 		}
 	}
-	return p, m.next(), nil
+	slices.SortFunc(l, func(a, b change) int { return cmp.Compare(a.order, b.order) })
+	entries := make([]Entry, 0, len(l))
+	for _, c := range l {
+		entries = append(entries, c.Entry)
+	}
+	return entries
 }
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -208,6 +208,8 @@
 	// Address takes connections from other hosts.
 	Address          string
 	AvailabilityZone string
+	// Bandwidth is that of the host's link in bits a second, zero where it isn't known.
+	Bandwidth int64
 }
 
 // Source is where an answer comes from.
--- a/internal/proxy/runner/readers.go
+++ b/internal/proxy/runner/readers.go
@@ -1,94 +1,128 @@
 package runner
 
 import (
-	"strconv"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
-	"github.com/cuminwick/cuminwick/internal/pool/assigner"
+	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
 const (
-	// readerHosts is how many hosts of an availability zone read the store through one
-	// of them. Each makes a call a second for each of three kinds of object, so it answers
-	// 72 a second at most.
+	// readerHosts is how many hosts of an availability zone read through one of them. Each
+	// makes a call a second for each of three kinds of object, so it answers 72 a second at
+	// most.
 	readerHosts = 25
 	// readerSilent is how long a host that didn't answer, or has lost the store, isn't read
 	// from.
 	readerSilent = 3 * time.Second
 )
 
-// reader returns the host of this availability zone from which to read what the platform
-// lists, false if this host is to read the store itself. Hosts of a zone that see the same
-// hosts come to the same ones.
-func (r *roster) reader(zone string) (declarer.Host, bool) {
+// rankReaders puts the hosts of this host's region in the order in which they are read from:
+// those with more bandwidth first, equal ones by a hash. A host reads only from hosts before
+// it in this order, whichever of them it knows or passes over, so that no two hosts vouch
+// for each other's state in a circle. The mutex is held.
+func (r *roster) rankReaders() {
+	region := r.regions[r.own.AvailabilityZone]
+	r.readers = r.readers[:0]
+	for _, h := range r.hosts {
+		if r.regions[h.AvailabilityZone] == region {
+			r.readers = append(r.readers, h)
+		}
+	}
+	slices.SortFunc(r.readers, compareReaders)
+}
+
+func compareReaders(a, b declarer.Host) int {
+	return cmp.Or(cmp.Compare(b.Bandwidth, a.Bandwidth), cmp.Compare(readerHash(a.Name), readerHash(b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
+func readerHash(host string) uint64 { return xxhash.Sum64String("reader-" + host) }
+
+// reader returns the host from which to read a kind of object, false if this host is
+// to read the store itself. The first host of a region reads the store, the first one of
+// each part of an availability zone from that, and the others from the first of their part.
+func (r *roster) reader(kind string) (declarer.Host, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.assigner == nil {
-		return declarer.Host{}, false
-	}
-	slots := r.slots(zone)
-	own := int(xxhash.Sum64String(r.self) % uint64(slots))
-	var found declarer.Host
-	for i := range slots {
-		h, ok := r.first(zone, i)
-		if !ok || h.Name == r.self {
-			return declarer.Host{}, false // others read through this one
-		}
-		if i == own {
-			found = h
-		}
+	parts := r.parts()
+	own := readerHash(r.self) % parts
+	h, ok := r.firstReader(kind, func(h declarer.Host) bool {
+		return h.AvailabilityZone == r.own.AvailabilityZone && readerHash(h.Name)%parts == own
+	})
+	if ok {
+		return h, true
 	}
-	return found, true
+	return r.firstReader(kind, func(declarer.Host) bool { return true })
 }
 
-// slots returns in how many parts the zone's hosts read through one each. The mutex is
+// parts returns in how many parts this host's zone reads through a host each. The mutex is
 // held.
-func (r *roster) slots(zone string) int {
+func (r *roster) parts() uint64 {
 	n := 0
-	for _, h := range r.hosts {
-		if h.AvailabilityZone == zone {
+	for _, h := range r.readers {
+		if h.AvailabilityZone == r.own.AvailabilityZone {
 			n++
 		}
 	}
-	return max(1, (n+readerHosts-1)/readerHosts)
+	return uint64(max(1, (n+readerHosts-1)/readerHosts))
 }
 
-// first returns the first host in the order of a part of the zone that isn't left out, false
+// firstReader returns the first host before this one that fits and isn't passed over, false
 // if there is none. The mutex is held.
-func (r *roster) first(zone string, slot int) (declarer.Host, bool) {
-	o := r.assigner.Owners(assigner.Server{Name: "reader-" + strconv.Itoa(slot), AvailabilityZone: zone, Region: r.regions[zone]}, assigner.MaximumOwners)
-	for _, n := range o.Hosts[:o.Count] {
-		h := r.hosts[n]
-		if n == r.self || h.AvailabilityZone == zone && time.Now().After(r.silent[n]) {
-			return h, h.AvailabilityZone == zone
+func (r *roster) firstReader(kind string, fits func(declarer.Host) bool) (declarer.Host, bool) {
+	for _, h := range r.readers {
+		if compareReaders(h, r.own) >= 0 {
+			break
+		}
+		if fits(h) && !r.passedOver(h.Name, kind) {
+			return h, true
 		}
 	}
 	return declarer.Host{}, false
 }
 
-// passOver leaves a host out for a while, and reports whether it had answered before.
-func (r *roster) passOver(host string) bool {
+// silence is what a host isn't read for: a kind of object, all if it is empty.
+type silence struct {
+	host, kind string
+}
+
+// passedOver reports whether the host isn't read from now. The mutex is held.
+func (r *roster) passedOver(host, kind string) bool {
+	now := time.Now()
+	return now.Before(r.silent[silence{host: host}]) || now.Before(r.silent[silence{host: host, kind: kind}])
+}
+
+// passOver leaves a host out for a while, for one kind of object or for all if that is empty,
+// and reports whether it had answered before.
+func (r *roster) passOver(host, kind string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.silent == nil {
-		r.silent = make(map[string]time.Time)
+		r.silent = make(map[silence]time.Time)
 	}
-	before := r.silent[host]
-	r.silent[host] = time.Now().Add(readerSilent)
+	k := silence{host: host, kind: kind}
+	before := r.silent[k]
+	r.silent[k] = time.Now().Add(readerSilent)
 	return time.Since(before) > readerSilent
 }
 
-// ReaderHost returns the host from which to read what the platform lists, false for the
-// platform's store itself.
-func (h *Host) ReaderHost() (declarer.Host, bool) { return h.roster.reader(h.Self.AvailabilityZone) }
+// ReaderHost returns the host from which to read a kind of object, false for the platform's
+// store itself.
+func (h *Host) ReaderHost(kind string) (declarer.Host, bool) { return h.roster.reader(kind) }
 
-// ReaderFailed notes a host that didn't answer, or can't vouch for what it has.
+// ReaderFailed notes a host that didn't answer, or can't vouch for what it has of a kind.
 func (h *Host) ReaderFailed(x declarer.Host, kind string, err error) {
-	if h.roster.passOver(x.Name) {
+	over := kind
+	if !errors.Is(err, cachesyncer.ErrAway) {
+		over = ""
+	}
+	if h.roster.passOver(x.Name, over) {
 		h.Log.WithError(err).WithFields(log.Fields{"host": x.Name, "kind": kind}).Warn("platform not read through another host")
 	}
 }
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -22,14 +22,18 @@
 // word stays listed; whoever asks it finds out.
 type roster struct {
 	self string
+	// own is this host as it enters the store.
+	own declarer.Host
 	// regions tells where the availability zones are.
 	regions map[string]string
 
 	mu       sync.Mutex
 	hosts    map[string]declarer.Host
 	assigner *assigner.Assigner
+	// readers are the hosts of this host's region in the order in which they are read from.
+	readers []declarer.Host
 	// silent is until when a host isn't read from.
-	silent map[string]time.Time
+	silent map[silence]time.Time
 }
 
 func (r *roster) reset(l []declarer.Host) {
@@ -49,6 +53,7 @@
 		l = append(l, assigner.Host{Name: h.Name, AvailabilityZone: h.AvailabilityZone, Region: r.regions[h.AvailabilityZone]})
 	}
 	r.assigner = assigner.Compile(l)
+	r.rankReaders()
 }
 
 // count returns how many hosts are listed.
