test(assembler): play the growing configuration at an eighth of its size

Found with it: at the first start hosts asked their reader before that had read the store itself, by way of another reader, and all read the store. A host that hasn't answered yet holds questions for 250 ms in place of 80.

--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -23,10 +23,14 @@
 
 const (
 	storeAddress = "store:80"
+	// scale is by how much links carry less, and configurations are shorter, than in a
+	// deployment: times are the same, and less is decoded.
+	scale = 8
 	// hostRate and crossingRate are those of a small host and of a narrow link between two
 	// regions, in bytes a second: 10 and 60 Mbit/s.
-	hostRate     = 10e6 / 8
-	crossingRate = 60e6 / 8
+	hostRate     = 10e6 / 8 / scale
+	crossingRate = 60e6 / 8 / scale
+	storeRate    = 1e9 / 8 / scale
 )
 
 // fleet is a deployment of entry hosts that follow the configuration, in virtual time.
@@ -55,7 +59,7 @@
 func startFleet(t *testing.T, zones, hosts int, seed uint64) *fleet {
 	t.Helper()
 	f := &fleet{network: newNetwork(crossingRate), store: &storekeeper.Store{}, draw: rand.New(rand.NewPCG(seed, 0))}
-	m := f.network.add(storeAddress, "near", 1e9/8)
+	m := f.network.add(storeAddress, "near", storeRate)
 	f.server = &http.Server{Handler: storekeeper.View{Store: f.store}}
 	go (&storeServer{server: f.server, listener: m}).run()
 	f.grow(60)
@@ -140,23 +144,18 @@
 	}
 }
 
-// routeLength is a route's length in the configuration: as long as eight real ones, so that
-// the test decodes an eighth of the routes for the same bytes.
-const routeLength = 8 * 190
+// routeLength is a route's length in the configuration.
+const routeLength = 190
 
 // route returns a route that packs to about a tenth, as real ones do.
 func (f *fleet) route(i int) string {
-	unique := make([]byte, 0, routeLength/8)
-	for len(unique) < routeLength/16 {
-		unique = fmt.Appendf(unique, "%016x", f.draw.Uint64())
-	}
-	return fmt.Sprintf(`{"name":"route-%d","host":"database-%d","route_type":"primary","timeout_ms":800,"backend":"group","note":"%s%0*d"}`, i, i, unique, routeLength-len(unique)-110, 0)
+	return fmt.Sprintf(`{"name":"route-%d","host":"database-%d","route_type":"primary","timeout_ms":800,"backend":"group","note":"%08x%0*d"}`, i, i, f.draw.Uint32(), routeLength-118, 0)
 }
 
-// grow changes the configuration to one with n routes more, of real length, and returns
-// its version.
+// grow changes the configuration to one with n routes more in a deployment, and returns its
+// version.
 func (f *fleet) grow(n int) uint64 {
-	for range max(1, n/8) {
+	for range max(1, n/scale) {
 		f.routes = append(f.routes, f.route(len(f.routes)))
 	}
 	f.version += 1 + f.draw.Uint64N(3)
@@ -209,7 +208,7 @@
 					v := f.grow(1)
 					time.Sleep(5 * time.Second)
 					if l := f.behind(v); len(l) > 0 {
-						t.Fatalf("%d of %d hosts haven't got version %d with %d routes after 5 s: %v", len(l), len(f.hosts), v, 8*len(f.routes), l)
+						t.Fatalf("%d of %d hosts haven't got version %d with %d routes after 5 s: %v", len(l), len(f.hosts), v, scale*len(f.routes), l)
 					}
 				}
 			})
--- a/internal/proxy/assembler/network_test.go
+++ b/internal/proxy/assembler/network_test.go
@@ -202,7 +202,7 @@
 }
 
 // window is how many bytes of a connection are on their way at a time.
-const window = 32 << 10
+const window = 32 << 10 / scale
 
 // pump carries one direction of a connection.
 type pump struct {
--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -282,7 +282,7 @@
 
 // firstWait is how long another host's question waits for this one's first answer of the
 // store: where a zone starts, all of its hosts would else read the store themselves.
-const firstWait = 80 * time.Millisecond
+const firstWait = 250 * time.Millisecond
 
 // ServeList is List for another host.
 func (m *Mirror) ServeList(ctx context.Context) (Page, error) {
