--- a/internal/platform/requester/requester.go
+++ b/internal/platform/requester/requester.go
@@ -14,12 +14,14 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/clock/watchdog"
 	"github.com/cuminwick/cuminwick/internal/platform/accessor"
 )
 
 // Defaults of a Client.
 const (
-	// DefaultTimeout bounds each call but a watch.
+	// DefaultTimeout bounds each call but a watch up to the beginning of its answer, and the
+	// wait for the next part of an answer.
 	DefaultTimeout = 5 * time.Second
 	// DefaultWait is how long the service may hold one watch.
 	DefaultWait = 4 * time.Second
@@ -36,7 +38,7 @@
 	Token string
 	// HTTP carries the calls, http.DefaultClient if unset.
 	HTTP *http.Client
-	// Timeout bounds each call but a watch, DefaultTimeout if unset.
+	// Timeout is as DefaultTimeout, which it is if unset.
 	Timeout time.Duration
 	// Wait is how long the service may hold one watch, DefaultWait if unset.
 	Wait time.Duration
@@ -47,7 +49,7 @@
 // Get returns one object, or accessor.ErrNotFound.
 func (c *Client) Get(ctx context.Context, kind, name string) (accessor.Object, error) {
 	var o accessor.Object
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	ctx, cancel := watchdog.With(ctx, c.timeout(), c.timeout())
 	defer cancel()
 	err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, &o)
 	return o, errors.Annotatef(err, "get object %s/%s from platform %s", kind, name, c.Address)
@@ -59,7 +61,7 @@
 		return o, errors.Annotatef(accessor.ErrTooLarge, "put object %s/%s of %d bytes", o.Kind, o.Name, len(o.Value))
 	}
 	var p accessor.Object
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	ctx, cancel := watchdog.With(ctx, c.timeout(), c.timeout())
 	defer cancel()
 	err := c.call(ctx, http.MethodPut, objectPath(o.Kind, o.Name), o, &p)
 	return p, errors.Annotatef(err, "put object %s/%s at platform %s", o.Kind, o.Name, c.Address)
@@ -68,7 +70,7 @@
 // List returns all objects of a kind, ordered by name.
 func (c *Client) List(ctx context.Context, kind string) ([]accessor.Object, error) {
 	var l []accessor.Object
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	ctx, cancel := watchdog.With(ctx, c.timeout(), c.timeout())
 	defer cancel()
 	err := c.call(ctx, http.MethodGet, "/objects/"+url.PathEscape(kind), nil, &l)
 	return l, errors.Annotatef(err, "list objects %s of platform %s", kind, c.Address)
@@ -83,7 +85,7 @@
 	}
 	// A watch on a silent connection would last for ever: the service answers
 	// within d, so a call that takes longer than that and a timeout is dead.
-	ctx, cancel := context.WithTimeout(ctx, d+c.timeout())
+	ctx, cancel := watchdog.With(ctx, d+c.timeout(), c.timeout())
 	defer cancel()
 	q := url.Values{
 		"after": {strconv.FormatUint(uint64(after), 10)},
@@ -98,7 +100,7 @@
 // Hosts returns the host list.
 func (c *Client) Hosts(ctx context.Context) ([]accessor.Host, error) {
 	var l []accessor.Host
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	ctx, cancel := watchdog.With(ctx, c.timeout(), c.timeout())
 	defer cancel()
 	err := c.call(ctx, http.MethodGet, "/hosts", nil, &l)
 	return l, errors.Annotatef(err, "get host list of platform %s", c.Address)
@@ -122,7 +124,8 @@
 		return errors.Trace(err)
 	}
 	defer p.Body.Close()
-	l := io.LimitReader(p.Body, maximumAnswerBytes)
+	watchdog.Progress(ctx)
+	l := io.LimitReader(watchdog.Reader{Context: ctx, Source: p.Body}, maximumAnswerBytes)
 	if p.StatusCode != http.StatusOK {
 		return failure(p.StatusCode, l)
 	}
--- /dev/null
+++ b/internal/platform/requester/slow_test.go
@@ -0,0 +1,70 @@
+package requester_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/platform/accessor"
+	"github.com/cuminwick/cuminwick/internal/platform/requester"
+)
+
+// slowService is a platform over a slow link: it answers a quarter of an object a second.
+type slowService struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (s *slowService) Accept() (net.Conn, error) {
+	select {
+	case c := <-s.conns:
+		return c, nil
+	case <-s.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (s *slowService) Close() error   { return nil }
+func (s *slowService) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (s *slowService) dial(context.Context, string, string) (net.Conn, error) {
+	a, b := net.Pipe()
+	s.conns <- b
+	return a, nil
+}
+
+func (s *slowService) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	b, _ := json.Marshal(accessor.Object{Kind: "k", Name: "n", Value: make([]byte, 64<<10)})
+	for len(b) > 0 {
+		n := min(len(b), 16<<10)
+		_, _ = w.Write(b[:n])
+		_ = http.NewResponseController(w).Flush()
+		b = b[n:]
+		time.Sleep(time.Second)
+	}
+}
+
+func (s *slowService) run(h *http.Server) { _ = h.Serve(s) }
+
+// An object takes longer over a slow link than a call may last. Given up and asked for again,
+// it would never arrive, and fill the link.
+func TestCallGoesOnWhileItsAnswerArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowService{conns: make(chan net.Conn), done: make(chan struct{})}
+		h := &http.Server{Handler: s}
+		go s.run(h)
+		x := &http.Transport{DialContext: s.dial, DisableKeepAlives: true}
+		c := requester.Client{Address: "platform", HTTP: &http.Client{Transport: x}, Timeout: 1500 * time.Millisecond}
+		o, err := c.Get(t.Context(), "k", "n")
+		if err != nil || len(o.Value) != 64<<10 {
+			t.Errorf("%d bytes, %v", len(o.Value), err)
+		}
+		close(s.done)
+		h.Close()
+		synctest.Wait()
+	})
+}
