--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -284,7 +284,7 @@
 				t.Errorf("%s hasn't got the change", n)
 			}
 		}
-		if n, most := f.crossed()-before, 4*f.size(); n > most {
+		if n, most := f.crossed()-before, 2*f.size(); n > most {
 			t.Errorf("%d bytes crossed for a configuration of %d", n, f.size())
 		}
 	})
