--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -196,7 +196,14 @@
 // extra names the database that a version of the configuration adds.
 func extra(version int64) string { return fmt.Sprintf("extra-%d", version) }
 
-// configure declares the next version, which keeps all databases and adds one.
+// bulk is how many more databases every fourth version adds, up to maximumBulk: a
+// configuration that grows by much at once, and is changed again at once.
+const (
+	bulk        = 300
+	maximumBulk = 3000
+)
+
+// configure declares the next version, which keeps all databases and adds one, or many.
 func (d *deployment) configure() error {
 	v := d.version.Load() + 1
 	c := configuration{Version: v, Limits: limits{Idle: 3000}}
@@ -209,6 +216,10 @@
 	for i := int64(1); i <= v; i++ {
 		c.Routes = append(c.Routes, route{Name: extra(i), Host: extra(i), Kind: kinds["every"], Timeout: 1500, Backend: d.groups[0].Name})
 	}
+	for i := range min(v/4*bulk, maximumBulk) {
+		n := fmt.Sprintf("bulk-%d", i)
+		c.Routes = append(c.Routes, route{Name: n, Host: n, Kind: kinds["every"], Timeout: 1500, Backend: d.groups[0].Name})
+	}
 	if _, err := d.store.Put("config", "main", c); err != nil {
 		return err
 	}
