--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -8,10 +8,8 @@
 package cachesyncer
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -59,10 +57,6 @@
 	ErrAway = errors.ConstError("host has lost the store")
 )
 
-// maximumRemoved bounds the removed objects that are kept for other hosts. One that asks
-// for changes before the oldest of them gets the whole list.
-const maximumRemoved = 512
-
 // Mirror keeps what was read of one kind of object for other hosts, and reads it from the
 // store. Its exported fields are set before use.
 type Mirror struct {
@@ -80,15 +74,7 @@
 	LongestRest time.Duration
 
 	mu sync.Mutex
-	// objects are the last changes by name, those of removed objects included.
-	objects map[string]change
-	// removed are the changes that removed an object, in order.
-	removed []change
-	// revision is that of objects, zero before the first list.
-	revision uint64
-	// changes counts those since the first list, newest is the page of the last one, and
-	// floor the revision from which all are kept.
-	changes, newest, floor uint64
+	history
 	// answered is when the store or another host answered last, current that it did so to
 	// the last call, and trust for how long what was read then counts as current.
 	answered, trust time.Duration
@@ -105,30 +91,6 @@
 	restUntil time.Duration
 }
 
-// change is an entry with the revision of the page that brought it, and its place in the
-// order of changes. The entry's revision doesn't order changes: an object that is gone may
-// have the one of its last change.
-type change struct {
-	Entry
-	page, order uint64
-	// before is the value of a large object that this change replaced, from the page
-	// beforePage on.
-	before     json.RawMessage
-	beforePage uint64
-}
-
-// keepBefore is the length in bytes from which a value that was replaced is kept.
-const keepBefore = 16 << 10
-
-// entry returns the change for whoever has everything up to the revision.
-func (c change) entry(after uint64) Entry {
-	e := c.Entry
-	if c.before != nil && after >= c.beforePage {
-		e.Base = c.before
-	}
-	return e
-}
-
 // List reads the store.
 func (m *Mirror) List(ctx context.Context) (Page, error) {
 	p, err := m.Store.List(watchdog.Observe(ctx, m.progress))
@@ -160,24 +122,6 @@
 	m.gain(remoteTrust, false)
 }
 
-// replace takes a list. The mutex is held.
-func (m *Mirror) replace(p Page) {
-	m.objects = make(map[string]change, len(p.Entries))
-	m.removed = nil
-	for _, e := range p.Entries {
-		m.objects[e.Name] = change{Entry: e, page: p.Revision}
-	}
-	m.revision, m.newest, m.floor = p.Revision, p.Revision, p.Revision
-}
-
-// add takes changes. The mutex is held.
-func (m *Mirror) add(p Page) {
-	m.revision = max(m.revision, p.Revision)
-	for _, e := range p.Entries {
-		m.take(e)
-	}
-}
-
 // Watch reads the store. A rest after changes is part of the wait. The first call after
 // another host was read from doesn't wait: what that host said isn't trusted for as long.
 func (m *Mirror) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
@@ -248,38 +192,10 @@
 	m.restUntil = now + m.rest
 }
 
-// take folds one change in. The mutex is held.
-func (m *Mirror) take(e Entry) {
-	m.changes++
-	c := change{Entry: e, page: m.revision, order: m.changes}
-	if old := m.objects[e.Name]; len(old.Value) >= keepBefore {
-		c.before, c.beforePage = old.Value, old.page
-	}
-	m.objects[e.Name], m.newest = c, m.revision
-	if !e.Removed {
-		return
-	}
-	m.removed = append(m.removed, c)
-	if len(m.removed) > maximumRemoved {
-		m.forget()
-	}
-}
-
-// forget drops the oldest removal. The mutex is held.
-func (m *Mirror) forget() {
-	c := m.removed[0]
-	m.removed = m.removed[1:]
-	m.floor = c.page
-	if m.objects[c.Name].order == c.order {
-		delete(m.objects, c.Name)
-	}
-}
-
 // gain notes an answer, for how long it counts as current, and whether it is the store's.
 // The mutex is held.
 func (m *Mirror) gain(trust time.Duration, direct bool) {
 	m.answered, m.trust, m.direct, m.current, m.asked = m.Now(), trust, direct, true, true
-	m.arriving = 0
 	m.announce()
 }
 
@@ -314,14 +230,7 @@
 	if !m.fresh() {
 		return Page{}, ErrAway
 	}
-	p := Page{Revision: m.revision, Entries: make([]Entry, 0, len(m.objects))}
-	for _, c := range m.objects {
-		if !c.Removed {
-			p.Entries = append(p.Entries, c.Entry)
-		}
-	}
-	slices.SortFunc(p.Entries, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
-	return p, nil
+	return Page{Revision: m.revision, Entries: m.all()}, nil
 }
 
 // awaitFirst waits until this host has read the store, or won't.
@@ -382,25 +291,6 @@
 	return Page{Revision: m.revision, Entries: m.later(after)}, m.next(), nil
 }
 
-// later returns the changes of pages after the revision, in order. The mutex is held.
-func (m *Mirror) later(after uint64) []Entry {
-	if after >= m.newest {
-		return nil
-	}
-	var l []change
-	for _, c := range m.objects {
-		if c.page > after {
-			l = append(l, c)
-		}
-	}
-	slices.SortFunc(l, func(a, b change) int { return cmp.Compare(a.order, b.order) })
-	entries := make([]Entry, 0, len(l))
-	for _, c := range l {
-		entries = append(entries, c.entry(after))
-	}
-	return entries
-}
-
 // Value returns an object as it was last read, nil if it isn't there.
 func (m *Mirror) Value(name string) json.RawMessage {
 	m.mu.Lock()
