--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -24,8 +24,7 @@
 )
 
 const (
-	// hosts, groups and servers make up a deployment.
-	hosts   = 4
+	// groups and servers make up a deployment, with the hosts of the flag.
 	groups  = 2
 	servers = 3
 	// staleness is that of the routes whose reads may be of an age, grace that of a stop.
@@ -85,7 +84,7 @@
 	if err := d.configure(); err != nil {
 		return nil, err
 	}
-	for i := range hosts {
+	for i := range *hosts {
 		if err := d.addHost(i); err != nil {
 			return nil, err
 		}
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -19,6 +19,7 @@
 	seeds  = flag.Int("soak.seeds", 2, "how many seeds are soaked")
 	first  = flag.Uint64("soak.first", 1, "the first of them")
 	length = flag.Duration("soak.length", 8*time.Second, "for how long faults come")
+	hosts  = flag.Int("soak.hosts", 4, "how many entry hosts there are, 250 at most")
 )
 
 const (
@@ -161,7 +162,7 @@
 	time.Sleep(contact)
 	var g sync.WaitGroup
 	g.Add(1)
-	f := planner.Fault{Kind: planner.KindStop, Target: int(seed % hosts)}
+	f := planner.Fault{Kind: planner.KindStop, Target: int(seed % uint64(*hosts))}
 	go (&injection{trouble: s.trouble, fault: f}).run(&g)
 	g.Wait()
 }
