test(assembler): a reader with a bad link doesn't hold its region up

At a tenth of its bandwidth the first host of a region needs six seconds for the change; the others have it within five. Tried: without the bound on how long an arriving answer keeps the older state current the test passes as well, since questions to that host wait behind the change on the same link, and it counts as silent after 1.3 s. So the bound itself is held only by TestArrivingAnswerKeepsOthersFromTheStore.

--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -310,3 +310,24 @@
 		}
 	})
 }
+
+// The host that a region reads through has a bad link of its own: the change arrives there
+// piece by piece, for longer than it may take. The others mustn't wait for it to the end.
+func TestReaderWithABadLinkDoesNotHoldItsRegionUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 10, 1)
+		defer f.stop()
+		time.Sleep(10 * time.Second)
+		f.grow(2800)
+		time.Sleep(5 * time.Second)
+		bad := f.first()
+		bad.machine.in.slow(10)
+		v := f.grow(1400)
+		time.Sleep(5 * time.Second)
+		for _, n := range f.behind(v) {
+			if n != bad.host.Name {
+				t.Errorf("%s hasn't got the change", n)
+			}
+		}
+	})
+}
--- a/internal/proxy/assembler/network_test.go
+++ b/internal/proxy/assembler/network_test.go
@@ -30,6 +30,13 @@
 	return w.free
 }
 
+// slow has the wire carry x times less.
+func (w *wire) slow(x float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rate /= x
+}
+
 func (w *wire) bytes() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
