--- a/internal/proxy/runner/readers.go
+++ b/internal/proxy/runner/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -106,6 +107,7 @@
 	if r.silent == nil {
 		r.silent = make(map[silence]time.Time)
 	}
+	maps.DeleteFunc(r.silent, func(_ silence, until time.Time) bool { return time.Since(until) > readerSilent })
 	k := silence{host: host, kind: kind}
 	before := r.silent[k]
 	r.silent[k] = time.Now().Add(readerSilent)
