--- a/internal/platform/requester/requester.go
+++ b/internal/platform/requester/requester.go
@@ -49,7 +49,7 @@
 // Get returns one object, or accessor.ErrNotFound.
 func (c *Client) Get(ctx context.Context, kind, name string) (accessor.Object, error) {
 	var o accessor.Object
-	ctx, cancel := watchdog.With(ctx, c.timeout(), c.timeout())
+	ctx, cancel := c.bound(ctx, 0)
 	defer cancel()
 	err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, &o)
 	return o, errors.Annotatef(err, "get object %s/%s from platform %s", kind, name, c.Address)
@@ -61,7 +61,7 @@
 		return o, errors.Annotatef(accessor.ErrTooLarge, "put object %s/%s of %d bytes", o.Kind, o.Name, len(o.Value))
 	}
 	var p accessor.Object
-	ctx, cancel := watchdog.With(ctx, c.timeout(), c.timeout())
+	ctx, cancel := c.bound(ctx, 0)
 	defer cancel()
 	err := c.call(ctx, http.MethodPut, objectPath(o.Kind, o.Name), o, &p)
 	return p, errors.Annotatef(err, "put object %s/%s at platform %s", o.Kind, o.Name, c.Address)
@@ -70,7 +70,7 @@
 // List returns all objects of a kind, ordered by name.
 func (c *Client) List(ctx context.Context, kind string) ([]accessor.Object, error) {
 	var l []accessor.Object
-	ctx, cancel := watchdog.With(ctx, c.timeout(), c.timeout())
+	ctx, cancel := c.bound(ctx, 0)
 	defer cancel()
 	err := c.call(ctx, http.MethodGet, "/objects/"+url.PathEscape(kind), nil, &l)
 	return l, errors.Annotatef(err, "list objects %s of platform %s", kind, c.Address)
@@ -85,7 +85,7 @@
 	}
 	// A watch on a silent connection would last for ever: the service answers
 	// within d, so a call that takes longer than that and a timeout is dead.
-	ctx, cancel := watchdog.With(ctx, d+c.timeout(), c.timeout())
+	ctx, cancel := c.bound(ctx, d)
 	defer cancel()
 	q := url.Values{
 		"after": {strconv.FormatUint(uint64(after), 10)},
@@ -100,7 +100,7 @@
 // Hosts returns the host list.
 func (c *Client) Hosts(ctx context.Context) ([]accessor.Host, error) {
 	var l []accessor.Host
-	ctx, cancel := watchdog.With(ctx, c.timeout(), c.timeout())
+	ctx, cancel := c.bound(ctx, 0)
 	defer cancel()
 	err := c.call(ctx, http.MethodGet, "/hosts", nil, &l)
 	return l, errors.Annotatef(err, "get host list of platform %s", c.Address)
@@ -154,6 +154,11 @@
 	return c.Timeout
 }
 
+// bound returns the context of a call that the service may hold for wait.
+func (c *Client) bound(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	return watchdog.With(ctx, wait+c.timeout(), c.timeout())
+}
+
 func body(v any) (io.Reader, error) {
 	if v == nil {
 		return http.NoBody, nil
--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -218,6 +218,30 @@
 	}
 }
 
+// settle starts a fleet whose far region has three zones of so many hosts, all with a
+// configuration that has grown by n routes.
+func settle(t *testing.T, hosts, n int) *fleet {
+	t.Helper()
+	f := startFleet(t, 3, hosts, 1)
+	time.Sleep(10 * time.Second)
+	f.grow(n)
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+// expect grows the configuration by n routes, and fails the test unless all hosts but one
+// have it in time.
+func (f *fleet) expect(t *testing.T, n int, but *member) {
+	t.Helper()
+	v := f.grow(n)
+	time.Sleep(5 * time.Second)
+	for _, name := range f.behind(v) {
+		if but == nil || name != but.host.Name {
+			t.Errorf("%s hasn't got the change", name)
+		}
+	}
+}
+
 // size returns the length of the configuration in bytes.
 func (f *fleet) size() int {
 	n := 0
@@ -246,17 +270,10 @@
 	for _, hosts := range []int{3, 12} {
 		t.Run(fmt.Sprint(hosts, " hosts a zone"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := startFleet(t, 3, hosts, 1)
+				f := settle(t, hosts, 1400)
 				defer f.stop()
-				time.Sleep(10 * time.Second)
-				f.grow(1400)
-				time.Sleep(5 * time.Second)
 				before := f.crossed()
-				v := f.grow(1400)
-				time.Sleep(5 * time.Second)
-				if l := f.behind(v); len(l) > 0 {
-					t.Errorf("hosts without the change: %v", l)
-				}
+				f.expect(t, 1400, nil)
 				if n, most := f.crossed()-before, f.size()*3/2; n > most {
 					t.Errorf("%d bytes crossed for a configuration of %d", n, f.size())
 				}
@@ -269,21 +286,12 @@
 // others all turned to the store, the change would cross the link once for each of them.
 func TestLostReaderDoesNotSendItsRegionToTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(t, 3, 10, 1)
+		f := settle(t, 10, 2800)
 		defer f.stop()
-		time.Sleep(10 * time.Second)
-		f.grow(2800)
-		time.Sleep(5 * time.Second)
 		before := f.crossed()
 		lost := f.first()
 		lost.machine.fail()
-		v := f.grow(1400)
-		time.Sleep(5 * time.Second)
-		for _, n := range f.behind(v) {
-			if n != lost.host.Name {
-				t.Errorf("%s hasn't got the change", n)
-			}
-		}
+		f.expect(t, 1400, lost)
 		if n, most := f.crossed()-before, 2*f.size(); n > most {
 			t.Errorf("%d bytes crossed for a configuration of %d", n, f.size())
 		}
@@ -294,17 +302,10 @@
 // whole configuration, its link would be full while they wait for the next change.
 func TestSmallChangeLoadsAReaderLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(t, 3, 12, 1)
+		f := settle(t, 12, 2800)
 		defer f.stop()
-		time.Sleep(10 * time.Second)
-		f.grow(2800)
-		time.Sleep(5 * time.Second)
 		before := f.first().machine.out.bytes()
-		v := f.grow(1)
-		time.Sleep(5 * time.Second)
-		if l := f.behind(v); len(l) > 0 {
-			t.Errorf("hosts without the change: %v", l)
-		}
+		f.expect(t, 1, nil)
 		if n, most := f.first().machine.out.bytes()-before, f.size()/2; n > most {
 			t.Errorf("%d bytes were sent for a change of one route of %d bytes in all", n, f.size())
 		}
@@ -315,19 +316,10 @@
 // piece by piece, for longer than it may take. The others mustn't wait for it to the end.
 func TestReaderWithABadLinkDoesNotHoldItsRegionUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(t, 3, 10, 1)
+		f := settle(t, 10, 2800)
 		defer f.stop()
-		time.Sleep(10 * time.Second)
-		f.grow(2800)
-		time.Sleep(5 * time.Second)
 		bad := f.first()
 		bad.machine.in.slow(10)
-		v := f.grow(1400)
-		time.Sleep(5 * time.Second)
-		for _, n := range f.behind(v) {
-			if n != bad.host.Name {
-				t.Errorf("%s hasn't got the change", n)
-			}
-		}
+		f.expect(t, 1400, bad)
 	})
 }
--- a/internal/proxy/cachesyncer/history.go
+++ b/internal/proxy/cachesyncer/history.go
@@ -70,7 +70,7 @@
 func (h *history) take(e Entry) {
 	h.changes++
 	c := change{Entry: e, page: h.revision, order: h.changes}
-	if old := h.objects[e.Name]; len(old.Value) >= keepBefore {
+	if old := h.objects[e.Name]; !e.Removed && len(old.Value) >= keepBefore {
 		c.before, c.beforePage = old.Value, old.page
 	}
 	h.objects[e.Name], h.newest = c, h.revision
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -24,8 +24,8 @@
 	// remoteTrust is how long after its answer another host is trusted: as long as the next
 	// waiting call to it may last, and a call to the store after that.
 	remoteTrust = 2 * time.Second
-	// remotes is how many hosts are asked before the store is. Where many are cut off at once,
-	// to try one after the other takes no longer than a change may stay unknown.
+	// remotes is how many hosts are asked before the store is. It bounds how much later a
+	// change is known where many hosts are cut off at once.
 	remotes = 3
 	// storeCheck is how long a call to the store waits that only finds out what has changed,
 	// in place of a host that didn't answer.
--- a/internal/proxy/reporter/transfers.go
+++ b/internal/proxy/reporter/transfers.go
@@ -23,9 +23,13 @@
 	r.write(t, "answer received")
 }
 
-// Sent notes an answer to another host.
+// Sent notes an answer to another host. One that couldn't be sent has ended the connection.
 func (r *Transfers) Sent(t declarer.Transfer) {
 	r.Metrics.Sent(t)
+	if t.Err != nil {
+		r.Log.WithError(t.Err).WithFields(log.Fields{"kind": t.Kind, "peer": t.Peer}).Warn("answer not sent")
+		return
+	}
 	r.write(t, "answer sent")
 }
 
--- a/internal/proxy/reporter/transfers_test.go
+++ b/internal/proxy/reporter/transfers_test.go
@@ -12,7 +12,8 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
-// A call is given up while its answer arrives. The log says how much had come.
+// A call is given up while its answer arrives, or a question isn't understood. The log says
+// how much had come, and why nothing was sent.
 func TestTransfersTellWhatWasGivenUp(t *testing.T) {
 	h := memory.New()
 	r := &Transfers{Log: &log.Logger{Handler: h}, Metrics: NewMetrics(Gauges{})}
@@ -20,11 +21,12 @@
 	r.Received(declarer.Transfer{Kind: "config", Bytes: 300_000, Took: time.Second})
 	r.Received(declarer.Transfer{Kind: "config", Bytes: 400, Err: errors.New("deadline exceeded")})
 	r.Sent(declarer.Transfer{Source: declarer.SourceHost, Kind: "config", Bytes: largeAnswer})
+	r.Sent(declarer.Transfer{Source: declarer.SourceHost, Kind: "config", Err: errors.New("message not understood")})
 	var got []string
 	for _, e := range h.Entries {
 		got = append(got, e.Message)
 	}
-	want := []string{"answer received", "answer received in part", "answer sent"}
+	want := []string{"answer received", "answer received in part", "answer sent", "answer not sent"}
 	if len(got) != len(want) {
 		t.Fatalf("lines %q, want %q", got, want)
 	}
--- a/internal/proxy/runner/deployment_test.go
+++ b/internal/proxy/runner/deployment_test.go
@@ -304,7 +304,7 @@
 		Groups: map[string]declarer.Group{"db": {Name: "db", MaximumConnections: d.limit}},
 	})
 	h := &Host{Name: fmt.Sprintf("h-%02d", i), Board: b, Log: quiet}
-	h.roster.self, h.roster.regions = h.Name, regions
+	h.roster.own, h.roster.regions = declarer.Host{Name: h.Name}, regions
 	var l []declarer.Host
 	for k := range n {
 		l = append(l, d.listed(k))
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -134,7 +134,7 @@
 func (h *Host) prepare() {
 	h.sessions = make(map[*executor.Session]struct{})
 	h.promoters = make(map[string]bool)
-	h.roster.self, h.roster.own = h.Name, h.Self
+	h.roster.own = h.Self
 	h.roster.regions = h.Board.Regions
 	h.dialer = relaydialer.Dialer{Transport: h.Transport, Hosts: h.roster.others}
 	h.prober = promoter.Prober{Dialer: &h.dialer, Parse: h.ParseStatus}
--- a/internal/proxy/runner/readers.go
+++ b/internal/proxy/runner/readers.go
@@ -52,7 +52,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	parts := r.parts()
-	own := readerHash(r.self) % parts
+	own := readerHash(r.own.Name) % parts
 	h, ok := r.firstReader(kind, func(h declarer.Host) bool {
 		return h.AvailabilityZone == r.own.AvailabilityZone && readerHash(h.Name)%parts == own
 	})
--- a/internal/proxy/runner/readers_test.go
+++ b/internal/proxy/runner/readers_test.go
@@ -31,7 +31,7 @@
 }
 
 func view(own declarer.Host, hosts []declarer.Host) *roster {
-	r := &roster{self: own.Name, own: own, regions: regionsOf, silent: make(map[silence]time.Time)}
+	r := &roster{own: own, regions: regionsOf, silent: make(map[silence]time.Time)}
 	r.reset(hosts)
 	return r
 }
@@ -59,11 +59,11 @@
 				continue
 			}
 			if regionsOf[h.AvailabilityZone] != regionsOf[zone] {
-				t.Errorf("%s reads through %s of another region", r.self, h.Name)
+				t.Errorf("%s reads through %s of another region", r.own.Name, h.Name)
 			}
 			if next, ok := all[h.Name].reader("k"); ok {
 				if _, ok := all[next.Name].reader("k"); ok {
-					t.Errorf("%s is more than two hosts from the store", r.self)
+					t.Errorf("%s is more than two hosts from the store", r.own.Name)
 				}
 			}
 			if readers[zone] == nil {
@@ -89,7 +89,7 @@
 	l[3].Bandwidth, l[17].Bandwidth = 200e6, 200e6
 	for _, r := range rosters(l) {
 		if h, ok := r.reader("k"); ok && h.Bandwidth == 0 {
-			t.Errorf("%s reads through %s", r.self, h.Name)
+			t.Errorf("%s reads through %s", r.own.Name, h.Name)
 		}
 	}
 }
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -21,7 +21,6 @@
 // roster holds the entry hosts that the platform lists. One that was lost without a
 // word stays listed; whoever asks it finds out.
 type roster struct {
-	self string
 	// own is this host as it enters the store.
 	own declarer.Host
 	// regions tells where the availability zones are.
@@ -95,7 +94,7 @@
 func (r *roster) rank(group string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	own := xxhash.Sum64String(r.self + "/" + group)
+	own := xxhash.Sum64String(r.own.Name + "/" + group)
 	before := 0
 	for n := range r.hosts {
 		if xxhash.Sum64String(n+"/"+group) < own {
@@ -124,7 +123,7 @@
 	defer r.mu.Unlock()
 	l := make([]declarer.Host, 0, len(r.hosts))
 	for _, h := range r.hosts {
-		if h.Name != r.self {
+		if h.Name != r.own.Name {
 			l = append(l, h)
 		}
 	}
--- a/internal/session/signer/signer.go
+++ b/internal/session/signer/signer.go
@@ -18,7 +18,7 @@
 const (
 	// ErrMalformed is a token that is truncated, too long or otherwise no token.
 	ErrMalformed = errors.ConstError("session mark is malformed or truncated")
-	// ErrUnknownKey is a token signed with a key that isn't or no longer accepted.
+	// ErrUnknownKey is a token signed with a key that isn't accepted.
 	ErrUnknownKey = errors.ConstError("session mark is signed with an unknown key")
 	// ErrForged is a token whose signature doesn't fit.
 	ErrForged = errors.ConstError("session mark has a wrong signature")
@@ -115,7 +115,7 @@
 }
 
 // Restore checks a token and raises in t the marks of those of groups that it
-// names; a group that is no longer configured is left out.
+// names; a group that isn't configured is left out.
 func (s *Signer) Restore(token string, groups []string, t *tracker.Tracker) error {
 	e, err := s.Open(token)
 	if err != nil {
--- a/internal/standin/replicator/replicator.go
+++ b/internal/standin/replicator/replicator.go
@@ -13,7 +13,7 @@
 
 // Errors of the store.
 const (
-	// ErrReadOnly is returned for a write on a server that isn't primary, or no longer the same one.
+	// ErrReadOnly is returned for a write on a server that isn't primary, or whose role changed since the transaction began.
 	ErrReadOnly = errors.ConstError("backend server accepts no writes")
 	// ErrTerm is returned for a control call whose term doesn't fit the accepted one.
 	ErrTerm = errors.ConstError("term refused")
