feat(proxy): the owner of a primary's connections shares the primary's positions

A host learns positions from its own statements and questions. With 295 hosts and 20 groups a host has 0.6 statements a second of a group, so that it mostly knows none that is recent enough; it asks for the present one, a question that waits for a lease of the owner's, and the replicas, 30 ms behind, turn the read away. So what a read costs grows with the number of hosts before the same callers.

Change: a host asks the owner of the primary's connections, over the link, for a position that the primary had at most a third of the allowed age ago. The owner answers with the earliest such position that it has recorded and how long ago that was, without a lease, and asks the primary itself when its latest one is older than a quarter of that: one question for all hosts. The borrower counts the position from before its own question less that age, so clocks aren't compared, and it proves nothing about who leads. An owner of an earlier version refuses (nothing was borrowed), and the host asks through a lease as before.

--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -92,6 +92,9 @@
 	VerbReset
 	VerbStatus
 	VerbDemote
+	// VerbPosition asks the host that owns the server's connections for a position that the primary
+	// had. It is never sent to a server.
+	VerbPosition
 )
 
 // Statement is one request of a caller.
@@ -171,6 +174,8 @@
 	Writes         bool
 	// Term is the argument of VerbDemote.
 	Term marker.Term
+	// MaximumAge is the argument of VerbPosition: how long ago the primary may have had the position.
+	MaximumAge time.Duration
 	// RequiredPosition is the position that the server's log must have reached, zero for none.
 	RequiredPosition marker.Mark
 }
@@ -190,6 +195,8 @@
 	State State
 	// Position is the end of the server's log, zero if the answer doesn't contain it.
 	Position marker.Mark
+	// Age is how long ago the server had Position, in an answer to VerbPosition.
+	Age time.Duration
 }
 
 // Status is a backend server's own report of its role in the group.
--- a/internal/proxy/executor/choosing.go
+++ b/internal/proxy/executor/choosing.go
@@ -13,6 +13,11 @@
 // the primary is asked for its position again, so that reads don't have to wait for it.
 const observeStalenessDivisor = 2
 
+// sharedPositionDivisor sets how old a position of the primary may be that another host has observed,
+// as a part of a route's maximum staleness, one in this many. An older one is held by more replicas, a
+// newer one can be used for longer.
+const sharedPositionDivisor = 3
+
 // primaryFailureLimit is how long a primary may fail before reads that require its position are
 // refused soon. Most failures of that length end with a promotion.
 const primaryFailureLimit = 300 * time.Millisecond
@@ -68,7 +73,7 @@
 func (a *attempt) requiredPosition() (marker.Mark, bool) {
 	m, ok, outdated := a.knownPosition()
 	if outdated {
-		a.session.Observer.Observe(a.route.Group, !ok, a.deadline)
+		a.session.Observer.Observe(a.route.Group, a.route.MaximumStaleness/sharedPositionDivisor, !ok, a.deadline)
 	}
 	if !ok {
 		m, ok, _ = a.knownPosition()
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -34,12 +34,14 @@
 	group    string
 	done     chan struct{}
 	nextAt   time.Time
+	// maximumAge is how long ago the primary may have had the position that is asked for.
+	maximumAge time.Duration
 }
 
-// Observe requests the position of the group's primary unless a request is under way or recent. If
-// wait is set, it waits for the answer until the deadline. The result is on the blackboard.
-func (o *Observer) Observe(group string, wait bool, deadline time.Time) {
-	f := o.currentOrNew(group)
+// Observe requests a position that the group's primary had at most maximumAge ago, unless a request is
+// under way or recent. If wait is set, it waits for the answer until the deadline. The result is on the blackboard.
+func (o *Observer) Observe(group string, maximumAge time.Duration, wait bool, deadline time.Time) {
+	f := o.currentOrNew(group, maximumAge)
 	if !wait {
 		return
 	}
@@ -53,7 +55,7 @@
 
 // currentOrNew returns the observation under way or made within observeInterval, or starts a new
 // one.
-func (o *Observer) currentOrNew(group string) *observation {
+func (o *Observer) currentOrNew(group string, maximumAge time.Duration) *observation {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.observations == nil {
@@ -66,7 +68,7 @@
 	if f != nil && !f.ended() {
 		return f
 	}
-	f = &observation{observer: o, group: group, done: make(chan struct{}), nextAt: time.Now().Add(observeInterval)}
+	f = &observation{observer: o, group: group, done: make(chan struct{}), nextAt: time.Now().Add(observeInterval), maximumAge: maximumAge}
 	o.observations[group] = f
 	go f.run()
 	return f
@@ -101,9 +103,38 @@
 	if err != nil {
 		return
 	}
+	if _, borrowed := l.Connection.(connpooler.BorrowedConnection); borrowed && f.maximumAge > 0 {
+		known, broken := f.askOwner(l, end)
+		if known || broken {
+			l.Release(broken)
+			return
+		}
+		l.Release(false)
+		if l, err = p.Acquire(connpooler.AcquireRequest{Deadline: end, Class: admitter.ClassTransaction}); err != nil {
+			return
+		}
+	}
 	f.askPosition(id, l, end)
 }
 
+// askOwner asks the host that owns the primary's connections for a position that the primary had
+// lately. That host observes the primary for all others, so that a host with few reads gets a position
+// that replicas already have. It reports whether there was one.
+func (f *observation) askOwner(l *connpooler.Lease, end time.Time) (known, broken bool) {
+	asked := f.observer.Board.Time()
+	e := &exchange{lease: l, deadline: end}
+	e.add(declarer.Request{Verb: declarer.VerbPosition, MaximumAge: f.maximumAge})
+	var a declarer.Answer
+	if err := e.run(&a); err != nil {
+		return false, true
+	}
+	if a.Code != declarer.CodeNone {
+		return false, false
+	}
+	f.observer.Board.Do(f.group, func(g *grouptracker.Group) { g.AddPosition(asked-a.Age, a.Position) })
+	return true, false
+}
+
 func (f *observation) askPosition(id string, l *connpooler.Lease, end time.Time) {
 	asked := f.observer.Board.Time()
 	e := &exchange{lease: l, deadline: end}
--- a/internal/proxy/grouptracker/grouptracker.go
+++ b/internal/proxy/grouptracker/grouptracker.go
@@ -256,6 +256,30 @@
 	}
 }
 
+// AddPosition records a position that the server had as the primary at some time after asked, as
+// another host has observed it. It proves nothing about who the primary is now. It is ignored if it is
+// of an earlier term than the newest, or older than the latest confirmation.
+func (g *Group) AddPosition(asked time.Duration, m marker.Mark) {
+	if m.IsZero() {
+		return
+	}
+	latest, known := g.history.Latest()
+	if known && m.Term < latest.Mark.Term {
+		return
+	}
+	if !known || m.Term > latest.Mark.Term {
+		g.newestTermStart = m
+	}
+	g.history.MaximumAge = maximumHistoryAge
+	g.history.Add(historian.Observation{PolledAt: asked, Mark: m})
+}
+
+// EarliestPosition returns the earliest recorded position that the primary had after since, false if
+// there is none.
+func (g *Group) EarliestPosition(since time.Duration) (historian.Observation, bool) {
+	return g.history.Earliest(since)
+}
+
 // LatestConfirmation returns the newest confirmation of leadership, false if there is none.
 func (g *Group) LatestConfirmation() (historian.Observation, bool) { return g.history.Latest() }
 
--- a/internal/proxy/grouptracker/grouptracker_test.go
+++ b/internal/proxy/grouptracker/grouptracker_test.go
@@ -132,3 +132,28 @@
 		})
 	}
 }
+
+// Guards against a position of another host that counts for more than it shows: it is old, so it must
+// neither bring a replaced primary back nor count as newer than it is.
+func TestAddedPositionDoesNotChooseThePrimary(t *testing.T) {
+	g := newTestGroup()
+	g.SetServers(list("b", 9), 0)
+	g.AddPosition(10*time.Second, mark(1, 7))
+	if p := primaryID(g); p != "b" {
+		t.Errorf("primary %q after a position of another host, want b", p)
+	}
+	if m, ok := g.RequiredPosition(11*time.Second, 2*time.Second); !ok || m != mark(1, 7) {
+		t.Errorf("required %v, %v for data up to 2 s old", m, ok)
+	}
+	if _, ok := g.RequiredPosition(11*time.Second, 500*time.Millisecond); ok {
+		t.Error("a position of a second ago shows data to be half a second old")
+	}
+	g.ConfirmLeadership("b", 12*time.Second, mark(2, 9))
+	g.AddPosition(13*time.Second, mark(1, 8))
+	if m, _ := g.RequiredPosition(14*time.Second, 3*time.Second); m != mark(2, 9) {
+		t.Errorf("required %v, want the first position of the newest term", m)
+	}
+	if o, ok := g.EarliestPosition(12500 * time.Millisecond); ok {
+		t.Errorf("position %v of an earlier term was added", o)
+	}
+}
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -66,6 +67,8 @@
 	Answer(a *declarer.Answer)
 	// Done adds the answer to a statement that didn't need to be sent to the server.
 	Done(s declarer.State)
+	// Position adds the answer to a request for a position that the server had so long ago.
+	Position(m marker.Mark, age time.Duration)
 	// Refuse adds the answer to a statement that was refused.
 	Refuse(r Refusal)
 	// Flush sends the output.
@@ -87,6 +90,9 @@
 	Pool func() *connpooler.Pool
 	// OnAnswer is called for each answer of the server.
 	OnAnswer func()
+	// Position returns a position that the server had as the primary at most maximum ago, and how long
+	// ago it had it, false if there is none.
+	Position func(maximum time.Duration) (m marker.Mark, age time.Duration, ok bool)
 	// ActiveLeases counts the connections that are lent at present, over all links that share
 	// it.
 	ActiveLeases *atomic.Int64
@@ -127,6 +133,9 @@
 		l.returnLease(false)
 		return true
 	}
+	if len(e.Requests) == 1 && e.Requests[0].Verb == declarer.VerbPosition {
+		return l.tellPosition(e.Requests[0].MaximumAge)
+	}
 	if l.lease == nil {
 		return l.refuseAll(len(e.Requests))
 	}
@@ -142,6 +151,17 @@
 	return l.Borrower.Flush() == nil
 }
 
+// tellPosition answers a request for a position, and reports whether the link can be used further.
+func (l *Link) tellPosition(maximum time.Duration) bool {
+	m, age, ok := l.Position(maximum)
+	if ok {
+		l.Borrower.Position(m, age)
+	} else {
+		l.Borrower.Refuse(Refusal{Unreachable: true, Message: "no position of the server is known"})
+	}
+	return l.Borrower.Flush() == nil
+}
+
 // lend leases a connection to the borrower, or records why there is none. The borrower gets the
 // refusal as the answer to its statements.
 func (l *Link) lend(e Event) {
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -108,14 +108,17 @@
 	b.answers = append(b.answers, fmt.Sprintf("answer %d", a.State))
 }
 func (b *borrower) Done(s declarer.State) { b.answers = append(b.answers, fmt.Sprintf("done %d", s)) }
-func (b *borrower) Refuse(Refusal)        { b.answers = append(b.answers, "refused") }
-func (b *borrower) Flush() error          { return nil }
+func (b *borrower) Position(m marker.Mark, age time.Duration) {
+	b.answers = append(b.answers, fmt.Sprintf("position %v, %v old", m, age))
+}
+func (b *borrower) Refuse(Refusal) { b.answers = append(b.answers, "refused") }
+func (b *borrower) Flush() error   { return nil }
 
 // serve serves the events with a pool and returns the borrower.
 func serve(s *server, p *connpooler.Pool, events ...Event) *borrower {
 	b := &borrower{events: events}
 	var lent atomic.Int64
-	l := &Link{Borrower: b, Pool: func() *connpooler.Pool { return p }, OnAnswer: func() {}, ActiveLeases: &lent}
+	l := &Link{Borrower: b, Pool: func() *connpooler.Pool { return p }, OnAnswer: func() {}, ActiveLeases: &lent, Position: s.position}
 	l.Run()
 	if n := lent.Load(); n != 0 {
 		panic(fmt.Sprintf("%d connections are lent after the end", n))
@@ -124,6 +127,11 @@
 	return b
 }
 
+// position returns a position that is as old as is allowed, if that is at least a second.
+func (s *server) position(maximum time.Duration) (marker.Mark, time.Duration, bool) {
+	return marker.Mark{Term: 1, Position: 5}, maximum, maximum >= time.Second
+}
+
 func pool(s *server) *connpooler.Pool {
 	return &connpooler.Pool{Server: declarer.Server{ID: "i"}, Dialer: s, Observer: s, Limit: 1}
 }
@@ -247,3 +255,19 @@
 		p.Close()
 	})
 }
+
+// Guards against a question for a position that takes a connection from statements, or that is sent to
+// the server, which doesn't know it.
+func TestPositionNeedsNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{}
+		p := pool(s)
+		ask := func(age time.Duration) Event {
+			return batch(declarer.Request{Verb: declarer.VerbPosition, MaximumAge: age})
+		}
+		b := serve(s, p, ask(time.Second), ask(time.Millisecond), lend(), batch(text("READ x")), ask(2*time.Second))
+		check(t, "sent", s.sent, []string{"READ x"})
+		check(t, "answers", b.answers, []string{"position 1/5, 1s old", "refused", "answer 0", "position 1/5, 2s old"})
+		p.Close()
+	})
+}
--- a/internal/proxy/runner/deployment_test.go
+++ b/internal/proxy/runner/deployment_test.go
@@ -37,8 +37,8 @@
 	nodes  []*node
 	random *rand.Rand
 	// arrivals counts the statements that servers received, shed those that they refused because
-	// their queue was full.
-	arrivals, shed int
+	// their queue was full, and lagging those that they refused because they lacked the position.
+	arrivals, shed, lagging int
 }
 
 // instance simulates one backend server with slots, a short queue and a limit of connections.
@@ -226,6 +226,9 @@
 		x.answer.Code = declarer.CodeReadOnly
 	case !s.position().Covers(r.RequiredPosition):
 		x.answer.Code = declarer.CodeLagging
+		s.deployment.mu.Lock()
+		s.deployment.lagging++
+		s.deployment.mu.Unlock()
 	default:
 		end, ok := s.occupySlot(time.Duration(us) * time.Microsecond)
 		if !ok {
@@ -358,7 +361,10 @@
 		return nil, connpooler.ErrNoRoute
 	}
 	c := &link{owner: x, events: make(chan lender.Event, 64), answers: make(chan declarer.Answer, 256)}
-	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func() *connpooler.Pool { return x.host.pools.ownPool(s.ID) }, OnAnswer: func() {}, ActiveLeases: &x.lent}
+	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func() *connpooler.Pool { return x.host.pools.ownPool(s.ID) }, OnAnswer: func() {}, ActiveLeases: &x.lent,
+		Position: func(maximum time.Duration) (marker.Mark, time.Duration, bool) {
+			return x.host.sharePosition(s.ID, maximum)
+		}}
 	go l.Run()
 	return c, nil
 }
@@ -389,6 +395,9 @@
 }
 
 func (l *link) Send(r []declarer.Request, deadline time.Time) error {
+	if r[0].Verb == declarer.VerbPosition {
+		l.pendingLend = nil
+	}
 	if l.pendingLend != nil {
 		l.events <- *l.pendingLend
 		l.pendingLend = nil
@@ -453,6 +462,10 @@
 
 func (b *borrower) Done(s declarer.State) { b.out = append(b.out, declarer.Answer{State: s}) }
 
+func (b *borrower) Position(m marker.Mark, age time.Duration) {
+	b.out = append(b.out, declarer.Answer{Position: m, Age: age})
+}
+
 func (b *borrower) Refuse(r lender.Refusal) {
 	x := declarer.Answer{Code: declarer.CodeNoLease, Detail: r.Message, RetryAfter: r.RetryAfter}
 	if r.Unreachable {
--- a/internal/proxy/runner/lending.go
+++ b/internal/proxy/runner/lending.go
@@ -17,7 +17,10 @@
 	l := &lender.Link{
 		Borrower:     h.NewBorrower(c),
 		ActiveLeases: &h.activeLeases,
-		Pool:         func() *connpooler.Pool { return h.pools.ownPool(server) },
+		Position: func(maximum time.Duration) (marker.Mark, time.Duration, bool) {
+			return h.sharePosition(server, maximum)
+		},
+		Pool: func() *connpooler.Pool { return h.pools.ownPool(server) },
 		OnAnswer: func() {
 			s, ok := h.pools.find(server)
 			if ok {
@@ -28,6 +31,55 @@
 	l.Run()
 }
 
+const (
+	// sharedObservationDivisor sets after which part of the age that a borrower allows the primary is
+	// asked again for its position, one in this many, so that earlier positions are at hand.
+	sharedObservationDivisor = 4
+	// shareTimeout bounds the wait for a position if none is at hand.
+	shareTimeout = 300 * time.Millisecond
+)
+
+// sharePosition returns for another host the earliest known position that the server had as its group's
+// primary within maximum, and how long ago it had it. The age is a lower bound on this host's clock
+// only, so that the other host can subtract it from the time of its question.
+func (h *Host) sharePosition(server string, maximum time.Duration) (m marker.Mark, age time.Duration, ok bool) {
+	s, listed := h.pools.find(server)
+	if o, owned := h.pools.owner(s); !listed || owned && o.Name != h.Name {
+		return marker.Mark{}, 0, false // this host would ask another one in turn
+	}
+	m, age, ok = h.earliestPosition(s, maximum)
+	if latest, known := h.latestPositionAge(s.Group); !known || latest > maximum/sharedObservationDivisor {
+		h.observer.Observe(s.Group, maximum, !ok, time.Now().Add(shareTimeout))
+	}
+	if !ok {
+		return h.earliestPosition(s, maximum)
+	}
+	return m, age, ok
+}
+
+// earliestPosition returns the earliest position that the server had as the primary within maximum,
+// and its age. There is none while the server isn't the primary.
+func (h *Host) earliestPosition(s declarer.Server, maximum time.Duration) (m marker.Mark, age time.Duration, ok bool) {
+	h.Board.Do(s.Group, func(g *grouptracker.Group) {
+		now := h.Board.Time()
+		p := g.Primary()
+		o, found := g.EarliestPosition(now - maximum)
+		if found && p != nil && p.ID == s.ID {
+			m, age, ok = g.ToNewestTerm(o.Mark), now-o.PolledAt, true
+		}
+	})
+	return m, age, ok
+}
+
+// latestPositionAge returns the age of the latest confirmed position of the group's primary.
+func (h *Host) latestPositionAge(group string) (age time.Duration, known bool) {
+	h.Board.Do(group, func(g *grouptracker.Group) {
+		o, ok := g.LatestConfirmation()
+		age, known = h.Board.Time()-o.PolledAt, ok
+	})
+	return age, known
+}
+
 // aliveWindow is how long a server counts as alive after its last answer.
 const aliveWindow = 500 * time.Millisecond
 
--- a/internal/proxy/runner/load_test.go
+++ b/internal/proxy/runner/load_test.go
@@ -197,7 +197,7 @@
 		t.Logf("%2d s: %d of %d in time", i, l.inTime[i], l.arrived[i])
 	}
 	slices.Sort(l.refused)
-	t.Logf("%d arrivals at servers, %d shed; %d refused, %d unknown", d.arrivals, d.shed, len(l.refused), l.unknown)
+	t.Logf("%d arrivals at servers, %d shed, %d lagging; %d refused, %d unknown", d.arrivals, d.shed, d.lagging, len(l.refused), l.unknown)
 	return l
 }
 
@@ -263,6 +263,26 @@
 	}
 }
 
+// Guards against reads that a large deployment sends to replicas in vain: a host with few reads of a
+// group has no position of the primary that is as old as the reads may be, and if it asked for the
+// present one, replicas would lack that. However many hosts the callers are spread over, about as few
+// reads must be turned away for it.
+func TestReadsSpreadOverManyHostsFindReplicas(t *testing.T) {
+	for _, hosts := range []int{30, 120, 480} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := runUnderLoad(t, hosts, 30, 12*time.Second, steady(usualRate), func(*deployment) {})
+				if d := l.deployment; d.lagging*100 > 2*d.arrivals {
+					t.Errorf("replicas turned %d of %d statements away", d.lagging, d.arrivals)
+				}
+				if g := l.goodput(2, 12); g < minimumGoodput {
+					t.Errorf("goodput %.3f", g)
+				}
+			})
+		})
+	}
+}
+
 // seeds is the number of random fault sequences that are tested.
 var seeds = flag.Uint64("load.seeds", 6, "number of fault sequences that are tested under load")
 
--- a/internal/route/historian/historian.go
+++ b/internal/route/historian/historian.go
@@ -64,9 +64,15 @@
 // RequiredMark returns the lowest recorded mark such that data that covers it is at most age old. It
 // returns false if no observation is recent enough.
 func (h *Historian) RequiredMark(now, age time.Duration) (marker.Mark, bool) {
-	oldest := now - age
+	o, ok := h.Earliest(now - age)
+	return o.Mark, ok
+}
+
+// Earliest returns the earliest recorded observation that was polled at oldest or later, false if there
+// is none.
+func (h *Historian) Earliest(oldest time.Duration) (Observation, bool) {
 	if !h.hasLatest || h.latest.PolledAt < oldest {
-		return marker.Mark{}, false
+		return Observation{}, false
 	}
 	low, high := 0, h.count
 	for low < high {
@@ -78,9 +84,9 @@
 		}
 	}
 	if low == h.count {
-		return h.latest.Mark, true
+		return h.latest, true
 	}
-	return h.at(low).Mark, true
+	return h.at(low), true
 }
 
 // at returns the observation i of ring, counted from the oldest.
