fix(proxy): only a region's first hosts write its seed lists

Change: only the first three hosts of a region write. TestFewHostsWriteSeeds: with all hosts skipped, 120 of 120 hosts would write before, 3 at most after.

--- a/internal/proxy/runner/readers_test.go
+++ b/internal/proxy/runner/readers_test.go
@@ -184,3 +184,30 @@
 		}
 	}
 }
+
+// Guards against hundreds of hosts that write the seed lists at once: in a partition many hosts lose the
+// hosts that they read through, and each of them then reads the store itself.
+func TestFewHostsWriteSeeds(t *testing.T) {
+	l := append(zoneHosts("a", 60), zoneHosts("b", 60)...)
+	all := newRosters(l)
+	writers := func() int {
+		n := 0
+		for _, r := range all {
+			if r.writesSeeds() {
+				n++
+			}
+		}
+		return n
+	}
+	if n := writers(); n != 1 {
+		t.Errorf("%d hosts write the seed lists, want 1", n)
+	}
+	for _, r := range all {
+		for _, h := range l {
+			r.skip(h.Name, "")
+		}
+	}
+	if n := writers(); n > regionSeeds {
+		t.Errorf("%d hosts write the seed lists after all have lost the others, want %d at most", n, regionSeeds)
+	}
+}
--- a/internal/proxy/runner/seeds.go
+++ b/internal/proxy/runner/seeds.go
@@ -165,8 +165,19 @@
 	return m
 }
 
-// seedWriter keeps the seed lists of a region as the hosts are listed. Only the host that reads the
-// store for its region writes them.
+// writesSeeds reports whether this host keeps the seed lists of its region: it reads the store for the
+// region and is one of the region's first hosts. Any other host that reads the store does so because it
+// has lost the hosts before it.
+func (r *roster) writesSeeds() bool {
+	if _, ok := r.upstream(""); ok {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.region[:min(regionSeeds, len(r.region))], r.self)
+}
+
+// seedWriter keeps the seed lists of a region as the hosts are listed.
 type seedWriter struct {
 	host    *Host
 	written map[string]declarer.Seeds
@@ -175,7 +186,7 @@
 func (w *seedWriter) run(ctx context.Context) {
 	w.written = make(map[string]declarer.Seeds)
 	for scheduler.Pause(ctx, seedWriteInterval) == nil {
-		if _, ok := w.host.roster.upstream(""); ok || !w.host.hosts.listed.Load() {
+		if !w.host.roster.writesSeeds() {
 			clear(w.written)
 			continue
 		}
