feat(proxy): a lost store is asked about by the hosts that others read through

A host whose upstream hosts say that they have lost it tried three of them and then the store itself, every 0.2 to 0.6 s.

Change: while upstream hosts have said within 2 s that they have lost the store, and the host's own last call to it failed, it asks only them, and the store each 5 to 15 s. The first hosts of a region have nobody before them and ask on as before. A host that has lost the store is skipped for 1 s in place of 3, as the others now learn from it when the store is back.

After the return a change of the configuration is in force on all hosts within 5 s.

--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -21,11 +21,14 @@
 	servers map[string]*platform.FeedServer
 	// now reads a monotonic clock that also advances while the host is suspended.
 	now func() time.Duration
+	// holder is shared by the readers.
+	holder cachesyncer.Holder
 }
 
 // attach sets the sources that the host follows.
 func (f *feeder) attach(h *runner.Host, reportInvalid func(error)) {
 	f.host = h
+	f.holder.Now = f.now
 	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(platform.KindConfiguration, h.ConfigurationTiming()), Parse: platform.ParseConfiguration, OnInvalid: reportInvalid, KeepLastValid: true}
 	h.Servers = &platform.Source[declarer.Server]{Reader: f.reader(platform.KindServers, h.ServersTiming()), Parse: platform.ParseServer, OnInvalid: reportInvalid}
 	h.Hosts = &platform.Source[declarer.Host]{Reader: f.reader(platform.KindHosts, h.HostsTiming()), Parse: platform.ParseHost, OnInvalid: reportInvalid}
@@ -35,7 +38,7 @@
 func (f *feeder) reader(kind string, p runner.ReadTiming) cachesyncer.Reader {
 	m := &cachesyncer.Mirror{Store: &platform.Reader{Store: f.store, Kind: kind}, Now: f.now, TTL: p.TTL, MinimumPause: p.MinimumPause, MaximumPause: p.MaximumPause}
 	f.servers[kind] = &platform.FeedServer{Kind: kind, Mirror: m, OnSend: f.sent}
-	return &cachesyncer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.UpstreamHost, Failed: f.host.UpstreamFailed}
+	return &cachesyncer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.UpstreamHost, Failed: f.host.UpstreamFailed, Holder: &f.holder}
 }
 
 // lastValue returns an object's value as last read, nil if it is unknown.
--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +47,8 @@
 	cancel  context.CancelFunc
 	// speed is the factor by which links are faster than hostRate and crossingRate.
 	speed float64
+	// calls counts the calls to the store.
+	calls atomic.Int64
 	// fast holds the names of the hosts whose links are faster by fastFactor.
 	fast map[string]bool
 }
@@ -76,7 +79,7 @@
 	t.Helper()
 	f := &fleet{speed: speed, fast: map[string]bool{}, network: newNetwork(speed * crossingRate), store: &storekeeper.Store{}, random: rand.New(rand.NewPCG(seed, 0))}
 	m := f.network.add(storeAddress, "near", speed*storeRate)
-	f.server = &http.Server{Handler: storekeeper.Handler{Store: f.store}}
+	f.server = &http.Server{Handler: &callCounter{handler: storekeeper.Handler{Store: f.store}, calls: &f.calls}}
 	go (&storeServer{server: f.server, listener: m}).run()
 	f.grow(60)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -97,6 +100,18 @@
 	return f
 }
 
+// callCounter counts the calls to the store.
+type callCounter struct {
+	handler http.Handler
+	calls   *atomic.Int64
+}
+
+// ServeHTTP counts and answers one call.
+func (c *callCounter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.calls.Add(1)
+	c.handler.ServeHTTP(w, r)
+}
+
 // stop ends the fleet.
 func (f *fleet) stop() {
 	f.cancel()
@@ -444,3 +459,33 @@
 		}
 	}
 }
+
+// Guards against calls to a store that is away whose number grows with the number of hosts, as the store
+// counts refused calls too: the hosts that others read through ask whether it is back, and the others
+// ask them. A change made after its return must be in force everywhere in time.
+func TestOutageOfStoreIsNotAskedAboutByAll(t *testing.T) {
+	for _, hosts := range []int{4, 48} {
+		for name, mode := range map[string]storekeeper.Mode{"busy": storekeeper.ModeBusy, "reset": storekeeper.ModeReset} {
+			t.Run(fmt.Sprint(hosts, " hosts a zone, ", name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := startFleetAt(t, 2*scale, 3, hosts, 1)
+					defer f.stop()
+					time.Sleep(20 * time.Second)
+					before := f.calls.Load()
+					f.store.SetFault(storekeeper.Fault{Mode: mode})
+					const outage = 8 * time.Second
+					time.Sleep(outage)
+					// Each host asks once when it loses the store. The first hosts of the two regions ask
+					// five times a second at most.
+					n, most := f.calls.Load()-before, int64(2*len(f.hosts)+2*5*int(outage/time.Second))
+					t.Logf("%d calls of %d hosts", n, len(f.hosts))
+					if n > most {
+						t.Errorf("%d calls of %d hosts while the store was away, want %d at most", n, len(f.hosts), most)
+					}
+					f.store.SetFault(storekeeper.Fault{})
+					f.expect(t, 1, nil)
+				})
+			})
+		}
+	}
+}
--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -203,6 +203,13 @@
 	m.notify()
 }
 
+// RecordLost records that neither the store nor another host can be read.
+func (m *Mirror) RecordLost() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recordFailure()
+}
+
 // recordFailure records that the store did not answer. The mutex is held.
 func (m *Mirror) recordFailure() {
 	m.current, m.attempted = false, true
--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -230,8 +230,9 @@
 
 func newSelection(s *store, n network, hosts ...string) *selection {
 	x := &selection{hosts: hosts}
+	m := newMirror(s)
 	x.Selector = Selector{
-		Kind: "k", Mirror: newMirror(s), Remote: n,
+		Kind: "k", Mirror: m, Remote: n, Holder: &Holder{Now: m.Now},
 		Host: func(string) (declarer.Host, bool) {
 			for _, h := range x.hosts {
 				if !slices.Contains(x.failed, h) {
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -50,6 +50,8 @@
 	// host that did not answer or whose mirror is stale.
 	Host   func(kind string) (declarer.Host, bool)
 	Failed func(h declarer.Host, kind string, err error)
+	// Holder holds back calls to the store.
+	Holder *Holder
 
 	// newestRevision is the newest revision that was returned.
 	newestRevision uint64
@@ -62,7 +64,18 @@
 		s.Mirror.ApplyRemoteList(p)
 		return s.recordRevision(p, nil)
 	}
-	return s.recordRevision(s.Mirror.List(ctx))
+	if s.Holder.holds() {
+		return Page{}, s.lost()
+	}
+	p, err = s.Mirror.List(ctx)
+	s.Holder.recordCall(err == nil)
+	return s.recordRevision(p, err)
+}
+
+// lost records that neither the store nor another host can be read, and returns the error for that.
+func (s *Selector) lost() error {
+	s.Mirror.RecordLost()
+	return errors.Annotatef(ErrStale, "store isn't asked")
 }
 
 // Watch waits for changes. If the host that it reads from fails, it continues from the given
@@ -84,7 +97,12 @@
 	case errors.Is(err, errNoAnswer):
 		wait = storeCheckWait
 	}
-	return s.recordRevision(s.Mirror.Watch(ctx, after, wait))
+	if s.Holder.holds() {
+		return Page{}, s.lost()
+	}
+	p, err = s.Mirror.Watch(ctx, after, wait)
+	s.Holder.recordCall(err == nil || errors.Is(err, ErrCompacted))
+	return s.recordRevision(p, err)
 }
 
 const (
@@ -108,6 +126,9 @@
 		if err == nil || errors.Is(err, ErrCompacted) || errors.Is(err, errOlderList) {
 			return p, err
 		}
+		if errors.Is(err, ErrStale) {
+			s.Holder.recordStale()
+		}
 		s.Failed(h, s.Kind, err)
 	}
 	return Page{}, errNoAnswer
--- a/internal/proxy/runner/readers.go
+++ b/internal/proxy/runner/readers.go
@@ -19,9 +19,11 @@
 	// that they read through. Each of them makes a call per second for each of three kinds of
 	// object, so that an upstream host answers 72 calls per second in the mean.
 	hostsPerUpstream = 25
-	// upstreamRetryDelay is how long a host that did not answer, or has lost the store, is skipped
-	// as an upstream host.
+	// upstreamRetryDelay is how long a host that did not answer is skipped as an upstream host.
 	upstreamRetryDelay = 3 * time.Second
+	// staleRetryDelay is the same for a host that has lost the store: when it has regained it, the
+	// others learn of that by asking it.
+	staleRetryDelay = time.Second
 )
 
 // orderUpstreams sorts the hosts of a region by their order as upstream hosts: those with more
@@ -115,10 +117,13 @@
 	return now.Before(r.skippedUntil[skipKey{host: host}]) || now.Before(r.skippedUntil[skipKey{host: host, kind: kind}])
 }
 
-// skip skips a host for upstreamRetryDelay, for one kind of object or for all if kind is empty. It
-// reports whether the previous skip ended longer than upstreamRetryDelay ago or there was none, so
-// that a lasting failure is logged once.
-func (r *roster) skip(host, kind string) bool {
+// skip skips a host for upstreamRetryDelay, for all kinds of object. See skipFor.
+func (r *roster) skip(host string) bool { return r.skipFor(host, "", upstreamRetryDelay) }
+
+// skipFor skips a host for d, for one kind of object or for all if kind is empty. It reports whether the
+// previous skip ended longer than upstreamRetryDelay ago or there was none, so that a lasting failure is
+// logged once.
+func (r *roster) skipFor(host, kind string, d time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.skippedUntil == nil {
@@ -127,7 +132,7 @@
 	maps.DeleteFunc(r.skippedUntil, func(_ skipKey, until time.Time) bool { return time.Since(until) > upstreamRetryDelay })
 	k := skipKey{host: host, kind: kind}
 	before := r.skippedUntil[k]
-	r.skippedUntil[k] = time.Now().Add(upstreamRetryDelay)
+	r.skippedUntil[k] = time.Now().Add(d)
 	return time.Since(before) > upstreamRetryDelay
 }
 
@@ -138,11 +143,11 @@
 // UpstreamFailed skips a host that did not answer, for all kinds of object, or one that has lost
 // the store, for the kind it was asked for.
 func (h *Host) UpstreamFailed(x declarer.Host, kind string, err error) {
-	skipped := kind
-	if !errors.Is(err, cachesyncer.ErrStale) {
-		skipped = ""
+	skipped, d := "", upstreamRetryDelay
+	if errors.Is(err, cachesyncer.ErrStale) {
+		skipped, d = kind, staleRetryDelay
 	}
-	if h.roster.skip(x.Name, skipped) {
+	if h.roster.skipFor(x.Name, skipped, d) {
 		h.Log.WithError(err).WithFields(log.Fields{"host": x.Name, "kind": kind}).Warn("platform not read through another host")
 	}
 }
--- a/internal/proxy/runner/readers_test.go
+++ b/internal/proxy/runner/readers_test.go
@@ -103,7 +103,7 @@
 	for _, r := range all {
 		if h, ok := r.upstream("k"); ok {
 			failed = h.Name
-			r.skip(failed, "")
+			r.skip(failed)
 		}
 	}
 	direct := 0
@@ -141,7 +141,7 @@
 			r := newRoster(h, listed)
 			for _, x := range listed {
 				if rapid.IntRange(0, 4).Draw(t, "passes over") == 0 {
-					r.skip(x.Name, rapid.SampledFrom([]string{"", "k", "other"}).Draw(t, "kind"))
+					r.skipFor(x.Name, rapid.SampledFrom([]string{"", "k", "other"}).Draw(t, "kind"), upstreamRetryDelay)
 				}
 			}
 			if x, ok := r.upstream("k"); ok {
@@ -204,7 +204,7 @@
 	}
 	for _, r := range all {
 		for _, h := range l {
-			r.skip(h.Name, "")
+			r.skip(h.Name)
 		}
 	}
 	if n := writers(); n > regionSeeds {
--- a/internal/proxy/runner/seeds.go
+++ b/internal/proxy/runner/seeds.go
@@ -117,7 +117,7 @@
 
 func (s *starter) skip(l []declarer.Host) {
 	for _, x := range l {
-		s.host.roster.skip(x.Name, "")
+		s.host.roster.skip(x.Name)
 	}
 }
 
