--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -39,7 +39,8 @@
 }
 
 // Observe requests a position that the group's primary had at most maximumAge ago, unless a request is
-// under way or recent. If wait is set, it waits for the answer until the deadline. The result is on the blackboard.
+// under way or recent. If wait is set, it waits for the answer until the deadline. The result is on the
+// blackboard.
 func (o *Observer) Observe(group string, maximumAge time.Duration, wait bool, deadline time.Time) {
 	f := o.currentOrNew(group, maximumAge)
 	if !wait {
