feat(customer): keys identify customers, and each server connection belongs to one

Ruled out: a check at the start alone, as open sessions keep keys that were taken away; plain keys in the configuration that hosts pass on, as messages and dumps would show them. Change: the configuration's customers and keys are read; keys are replaced by digests before the object is kept or passed on. A session is admitted anew with each statement or transaction. A pool whose connections belong to customers has a slot for each connection that may be open; a lease takes an idle connection of its customer or opens one, in place of the idle one used longest ago if need be. Opening takes a permit like a statement. The proxy's own empty transactions run on any idle connection. Shares of slots and permits are charged to the customer. Found by the new model test: slots released while a connection failed were granted and never told.

--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -65,6 +65,9 @@
 	HoldsConnection bool
 	// Timeout is the time that the request may take including its wait, zero for no limit.
 	Timeout time.Duration
+	// Objective is the time within which the request should be granted, zero for none, see
+	// admitter.Entry.Objective.
+	Objective time.Duration
 }
 
 // Gate hands out the slots of one backend server. Its exported fields are set before use. A Gate is safe
@@ -102,7 +105,7 @@
 	w := &waiter{done: make(chan struct{})}
 	w.entry.Team, w.entry.Class, w.entry.HoldsConnection = r.Team, r.Class, r.HoldsConnection
 	var timedOut <-chan time.Time
-	g.offer(w, r.Timeout)
+	g.offer(w, r)
 	select {
 	case <-w.done:
 		return g.result(w)
@@ -178,12 +181,15 @@
 	return Load{Slots: q.Slots, Running: q.Running(), Waiting: q.Waiting(), ServiceTime: q.ServiceTime()}
 }
 
-func (g *Gate) offer(w *waiter, timeout time.Duration) {
+func (g *Gate) offer(w *waiter, r Request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := g.now()
-	if timeout > 0 {
-		w.entry.Deadline = n + timeout
+	if r.Timeout > 0 {
+		w.entry.Deadline = n + r.Timeout
+	}
+	if r.Objective > 0 {
+		w.entry.Objective = n + r.Objective
 	}
 	// notifyWaiters finds the waiter by its entry.
 	w.entry.Owner = w
--- a/internal/limit/gate/gate_test.go
+++ b/internal/limit/gate/gate_test.go
@@ -104,7 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGate(1)
 		w := &waiter{done: make(chan struct{})}
-		g.offer(w, 0)
+		g.offer(w, Request{})
 		g.cancel(w)
 		_, err := g.result(w)
 		var r *Refusal
--- a/internal/log/encoder/statement.go
+++ b/internal/log/encoder/statement.go
@@ -11,6 +11,8 @@
 	Request       string
 	Database      string
 	DatabaseGroup string
+	// Customer is the one whose key the caller sent, empty if callers need none.
+	Customer string
 	// Operation is the kind of statement: read, write, execute or commit.
 	Operation string
 	// Outcome is ran, not-run, failed or unknown.
@@ -45,6 +47,7 @@
 	b = b.string("request", s.Request)
 	b = b.string("database", s.Database)
 	b = b.string("database-group", s.DatabaseGroup)
+	b = b.string("customer", s.Customer)
 	b = b.string("operation", s.Operation)
 	b = b.string("outcome", s.Outcome)
 	b = b.string("code", s.Code)
--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -29,14 +29,16 @@
 func (f *feeder) attach(h *runner.Host, reportInvalid func(error)) {
 	f.host = h
 	f.holder.Now = f.now
-	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(platform.KindConfiguration, h.ConfigurationTiming()), Parse: platform.ParseConfiguration, OnInvalid: reportInvalid, KeepLastValid: true}
-	h.Servers = &platform.Source[declarer.Server]{Reader: f.reader(platform.KindServers, h.ServersTiming()), Parse: platform.ParseServer, OnInvalid: reportInvalid}
-	h.Hosts = &platform.Source[declarer.Host]{Reader: f.reader(platform.KindHosts, h.HostsTiming()), Parse: platform.ParseHost, OnInvalid: reportInvalid}
+	c := &platform.Reader{Store: f.store, Kind: platform.KindConfiguration, Conceal: platform.ConcealKeys, OnInvalid: reportInvalid}
+	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(c, h.ConfigurationTiming()), Parse: platform.ParseConfiguration, OnInvalid: reportInvalid, KeepLastValid: true}
+	h.Servers = &platform.Source[declarer.Server]{Reader: f.reader(&platform.Reader{Store: f.store, Kind: platform.KindServers}, h.ServersTiming()), Parse: platform.ParseServer, OnInvalid: reportInvalid}
+	h.Hosts = &platform.Source[declarer.Host]{Reader: f.reader(&platform.Reader{Store: f.store, Kind: platform.KindHosts}, h.HostsTiming()), Parse: platform.ParseHost, OnInvalid: reportInvalid}
 }
 
-// reader returns the reader of a kind of object.
-func (f *feeder) reader(kind string, p runner.ReadTiming) cachesyncer.Reader {
-	m := &cachesyncer.Mirror{Store: &platform.Reader{Store: f.store, Kind: kind}, Now: f.now, TTL: p.TTL, MinimumPause: p.MinimumPause, MaximumPause: p.MaximumPause}
+// reader returns the reader of the kind of object that r reads from the store.
+func (f *feeder) reader(r *platform.Reader, p runner.ReadTiming) cachesyncer.Reader {
+	kind := r.Kind
+	m := &cachesyncer.Mirror{Store: r, Now: f.now, TTL: p.TTL, MinimumPause: p.MinimumPause, MaximumPause: p.MaximumPause}
 	f.servers[kind] = &platform.FeedServer{Kind: kind, Mirror: m, OnSend: f.sent}
 	return &cachesyncer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.UpstreamHost, Failed: f.host.UpstreamFailed, Holder: &f.holder}
 }
--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -3,6 +3,7 @@
 package connpooler
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,9 @@
 	// OnDemand opens a connection for each waiter. It is set for connections to another entry
 	// host, which take up none of the server's.
 	OnDemand bool
+	// ByCustomer is set if each connection serves one customer only, whose name the server is told
+	// when it opens.
+	ByCustomer bool
 
 	mu      sync.Mutex
 	queue   admitter.Queue
@@ -67,6 +71,11 @@
 	// longer, the request is refused at once.
 	Objective time.Time
 	Class     admitter.Class
+	// Customer is the one for whom the connection is, empty for the proxy itself. It only matters
+	// to a pool with ByCustomer.
+	Customer string
+	// AnyCustomer is set for statements of the proxy itself, which may run on any connection.
+	AnyCustomer bool
 	// Team is the name of the team that the request counts for. Connections are shared fairly
 	// between teams.
 	Team string
@@ -132,13 +141,13 @@
 	if p.closed {
 		return ErrClosed
 	}
-	if p.usable() == 0 {
+	if p.slots() == 0 {
 		p.queue.ResetServiceTime()
 	}
 	if p.open == 0 && time.Now().Before(p.retryAt) && e.Deadline < sinceEpoch(p.retryAt) {
 		return p.noConnectionError()
 	}
-	p.queue.Slots = p.usable()
+	p.queue.Slots = p.slots()
 	p.queue.Offer(e, sinceEpoch(time.Now()))
 	// A request that is refused because of its expected wait or a full queue also counts as
 	// demand for another connection.
@@ -173,9 +182,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		l := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+	for {
+		l := p.popIdle(a)
+		if l == nil {
+			break
+		}
 		if time.Since(l.usedAt) > checkAfterIdle && l.Ended() {
 			p.drop(l)
 			continue
@@ -184,14 +195,44 @@
 		l.borrow(a)
 		return l, nil
 	}
-	p.queue.ReleaseUnused(e, sinceEpoch(time.Now()))
-	p.notifyWaiters()
+	if p.ByCustomer && !p.closed {
+		return p.openFor(a, e)
+	}
+	p.releaseUnused(e)
 	if p.closed {
 		return nil, ErrClosed
 	}
 	return nil, errEnded
 }
 
+// releaseUnused frees the slot of a granted entry that no statement ran for. The caller must hold the
+// mutex.
+func (p *Pool) releaseUnused(e *admitter.Entry) {
+	p.queue.ReleaseUnused(e, sinceEpoch(time.Now()))
+	p.notifyWaiters()
+}
+
+// popIdle removes the idle connection that was used last and that fits the request from the list, and
+// returns it, nil if there is none. The caller must hold the mutex.
+func (p *Pool) popIdle(a AcquireRequest) *Lease {
+	for i, l := range slices.Backward(p.idle) {
+		if !p.ByCustomer || a.AnyCustomer || l.customer == a.Customer {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return l
+		}
+	}
+	return nil
+}
+
+// slots returns how many leases there may be at a time. If connections belong to customers, a lease
+// may have to open its own. The caller must hold the mutex.
+func (p *Pool) slots() int {
+	if p.ByCustomer {
+		return p.Limit - p.recovering
+	}
+	return p.usable()
+}
+
 // usable returns how many connections are leased or can be. The caller must hold the mutex.
 func (p *Pool) usable() int { return p.open - p.recovering }
 
@@ -199,12 +240,12 @@
 func (p *Pool) drop(l *Lease) {
 	l.Close()
 	p.open--
-	p.queue.Slots = p.usable()
+	p.queue.Slots = p.slots()
 }
 
 // adjust grants the connections that have become usable. The caller must hold the mutex.
 func (p *Pool) adjust() {
-	p.queue.Slots = p.usable()
+	p.queue.Slots = p.slots()
 	p.queue.Adjust(sinceEpoch(time.Now()))
 	p.notifyWaiters()
 	p.grow()
@@ -223,7 +264,7 @@
 	} else {
 		p.idle = append(p.idle, l)
 	}
-	p.queue.Slots = p.usable()
+	p.queue.Slots = p.slots()
 	p.queue.Release(e, sinceEpoch(l.usedAt))
 	p.notifyWaiters()
 	p.grow()
@@ -238,7 +279,7 @@
 	e := l.entry
 	l.entry = nil
 	p.recovering++
-	p.queue.Slots = p.usable()
+	p.queue.Slots = p.slots()
 	p.queue.Release(e, sinceEpoch(time.Now()))
 	p.notifyWaiters()
 	p.grow()
@@ -267,7 +308,7 @@
 		return
 	}
 	p.Limit, p.MinOpen = limit, minOpen
-	p.grow()
+	p.adjust()
 }
 
 // Trim closes connections that have been idle for long or are beyond Limit, as long as more than
--- a/internal/proxy/connpooler/connpooler_test.go
+++ b/internal/proxy/connpooler/connpooler_test.go
@@ -34,7 +34,7 @@
 	answerDelay time.Duration
 }
 
-func (f *fakeServer) Dial(context.Context, declarer.Server) (Connection, marker.Mark, error) {
+func (f *fakeServer) Dial(_ context.Context, _ declarer.Server, customer string) (Connection, marker.Mark, error) {
 	f.mu.Lock()
 	f.attempts++
 	f.opening++
@@ -51,7 +51,7 @@
 		return nil, marker.Mark{}, ErrTooManyConnections
 	}
 	f.open++
-	return &fakeConnection{server: f}, marker.Mark{}, nil
+	return &fakeConnection{server: f, customer: customer}, marker.Mark{}, nil
 }
 
 func (f *fakeServer) Connected(declarer.Server, marker.Mark) {}
@@ -64,11 +64,13 @@
 
 // fakeConnection is a connection to a fakeServer.
 type fakeConnection struct {
-	server  *fakeServer
-	pending int
-	state   declarer.State
-	ended   bool
-	err     error
+	server *fakeServer
+	// customer is the one that the connection was opened for.
+	customer string
+	pending  int
+	state    declarer.State
+	ended    bool
+	err      error
 }
 
 func (l *fakeConnection) Send(r []declarer.Request, _ time.Time) error {
--- a/internal/proxy/connpooler/lease.go
+++ b/internal/proxy/connpooler/lease.go
@@ -44,6 +44,9 @@
 
 	pool  *Pool
 	entry *admitter.Entry
+	// customer is the one that the connection serves, empty for the proxy itself and for
+	// connections that serve all.
+	customer string
 	// usedAt is when the connection was opened or last released.
 	usedAt time.Time
 }
--- a/internal/proxy/connpooler/opening.go
+++ b/internal/proxy/connpooler/opening.go
@@ -33,9 +33,10 @@
 
 // Dialer opens connections to servers.
 type Dialer interface {
-	// Dial opens a connection and returns it with the end of the server's log. It returns
-	// ErrTooManyConnections if the server is at its connection limit.
-	Dial(ctx context.Context, s declarer.Server) (Connection, marker.Mark, error)
+	// Dial opens a connection for a customer, or for the proxy itself if the name is empty, and
+	// returns it with the end of the server's log. It returns ErrTooManyConnections if the server is
+	// at its connection limit.
+	Dial(ctx context.Context, s declarer.Server, customer string) (Connection, marker.Mark, error)
 }
 
 // Errors of opening a connection. They were reported by the server unless stated otherwise.
@@ -74,7 +75,7 @@
 // growFor opens a connection if that is worthwhile for a demand of so many callers. The caller
 // must hold the mutex.
 func (p *Pool) growFor(demand int) {
-	if p.closed || demand <= p.opening || p.open+p.opening >= p.Limit {
+	if p.ByCustomer || p.closed || demand <= p.opening || p.open+p.opening >= p.Limit {
 		return
 	}
 	if !p.OnDemand && (p.opening > 0 || time.Now().Before(p.retryAt) || !p.worthOpening(demand)) {
@@ -100,7 +101,7 @@
 func (p *Pool) openOne() {
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
-	c, m, err := p.Dialer.Dial(ctx, p.Server)
+	c, m, err := p.Dialer.Dial(ctx, p.Server, "")
 	p.observe(m, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -109,10 +110,7 @@
 	case err == nil && p.closed:
 		c.Close()
 	case err == nil:
-		l := &Lease{Connection: c, Values: make(map[string]string), Prepared: make(map[string]struct{}), pool: p, usedAt: time.Now()}
-		p.open++
-		p.idle = append(p.idle, l)
-		p.backoff, p.refusals = 0, 0
+		p.idle = append(p.idle, p.addOpen(c, ""))
 	case errors.Is(err, ErrTooManyConnections):
 		p.backOff()
 	case p.opening == 0:
@@ -121,6 +119,14 @@
 	p.adjust()
 }
 
+// addOpen counts a connection that has been opened and returns its lease. The caller must hold the
+// mutex.
+func (p *Pool) addOpen(c Connection, customer string) *Lease {
+	p.open++
+	p.backoff, p.refusals = 0, 0
+	return &Lease{Connection: c, Values: make(map[string]string), Prepared: make(map[string]struct{}), pool: p, customer: customer, usedAt: time.Now()}
+}
+
 // backOff suspends the opening of connections to a server at its limit for a while. The caller
 // must hold the mutex.
 func (p *Pool) backOff() {
--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -64,10 +64,14 @@
 // *Refusal if the wait was or would be too long. If the connection is borrowed from another host,
 // it doesn't wait, as that host limits the statements itself.
 func (l *Lease) AcquirePermit(a AcquireRequest) (*Permit, error) {
-	p := l.pool
-	if p.OnDemand {
+	if l.pool.OnDemand {
 		return &Permit{}, nil
 	}
+	return l.pool.acquirePermit(a)
+}
+
+// acquirePermit waits until a statement, or the opening of a connection, may be sent.
+func (p *Pool) acquirePermit(a AcquireRequest) (*Permit, error) {
 	left := time.Until(a.Deadline)
 	if left <= 0 {
 		return nil, &Refusal{Server: p.Server.ID, Reason: admitter.ReasonDeadline} // zero would mean no timeout to the gate
@@ -75,7 +79,12 @@
 	p.mu.Lock()
 	p.permits.updateLimit(p)
 	p.mu.Unlock()
-	s, err := p.permits.gate.Acquire(context.Background(), gate.Request{Team: a.Team, Class: a.Class, Timeout: left})
+	q := gate.Request{Team: a.Team, Class: a.Class, Timeout: left}
+	if p.ByCustomer && !a.Objective.IsZero() {
+		// Requests wait here rather than for a connection, as each opens its own.
+		q.Objective = max(1, time.Until(a.Objective))
+	}
+	s, err := p.permits.gate.Acquire(context.Background(), q)
 	if r, ok := errors.AsType[*gate.Refusal](err); ok {
 		return nil, &Refusal{Server: p.Server.ID, Reason: r.Reason, RetryAfter: r.RetryAfter}
 	}
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"github.com/cuminwick/cuminwick/internal/customer/identifier"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 )
 
@@ -30,6 +31,16 @@
 	MaximumStaleness time.Duration
 	// Objective is the target time for a whole operation of a caller, zero if there is none.
 	Objective time.Duration
+	// Anonymous admits callers whose key is unknown.
+	Anonymous bool
+}
+
+// Customer is an organization whose callers are identified by their keys.
+type Customer struct {
+	Name string
+	// Rate is how many operations a second its callers may send, over all entry hosts, zero for no
+	// limit. Burst is how many more they may send at once.
+	Rate, Burst float64
 }
 
 // Group is the declaration of one database group.
@@ -50,6 +61,20 @@
 	Groups map[string]Group
 	// IdleTransactionTimeout is how long an open transaction may wait for its caller.
 	IdleTransactionTimeout time.Duration
+	// Customers are keyed by name. They are nil if the operator declares none, so that callers need
+	// no key.
+	Customers map[string]Customer
+	Keys      identifier.Keys
+}
+
+// Identify returns the customer that a caller of the route with this key belongs to, false if the
+// caller isn't admitted. The customer of an anonymous caller is empty.
+func (c *Configuration) Identify(r Route, key identifier.Digest) (string, bool) {
+	if c.Customers == nil {
+		return "", true
+	}
+	n, ok := c.Keys.Customer(key)
+	return n, ok || r.Anonymous
 }
 
 // Server is the latest report of a backend server about itself.
@@ -136,6 +161,8 @@
 	CodeTimeout
 	CodeOutcomeUnknown
 	CodeNoDatabase
+	// CodeUnauthorized means that the caller's key is unknown.
+	CodeUnauthorized
 	CodeMalformed
 	CodeTooBig
 	// CodeOther is a code that the server sent and that is not known here.
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -19,7 +19,7 @@
 // only if the statement certainly had no effect.
 type attempt struct {
 	session *Session
-	route   declarer.Route
+	admission
 	request *request
 	// arrived is when the statement, or the begin of its transaction, arrived, on the
 	// blackboard's clock.
@@ -49,20 +49,20 @@
 	beginPosition marker.Mark
 }
 
-func (s *Session) newAttempt(r declarer.Route, q *request) *attempt {
+func (s *Session) newAttempt(m admission, q *request) *attempt {
 	now := time.Now()
-	b := s.RetryBudgets.group(r.Group)
+	b := s.RetryBudgets.group(m.route.Group)
 	b.CountRequest()
 	return &attempt{
-		session: s, route: r, request: q, arrived: s.Board.Time(), began: now, deadline: now.Add(r.Timeout),
-		retries: retrier.Statement{Deadline: r.Timeout, Budget: b},
+		session: s, admission: m, request: q, arrived: s.Board.Time(), began: now, deadline: now.Add(m.route.Timeout),
+		retries: retrier.Statement{Deadline: m.route.Timeout, Budget: b},
 	}
 }
 
 // runAutocommit serves a statement outside of a transaction.
-func (s *Session) runAutocommit(r declarer.Route, q *request) error {
-	a := s.newAttempt(r, q)
-	a.primaryOnly = q.Writes || r.Kind == declarer.KindPrimary
+func (s *Session) runAutocommit(m admission, q *request) error {
+	a := s.newAttempt(m, q)
+	a.primaryOnly = q.Writes || m.route.Kind == declarer.KindPrimary
 	l, code, text := a.tryServers()
 	if l != nil {
 		l.Release(false)
@@ -151,13 +151,22 @@
 
 // leaseOptions returns the terms on which the statement asks the pool for a connection.
 func (a *attempt) leaseOptions() connpooler.AcquireRequest {
-	k := connpooler.AcquireRequest{Deadline: a.deadline, Class: a.class(), Team: a.route.Database}
+	k := connpooler.AcquireRequest{Deadline: a.deadline, Class: a.class(), Customer: a.customer, Team: a.team()}
 	if a.route.Objective > 0 {
 		k.Objective = a.began.Add(a.route.Objective / objectiveDivisor)
 	}
 	return k
 }
 
+// team returns the name that the statement's share of a server is charged to: the customer's, or the
+// database's if callers need no key.
+func (a *attempt) team() string {
+	if a.customer != "" {
+		return a.customer
+	}
+	return a.route.Database
+}
+
 func (a *attempt) elapsed() time.Duration { return time.Since(a.began) }
 
 // afterRefusal decides the next step after the server didn't run the statement.
@@ -293,7 +302,7 @@
 
 func (a *attempt) report(c declarer.Code) {
 	a.session.Reporter.Statement(&Report{
-		Group: a.route.Group, Database: a.route.Database, Statement: a.request.ID, Verb: a.request.verb,
+		Group: a.route.Group, Database: a.route.Database, Customer: a.customer, Statement: a.request.ID, Verb: a.request.verb,
 		Server: a.server, Primary: a.primary, Code: c, Reason: a.reason, Attempts: a.retries.Tries(),
 		RequiredPosition: a.request.RequiredPosition, Version: a.session.version(),
 		Wait: a.waited, Elapsed: time.Since(a.began),
--- a/internal/proxy/executor/attempt_test.go
+++ b/internal/proxy/executor/attempt_test.go
@@ -144,7 +144,7 @@
 // ownerDialer dials connections to such an owner.
 type ownerDialer struct{ *entryHost }
 
-func (ownerDialer) Dial(context.Context, declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (ownerDialer) Dial(context.Context, declarer.Server, string) (connpooler.Connection, marker.Mark, error) {
 	return noLeaseConnection{}, marker.Mark{}, nil
 }
 
--- /dev/null
+++ b/internal/proxy/executor/customer_test.go
@@ -0,0 +1,93 @@
+package executor_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cuminwick/cuminwick/internal/customer/identifier"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+// declareCustomers puts a next version of the host's configuration into force, in which the keys
+// identify customers. anonymous holds the databases that need no key.
+func declareCustomers(d *entryHost, keys map[string]string, anonymous ...string) {
+	c := *d.board.Configuration()
+	c.Version++
+	c.Customers = make(map[string]declarer.Customer)
+	c.Keys = make(identifier.Keys)
+	for k, n := range keys {
+		c.Customers[n] = declarer.Customer{Name: n}
+		c.Keys.Add(identifier.DigestOf(k), n)
+	}
+	routes := make(map[string]declarer.Route)
+	for n, r := range c.Routes {
+		routes[n] = r
+	}
+	for _, n := range anonymous {
+		r := routes[n]
+		r.Anonymous = true
+		routes[n] = r
+	}
+	c.Routes = routes
+	d.board.Configure(&c)
+}
+
+// Guards against statements of callers whose key no customer holds, at the start of a session.
+func TestStartNeedsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newEntryHost(w, "z-0")
+		declareCustomers(d, map[string]string{"key-a": "a"}, "bounded")
+		for name, x := range map[string]struct {
+			database, key string
+			want          declarer.Code
+		}{
+			"known":              {"primary", "key-a", declarer.CodeNone},
+			"unknown":            {"primary", "key-b", declarer.CodeUnauthorized},
+			"none":               {"primary", "", declarer.CodeUnauthorized},
+			"unknown, anonymous": {"bounded", "key-b", declarer.CodeNone},
+			"unknown database":   {"x", "key-b", declarer.CodeNoDatabase},
+		} {
+			c := newClient(d, name, x.database, 1)
+			c.caller.key = x.key
+			go c.session.Run()
+			if r := <-c.caller.out; r.code != x.want {
+				t.Errorf("%s: code %d, want %d", name, r.code, x.want)
+			}
+			close(c.caller.in)
+		}
+		d.close()
+		synctest.Wait()
+	})
+}
+
+// Guards against a key that was taken away and still serves: an open session loses it with its next
+// transaction, the open transaction goes on, and a key that comes back serves again.
+func TestOpenSessionLosesItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newEntryHost(w, "z-0")
+		declareCustomers(d, map[string]string{"u": "a", "v": "b"})
+		c := startSession(d, "primary")
+		c.expect(t, "WRITE x 1", declarer.CodeNone)
+		c.expect(t, "BEGIN", declarer.CodeNone)
+		c.expect(t, "READ x", declarer.CodeNone)
+		declareCustomers(d, map[string]string{"v": "b"})
+		c.expect(t, "WRITE x 2", declarer.CodeNone)
+		c.expect(t, "COMMIT", declarer.CodeNone)
+		c.expect(t, "WRITE x 3", declarer.CodeUnauthorized)
+		c.expect(t, "BEGIN", declarer.CodeUnauthorized)
+		declareCustomers(d, map[string]string{"u": "a", "v": "b"})
+		c.expect(t, "READ x", declarer.CodeNone)
+		endSession(d, c)
+	})
+}
+
+// expect sends a statement and reports an answer with another code.
+func (c *client) expect(t *testing.T, text string, want declarer.Code) {
+	t.Helper()
+	if _, r := c.ask(text); r.code != want {
+		t.Errorf("%s: code %d, want %d", text, r.code, want)
+	}
+}
--- a/internal/proxy/executor/model_test.go
+++ b/internal/proxy/executor/model_test.go
@@ -93,6 +93,7 @@
 // caller connects a session with the test, which sends on in and receives on out.
 type caller struct {
 	database string
+	key      string
 	in       chan declarer.Statement
 	out      chan reply
 	stop     chan struct{}
@@ -100,10 +101,10 @@
 }
 
 func newCaller(database string) *caller {
-	return &caller{database: database, in: make(chan declarer.Statement), out: make(chan reply, 4), stop: make(chan struct{})}
+	return &caller{database: database, key: "u", in: make(chan declarer.Statement), out: make(chan reply, 4), stop: make(chan struct{})}
 }
 
-func (c *caller) Start(time.Time) (string, string, error) { return c.database, "u", nil }
+func (c *caller) Start(time.Time) (string, string, error) { return c.database, c.key, nil }
 
 func (c *caller) Next(deadline time.Time) (declarer.Statement, error) {
 	var t <-chan time.Time
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -100,7 +100,7 @@
 		return
 	}
 	end := time.Now().Add(observeTimeout)
-	l, err := p.Acquire(connpooler.AcquireRequest{Deadline: end, Class: admitter.ClassTransaction})
+	l, err := p.Acquire(connpooler.AcquireRequest{Deadline: end, Class: admitter.ClassTransaction, AnyCustomer: true})
 	if err != nil {
 		return
 	}
@@ -111,7 +111,7 @@
 			return
 		}
 		l.Release(false)
-		if l, err = p.Acquire(connpooler.AcquireRequest{Deadline: end, Class: admitter.ClassTransaction}); err != nil {
+		if l, err = p.Acquire(connpooler.AcquireRequest{Deadline: end, Class: admitter.ClassTransaction, AnyCustomer: true}); err != nil {
 			return
 		}
 	}
--- a/internal/proxy/executor/ports.go
+++ b/internal/proxy/executor/ports.go
@@ -10,8 +10,8 @@
 
 // Caller is the connection of one caller.
 type Caller interface {
-	// Start waits for the startup message and returns the database and the identity in it.
-	Start(deadline time.Time) (database, identity string, err error)
+	// Start waits for the startup message and returns the database and the caller's key in it.
+	Start(deadline time.Time) (database, key string, err error)
 	// Next waits for the next statement, until the deadline if it isn't zero. It may be called
 	// again after ErrDeadline.
 	Next(deadline time.Time) (declarer.Statement, error)
@@ -44,6 +44,8 @@
 type Report struct {
 	Group    string
 	Database string
+	// Customer holds the caller's key, empty if it needs none.
+	Customer string
 	// Statement is the id that the caller gave it.
 	Statement string
 	Verb      declarer.Verb
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/customer/identifier"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -33,8 +34,9 @@
 	// Ready reports whether the host has what it needs to serve, such as a configuration.
 	Ready func() bool
 
-	// database is the one that the caller named at the start.
+	// database is the one that the caller named at the start, key the digest of the key that it sent.
 	database string
+	key      identifier.Digest
 	// values are the session's settings by name, prepared its prepared statements by the caller's
 	// name.
 	values   map[string]string
@@ -74,17 +76,17 @@
 
 // start answers the caller's startup message and reports whether the session may begin.
 func (s *Session) start() bool {
-	d, _, err := s.Caller.Start(time.Now().Add(startupTimeout))
+	d, key, err := s.Caller.Start(time.Now().Add(startupTimeout))
 	if err != nil {
 		return false
 	}
-	s.database = d
+	s.database, s.key = d, identifier.DigestOf(key)
 	if !s.awaitReady() {
 		_ = s.Caller.Refuse(declarer.CodeBusy, "the host isn't ready yet")
 		return false
 	}
-	if _, ok := s.route(); !ok {
-		_ = s.Caller.Refuse(declarer.CodeNoDatabase, d)
+	if _, code := s.admit(); code != declarer.CodeNone {
+		_ = s.Caller.Refuse(code, s.refusalText(code))
 		return false
 	}
 	return s.Caller.Ready() == nil
@@ -106,17 +108,40 @@
 	return true
 }
 
-// route returns the route of the session's database in the configuration in force.
-func (s *Session) route() (declarer.Route, bool) {
+// admission is what the configuration in force lets a statement or transaction of the session use.
+type admission struct {
+	route declarer.Route
+	// customer holds the caller's key, empty if it needs none.
+	customer string
+}
+
+// admit returns what the session may use under the configuration in force, or the code with which it
+// is refused.
+func (s *Session) admit() (admission, declarer.Code) {
 	c := s.Board.Configuration()
 	if c == nil {
-		return declarer.Route{}, false
+		return admission{}, declarer.CodeNoDatabase
 	}
 	r, ok := c.Routes[s.database]
+	if !ok {
+		return admission{}, declarer.CodeNoDatabase
+	}
+	n, ok := c.Identify(r, s.key)
+	if !ok {
+		return admission{}, declarer.CodeUnauthorized
+	}
 	if r.Timeout == 0 {
 		r.Timeout = defaultStatementTimeout
 	}
-	return r, ok
+	return admission{route: r, customer: n}, declarer.CodeNone
+}
+
+// refusalText describes a code of admit.
+func (s *Session) refusalText(c declarer.Code) string {
+	if c == declarer.CodeUnauthorized {
+		return "not run: the key is unknown"
+	}
+	return s.database
 }
 
 // version returns the version of the configuration in force, zero if there is none.
@@ -306,11 +331,11 @@
 	if s.openTransaction != nil {
 		return s.fail(declarer.CodeMalformed, "a transaction is open")
 	}
-	r, ok := s.route()
-	if !ok {
-		return s.fail(declarer.CodeNoDatabase, s.database)
+	m, code := s.admit()
+	if code != declarer.CodeNone {
+		return s.fail(code, s.refusalText(code))
 	}
-	s.openTransaction = &transaction{route: r, arrived: s.Board.Time(), readOnly: x.Verb == declarer.VerbBeginRead}
+	s.openTransaction = &transaction{admission: m, arrived: s.Board.Time(), readOnly: x.Verb == declarer.VerbBeginRead}
 	return s.Caller.Done(declarer.StateTransaction)
 }
 
@@ -332,11 +357,11 @@
 	if s.openTransaction != nil {
 		return s.runInTransaction(q)
 	}
-	r, ok := s.route()
-	if !ok {
-		return s.fail(declarer.CodeNoDatabase, s.database)
+	m, code := s.admit()
+	if code != declarer.CodeNone {
+		return s.fail(code, s.refusalText(code))
 	}
-	return s.runAutocommit(r, q)
+	return s.runAutocommit(m, q)
 }
 
 const errNoStatement = errors.ConstError("no such prepared statement")
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -15,7 +15,7 @@
 // transaction is one that a caller has begun. Its first statement leases a connection, which it
 // keeps to its end.
 type transaction struct {
-	route declarer.Route
+	admission
 	// arrived is when the begin arrived, on the blackboard's clock.
 	arrived time.Duration
 	// readOnly is set if the caller declared the transaction read-only.
@@ -51,7 +51,7 @@
 	if t.readOnly && q.Writes {
 		return s.fail(declarer.CodeReadOnly, "the transaction only reads")
 	}
-	a := s.newAttempt(t.route, q)
+	a := s.newAttempt(t.admission, q)
 	if t.lease == nil {
 		return s.runFirst(t, a)
 	}
@@ -132,7 +132,7 @@
 	for {
 		a.retries.CountTry()
 		e := &exchange{lease: t.lease, deadline: a.deadline}
-		if err := e.acquirePermit(connpooler.AcquireRequest{Deadline: a.deadline, Class: admitter.ClassTransaction, Team: a.route.Database}); err != nil {
+		if err := e.acquirePermit(connpooler.AcquireRequest{Deadline: a.deadline, Class: admitter.ClassTransaction, Customer: a.customer, Team: a.team()}); err != nil {
 			a.reason = err.Error()
 			return err
 		}
@@ -169,7 +169,7 @@
 		s.openTransaction = nil
 		return s.Caller.Fail(declarer.CodeAborted, "the transaction was rolled back", declarer.StateIdle)
 	}
-	a := s.newAttempt(t.route, &request{Request: declarer.Request{ID: x.ID, Text: x.Text}, verb: x.Verb})
+	a := s.newAttempt(t.admission, &request{Request: declarer.Request{ID: x.ID, Text: x.Text}, verb: x.Verb})
 	if t.lease == nil {
 		return s.commitEmpty(t, a)
 	}
--- a/internal/proxy/executor/world_test.go
+++ b/internal/proxy/executor/world_test.go
@@ -144,7 +144,7 @@
 }
 
 // Dial opens a connection.
-func (w *databaseGroup) Dial(_ context.Context, d declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (w *databaseGroup) Dial(_ context.Context, d declarer.Server, _ string) (connpooler.Connection, marker.Mark, error) {
 	time.Sleep(5 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -42,6 +42,9 @@
 	Objective time.Duration
 	Class     admitter.Class
 	Team      string
+	// Customer and AnyCustomer, set with KindLend, are those of connpooler.AcquireRequest.
+	Customer    string
+	AnyCustomer bool
 	// Requests are the statements, set with KindStatements.
 	Requests []declarer.Request
 }
@@ -183,7 +186,7 @@
 
 // acquireRequest returns the event as a request to the pool.
 func (e *Event) acquireRequest(now time.Time) connpooler.AcquireRequest {
-	a := connpooler.AcquireRequest{Deadline: now.Add(e.Wait), Class: e.Class, Team: e.Team}
+	a := connpooler.AcquireRequest{Deadline: now.Add(e.Wait), Class: e.Class, Team: e.Team, Customer: e.Customer, AnyCustomer: e.AnyCustomer}
 	if e.Objective > 0 {
 		a.Objective = now.Add(e.Objective)
 	}
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -31,7 +31,7 @@
 	state   declarer.State
 }
 
-func (s *server) Dial(context.Context, declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (s *server) Dial(context.Context, declarer.Server, string) (connpooler.Connection, marker.Mark, error) {
 	if s.full {
 		return nil, marker.Mark{}, connpooler.ErrTooManyConnections
 	}
--- a/internal/proxy/promoter/prober.go
+++ b/internal/proxy/promoter/prober.go
@@ -35,7 +35,7 @@
 
 // command sends one command and parses the answer as a status.
 func (p *Prober) command(ctx context.Context, s declarer.Server, q declarer.Request) (declarer.Status, error) {
-	c, _, err := p.Dialer.Dial(ctx, s)
+	c, _, err := p.Dialer.Dial(ctx, s, "")
 	if err != nil {
 		return declarer.Status{}, err
 	}
--- a/internal/proxy/promoter/promoter_test.go
+++ b/internal/proxy/promoter/promoter_test.go
@@ -116,7 +116,7 @@
 	return nil
 }
 
-func (c *cluster) Dial(_ context.Context, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (c *cluster) Dial(_ context.Context, s declarer.Server, _ string) (connpooler.Connection, marker.Mark, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.servers[s.ID].gone {
@@ -128,8 +128,8 @@
 	return &connection{cluster: c, id: s.ID}, marker.Mark{}, nil
 }
 
-func (c *cluster) DialVia(ctx context.Context, _ string, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
-	return c.Dial(ctx, s)
+func (c *cluster) DialVia(ctx context.Context, _ string, s declarer.Server, _ string) (connpooler.Connection, marker.Mark, error) {
+	return c.Dial(ctx, s, "")
 }
 
 // CheckServer returns what another host reports about the server.
--- a/internal/proxy/relaydialer/relaydialer.go
+++ b/internal/proxy/relaydialer/relaydialer.go
@@ -35,7 +35,7 @@
 // Transport opens connections to servers, directly or through another host, given by address.
 type Transport interface {
 	connpooler.Dialer
-	DialVia(ctx context.Context, host string, s declarer.Server) (connpooler.Connection, marker.Mark, error)
+	DialVia(ctx context.Context, host string, s declarer.Server, customer string) (connpooler.Connection, marker.Mark, error)
 	// CheckServer asks a host to check the server. The result is connpooler.ErrServerAlive or
 	// connpooler.ErrNoRouteAnywhere; any other error means that the host did not answer.
 	CheckServer(ctx context.Context, host string, s declarer.Server, q Check) error
@@ -82,17 +82,17 @@
 
 // Dial opens a connection to the server. An answer of the server, or a refusal because no
 // process listens on its host, ends the search: another route leads to the same result.
-func (d *Dialer) Dial(ctx context.Context, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (d *Dialer) Dial(ctx context.Context, s declarer.Server, customer string) (connpooler.Connection, marker.Mark, error) {
 	var cause error = connpooler.ErrNoRoute
 	if !d.isSuspended(d.blockedUntil, s.ID) {
-		c, m, err := d.Transport.Dial(ctx, s)
+		c, m, err := d.Transport.Dial(ctx, s, customer)
 		if err == nil || !errors.Is(err, connpooler.ErrNoRoute) || errors.Is(err, syscall.ECONNREFUSED) {
 			return c, m, err
 		}
 		cause = err
 		d.suspend(&d.blockedUntil, s.ID, directRetryDelay)
 	}
-	c, m, err := d.dialRelays(ctx, s)
+	c, m, err := d.dialRelays(ctx, s, customer)
 	if errors.Is(err, connpooler.ErrNoRoute) {
 		return nil, m, cause
 	}
@@ -101,13 +101,13 @@
 
 // dialRelays tries several hosts at the same time and returns the first connection or the first
 // answer of the server.
-func (d *Dialer) dialRelays(ctx context.Context, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (d *Dialer) dialRelays(ctx context.Context, s declarer.Server, customer string) (connpooler.Connection, marker.Mark, error) {
 	l := d.selectHosts(maximumRelays)
 	c, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := make(chan result, len(l))
 	for _, h := range l {
-		go (&relayAttempt{dialer: d, host: h, server: s, results: r}).run(c)
+		go (&relayAttempt{dialer: d, host: h, server: s, customer: customer, results: r}).run(c)
 	}
 	for i := range l {
 		x := <-r
@@ -213,14 +213,15 @@
 
 // relayAttempt is a connection attempt through one host.
 type relayAttempt struct {
-	dialer  *Dialer
-	host    declarer.Host
-	server  declarer.Server
-	results chan<- result
+	dialer   *Dialer
+	host     declarer.Host
+	server   declarer.Server
+	customer string
+	results  chan<- result
 }
 
 func (x *relayAttempt) run(ctx context.Context) {
-	c, m, err := x.dialer.Transport.DialVia(ctx, x.host.Address, x.server)
+	c, m, err := x.dialer.Transport.DialVia(ctx, x.host.Address, x.server, x.customer)
 	if err != nil && ctx.Err() == nil && !isHostAnswer(err) {
 		// After a timeout the host is not suspended: it may have been asked late.
 		x.dialer.suspend(&x.dialer.unresponsiveUntil, x.host.Name, hostRetryDelay)
--- a/internal/proxy/relaydialer/relaydialer_test.go
+++ b/internal/proxy/relaydialer/relaydialer_test.go
@@ -41,11 +41,11 @@
 	return &fakeConnection{}, marker.Mark{}, nil
 }
 
-func (w *fakeTransport) Dial(context.Context, declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (w *fakeTransport) Dial(context.Context, declarer.Server, string) (connpooler.Connection, marker.Mark, error) {
 	return w.answer("direct", w.direct)
 }
 
-func (w *fakeTransport) DialVia(_ context.Context, host string, _ declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (w *fakeTransport) DialVia(_ context.Context, host string, _ declarer.Server, _ string) (connpooler.Connection, marker.Mark, error) {
 	return w.answer(host, w.via[host])
 }
 
@@ -85,7 +85,7 @@
 		t.Run(name, func(t *testing.T) {
 			w := &fakeTransport{direct: c.direct, via: c.via}
 			d := &Dialer{Transport: w, Hosts: hosts(c.hosts...)}
-			_, _, err := d.Dial(t.Context(), declarer.Server{ID: "i"})
+			_, _, err := d.Dial(t.Context(), declarer.Server{ID: "i"}, "")
 			if c.want == nil && err != nil || c.want != nil && !errors.Is(err, c.want) {
 				t.Errorf("error %v, want %v", err, c.want)
 			}
@@ -100,7 +100,7 @@
 		w := &fakeTransport{direct: connpooler.ErrNoRoute}
 		d := &Dialer{Transport: w, Hosts: hosts("h1")}
 		for range 3 {
-			if _, _, err := d.Dial(t.Context(), declarer.Server{ID: "i"}); err != nil {
+			if _, _, err := d.Dial(t.Context(), declarer.Server{ID: "i"}, ""); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -156,7 +156,7 @@
 // slowTransport is a route on which nothing is answered before the deadline.
 type slowTransport struct{ fakeTransport }
 
-func (s *slowTransport) DialVia(ctx context.Context, _ string, _ declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (s *slowTransport) DialVia(ctx context.Context, _ string, _ declarer.Server, _ string) (connpooler.Connection, marker.Mark, error) {
 	<-ctx.Done()
 	return nil, marker.Mark{}, ctx.Err()
 }
@@ -171,7 +171,7 @@
 		d := &Dialer{Transport: w, Hosts: hosts("h1")}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		if _, _, err := d.Dial(ctx, declarer.Server{ID: "i"}); err == nil {
+		if _, _, err := d.Dial(ctx, declarer.Server{ID: "i"}, ""); err == nil {
 			t.Fatal("connected")
 		}
 		if len(d.selectHosts(1)) != 1 {
--- a/internal/proxy/reporter/reporter.go
+++ b/internal/proxy/reporter/reporter.go
@@ -39,6 +39,7 @@
 	declarer.CodeNoSuchStatement:    {"not-run", "no-such-statement"},
 	declarer.CodeAborted:            {"not-run", "aborted"},
 	declarer.CodeNoDatabase:         {"not-run", "no-database"},
+	declarer.CodeUnauthorized:       {"not-run", "unauthorized"},
 	declarer.CodeMalformed:          {"not-run", "malformed"},
 	declarer.CodeTooBig:             {"not-run", "too-big"},
 	declarer.CodeFailed:             {"failed", "failed"},
@@ -65,6 +66,7 @@
 	l := encoder.Statement{
 		Request:       r.Statement,
 		Database:      r.Database,
+		Customer:      r.Customer,
 		DatabaseGroup: r.Group,
 		Operation:     operations[r.Verb],
 		Outcome:       k.name,
--- a/internal/proxy/runner/deployment_test.go
+++ b/internal/proxy/runner/deployment_test.go
@@ -124,7 +124,7 @@
 }
 
 // Dial opens a connection to a server.
-func (d *deployment) Dial(_ context.Context, x declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (d *deployment) Dial(_ context.Context, x declarer.Server, _ string) (connpooler.Connection, marker.Mark, error) {
 	for _, s := range d.servers {
 		if s.declared.ID != x.ID {
 			continue
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -38,6 +38,8 @@
 	server string
 	// owner is the name of the host that owns the connections, empty for this host.
 	owner string
+	// byCustomer is set if each connection serves one customer only.
+	byCustomer bool
 }
 
 // pools holds the connection pools of all listed servers.
@@ -97,7 +99,8 @@
 		return nil
 	}
 	limit, minimum := p.connectionShare(s)
-	o := p.getOrAdd(poolKey{server: id}, &connpooler.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, MinOpen: minimum})
+	b := p.byCustomer()
+	o := p.getOrAdd(poolKey{server: id, byCustomer: b}, &connpooler.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, MinOpen: minimum, ByCustomer: b})
 	o.Resize(limit, minimum)
 	return o
 }
@@ -110,13 +113,29 @@
 	o, ok := p.owner(s)
 	switch {
 	case !ok:
-		return max(minimumHostShare, n/hostShareDivisor), 1
+		return max(minimumHostShare, n/hostShareDivisor), p.kept((n - probeReserve) / max(1, p.roster.count()))
 	case o.Name == p.self:
-		return max(minimumHostShare, n-probeReserve), 1
+		return max(minimumHostShare, n-probeReserve), p.kept(n - probeReserve)
 	}
 	return max(minimumHostShare, n/hostShareDivisor), 0
 }
 
+// kept returns how many idle connections a host keeps of a share that no other host needs. An idle
+// connection that serves all customers is soon used again or not needed. One that serves a single
+// customer is kept, as opening it again takes longer than most statements.
+func (p *pools) kept(share int) int {
+	if p.byCustomer() {
+		return max(1, share)
+	}
+	return 1
+}
+
+// byCustomer reports whether callers are identified, so that each connection serves one customer.
+func (p *pools) byCustomer() bool {
+	c := p.board.Configuration()
+	return c != nil && c.Customers != nil
+}
+
 // borrowedPool returns the pool of links to the owner.
 func (p *pools) borrowedPool(s declarer.Server, o declarer.Host) *connpooler.Pool {
 	l := &linkDialer{pools: p, owner: o}
@@ -187,8 +206,13 @@
 	p.mu.Lock()
 	l := maps.Clone(p.pools)
 	p.mu.Unlock()
+	b := p.byCustomer()
 	for w, o := range l {
-		if w.owner == "" {
+		switch {
+		case w.owner != "":
+		case w.byCustomer != b:
+			o.Resize(0, 0)
+		default:
 			o.Resize(p.connectionShare(o.Server))
 		}
 		o.Trim(now)
@@ -203,7 +227,7 @@
 }
 
 // Dial opens a link to the owner for the server.
-func (l *linkDialer) Dial(ctx context.Context, s declarer.Server) (connpooler.Connection, marker.Mark, error) {
+func (l *linkDialer) Dial(ctx context.Context, s declarer.Server, _ string) (connpooler.Connection, marker.Mark, error) {
 	c, err := l.pools.dialLink(ctx, l.owner.Address, s)
 	return c, marker.Mark{}, err
 }
