feat(customer): limits of customers, counted by zone and moved between zones

Change: in each zone one host counts a customer's operations, first in an order by link and hash; the others ask it before an operation. Each zone has an equal share of the rate and the burst, and draws tokens from the other zones when it runs low. Tokens are moved, never made, so zones that lose each other keep the limit. A host that reaches none of three counting hosts refuses. A refusal comes at once (BUSY, not run) with the time of the next token. strict_revoke and revoke_ms are followed.

--- /dev/null
+++ b/internal/customer/limiter/limiter.go
@@ -0,0 +1,164 @@
+// Package limiter decides whether an operation of a customer is within the customer's limit, in one
+// part of a deployment.
+//
+// A limit applies to the whole deployment, whose parts may lose each other at any time. So each part
+// has an equal share of the tokens, and a part that needs more draws from the others. Tokens are only
+// moved, so that the parts together keep to the limit whichever of them are in touch. What a part holds
+// beyond its share for its demand of the next moment, while the others collect their shares again, is
+// bounded by that demand.
+package limiter
+
+import (
+	"math"
+	"time"
+)
+
+// Limit bounds the operations of one customer.
+type Limit struct {
+	// Rate is in operations a second, zero for no limit. Burst is how many more operations may be
+	// sent at once.
+	Rate, Burst float64
+}
+
+const (
+	// demandWindow is the time over which a customer's demand in this part is averaged.
+	demandWindow = time.Second
+	// reservedDemand is the time of a part's own demand for which it keeps tokens when others draw.
+	reservedDemand = 250 * time.Millisecond
+	// emptyPause is how long a part that had to refuse gives no tokens away.
+	emptyPause = 250 * time.Millisecond
+)
+
+// Limiter holds the tokens of all customers in one part. Its exported fields are set before use. It
+// must not be used concurrently.
+type Limiter struct {
+	// Parts is the number of parts of the deployment.
+	Parts int
+	// Extra is how many tokens a customer's burst is enlarged by, over all parts, so that the share
+	// of a part isn't below a whole token.
+	Extra float64
+	// Began is when the part began to count.
+	Began time.Duration
+
+	accounts map[string]*account
+}
+
+// account holds the tokens of one customer.
+type account struct {
+	limit  Limit
+	tokens float64
+	// at is the time up to which tokens were added.
+	at time.Duration
+	// demand is the average number of operations a second, at the time demandAt.
+	demand   float64
+	demandAt time.Duration
+	// refused is set once an operation was refused, the last time at refusedAt.
+	refused   bool
+	refusedAt time.Duration
+}
+
+// Decision is whether an operation may run.
+type Decision struct {
+	Granted bool
+	// RetryAfter is the time until this part has a token again, if it isn't granted.
+	RetryAfter time.Duration
+	// Low is set if few tokens are left, so that others should be asked for some.
+	Low bool
+}
+
+// Take takes a token for one operation of the customer.
+func (l *Limiter) Take(customer string, m Limit, now time.Duration) Decision {
+	if m.Rate <= 0 {
+		return Decision{Granted: true}
+	}
+	a := l.account(customer, m, now)
+	a.countDemand(now)
+	if a.tokens >= 1 {
+		a.tokens--
+		return Decision{Granted: true, Low: a.tokens < a.reserve()}
+	}
+	a.refused, a.refusedAt = true, now
+	return Decision{RetryAfter: l.untilToken(a), Low: true}
+}
+
+// untilToken returns the time until the account has a whole token.
+func (l *Limiter) untilToken(a *account) time.Duration {
+	s := (1 - a.tokens) * float64(l.parts()) / a.limit.Rate
+	return time.Duration(math.Ceil(s * float64(time.Second)))
+}
+
+// Missing returns how many tokens the customer's account needs to have half of its capacity and its
+// reserve.
+func (l *Limiter) Missing(customer string, m Limit, now time.Duration) float64 {
+	a := l.account(customer, m, now)
+	return max(0, 1+l.capacity(m)/2+a.reserve()-a.tokens)
+}
+
+// Give removes up to n tokens from the customer's account, for another part, and returns how many. It
+// leaves what this part itself needs soon, and half of the rest.
+func (l *Limiter) Give(customer string, m Limit, n float64, now time.Duration) float64 {
+	a := l.account(customer, m, now)
+	if a.refused && now-a.refusedAt < emptyPause {
+		return 0
+	}
+	a.decayDemand(now)
+	g := min(max(0, n), max(0, a.tokens-a.reserve())/2)
+	a.tokens -= g
+	return g
+}
+
+// Receive adds tokens that another part has given.
+func (l *Limiter) Receive(customer string, m Limit, n float64, now time.Duration) {
+	a := l.account(customer, m, now)
+	a.tokens = min(a.tokens+n, max(a.tokens, m.Burst+l.Extra))
+}
+
+// Retain forgets the customers for which keep returns false.
+func (l *Limiter) Retain(keep func(customer string) bool) {
+	for c := range l.accounts {
+		if !keep(c) {
+			delete(l.accounts, c)
+		}
+	}
+}
+
+func (l *Limiter) parts() int { return max(1, l.Parts) }
+
+// capacity returns up to how many tokens collect in this part.
+func (l *Limiter) capacity(m Limit) float64 { return (m.Burst + l.Extra) / float64(l.parts()) }
+
+// account returns the customer's account with the tokens up to now. An account that is used for the
+// first time has collected tokens since the part began.
+func (l *Limiter) account(customer string, m Limit, now time.Duration) *account {
+	a := l.accounts[customer]
+	if a == nil {
+		if l.accounts == nil {
+			l.accounts = make(map[string]*account)
+		}
+		a = &account{limit: m, tokens: l.Extra / float64(l.parts()), at: l.Began, demandAt: now}
+		l.accounts[customer] = a
+	}
+	c := l.capacity(a.limit)
+	if a.tokens < c {
+		a.tokens = min(c, a.tokens+a.limit.Rate/float64(l.parts())*(now-a.at).Seconds())
+	}
+	a.at = now
+	if a.limit != m {
+		a.limit = m
+		a.tokens = min(a.tokens, l.capacity(m))
+	}
+	return a
+}
+
+// reserve returns the tokens that the part's own demand needs within reservedDemand.
+func (a *account) reserve() float64 { return a.demand * reservedDemand.Seconds() }
+
+func (a *account) countDemand(now time.Duration) {
+	a.decayDemand(now)
+	a.demand += 1 / demandWindow.Seconds()
+}
+
+func (a *account) decayDemand(now time.Duration) {
+	a.demand *= math.Exp(-(now - a.demandAt).Seconds() / demandWindow.Seconds())
+	a.demandAt = now
+}
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -106,7 +106,11 @@
 
 // bounds returns the settings that may change while the host runs.
 func bounds(s platform.Settings) runner.Bounds {
-	return runner.Bounds{Grace: s.Grace, ConfigurationLimit: s.ConfigurationLimit, DrainLimit: s.DrainLimit, Lease: s.Lease}
+	b := runner.Bounds{Grace: s.Grace, ConfigurationLimit: s.ConfigurationLimit, DrainLimit: s.DrainLimit, Lease: s.Lease}
+	if s.StrictKeys {
+		b.KeyLimit = s.KeyLimit
+	}
+	return b
 }
 
 func limitMemory(s platform.Settings) { debug.SetMemoryLimit(s.MemoryBytes * memoryLimitTenths / 10) }
@@ -164,6 +168,9 @@
 		Self:              declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone, Bandwidth: s.Bandwidth},
 		PromotionPlatform: &platform.PromotionClient{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
 		NewCaller:         func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
+		QuotaSlack:        s.QuotaSlack,
+		DialQuota:         platform.DialQuotaLink,
+		ServeQuota:        platform.ServeQuota,
 		Log:               l,
 	}
 	f.attach(h, reportInvalid)
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/customer/identifier"
+	"github.com/cuminwick/cuminwick/internal/customer/limiter"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 )
 
@@ -38,9 +39,8 @@
 // Customer is an organization whose callers are identified by their keys.
 type Customer struct {
 	Name string
-	// Rate is how many operations a second its callers may send, over all entry hosts, zero for no
-	// limit. Burst is how many more they may send at once.
-	Rate, Burst float64
+	// Limit bounds the operations of its callers, over all entry hosts.
+	Limit limiter.Limit
 }
 
 // Group is the declaration of one database group.
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -77,6 +77,9 @@
 // tryServers tries servers until one has answered. It returns the lease that the statement ran on.
 // If there is no answer to forward, it returns an error code and text of this proxy.
 func (a *attempt) tryServers() (*connpooler.Lease, declarer.Code, string) {
+	if text := a.refuseBeyondLimit(); text != "" {
+		return nil, declarer.CodeBusy, text
+	}
 	a.retries.SingleServer = a.primaryOnly
 	for {
 		changed := a.session.Board.Changed()
--- a/internal/proxy/executor/customer_test.go
+++ b/internal/proxy/executor/customer_test.go
@@ -1,12 +1,17 @@
 package executor_test
 
 import (
+	"context"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/cuminwick/cuminwick/internal/customer/identifier"
+	"github.com/cuminwick/cuminwick/internal/customer/limiter"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/quotakeeper"
 )
 
 // declareCustomers puts a next version of the host's configuration into force, in which the keys
@@ -91,3 +96,70 @@
 		t.Errorf("%s: code %d, want %d", text, r.code, want)
 	}
 }
+
+// limits grants the first operations of each customer and refuses those after.
+type limits struct {
+	most     int
+	admitted map[string]int
+}
+
+func (l *limits) Admit(_ context.Context, customer string) *quotakeeper.Refusal {
+	if l.admitted[customer] == l.most {
+		return &quotakeeper.Refusal{Limit: limiter.Limit{Rate: 2, Burst: 1}, RetryAfter: 400 * time.Millisecond}
+	}
+	l.admitted[customer]++
+	return nil
+}
+
+// Guards against operations beyond a customer's limit that are run, or refused late or without the time
+// to come back. A transaction counts once, with its first statement.
+func TestOperationBeyondLimitIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newEntryHost(w, "z-0")
+		declareCustomers(d, map[string]string{"u": "a"})
+		c := newClient(d, "s1", "primary", 1)
+		l := &limits{most: 2, admitted: make(map[string]int)}
+		c.session.Limiter = l
+		go c.session.Run()
+		<-c.caller.out
+		c.expect(t, "WRITE x 1", declarer.CodeNone)
+		c.expect(t, "BEGIN", declarer.CodeNone)
+		c.expect(t, "READ x", declarer.CodeNone)
+		c.expect(t, "READ x", declarer.CodeNone)
+		c.expect(t, "COMMIT", declarer.CodeNone)
+		began := time.Now()
+		_, r := c.ask("WRITE x 3")
+		if r.code != declarer.CodeBusy || !strings.Contains(r.text, "retry after 400 ms") || !strings.Contains(r.text, "customer a") || time.Since(began) > 0 {
+			t.Errorf("code %d, %q after %v", r.code, r.text, time.Since(began))
+		}
+		c.expect(t, "BEGIN", declarer.CodeNone)
+		c.expect(t, "WRITE x 4", declarer.CodeBusy)
+		c.expect(t, "COMMIT", declarer.CodeAborted)
+		l.most++
+		if _, r := c.ask("READ x"); strings.Contains(r.text, " 4") || l.admitted["a"] != 3 {
+			t.Errorf("%q read, %d operations admitted", r.text, l.admitted["a"])
+		}
+		endSession(d, c)
+	})
+}
+
+// Guards against a host that serves keys which it can't confirm where the deployment forbids that.
+func TestUnconfirmedKeysAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newEntryHost(w, "z-0")
+		declareCustomers(d, map[string]string{"u": "a"})
+		c := newClient(d, "s1", "primary", 1)
+		confirmed := true
+		c.session.KeysConfirmed = func() bool { return confirmed }
+		go c.session.Run()
+		<-c.caller.out
+		c.expect(t, "WRITE x 1", declarer.CodeNone)
+		confirmed = false
+		c.expect(t, "WRITE x 2", declarer.CodeBusy)
+		confirmed = true
+		c.expect(t, "WRITE x 3", declarer.CodeNone)
+		endSession(d, c)
+	})
+}
--- a/internal/proxy/executor/ports.go
+++ b/internal/proxy/executor/ports.go
@@ -1,11 +1,13 @@
 package executor
 
 import (
+	"context"
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/quotakeeper"
 )
 
 // Caller is the connection of one caller.
@@ -35,6 +37,12 @@
 	Pool(server string) *connpooler.Pool
 }
 
+// Limiter keeps the limits of customers.
+type Limiter interface {
+	// Admit counts an operation of the customer. It returns nil if the operation may run.
+	Admit(ctx context.Context, customer string) *quotakeeper.Refusal
+}
+
 // Reporter logs and counts the results of statements.
 type Reporter interface {
 	Statement(r *Report)
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -31,8 +31,13 @@
 	Reporter     Reporter
 	Observer     *Observer
 	RetryBudgets *RetryBudgets
+	// Limiter, if not nil, keeps the limits of customers.
+	Limiter Limiter
 	// Ready reports whether the host has what it needs to serve, such as a configuration.
 	Ready func() bool
+	// KeysConfirmed, if not nil, reports whether the configuration was confirmed recently enough to
+	// accept its customers' keys.
+	KeysConfirmed func() bool
 
 	// database is the one that the caller named at the start, key the digest of the key that it sent.
 	database string
@@ -130,6 +135,9 @@
 	if !ok {
 		return admission{}, declarer.CodeUnauthorized
 	}
+	if n != "" && s.KeysConfirmed != nil && !s.KeysConfirmed() {
+		return admission{}, declarer.CodeBusy
+	}
 	if r.Timeout == 0 {
 		r.Timeout = defaultStatementTimeout
 	}
@@ -138,8 +146,11 @@
 
 // refusalText describes a code of admit.
 func (s *Session) refusalText(c declarer.Code) string {
-	if c == declarer.CodeUnauthorized {
+	switch c {
+	case declarer.CodeUnauthorized:
 		return "not run: the key is unknown"
+	case declarer.CodeBusy:
+		return "not run: whether the key is still valid can't be confirmed"
 	}
 	return s.database
 }
--- /dev/null
+++ b/internal/proxy/quotakeeper/peers.go
@@ -0,0 +1,93 @@
+package quotakeeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+// peers holds a connection to each host that is asked.
+type peers struct {
+	dial func(ctx context.Context, h declarer.Host) (Peer, error)
+
+	mu   sync.Mutex
+	open map[string]*link
+	// skippedUntil holds until when a host is skipped, by name.
+	skippedUntil map[string]time.Time
+}
+
+// link is a connection that is open or being opened.
+type link struct {
+	address string
+	// done is closed when peer or err is set.
+	done chan struct{}
+	peer Peer
+	err  error
+}
+
+// get returns the connection to the host, which it opens if there is none.
+func (p *peers) get(ctx context.Context, h declarer.Host) (*link, error) {
+	l, first := p.connection(h)
+	if first {
+		l.peer, l.err = p.dial(ctx, h)
+		close(l.done)
+		if l.err != nil {
+			p.fail(h.Name, l)
+		}
+	}
+	select {
+	case <-l.done:
+		return l, l.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// connection returns the connection to the host, and whether the caller has to open it.
+func (p *peers) connection(h declarer.Host) (l *link, first bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.open[h.Name]; l != nil && l.address == h.Address && !l.ended() {
+		return l, false
+	}
+	if p.open == nil {
+		p.open = make(map[string]*link)
+	}
+	l = &link{address: h.Address, done: make(chan struct{})}
+	p.open[h.Name] = l
+	return l, true
+}
+
+// ended reports whether the connection was open and the other host has closed it.
+func (l *link) ended() bool {
+	select {
+	case <-l.done:
+		return l.peer != nil && l.peer.Ended()
+	default:
+		return false
+	}
+}
+
+// fail closes a connection that has failed, and skips its host for a while.
+func (p *peers) fail(host string, l *link) {
+	if l.peer != nil {
+		l.peer.Close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[host] == l {
+		delete(p.open, host)
+	}
+	if p.skippedUntil == nil {
+		p.skippedUntil = make(map[string]time.Time)
+	}
+	p.skippedUntil[host] = time.Now().Add(hostPause)
+}
+
+func (p *peers) skipped(host string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.skippedUntil[host])
+}
--- /dev/null
+++ b/internal/proxy/quotakeeper/quotakeeper.go
@@ -0,0 +1,189 @@
+// Package quotakeeper keeps the customers' limits over all entry hosts.
+//
+// In each availability zone one host counts the operations of a customer: the first host of the zone
+// that answers, in an order by customer. Other hosts of the zone ask it before an operation. The
+// counting hosts of different zones move tokens among each other when one runs low, so that the
+// messages between zones don't grow with the operations.
+package quotakeeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/customer/limiter"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+const (
+	// takeTimeout bounds one question within the zone. It leaves time for a draw.
+	takeTimeout = 150 * time.Millisecond
+	// drawTimeout bounds one draw from all other zones: a round trip of up to 32 ms, and a
+	// connection attempt before it.
+	drawTimeout = 100 * time.Millisecond
+	// drawPause is the time from a draw that brought less than a token to the next one.
+	drawPause = 200 * time.Millisecond
+	// hostPause is how long a host that has not answered is skipped.
+	hostPause = time.Second
+	// maximumCounters is how many hosts of a zone are asked, one after the other.
+	maximumCounters = 3
+	// unreachablePause is when a caller may come back that was refused as no host of the zone
+	// answered.
+	unreachablePause = 200 * time.Millisecond
+)
+
+// Peer is a connection to another entry host that counts operations.
+type Peer interface {
+	// Take asks for a token for one operation of the customer.
+	Take(ctx context.Context, customer string) (limiter.Decision, error)
+	// Draw asks for up to n tokens of the customer, and returns how many the other host has given.
+	Draw(ctx context.Context, customer string, n float64) (float64, error)
+	// Ended reports whether the other host has closed the connection.
+	Ended() bool
+	Close()
+}
+
+// Refusal is why an operation of a customer is refused.
+type Refusal struct {
+	// Unreachable is set if no host that counts the customer's operations answered.
+	Unreachable bool
+	Limit       limiter.Limit
+	RetryAfter  time.Duration
+}
+
+// Keeper keeps the limits at one host. Its exported fields are set before use.
+type Keeper struct {
+	// Self is the name of this host, Zone its availability zone.
+	Self, Zone string
+	// Zones are all availability zones.
+	Zones []string
+	// Extra is limiter.Limiter.Extra.
+	Extra float64
+	// Limit returns the limit of a customer, false if the customer is unknown.
+	Limit func(customer string) (limiter.Limit, bool)
+	// Counters returns the hosts of a zone in the order in which they count the customer's
+	// operations.
+	Counters func(zone, customer string) []declarer.Host
+	// Dial connects to another host.
+	Dial func(ctx context.Context, h declarer.Host) (Peer, error)
+	// Now reads a monotonic clock that also advances while the host is suspended.
+	Now func() time.Duration
+
+	mu      sync.Mutex
+	limiter limiter.Limiter
+	draws   map[string]*draw
+	peers   peers
+}
+
+// Start begins to count. It is called before all other methods.
+func (k *Keeper) Start() {
+	k.limiter = limiter.Limiter{Parts: len(k.Zones), Extra: k.Extra, Began: k.Now()}
+	k.draws = make(map[string]*draw)
+	k.peers = peers{dial: k.Dial}
+}
+
+// Admit takes a token for one operation of the customer. It returns nil if the operation may run.
+func (k *Keeper) Admit(ctx context.Context, customer string) *Refusal {
+	m, ok := k.Limit(customer)
+	if !ok || m.Rate <= 0 {
+		return nil
+	}
+	tried := 0
+	for _, h := range k.Counters(k.Zone, customer) {
+		if tried == maximumCounters {
+			break
+		}
+		if h.Name != k.Self && k.peers.skipped(h.Name) {
+			continue
+		}
+		tried++
+		d, err := k.ask(ctx, h, customer)
+		if err != nil {
+			continue
+		}
+		if d.Granted {
+			return nil
+		}
+		return &Refusal{Limit: m, RetryAfter: d.RetryAfter}
+	}
+	return &Refusal{Unreachable: true, Limit: m, RetryAfter: unreachablePause}
+}
+
+// ask asks a host of the zone, or this one, for a token.
+func (k *Keeper) ask(ctx context.Context, h declarer.Host, customer string) (limiter.Decision, error) {
+	if h.Name == k.Self {
+		return k.Take(ctx, customer), nil
+	}
+	c, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	l, err := k.peers.get(c, h)
+	if err != nil {
+		return limiter.Decision{}, err
+	}
+	d, err := l.peer.Take(c, customer)
+	if err != nil {
+		k.peers.fail(h.Name, l)
+	}
+	return d, err
+}
+
+// Take takes a token from the account that this host keeps for its zone. If there is none, it first
+// draws from other zones.
+func (k *Keeper) Take(ctx context.Context, customer string) limiter.Decision {
+	d := k.TakeAtHand(customer)
+	if d.Granted {
+		return d
+	}
+	return k.TakeAfterDraw(ctx, customer, d)
+}
+
+// TakeAfterDraw draws tokens from other zones and takes one, after the decision d of TakeAtHand. It
+// returns d if it is too early for a draw.
+func (k *Keeper) TakeAfterDraw(ctx context.Context, customer string, d limiter.Decision) limiter.Decision {
+	if !k.drawAndWait(ctx, customer) {
+		return d
+	}
+	return k.take(customer)
+}
+
+// TakeAtHand is Take without a wait for other zones.
+func (k *Keeper) TakeAtHand(customer string) limiter.Decision {
+	d := k.take(customer)
+	if d.Granted && d.Low {
+		k.beginDraw(customer)
+	}
+	return d
+}
+
+// take takes a token at hand.
+func (k *Keeper) take(customer string) limiter.Decision {
+	m, ok := k.Limit(customer)
+	if !ok {
+		// The asking host has a newer configuration than this one.
+		return limiter.Decision{Granted: true}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.limiter.Take(customer, m, k.Now())
+}
+
+// Give gives up to n tokens of the customer to another zone, and returns how many.
+func (k *Keeper) Give(customer string, n float64) float64 {
+	m, ok := k.Limit(customer)
+	if !ok {
+		return 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.limiter.Give(customer, m, n, k.Now())
+}
+
+// Forget drops the accounts of customers that are no longer declared.
+func (k *Keeper) Forget() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.limiter.Retain(func(c string) bool {
+		_, ok := k.Limit(c)
+		return ok
+	})
+}
--- a/internal/proxy/relayer/relayer.go
+++ b/internal/proxy/relayer/relayer.go
@@ -38,6 +38,8 @@
 	RequestLink
 	// RequestFeed reads objects of the platform through this host.
 	RequestFeed
+	// RequestQuota asks for tokens of customers whose operations this host counts.
+	RequestQuota
 )
 
 // Relayer serves connections from other hosts. Its fields are set before Run.
@@ -50,6 +52,8 @@
 	Lend func(c net.Conn, server string)
 	// Feed serves a host that reads one kind of object, until the host disconnects.
 	Feed func(c net.Conn, kind string)
+	// Quota serves a host that asks for tokens, until the host disconnects.
+	Quota func(c net.Conn)
 	// Find returns a server by id, false if the platform does not list it.
 	Find func(id string) (declarer.Server, bool)
 	// Dial connects to an address within the timeout.
@@ -106,9 +110,13 @@
 	if err != nil {
 		return
 	}
-	if kind == RequestFeed {
+	switch kind {
+	case RequestFeed:
 		r.Feed(x.from, id)
 		return
+	case RequestQuota:
+		r.Quota(x.from)
+		return
 	}
 	s, ok := r.Find(id)
 	if !ok {
--- a/internal/proxy/runner/bounds.go
+++ b/internal/proxy/runner/bounds.go
@@ -1,6 +1,10 @@
 package runner
 
-import "time"
+import (
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+)
 
 // Bounds holds the time limits that the deployment sets and may change while hosts run.
 type Bounds struct {
@@ -14,6 +18,9 @@
 	DrainLimit time.Duration
 	// Lease is how long other hosts order no promotion of a group after a host has ordered one.
 	Lease time.Duration
+	// KeyLimit is how long a host that can't confirm the configuration accepts its customers' keys,
+	// zero for no limit.
+	KeyLimit time.Duration
 }
 
 // SetBounds replaces the bounds. Operations that begin afterwards use b; a watch call that is
@@ -27,5 +34,12 @@
 	return h.Bounds
 }
 
+// keysConfirmed reports whether the configuration was confirmed recently enough to accept the keys of
+// its customers.
+func (h *Host) keysConfirmed() bool {
+	l := h.bounds().KeyLimit
+	return l == 0 || h.Board.Age(blackboard.SectionConfiguration) < l
+}
+
 // constant returns a function that always returns d.
 func constant(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -21,6 +21,7 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
 	"github.com/cuminwick/cuminwick/internal/proxy/promoter"
+	"github.com/cuminwick/cuminwick/internal/proxy/quotakeeper"
 	"github.com/cuminwick/cuminwick/internal/proxy/relaydialer"
 	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
 )
@@ -78,13 +79,20 @@
 	PromotionPlatform promoter.Platform
 	// NewCaller wraps a caller's connection.
 	NewCaller func(net.Conn) executor.Caller
-	Reporter  executor.Reporter
-	Counter   Counter
-	Log       log.Interface
+	// QuotaSlack is how many operations of a customer beyond its limit may run in a window.
+	QuotaSlack float64
+	// DialQuota connects to a host that counts the operations of customers, and ServeQuota answers
+	// another host's questions about those that this one counts.
+	DialQuota  func(ctx context.Context, h declarer.Host) (quotakeeper.Peer, error)
+	ServeQuota func(c net.Conn, k *quotakeeper.Keeper)
+	Reporter   executor.Reporter
+	Counter    Counter
+	Log        log.Interface
 
 	pools          pools
 	observer       executor.Observer
 	budgets        executor.RetryBudgets
+	quotas         quotakeeper.Keeper
 	configurations follower[*declarer.Configuration]
 	servers        follower[declarer.Server]
 	hosts          follower[declarer.Host]
@@ -163,6 +171,7 @@
 		reset: h.roster.reset, apply: h.roster.apply, log: h.Log, onLost: h.Counter.PlatformLost,
 	}
 	startAfter, startTimeout := h.prepareStart()
+	h.prepareQuotas()
 	h.observer = executor.Observer{Board: h.Board, Pools: &h.pools}
 	h.catalogue = catalogue{publish: h.publishServers}
 	h.configurations = follower[*declarer.Configuration]{
@@ -208,6 +217,7 @@
 	h.Relayer.Alive = h.alive
 	h.Relayer.Responding = h.answered
 	h.Relayer.Lend = h.lend
+	h.Relayer.Quota = func(c net.Conn) { h.ServeQuota(c, &h.quotas) }
 	go h.Relayer.Run()
 	go (&acceptor{host: h, listener: callers}).run()
 	go (&readinessServer{server: s, listener: readiness, log: h.Log}).run()
@@ -296,6 +306,7 @@
 
 func (h *Host) setConfiguration(c *declarer.Configuration) {
 	if h.Board.Configure(c) {
+		h.quotas.Forget()
 		h.Log.WithField("version", c.Version).WithField("routes", len(c.Routes)).Info("configuration in force")
 	}
 }
--- a/internal/proxy/runner/pace.go
+++ b/internal/proxy/runner/pace.go
@@ -46,6 +46,13 @@
 	return func() time.Duration { return wait() + watchSlack }
 }
 
-func (h *Host) configWait() time.Duration { return h.bounds().ConfigurationLimit * waitTenths / 10 }
+func (h *Host) configWait() time.Duration {
+	b := h.bounds()
+	l := b.ConfigurationLimit
+	if b.KeyLimit > 0 {
+		l = min(l, b.KeyLimit)
+	}
+	return l * waitTenths / 10
+}
 
 func (h *Host) serversWait() time.Duration { return h.bounds().DrainLimit * waitTenths / 10 }
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -1,7 +1,9 @@
 package runner
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,8 @@
 	// region holds the listed hosts of this host's region in their order as upstream hosts, and
 	// upstreams the hosts through which this host may read, in the order in which they are tried.
 	region, upstreams []declarer.Host
+	// counterHosts holds the results of counters.
+	counterHosts map[counterKey][]declarer.Host
 	// skippedUntil holds until when a host is skipped as an upstream host.
 	skippedUntil map[skipKey]time.Time
 }
@@ -57,9 +61,40 @@
 		l = append(l, assigner.Host{Name: h.Name, AvailabilityZone: h.AvailabilityZone, Region: r.regions[h.AvailabilityZone]})
 	}
 	r.assigner = assigner.Compile(l)
+	r.counterHosts = nil
 	r.rankUpstreams()
 }
 
+// counterKey identifies the hosts that count a customer's operations in a zone.
+type counterKey struct {
+	zone, customer string
+}
+
+// counters returns the hosts of a zone in the order in which they count the customer's operations:
+// those with the fastest link first, and of these in an order that differs by customer.
+func (r *roster) counters(zone, customer string) []declarer.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := counterKey{zone: zone, customer: customer}
+	if l, ok := r.counterHosts[k]; ok {
+		return l
+	}
+	var l []declarer.Host
+	for _, h := range r.hosts {
+		if h.AvailabilityZone == zone {
+			l = append(l, h)
+		}
+	}
+	slices.SortFunc(l, func(a, b declarer.Host) int {
+		return cmp.Or(cmp.Compare(b.Bandwidth, a.Bandwidth), cmp.Compare(xxhash.Sum64String(a.Name+"/"+customer), xxhash.Sum64String(b.Name+"/"+customer)))
+	})
+	if r.counterHosts == nil {
+		r.counterHosts = make(map[counterKey][]declarer.Host)
+	}
+	r.counterHosts[k] = l
+	return l
+}
+
 // count returns the number of listed hosts.
 func (r *roster) count() int {
 	r.mu.Lock()
