fix(proxy): a host lends connections by customer before it has its configuration

Cause: a restarted host that owns a server's connections was asked for one before its configuration had come; without it the host took callers for unidentified, opened the connection in its own name and lent it for a customer's statement. Ruled out: a connection that passed from one customer to another (the model test plays that). Change: a borrower that names a customer gets a connection by customer, whatever this host knows. Besides, the pool test that read a pool without its lock is mended.

--- a/internal/proxy/connpooler/customer_test.go
+++ b/internal/proxy/connpooler/customer_test.go
@@ -184,10 +184,11 @@
 			t.Errorf("%v after %v", err, time.Since(began))
 		}
 		time.Sleep(openDelay)
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		if l := p.idle; len(l) != 1 || l[0].customer != "a" {
 			t.Errorf("%d idle connections", len(l))
 		}
-		p.Close()
 	})
 }
 
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -90,7 +90,8 @@
 type Link struct {
 	Borrower Borrower
 	// Pool returns this host's own connections to the server, nil if the server isn't listed.
-	Pool func() *connpooler.Pool
+	// byCustomer is set if each must serve one customer only.
+	Pool func(byCustomer bool) *connpooler.Pool
 	// OnAnswer is called for each answer of the server.
 	OnAnswer func()
 	// Position returns a position that the server had as the primary at most maximum ago, and how long
@@ -170,7 +171,7 @@
 func (l *Link) lend(e Event) {
 	l.returnLease(false)
 	l.refusal = Refusal{Unreachable: true, Message: "server isn't listed here"}
-	p := l.Pool()
+	p := l.Pool(e.Customer != "")
 	if p == nil {
 		return
 	}
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -118,7 +118,7 @@
 func serve(s *server, p *connpooler.Pool, events ...Event) *borrower {
 	b := &borrower{events: events}
 	var lent atomic.Int64
-	l := &Link{Borrower: b, Pool: func() *connpooler.Pool { return p }, OnAnswer: func() {}, ActiveLeases: &lent, Position: s.position}
+	l := &Link{Borrower: b, Pool: func(bool) *connpooler.Pool { return p }, OnAnswer: func() {}, ActiveLeases: &lent, Position: s.position}
 	l.Run()
 	if n := lent.Load(); n != 0 {
 		panic(fmt.Sprintf("%d connections are lent after the end", n))
--- a/internal/proxy/runner/deployment_test.go
+++ b/internal/proxy/runner/deployment_test.go
@@ -361,7 +361,7 @@
 		return nil, connpooler.ErrNoRoute
 	}
 	c := &link{owner: x, events: make(chan lender.Event, 64), answers: make(chan declarer.Answer, 256)}
-	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func() *connpooler.Pool { return x.host.pools.ownPool(s.ID) }, OnAnswer: func() {}, ActiveLeases: &x.lent,
+	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func(b bool) *connpooler.Pool { return x.host.pools.ownPool(s.ID, b) }, OnAnswer: func() {}, ActiveLeases: &x.lent,
 		Position: func(maximum time.Duration) (marker.Mark, time.Duration, bool) {
 			return x.host.sharePosition(s.ID, maximum)
 		}}
--- a/internal/proxy/runner/lending.go
+++ b/internal/proxy/runner/lending.go
@@ -20,7 +20,7 @@
 		Position: func(maximum time.Duration) (marker.Mark, time.Duration, bool) {
 			return h.sharePosition(server, maximum)
 		},
-		Pool: func() *connpooler.Pool { return h.pools.ownPool(server) },
+		Pool: func(byCustomer bool) *connpooler.Pool { return h.pools.ownPool(server, byCustomer) },
 		OnAnswer: func() {
 			s, ok := h.pools.find(server)
 			if ok {
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -88,18 +88,19 @@
 	if o, ok := p.owner(s); ok && o.Name != p.self {
 		return p.borrowedPool(s, o)
 	}
-	return p.ownPool(id)
+	return p.ownPool(id, false)
 }
 
 // ownPool returns the pool of this host's own connections to the server, nil if the server isn't
-// listed.
-func (p *pools) ownPool(id string) *connpooler.Pool {
+// listed. Each connection serves one customer if byCustomer is set: another host may know that callers
+// are identified before this one has its configuration.
+func (p *pools) ownPool(id string, byCustomer bool) *connpooler.Pool {
 	s, ok := p.find(id)
 	if !ok {
 		return nil
 	}
 	limit, minimum := p.connectionShare(s)
-	b := p.byCustomer()
+	b := byCustomer || p.byCustomer()
 	o := p.getOrAdd(poolKey{server: id, byCustomer: b}, &connpooler.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, MinOpen: minimum, ByCustomer: b})
 	o.Resize(limit, minimum)
 	return o
@@ -206,11 +207,11 @@
 	p.mu.Lock()
 	l := maps.Clone(p.pools)
 	p.mu.Unlock()
-	b := p.byCustomer()
+	b, known := p.byCustomer(), p.board.Configuration() != nil
 	for w, o := range l {
 		switch {
 		case w.owner != "":
-		case w.byCustomer != b:
+		case known && w.byCustomer != b:
 			o.Resize(0, 0)
 		default:
 			o.Resize(p.connectionShare(o.Server))
