feat(proxy): a host keeps half of its connections to a server open, by customer

Servers count the connections of hosts without power for 3 s, and all 34 of 36 had been kept open for customers; the restarted hosts got TOOMANY until then (550 statements with no-connections, 600 with no-server after it). Change: idle connections beyond half of the share are closed as the next one comes back, used longest ago first.

--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -212,6 +212,19 @@
 	p.notifyWaiters()
 }
 
+// addIdle adds a connection that can be leased again. If connections belong to customers, those beyond
+// MinOpen that were used longest ago are closed at once: a server counts the connections of a host that
+// has lost power for seconds, and the next host has to get along with the rest. The caller must hold the
+// mutex.
+func (p *Pool) addIdle(l *Lease) {
+	p.idle = append(p.idle, l)
+	for p.ByCustomer && p.open > p.MinOpen && len(p.idle) > 1 {
+		o := p.idle[0]
+		p.idle = p.idle[1:]
+		p.drop(o)
+	}
+}
+
 // popIdle removes the idle connection that was used last and that fits the request from the list, and
 // returns it, nil if there is none. The caller must hold the mutex.
 func (p *Pool) popIdle(a AcquireRequest) *Lease {
@@ -262,7 +275,7 @@
 	if broken || p.closed {
 		p.drop(l)
 	} else {
-		p.idle = append(p.idle, l)
+		p.addIdle(l)
 	}
 	p.queue.Slots = p.slots()
 	p.queue.Release(e, sinceEpoch(l.usedAt))
@@ -294,7 +307,7 @@
 	if broken || p.closed {
 		p.drop(l)
 	} else {
-		p.idle = append(p.idle, l)
+		p.addIdle(l)
 	}
 	p.adjust()
 }
--- a/internal/proxy/connpooler/customer.go
+++ b/internal/proxy/connpooler/customer.go
@@ -145,7 +145,7 @@
 		p.drop(l)
 		o.err = ErrClosed
 	case o.abandoned:
-		p.idle = append(p.idle, l)
+		p.addIdle(l)
 	default:
 		l.entry = o.entry
 		o.lease = l
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -21,6 +21,9 @@
 	hostShareDivisor = 3
 	// minimumHostShare is the number of connections that a host may always open.
 	minimumHostShare = 2
+	// keptDivisor sets how many of its connections to a server a host keeps while they are idle, one in
+	// this many, where each serves one customer.
+	keptDivisor = 2
 	// probeReserve is the number of connections that the owner of a server's connections leaves
 	// to probes.
 	probeReserve = 2
@@ -126,7 +129,7 @@
 // customer is kept, as opening it again takes longer than most statements.
 func (p *pools) kept(share int) int {
 	if p.byCustomer() {
-		return max(1, share)
+		return max(1, share/keptDivisor)
 	}
 	return 1
 }
