feat(customer): tokens after a start follow what is tolerated, and come back if nothing ran

Change: a start has 0.8 of what the deployment tolerates beyond a limit less what enlarges bursts (66 for a rate and burst of 119). An operation that certainly has not run gives its token back.

--- a/internal/customer/limiter/limiter.go
+++ b/internal/customer/limiter/limiter.go
@@ -20,7 +20,26 @@
 	Rate, Burst float64
 }
 
+// Tolerance is what a deployment tolerates beyond a limit in any window.
+type Tolerance struct {
+	Window time.Duration
+	// Overage is a part of what the limit allows in the window, Slack a number of operations.
+	Overage, Slack float64
+}
+
+// beyond returns how many operations are tolerated beyond the limit in a window.
+func (t Tolerance) beyond(m Limit) float64 {
+	return t.Overage*(m.Rate*t.Window.Seconds()+m.Burst) + t.Slack
+}
+
 const (
+	// burstShare is the part of the tolerated slack by which a customer's burst is enlarged, so that
+	// the share of a part isn't below a whole token.
+	burstShare = 0.4
+	// startShare is the part of the rest of what is tolerated that all parts together have when they
+	// begin. What was sent before that isn't known to a part that has restarted. The remainder is
+	// left for operations that a failed host had counted.
+	startShare = 0.8
 	// demandWindow is the time over which a customer's demand in this part is averaged.
 	demandWindow = time.Second
 	// reservedDemand is the time of a part's own demand for which it keeps tokens when others draw.
@@ -34,9 +53,8 @@
 type Limiter struct {
 	// Parts is the number of parts of the deployment.
 	Parts int
-	// Extra is how many tokens a customer's burst is enlarged by, over all parts, so that the share
-	// of a part isn't below a whole token.
-	Extra float64
+	// Tolerance applies to all parts together.
+	Tolerance Tolerance
 	// Began is when the part began to count.
 	Began time.Duration
 
@@ -110,7 +128,14 @@
 // Receive adds tokens that another part has given.
 func (l *Limiter) Receive(customer string, m Limit, n float64, now time.Duration) {
 	a := l.account(customer, m, now)
-	a.tokens = min(a.tokens+n, max(a.tokens, m.Burst+l.Extra))
+	a.tokens = min(a.tokens+n, max(a.tokens, l.burst(m)))
+}
+
+// Return adds the token of an operation that has not run after all.
+func (l *Limiter) Return(customer string, m Limit, now time.Duration) {
+	if m.Rate > 0 {
+		l.Receive(customer, m, 1, now)
+	}
 }
 
 // Retain forgets the customers for which keep returns false.
@@ -124,8 +149,17 @@
 
 func (l *Limiter) parts() int { return max(1, l.Parts) }
 
+// burst returns up to how many tokens collect in all parts.
+func (l *Limiter) burst(m Limit) float64 { return m.Burst + burstShare*l.Tolerance.Slack }
+
 // capacity returns up to how many tokens collect in this part.
-func (l *Limiter) capacity(m Limit) float64 { return (m.Burst + l.Extra) / float64(l.parts()) }
+func (l *Limiter) capacity(m Limit) float64 { return l.burst(m) / float64(l.parts()) }
+
+// start returns how many tokens this part has when it begins.
+func (l *Limiter) start(m Limit) float64 {
+	t := l.Tolerance
+	return min(l.capacity(m), startShare*(t.beyond(m)-burstShare*t.Slack)/float64(l.parts()))
+}
 
 // account returns the customer's account with the tokens up to now. An account that is used for the
 // first time has collected tokens since the part began.
@@ -135,7 +169,7 @@
 		if l.accounts == nil {
 			l.accounts = make(map[string]*account)
 		}
-		a = &account{limit: m, tokens: l.Extra / float64(l.parts()), at: l.Began, demandAt: now}
+		a = &account{limit: m, tokens: l.start(m), at: l.Began, demandAt: now}
 		l.accounts[customer] = a
 	}
 	c := l.capacity(a.limit)
--- a/internal/customer/limiter/limiter_test.go
+++ b/internal/customer/limiter/limiter_test.go
@@ -11,12 +11,13 @@
 const (
 	window = 5 * time.Second
 	// overage and slack are what a deployment tolerates beyond a limit in a window: a part of it, and
-	// a number of operations. extra is what a limiter uses of the latter.
+	// a number of operations.
 	overage = 0.1
 	slack   = 20
-	extra   = 12
 )
 
+var tolerance = Tolerance{Window: window, Overage: overage, Slack: slack}
+
 // deployment is one limiter for each of several parts, with tokens on their way between them.
 type deployment struct {
 	parts []*Limiter
@@ -36,7 +37,7 @@
 func newDeployment(parts int) *deployment {
 	d := &deployment{}
 	for range parts {
-		d.parts = append(d.parts, &Limiter{Parts: parts, Extra: extra})
+		d.parts = append(d.parts, &Limiter{Parts: parts, Tolerance: tolerance})
 	}
 	return d
 }
--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -168,7 +168,7 @@
 		Self:              declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone, Bandwidth: s.Bandwidth},
 		PromotionPlatform: &platform.PromotionClient{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
 		NewCaller:         func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
-		QuotaSlack:        s.QuotaSlack,
+		Tolerance:         s.Tolerance,
 		DialQuota:         platform.DialQuotaLink,
 		ServeQuota:        platform.ServeQuota,
 		Log:               l,
--- a/internal/proxy/commander/commander.go
+++ b/internal/proxy/commander/commander.go
@@ -25,7 +25,7 @@
 // arguments holds the subcommands, of which the parsed one is not nil.
 type arguments struct {
 	Serve    *serve    `arg:"subcommand:serve" help:"run an entry host, for example: cuminwick-platform serve"`
-	Validate *validate `arg:"subcommand:validate" help:"check a settings file, for example: cuminwick-platform validate settings.conf"`
+	Validate *validate `arg:"subcommand:validate" help:"check a settings file or a configuration, for example: cuminwick-platform validate settings.conf"`
 	Explain  *explain  `arg:"subcommand:explain" help:"tell a request's story from log files, for example: cuminwick-platform explain --request 5c0e host-1.log host-2.log"`
 	Losses   *losses   `arg:"subcommand:losses" help:"show where statements were lost, for example: cuminwick-platform losses host-1.log host-2.log"`
 }
--- a/internal/proxy/commander/commander_test.go
+++ b/internal/proxy/commander/commander_test.go
@@ -16,6 +16,10 @@
 	}
 	good := filepath.Join("..", "..", "..", "platform", "testdata", "settings.conf")
 	log := filepath.Join("..", "explainer", "testdata", "unknown", "front-warszawa-b-1.log")
+	configuration := filepath.Join(d, "configuration.json")
+	if err := os.WriteFile(configuration, []byte(`{"version":7,"tenants":[{"name":"a","api_keys":["k"]}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for name, c := range map[string]struct {
 		args   []string
 		code   int
@@ -27,6 +31,8 @@
 		"unknown subcommand":  {[]string{"dance"}, exitUsage, "", "dance"},
 		"good settings":       {[]string{"validate", good}, exitSuccess, "entry host front-z-1", ""},
 		"bad settings":        {[]string{"validate", bad}, exitFailure, "", "zone is missing"},
+		"good configuration":  {[]string{"validate", "--configuration", configuration}, exitSuccess, "version 7, 0 routes, 1 customers with 1 keys", ""},
+		"bad configuration":   {[]string{"validate", "--configuration", bad}, exitFailure, "", "not a configuration"},
 		"no settings":         {[]string{"validate", filepath.Join(d, "none")}, exitFailure, "", "none"},
 		"serve, no settings":  {[]string{"serve"}, exitFailure, "", "CUMINWICK_BOOT names no file"},
 		"explain":             {[]string{"explain", "--request", "141bc760d96d8f76", log}, exitSuccess, "outcome=unknown", ""},
--- a/internal/proxy/commander/validate.go
+++ b/internal/proxy/commander/validate.go
@@ -10,9 +10,10 @@
 	"github.com/cuminwick/cuminwick/platform"
 )
 
-// validate checks a settings file.
+// validate checks a settings file, or a configuration.
 type validate struct {
-	File string `arg:"positional,required" help:"settings file"`
+	Configuration bool   `arg:"--configuration" help:"FILE is an operator's configuration: check its customers, keys and limits"`
+	File          string `arg:"positional,required" placeholder:"FILE" help:"settings file"`
 }
 
 func (v *validate) run(out io.Writer) error {
@@ -20,6 +21,9 @@
 	if err != nil {
 		return errors.Annotate(err, "read settings")
 	}
+	if v.Configuration {
+		return v.checkConfiguration(b, out)
+	}
 	s, err := platform.ParseSettings(string(b))
 	if err != nil {
 		return errors.Annotatef(err, "%s", v.File)
@@ -27,3 +31,12 @@
 	_, err = fmt.Fprintf(out, "%s: entry host %s in availability zone %s, callers at %s\n", v.File, s.HostName, s.AvailabilityZone, s.CallerAddress)
 	return err
 }
+
+func (v *validate) checkConfiguration(b []byte, out io.Writer) error {
+	c, err := platform.CheckConfiguration(b)
+	if err != nil {
+		return errors.Annotatef(err, "%s", v.File)
+	}
+	_, err = fmt.Fprintf(out, "%s: version %d, %d routes, %d customers with %d keys\n", v.File, c.Version, c.Routes, c.Customers, c.Keys)
+	return err
+}
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -43,6 +43,9 @@
 	answer declarer.Answer
 	// unconfirmed is set if the server wasn't confirmed as the primary after a read.
 	unconfirmed bool
+	// mayHaveRun is set if a server has run the statement, or may have, without an answer that could be
+	// used.
+	mayHaveRun bool
 	// deposed is set if the server refused the confirmation because it isn't the primary.
 	deposed bool
 	// beginPosition is the end of the server's log when it began the proxy's transaction.
@@ -97,6 +100,7 @@
 		}
 		switch next.Action {
 		case retrier.ActionRefuse:
+			a.uncount()
 			return nil, declarer.CodeBusy, a.refusalText(next)
 		case retrier.ActionWait:
 			a.waitForChange(changed, next.Delay)
@@ -235,6 +239,7 @@
 	if a.unconfirmed {
 		// The server may have lost leadership before it read, so the result may lack a commit that
 		// a new primary has acknowledged.
+		a.mayHaveRun = true
 		l.Release(false)
 		if a.deposed {
 			a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.RecordNotLeading(a.server) })
--- a/internal/proxy/executor/customer_test.go
+++ b/internal/proxy/executor/customer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cuminwick/cuminwick/internal/customer/identifier"
 	"github.com/cuminwick/cuminwick/internal/customer/limiter"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/quotakeeper"
 )
@@ -111,6 +112,30 @@
 	return nil
 }
 
+func (l *limits) Return(customer string) { l.admitted[customer]-- }
+
+// Guards against a limit that is used up by operations which have not run, as no server took them.
+func TestOperationNotRunIsNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newEntryHost(w, "z-0")
+		d.pools["i-0"] = &connpooler.Pool{Server: w.listServers()[0], Dialer: ownerDialer{d}, Observer: d, Limit: 6}
+		declareCustomers(d, map[string]string{"u": "a"})
+		c := newClient(d, "s1", "primary", 1)
+		l := &limits{most: 1, admitted: make(map[string]int)}
+		c.session.Limiter = l
+		go c.session.Run()
+		<-c.caller.out
+		for range 3 {
+			c.expect(t, "WRITE x 1", declarer.CodeBusy)
+		}
+		if l.admitted["a"] != 0 {
+			t.Errorf("%d operations counted, none ran", l.admitted["a"])
+		}
+		endSession(d, c)
+	})
+}
+
 // Guards against operations beyond a customer's limit that are run, or refused late or without the time
 // to come back. A transaction counts once, with its first statement.
 func TestOperationBeyondLimitIsRefused(t *testing.T) {
--- a/internal/proxy/executor/judging.go
+++ b/internal/proxy/executor/judging.go
@@ -69,6 +69,7 @@
 		a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.RecordFailure(a.server, a.session.Board.Time(), a.session.Board.Time()) })
 	}
 	a.reason = err.Error()
+	a.mayHaveRun = true
 	switch {
 	case a.request.Writes && a.begin == declarer.VerbUnknown:
 		return tryResult{code: declarer.CodeOutcomeUnknown, text: "the server's answer didn't come; whether the write ran isn't known"}
--- a/internal/proxy/executor/limiting.go
+++ b/internal/proxy/executor/limiting.go
@@ -24,6 +24,13 @@
 	return a.refusalText(retrier.Step{RetryAfter: r.RetryAfter})
 }
 
+// uncount takes back the count of the operation if it has certainly not run.
+func (a *attempt) uncount() {
+	if a.session.Limiter != nil && a.customer != "" && !a.mayHaveRun {
+		a.session.Limiter.Return(a.customer)
+	}
+}
+
 // limitReason describes a refusal by the customer's limit.
 func limitReason(customer string, r *quotakeeper.Refusal) string {
 	if r.Unreachable {
--- a/internal/proxy/executor/ports.go
+++ b/internal/proxy/executor/ports.go
@@ -41,6 +41,8 @@
 type Limiter interface {
 	// Admit counts an operation of the customer. It returns nil if the operation may run.
 	Admit(ctx context.Context, customer string) *quotakeeper.Refusal
+	// Return takes back the count of an operation that has not run.
+	Return(customer string)
 }
 
 // Reporter logs and counts the results of statements.
--- a/internal/proxy/quotakeeper/peers.go
+++ b/internal/proxy/quotakeeper/peers.go
@@ -45,6 +45,25 @@
 	}
 }
 
+// present returns the open connection to the host, nil if there is none.
+func (p *peers) present(h declarer.Host) *link {
+	p.mu.Lock()
+	l := p.open[h.Name]
+	p.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	select {
+	case <-l.done:
+	default:
+		return nil
+	}
+	if l.err != nil {
+		return nil
+	}
+	return l
+}
+
 // connection returns the connection to the host, and whether the caller has to open it.
 func (p *peers) connection(h declarer.Host) (l *link, first bool) {
 	p.mu.Lock()
--- a/internal/proxy/quotakeeper/quotakeeper.go
+++ b/internal/proxy/quotakeeper/quotakeeper.go
@@ -38,6 +38,8 @@
 	Take(ctx context.Context, customer string) (limiter.Decision, error)
 	// Draw asks for up to n tokens of the customer, and returns how many the other host has given.
 	Draw(ctx context.Context, customer string, n float64) (float64, error)
+	// Return gives back the token of an operation that has not run. It doesn't wait for an answer.
+	Return(customer string) error
 	// Ended reports whether the other host has closed the connection.
 	Ended() bool
 	Close()
@@ -57,8 +59,8 @@
 	Self, Zone string
 	// Zones are all availability zones.
 	Zones []string
-	// Extra is limiter.Limiter.Extra.
-	Extra float64
+	// Tolerance is limiter.Limiter.Tolerance.
+	Tolerance limiter.Tolerance
 	// Limit returns the limit of a customer, false if the customer is unknown.
 	Limit func(customer string) (limiter.Limit, bool)
 	// Counters returns the hosts of a zone in the order in which they count the customer's
@@ -77,7 +79,7 @@
 
 // Start begins to count. It is called before all other methods.
 func (k *Keeper) Start() {
-	k.limiter = limiter.Limiter{Parts: len(k.Zones), Extra: k.Extra, Began: k.Now()}
+	k.limiter = limiter.Limiter{Parts: len(k.Zones), Tolerance: k.Tolerance, Began: k.Now()}
 	k.draws = make(map[string]*draw)
 	k.peers = peers{dial: k.Dial}
 }
@@ -88,15 +90,11 @@
 	if !ok || m.Rate <= 0 {
 		return nil
 	}
-	tried := 0
-	for _, h := range k.Counters(k.Zone, customer) {
-		if tried == maximumCounters {
+	for range maximumCounters {
+		h, ok := k.counter(customer)
+		if !ok {
 			break
 		}
-		if h.Name != k.Self && k.peers.skipped(h.Name) {
-			continue
-		}
-		tried++
 		d, err := k.ask(ctx, h, customer)
 		if err != nil {
 			continue
@@ -109,6 +107,42 @@
 	return &Refusal{Unreachable: true, Limit: m, RetryAfter: unreachablePause}
 }
 
+// counter returns the host of this zone that counts the customer's operations, false if all have failed.
+func (k *Keeper) counter(customer string) (declarer.Host, bool) {
+	for _, h := range k.Counters(k.Zone, customer) {
+		if h.Name == k.Self || !k.peers.skipped(h.Name) {
+			return h, true
+		}
+	}
+	return declarer.Host{}, false
+}
+
+// Return gives back the token of an operation of the customer that has not run. The token is lost if the
+// host that counts can't be told.
+func (k *Keeper) Return(customer string) {
+	h, ok := k.counter(customer)
+	switch {
+	case !ok:
+	case h.Name == k.Self:
+		k.TakeBack(customer)
+	default:
+		if l := k.peers.present(h); l != nil && l.peer.Return(customer) != nil {
+			k.peers.fail(h.Name, l)
+		}
+	}
+}
+
+// TakeBack adds the token of an operation that has not run to the account that this host keeps.
+func (k *Keeper) TakeBack(customer string) {
+	m, ok := k.Limit(customer)
+	if !ok {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.limiter.Return(customer, m, k.Now())
+}
+
 // ask asks a host of the zone, or this one, for a token.
 func (k *Keeper) ask(ctx context.Context, h declarer.Host, customer string) (limiter.Decision, error) {
 	if h.Name == k.Self {
--- a/internal/proxy/quotakeeper/quotakeeper_test.go
+++ b/internal/proxy/quotakeeper/quotakeeper_test.go
@@ -21,8 +21,6 @@
 	// overage and slack are what the simulated deployment tolerates beyond a limit in a window.
 	overage = 0.1
 	slack   = 20
-	// extra is what the keepers use of slack.
-	extra = 12
 
 	zoneCount    = 6
 	hostsPerZone = 5
@@ -85,7 +83,7 @@
 // start starts the host's process anew.
 func (h *host) start() {
 	x := h.world
-	k := &Keeper{Self: h.Name, Zone: h.AvailabilityZone, Extra: extra, Limit: x.limit, Counters: x.counters, Dial: h.dial, Now: x.now}
+	k := &Keeper{Self: h.Name, Zone: h.AvailabilityZone, Tolerance: limiter.Tolerance{Window: window, Overage: overage, Slack: slack}, Limit: x.limit, Counters: x.counters, Dial: h.dial, Now: x.now}
 	for z := range zoneCount {
 		k.Zones = append(k.Zones, fmt.Sprint("z", z))
 	}
@@ -187,6 +185,11 @@
 	return p.to.keeper
 }
 
+func (p *peer) Return(customer string) error {
+	p.keeper().TakeBack(customer)
+	return nil
+}
+
 func (p *peer) Ended() bool { return false }
 func (p *peer) Close()      {}
 
@@ -427,6 +430,21 @@
 	})
 }
 
+// Guards against a limit that operations use up which have not run, as no server had a connection.
+func TestReturnedTokenIsGrantedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newWorld(byZone, map[string]limiter.Limit{"c": {Rate: 0.001, Burst: 6 * zoneCount}})
+		for _, h := range x.hosts[:hostsPerZone] {
+			for i := range 100 {
+				if r := h.keeper.Admit(t.Context(), "c"); r != nil {
+					t.Fatalf("operation %d refused: %+v", i, r)
+				}
+				h.keeper.Return("c")
+			}
+		}
+	})
+}
+
 // Guards against accounts that are kept for customers that are no longer declared.
 func TestForget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/proxy/reporter/customers_test.go
@@ -0,0 +1,20 @@
+package reporter
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Guards against metrics that grow with each customer that ever sent a statement.
+func TestCustomerLabelsAreBounded(t *testing.T) {
+	var l customerLabels
+	labels := make(map[string]bool)
+	for range 2 {
+		for i := range 3 * maximumCustomers {
+			labels[l.label(fmt.Sprint("c", i))] = true
+		}
+	}
+	if len(labels) != maximumCustomers+1 || !labels["c0"] || !labels[otherCustomers] {
+		t.Errorf("%d labels", len(labels))
+	}
+}
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -20,6 +20,7 @@
 	waits      prometheus.Histogram
 	reads      *prometheus.CounterVec
 	attempts   prometheus.Counter
+	customers  *prometheus.CounterVec
 	promotions *prometheus.CounterVec
 	losses     *prometheus.CounterVec
 	calls      *prometheus.CounterVec
@@ -27,6 +28,7 @@
 	received   *prometheus.CounterVec
 	sent       *prometheus.CounterVec
 	transfers  *prometheus.HistogramVec
+	labels     customerLabels
 }
 
 // buckets are the bounds of latency histograms, from 0.5 ms to 8 s.
@@ -59,6 +61,7 @@
 	m.waits = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "connection_wait_seconds", Help: "Time that statements waited for a connection.", Buckets: buckets})
 	m.reads = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "reads_total", Help: "Reads that ran, by the role of the server."}, []string{"role"})
 	m.attempts = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "attempts_total", Help: "Statements sent to servers, repeated ones included."})
+	m.customers = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "customer_statements_total", Help: "Statements by customer and outcome. Customers beyond the first 200 that sent statements are counted as one, named other."}, []string{"customer", "outcome"})
 	m.promotions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "promotions_total", Help: "Promotions that this host ordered, by reason and result: done, refused or unconfirmed."}, []string{"reason", "result"})
 	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_losses_total", Help: "Times that the platform stopped answering, by kind of object."}, []string{"kind"})
 	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_calls_total", Help: "Calls to the platform, by method, kind of object and result: answered, conflict, unavailable or failed."}, []string{"method", "kind", "result"})
@@ -66,7 +69,7 @@
 	m.received = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_received_bytes_total", Help: "Bytes of answers about the platform's objects, by source (store, host), kind of object and result: whole, or cut if the answer was given up."}, []string{"source", "kind", "result"})
 	m.sent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_sent_bytes_total", Help: "Bytes of answers to other entry hosts, by kind of object and result: whole or cut."}, []string{"kind", "result"})
 	m.transfers = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "platform_transfer_seconds", Help: "Time from an answer's first byte to its last, by direction (received, sent) and kind of object.", Buckets: buckets}, []string{"direction", "kind"})
-	m.Registry.MustRegister(m.received, m.sent, m.transfers)
+	m.Registry.MustRegister(m.received, m.sent, m.transfers, m.customers)
 	m.Registry.MustRegister(m.calls, m.phases, m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
 	m.gauge("sessions", "Sessions that are served.", func() float64 { return float64(g.Sessions()) })
 	m.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.Configuration()) })
@@ -89,6 +92,9 @@
 	m.seconds.WithLabelValues(op).Observe(r.Elapsed.Seconds())
 	m.waits.Observe(r.Wait.Seconds())
 	m.attempts.Add(float64(r.Attempts))
+	if r.Customer != "" {
+		m.customers.WithLabelValues(m.labels.label(r.Customer), k.name).Inc()
+	}
 	if op == "read" && k.name == "ran" {
 		m.reads.WithLabelValues(role(r)).Inc()
 	}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/customer/limiter"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
@@ -79,8 +80,8 @@
 	PromotionPlatform promoter.Platform
 	// NewCaller wraps a caller's connection.
 	NewCaller func(net.Conn) executor.Caller
-	// QuotaSlack is how many operations of a customer beyond its limit may run in a window.
-	QuotaSlack float64
+	// Tolerance is what the deployment tolerates beyond a customer's limit.
+	Tolerance limiter.Tolerance
 	// DialQuota connects to a host that counts the operations of customers, and ServeQuota answers
 	// another host's questions about those that this one counts.
 	DialQuota  func(ctx context.Context, h declarer.Host) (quotakeeper.Peer, error)
--- a/internal/proxy/runner/quotas.go
+++ b/internal/proxy/runner/quotas.go
@@ -8,13 +8,9 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/quotakeeper"
 )
 
-// quotaExtraShare is the part of the tolerated operations beyond a limit by which bursts are enlarged.
-// The rest is left for operations that were counted by a host that has failed.
-const quotaExtraShare = 0.6
-
 func (h *Host) prepareQuotas() {
 	h.quotas = quotakeeper.Keeper{
-		Self: h.Name, Zone: h.Self.AvailabilityZone, Zones: slices.Sorted(maps.Keys(h.Board.Regions)), Extra: quotaExtraShare * h.QuotaSlack,
+		Self: h.Name, Zone: h.Self.AvailabilityZone, Zones: slices.Sorted(maps.Keys(h.Board.Regions)), Tolerance: h.Tolerance,
 		Limit: h.customerLimit, Counters: h.roster.counters, Dial: h.DialQuota, Now: h.Board.Time,
 	}
 	h.quotas.Start()
