feat(customer): a new caller's unknown key is awaited for a moment

Cause: hosts learn of a new key within a second of each other; a caller that used it at one host could be answered NOAUTH by the next. Change: a new caller with an unknown key waits 250 ms for the next configuration, 32 callers of a host at most at a time; the others are refused at once, so that wild keys cost a digest and a lookup. Tests: TestNewKeyIsAwaited, TestWildKeysAreRefusedAtOnce.

--- a/internal/proxy/blackboard/blackboard.go
+++ b/internal/proxy/blackboard/blackboard.go
@@ -41,6 +41,8 @@
 	mu      sync.Mutex
 	groups  map[string]*grouptracker.Group
 	changed chan struct{}
+	// configured is closed at the next configuration, nil while nobody waits for one.
+	configured chan struct{}
 	// confirmed is when each section was last confirmed, zero if never.
 	confirmed [sections]time.Duration
 }
@@ -65,9 +67,23 @@
 		return false
 	}
 	b.configuration.Store(c)
+	if b.configured != nil {
+		close(b.configured)
+		b.configured = nil
+	}
 	return true
 }
 
+// Configured returns a channel that is closed when the next configuration comes into force.
+func (b *Board) Configured() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.configured == nil {
+		b.configured = make(chan struct{})
+	}
+	return b.configured
+}
+
 // ReplaceServers replaces the servers of all groups.
 func (b *Board) ReplaceServers(l []declarer.Server) {
 	now := b.Time()
--- a/internal/proxy/executor/customer_test.go
+++ b/internal/proxy/executor/customer_test.go
@@ -188,3 +188,49 @@
 		endSession(d, c)
 	})
 }
+
+// Guards against a key that is refused since this host heard of it a moment later than the host where
+// its caller was before.
+func TestNewKeyIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newEntryHost(w, "z-0")
+		declareCustomers(d, map[string]string{"u": "a"})
+		c := newClient(d, "s1", "primary", 1)
+		c.caller.key = "new"
+		go c.session.Run()
+		time.Sleep(100 * time.Millisecond)
+		declareCustomers(d, map[string]string{"u": "a", "new": "a"})
+		if r := <-c.caller.out; r.code != declarer.CodeNone {
+			t.Errorf("code %d", r.code)
+		}
+		endSession(d, c)
+	})
+}
+
+// Guards against clients with wild keys that occupy a host: all but a few are refused at once.
+func TestWildKeysAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+		d := newEntryHost(w, "z-0")
+		declareCustomers(d, map[string]string{"u": "a"})
+		began := time.Now()
+		late := 0
+		for range 500 {
+			c := newClient(d, "s", "primary", 1)
+			c.caller.key = "wild"
+			go c.session.Run()
+			synctest.Wait()
+			select {
+			case <-c.caller.out:
+			default:
+				late++
+			}
+		}
+		if late > 32 || time.Since(began) > 0 {
+			t.Errorf("%d of 500 callers wait, after %v", late, time.Since(began))
+		}
+		time.Sleep(time.Second)
+		d.close()
+	})
+}
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -90,13 +90,47 @@
 		_ = s.Caller.Refuse(declarer.CodeBusy, "the host isn't ready yet")
 		return false
 	}
-	if _, code := s.admit(); code != declarer.CodeNone {
+	if code := s.admitStart(); code != declarer.CodeNone {
 		_ = s.Caller.Refuse(code, s.refusalText(code))
 		return false
 	}
 	return s.Caller.Ready() == nil
 }
 
+const (
+	// unknownKeyWait is how long a new caller with an unknown key waits for a configuration that has
+	// it: hosts learn of a new key at slightly different times, and the caller may have used it at
+	// another one.
+	unknownKeyWait = 250 * time.Millisecond
+	// maximumKeyWaits bounds the callers of one host that wait so. Others are refused at once, so
+	// that clients with wild keys cost little.
+	maximumKeyWaits = 32
+)
+
+// keyWaits counts the callers of this process that wait for their key to become known.
+var keyWaits atomic.Int64
+
+// admitStart is admit for a new caller.
+func (s *Session) admitStart() declarer.Code {
+	next := s.Board.Configured()
+	_, code := s.admit()
+	if code != declarer.CodeUnauthorized {
+		return code
+	}
+	defer keyWaits.Add(-1)
+	if keyWaits.Add(1) > maximumKeyWaits {
+		return code
+	}
+	t := time.NewTimer(unknownKeyWait)
+	defer t.Stop()
+	select {
+	case <-next:
+		_, code = s.admit()
+	case <-t.C:
+	}
+	return code
+}
+
 const (
 	// readyTimeout is how long a new caller waits for the host to receive its configuration.
 	readyTimeout      = 1500 * time.Millisecond
