test(soak): customers, keys that come and go, and a limit

Checked: the name that a server is told is that of the statement's customer, no key that nobody holds is accepted, keys that were taken away are refused by all hosts, and the limited customer's operations stay within what is tolerated in any 5 s.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -60,7 +60,9 @@
 // Run or Probe.
 type Session struct {
 	// Name identifies the session and is the first part of the ids of its statements.
-	Name     string
+	Name string
+	// Key is the caller's key, Name if empty.
+	Key      string
 	Host     Host
 	Database string
 	// Freshness states which commits the reads of the database must see.
@@ -103,7 +105,11 @@
 	}
 	s.conn, s.lines = c, bufio.NewReader(c)
 	c.SetDeadline(time.Now().Add(answerTimeout))
-	if _, err := fmt.Fprintf(c, "STARTUP %s %s\r\n", s.Database, s.Name); err != nil {
+	key := s.Key
+	if key == "" {
+		key = s.Name
+	}
+	if _, err := fmt.Fprintf(c, "STARTUP %s %s\r\n", s.Database, key); err != nil {
 		return false, err
 	}
 	l, err := s.line()
--- a/internal/soak/replicator/replicator.go
+++ b/internal/soak/replicator/replicator.go
@@ -42,6 +42,9 @@
 	Lag time.Duration
 	// PromoteTime is how long a promotion takes.
 	PromoteTime time.Duration
+	// Customer returns the customer of a session, whose name its connections must have. It is nil if
+	// callers are not identified.
+	Customer func(session string) string
 
 	mu      sync.Mutex
 	servers []*Server
@@ -53,6 +56,9 @@
 	// dropped holds the ids of the writes that a promotion rolled back.
 	dropped    map[string]bool
 	violations []string
+	// operations holds by customer when each operation ran: a statement outside a transaction, or the
+	// first one of a transaction.
+	operations map[string][]time.Time
 }
 
 // ErrPromotionRefused is returned for a promotion of an unknown server, of one that is down, or with
--- a/internal/soak/replicator/responder.go
+++ b/internal/soak/replicator/responder.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
 	"strings"
 	"sync"
@@ -133,6 +134,8 @@
 	term uint64
 	// owner is the session of the transaction's first statement.
 	owner string
+	// customer is the name with which the connection was opened.
+	customer string
 	// written are the writes of the transaction, which are not committed yet.
 	written []Record
 }
@@ -203,6 +206,9 @@
 	if len(f) > 1 && f[1] != g.Name || len(f) > 3 && f[3] != s.ID {
 		return "ERR MISROUTED " + s.ID + "\r\n"
 	}
+	if len(f) > 2 {
+		c.customer = f[2]
+	}
 	return "READY I " + s.position() + "\r\n"
 }
 
@@ -270,8 +276,28 @@
 	case "DEMOTE":
 		return done(id, "ROW "+c.status()+"\r\n")
 	}
+	begins := !c.open || c.owner == ""
 	c.checkSession(id)
-	return c.access(id, f)
+	out := c.access(id, f)
+	if begins && !strings.HasPrefix(out, "ERR") {
+		g.countOperation(c.customer)
+	}
+	return out
+}
+
+// countOperation records that an operation of the customer runs. The caller holds the mutex.
+func (g *Group) countOperation(customer string) {
+	if g.operations == nil {
+		g.operations = make(map[string][]time.Time)
+	}
+	g.operations[customer] = append(g.operations[customer], time.Now())
+}
+
+// Operations returns by customer when its operations ran.
+func (g *Group) Operations() map[string][]time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.operations)
 }
 
 // status returns the row with the server's status. The caller holds the group's mutex.
@@ -291,6 +317,9 @@
 	if c.values["who"] != session {
 		g.recordViolation("values: %s runs where session %q has set its values", id, c.values["who"])
 	}
+	if g.Customer != nil && g.Customer(session) != c.customer {
+		g.recordViolation("customer: %s of %s runs on a connection of %s", id, g.Customer(session), c.customer)
+	}
 	if !c.open {
 		return
 	}
--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -62,6 +62,9 @@
 	servers   []*server
 	hosts     []*host
 	databases []database
+	// customers is the number of customers, zero if callers are not identified, and connections how many
+	// connections each server is declared to accept.
+	customers, connections int
 	// version is the version of the configuration that was declared last.
 	version atomic.Int64
 	// storeFaultLock is held by the active fault of the store, so that faults of the store do not overlap.
@@ -78,8 +81,8 @@
 }
 
 // deploy starts all parts of a soak, which keep their files in the directory.
-func deploy(ctx context.Context, directory string) (*deployment, error) {
-	d := &deployment{directory: directory, prefix: loopbackPrefix(), done: make(chan struct{})}
+func deploy(ctx context.Context, directory string, customers, connections int) (*deployment, error) {
+	d := &deployment{directory: directory, customers: customers, connections: connections, prefix: loopbackPrefix(), done: make(chan struct{})}
 	d.network = &disturber.Network{Latency: func(disturber.Path) time.Duration { return 0 }}
 	d.network.Open(ctx)
 	d.store = &storekeeper.Store{Promote: d.promote}
@@ -102,6 +105,9 @@
 func (d *deployment) addGroups() error {
 	for i := range groups {
 		g := &replicator.Group{Name: fmt.Sprintf("group-%d", i), Lag: 10 * time.Millisecond, PromoteTime: 200 * time.Millisecond}
+		if d.customers > 0 {
+			g.Customer = d.customerOf
+		}
 		d.groups = append(d.groups, g)
 		d.recorders = append(d.recorders, &caller.Recorder{})
 		for k := range routeTypes {
@@ -201,6 +207,7 @@
 	Routes   []route   `json:"routes"`
 	Backends []backend `json:"backends"`
 	Limits   limits    `json:"limits"`
+	Tenants  []tenant  `json:"tenants,omitempty"`
 }
 
 // extra returns the name of the database that a version of the configuration adds.
@@ -218,9 +225,9 @@
 // and at every fourth version many.
 func (d *deployment) configure() error {
 	v := d.version.Load() + 1
-	c := configuration{Version: v, Limits: limits{Idle: 3000}}
+	c := configuration{Version: v, Limits: limits{Idle: 3000}, Tenants: d.tenants(v)}
 	for _, g := range d.groups {
-		c.Backends = append(c.Backends, backend{Name: g.Name, Connections: 24})
+		c.Backends = append(c.Backends, backend{Name: g.Name, Connections: d.connections})
 	}
 	for _, x := range d.databases {
 		c.Routes = append(c.Routes, route{Name: x.name, Host: x.name, Kind: routeTypes[x.kind], Timeout: 1500, Backend: d.groups[x.group].Name, Staleness: staleness.Milliseconds()})
@@ -310,6 +317,7 @@
 		"node_name=" + h.Name, "ip=" + ip, "zone=" + zone, "region=one", "zones.zone-0=one", "zones.zone-1=one",
 		"listen.front=" + h.Address, "listen.readiness=" + h.readiness, "internal_ports=7101,7110",
 		"limits.memory_mb=512", "bounds.drain_ms=7000", "bounds.grace_s=6", "bounds.config_apply_ms=3000",
+		"bounds.quota_window_s=5", "bounds.quota_overage=0.1", "bounds.quota_slack=20",
 		"platform.address=" + store, "cloud.address=" + store, "",
 	}, "\n")
 }
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -60,7 +60,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d, err := deploy(ctx, directory)
+	n, connections := kindOfSoak(seed)
+	d, err := deploy(ctx, directory, n, connections)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,6 +82,19 @@
 	t.Logf("%d findings, logs in %s", len(findings), directory)
 }
 
+// kindOfSoak returns the number of customers and the connections that each server is declared to accept:
+// every second soak has identified callers, and in half of these one host owns a server's connections.
+func kindOfSoak(seed uint64) (n, connections int) {
+	const many, few = 24, 11
+	switch seed % 4 {
+	case 0:
+		return customers, many
+	case 2:
+		return customers, few
+	}
+	return 0, many
+}
+
 // soakRun is one soak with one seed.
 type soakRun struct {
 	deployment *deployment
@@ -110,11 +124,13 @@
 	go (&operator{soak: s}).run(&g, over)
 	s.injectFaults(seed)
 	findings = append(findings, s.recover()...)
+	findings = append(findings, s.checkRemovedKeys()...)
 	s.stop(seed)
 	close(over)
 	g.Wait()
 	findings = append(findings, s.injector.findings...)
 	findings = append(findings, d.close()...)
+	findings = append(findings, d.checkLimit()...)
 	for i, r := range d.recorders {
 		h := r.History()
 		h.Staleness, h.Stops = staleness, s.injector.plannedStops()
@@ -203,8 +219,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sessions++
+	n := fmt.Sprintf("c%d", s.sessions)
 	return &caller.Session{
-		Name: fmt.Sprintf("c%d", s.sessions), Host: h.Host, Database: x.name, Freshness: freshness[x.kind],
+		Name: n, Key: s.deployment.key(n), Host: h.Host, Database: x.name, Freshness: freshness[x.kind],
 		Recorder: s.deployment.recorders[x.group], Random: rand.New(rand.NewPCG(r.Uint64(), 0)),
 	}
 }
@@ -234,6 +251,10 @@
 			continue
 		}
 		x := d.databases[w.random.IntN(len(d.databases))]
+		if d.customers > 0 && w.random.IntN(wildKeyShare) == 0 {
+			w.soak.tryWildKey(h, x)
+			continue
+		}
 		w.soak.session(h, x, w.random).Run(1 + w.random.IntN(8))
 	}
 }
@@ -270,7 +291,7 @@
 // fails or the host's process changes meanwhile.
 func (v *configurationProber) probe() {
 	n := 1 + v.random.Int64N(v.soak.deployment.version.Load())
-	c := &caller.Session{Name: "v", Host: v.host.Host, Database: extra(n), Random: v.random}
+	c := &caller.Session{Name: "v", Key: v.soak.deployment.key("v1"), Host: v.host.Host, Database: extra(n), Random: v.random}
 	defer c.Close()
 	x := checker.ConfigurationProbe{Host: v.host.Name, Incarnation: v.host.currentIncarnation(), Version: int(n), Sent: time.Now()}
 	found, err := c.Open()
