fix(proxy): a connection lent over a link that has gone silent comes back

Cause: at 1.7 s all open connections of another host went silent for good, without a reset. The owner waited for that host's next word without a limit, and each connection that was lent stayed so. Ruled out: slots that the pool loses (its model test), permits that aren't returned (each path read). Change: while a connection is lent, the owner waits 2 s for the next word outside a transaction, and the time that a transaction may be idle besides inside one; then it takes the connection back and ends the link. Test: TestSilentBorrowerLosesItsConnection, 1 h before.

--- a/internal/proxy/blackboard/blackboard.go
+++ b/internal/proxy/blackboard/blackboard.go
@@ -74,6 +74,17 @@
 	return true
 }
 
+// defaultIdleTransactionTimeout applies if the configuration sets no limit.
+const defaultIdleTransactionTimeout = 10 * time.Second
+
+// IdleTransactionTimeout returns how long an open transaction may wait for its caller.
+func (b *Board) IdleTransactionTimeout() time.Duration {
+	if c := b.Configuration(); c != nil && c.IdleTransactionTimeout > 0 {
+		return c.IdleTransactionTimeout
+	}
+	return defaultIdleTransactionTimeout
+}
+
 // Configured returns a channel that is closed when the next configuration comes into force.
 func (b *Board) Configured() <-chan struct{} {
 	b.mu.Lock()
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -19,8 +19,6 @@
 	startupTimeout = 10 * time.Second
 	// defaultStatementTimeout applies to routes that declare no timeout.
 	defaultStatementTimeout = 5 * time.Second
-	// defaultIdleTransactionTimeout applies if the configuration sets no limit.
-	defaultIdleTransactionTimeout = 10 * time.Second
 )
 
 // Session serves one caller. Its exported fields are set before Run.
@@ -211,7 +209,7 @@
 func (s *Session) next() (declarer.Statement, error) {
 	var deadline time.Time
 	if s.openTransaction != nil && s.openTransaction.lease != nil {
-		deadline = time.Now().Add(s.idleTransactionTimeout())
+		deadline = time.Now().Add(s.Board.IdleTransactionTimeout())
 	}
 	s.setIdle(s.openTransaction == nil)
 	defer s.setIdle(false)
@@ -245,13 +243,6 @@
 	s.Caller.Interrupt()
 }
 
-func (s *Session) idleTransactionTimeout() time.Duration {
-	if c := s.Board.Configuration(); c != nil && c.IdleTransactionTimeout > 0 {
-		return c.IdleTransactionTimeout
-	}
-	return defaultIdleTransactionTimeout
-}
-
 // expireTransaction rolls back a transaction whose caller was idle for too long, and reports
 // whether the session continues. The caller receives the error with its next statement.
 func (s *Session) expireTransaction(err error) bool {
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -64,8 +64,8 @@
 type Borrower interface {
 	// Handshake answers the start of the link.
 	Handshake(deadline time.Time) error
-	// Next waits for the next event; an error ends the link.
-	Next() (Event, error)
+	// Next waits for the next event, until the deadline if it isn't zero; an error ends the link.
+	Next(deadline time.Time) (Event, error)
 	// Answer adds the server's answer to a statement to the output.
 	Answer(a *declarer.Answer)
 	// Done adds the answer to a statement that didn't need to be sent to the server.
@@ -84,6 +84,9 @@
 	// answerTimeout bounds the wait for the answers of a batch, even if the borrower allows more
 	// time.
 	answerTimeout = 10 * time.Second
+	// returnTimeout bounds the wait for a borrower that is expected to return its connection or to send
+	// its next statement. Without it, a link that has gone silent would keep the connection for ever.
+	returnTimeout = 2 * time.Second
 )
 
 // Link serves the link to one borrower. Its exported fields are set before Run.
@@ -97,6 +100,8 @@
 	// Position returns a position that the server had as the primary at most maximum ago, and how long
 	// ago it had it, false if there is none.
 	Position func(maximum time.Duration) (m marker.Mark, age time.Duration, ok bool)
+	// IdleTransactionTimeout returns how long an open transaction may wait for its caller.
+	IdleTransactionTimeout func() time.Duration
 	// ActiveLeases counts the connections that are lent at present, over all links that share
 	// it.
 	ActiveLeases *atomic.Int64
@@ -120,13 +125,24 @@
 		return
 	}
 	for {
-		e, err := l.Borrower.Next()
+		e, err := l.Borrower.Next(l.nextDeadline())
 		if err != nil || !l.serve(e) {
 			return
 		}
 	}
 }
 
+// nextDeadline returns until when the borrower may keep a connection without a word, zero if none is lent.
+func (l *Link) nextDeadline() time.Time {
+	switch {
+	case l.lease == nil:
+		return time.Time{}
+	case l.lease.State == declarer.StateIdle:
+		return time.Now().Add(returnTimeout)
+	}
+	return time.Now().Add(l.IdleTransactionTimeout() + returnTimeout)
+}
+
 // serve handles an event and reports whether the link can be used further.
 func (l *Link) serve(e Event) bool {
 	switch e.Kind {
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
@@ -91,11 +93,24 @@
 type borrower struct {
 	events  []Event
 	answers []string
+	// silent is set if the link goes silent after the events, and waited is how long the owner waited
+	// then, since began.
+	silent bool
+	began  time.Time
+	waited time.Duration
 }
 
 func (b *borrower) Handshake(time.Time) error { return nil }
 
-func (b *borrower) Next() (Event, error) {
+func (b *borrower) Next(deadline time.Time) (Event, error) {
+	if len(b.events) == 0 && b.silent {
+		if deadline.IsZero() {
+			deadline = b.began.Add(time.Hour)
+		}
+		time.Sleep(time.Until(deadline))
+		b.waited = time.Since(b.began)
+		return Event{}, os.ErrDeadlineExceeded
+	}
 	if len(b.events) == 0 {
 		return Event{}, io.EOF
 	}
@@ -116,9 +131,12 @@
 
 // serve serves the events with a pool and returns the borrower.
 func serve(s *server, p *connpooler.Pool, events ...Event) *borrower {
-	b := &borrower{events: events}
+	return serveBorrower(s, p, &borrower{events: events})
+}
+
+func serveBorrower(s *server, p *connpooler.Pool, b *borrower) *borrower {
 	var lent atomic.Int64
-	l := &Link{Borrower: b, Pool: func(bool) *connpooler.Pool { return p }, OnAnswer: func() {}, ActiveLeases: &lent, Position: s.position}
+	l := &Link{Borrower: b, Pool: func(bool) *connpooler.Pool { return p }, OnAnswer: func() {}, ActiveLeases: &lent, Position: s.position, IdleTransactionTimeout: func() time.Duration { return 3 * time.Second }}
 	l.Run()
 	if n := lent.Load(); n != 0 {
 		panic(fmt.Sprintf("%d connections are lent after the end", n))
@@ -271,3 +289,36 @@
 		p.Close()
 	})
 }
+
+// The link to a borrower goes silent, without being reset. Guards against a connection that stays lent for
+// ever: the owner has few, and the server was lost to all hosts.
+func TestSilentBorrowerLosesItsConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		most time.Duration
+	}{
+		"after a statement":    {"READ a", returnTimeout},
+		"inside a transaction": {"BEGIN", 3*time.Second + returnTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &server{}
+				p := pool(s)
+				b := &borrower{silent: true, began: time.Now(), events: []Event{
+					{Kind: KindLend, Wait: time.Second},
+					{Kind: KindStatements, Wait: time.Second, Requests: []declarer.Request{{ID: "1", Text: c.text}}},
+				}}
+				serveBorrower(s, p, b)
+				if b.waited > c.most {
+					t.Errorf("the connection was kept for %v", b.waited)
+				}
+				l, err := p.Acquire(connpooler.AcquireRequest{Deadline: time.Now().Add(time.Second), Class: admitter.ClassRead})
+				if err != nil {
+					t.Fatal(err)
+				}
+				l.Release(false)
+				p.Close()
+			})
+		})
+	}
+}
--- a/internal/proxy/runner/deployment_test.go
+++ b/internal/proxy/runner/deployment_test.go
@@ -361,7 +361,7 @@
 		return nil, connpooler.ErrNoRoute
 	}
 	c := &link{owner: x, events: make(chan lender.Event, 64), answers: make(chan declarer.Answer, 256)}
-	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func(b bool) *connpooler.Pool { return x.host.pools.ownPool(s.ID, b) }, OnAnswer: func() {}, ActiveLeases: &x.lent,
+	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func(b bool) *connpooler.Pool { return x.host.pools.ownPool(s.ID, b) }, OnAnswer: func() {}, ActiveLeases: &x.lent, IdleTransactionTimeout: x.host.Board.IdleTransactionTimeout,
 		Position: func(maximum time.Duration) (marker.Mark, time.Duration, bool) {
 			return x.host.sharePosition(s.ID, maximum)
 		}}
@@ -443,7 +443,7 @@
 
 func (b *borrower) Handshake(time.Time) error { return nil }
 
-func (b *borrower) Next() (lender.Event, error) {
+func (b *borrower) Next(time.Time) (lender.Event, error) {
 	e, ok := <-b.link.events
 	if !ok || b.link.owner.poweredOff.Load() {
 		return e, io.EOF
--- a/internal/proxy/runner/lending.go
+++ b/internal/proxy/runner/lending.go
@@ -21,6 +21,8 @@
 			return h.sharePosition(server, maximum)
 		},
 		Pool: func(byCustomer bool) *connpooler.Pool { return h.pools.ownPool(server, byCustomer) },
+
+		IdleTransactionTimeout: h.Board.IdleTransactionTimeout,
 		OnAnswer: func() {
 			s, ok := h.pools.find(server)
 			if ok {
