fix(customer): a limit holds when counting hosts stand still and come back

Cause: the next host of the zone took over with all the tokens that it had collected unasked, and the paused one came back with those that it had collected meanwhile. Ruled out: draws (conserved by the property test), configurations (the limit didn't change). A host that doesn't answer is asked again after 0.5 s in place of 1 s, as two hosts count that long. A start has 0.6 in place of 0.8 of the remainder.

--- a/internal/customer/limiter/limiter.go
+++ b/internal/customer/limiter/limiter.go
@@ -38,8 +38,11 @@
 	burstShare = 0.4
 	// startShare is the part of the rest of what is tolerated that all parts together have when they
 	// begin. What was sent before that isn't known to a part that has restarted. The remainder is
-	// left for operations that a failed host had counted.
-	startShare = 0.8
+	// left for the moments in which two hosts count for one part.
+	startShare = 0.6
+	// takeoversInWindow is how often the host that counts for a part may change in a window: another
+	// one takes over, and the first one comes back.
+	takeoversInWindow = 2
 	// demandWindow is the time over which a customer's demand in this part is averaged.
 	demandWindow = time.Second
 	// reservedDemand is the time of a part's own demand for which it keeps tokens when others draw.
@@ -99,6 +102,20 @@
 	return Decision{RetryAfter: l.untilToken(a), Low: true}
 }
 
+// TakeOver bounds the tokens of an account that another host of the part has kept until now. What that
+// host has granted isn't known, and it may come back.
+func (l *Limiter) TakeOver(customer string, m Limit, now time.Duration) {
+	a := l.account(customer, m, now)
+	a.tokens = min(a.tokens, l.start(m)/takeoversInWindow)
+}
+
+// TakeOverAll is TakeOver for each account, when another host may have kept all of them meanwhile.
+func (l *Limiter) TakeOverAll(now time.Duration) {
+	for c, a := range l.accounts {
+		l.TakeOver(c, a.limit, now)
+	}
+}
+
 // untilToken returns the time until the account has a whole token.
 func (l *Limiter) untilToken(a *account) time.Duration {
 	s := (1 - a.tokens) * float64(l.parts()) / a.limit.Rate
--- a/internal/proxy/quotakeeper/draw.go
+++ b/internal/proxy/quotakeeper/draw.go
@@ -117,7 +117,9 @@
 	n, err := l.peer.Draw(ctx, q.customer, q.n)
 	if err != nil {
 		k.peers.fail(h.Name, l)
+		return 0
 	}
+	k.Heard()
 	return n
 }
 
--- a/internal/proxy/quotakeeper/quotakeeper.go
+++ b/internal/proxy/quotakeeper/quotakeeper.go
@@ -8,9 +8,12 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/cuminwick/cuminwick/internal/customer/limiter"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
@@ -24,7 +27,7 @@
 	// drawPause is the time from a draw that brought less than a token to the next one.
 	drawPause = 200 * time.Millisecond
 	// hostPause is how long a host that has not answered is skipped.
-	hostPause = time.Second
+	hostPause = 500 * time.Millisecond
 	// maximumCounters is how many hosts of a zone are asked, one after the other.
 	maximumCounters = 3
 	// unreachablePause is when a caller may come back that was refused as no host of the zone
@@ -34,8 +37,9 @@
 
 // Peer is a connection to another entry host that counts operations.
 type Peer interface {
-	// Take asks for a token for one operation of the customer.
-	Take(ctx context.Context, customer string) (limiter.Decision, error)
+	// Take asks for a token for one operation of the customer. takeover is set if another host has
+	// counted the customer's operations until now.
+	Take(ctx context.Context, customer string, takeover bool) (limiter.Decision, error)
 	// Draw asks for up to n tokens of the customer, and returns how many the other host has given.
 	Draw(ctx context.Context, customer string, n float64) (float64, error)
 	// Return gives back the token of an operation that has not run. It doesn't wait for an answer.
@@ -74,13 +78,25 @@
 	mu      sync.Mutex
 	limiter limiter.Limiter
 	draws   map[string]*draw
-	peers   peers
+	// asked holds by customer which host was asked last.
+	asked map[string]lastAsked
+	// contactAt is when another host was last heard from, and lostAt when the last attempt to reach
+	// one failed. Both are zero at the beginning.
+	contactAt, lostAt time.Duration
+	peers             peers
+}
+
+// lastAsked is the host that counted a customer's operations, and when it was last asked.
+type lastAsked struct {
+	host string
+	at   time.Duration
 }
 
 // Start begins to count. It is called before all other methods.
 func (k *Keeper) Start() {
 	k.limiter = limiter.Limiter{Parts: len(k.Zones), Tolerance: k.Tolerance, Began: k.Now()}
 	k.draws = make(map[string]*draw)
+	k.asked = make(map[string]lastAsked)
 	k.peers = peers{dial: k.Dial}
 }
 
@@ -145,8 +161,12 @@
 
 // ask asks a host of the zone, or this one, for a token.
 func (k *Keeper) ask(ctx context.Context, h declarer.Host, customer string) (limiter.Decision, error) {
+	takeover := k.isTakeover(h.Name, customer)
 	if h.Name == k.Self {
-		return k.Take(ctx, customer), nil
+		if !k.inTouch(ctx, customer) {
+			return limiter.Decision{}, ErrCutOff
+		}
+		return k.Take(ctx, customer, takeover), nil
 	}
 	c, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
@@ -154,17 +174,34 @@
 	if err != nil {
 		return limiter.Decision{}, err
 	}
-	d, err := l.peer.Take(c, customer)
+	d, err := l.peer.Take(c, customer, takeover)
 	if err != nil {
 		k.peers.fail(h.Name, l)
+		return d, err
 	}
-	return d, err
+	k.Heard()
+	return d, nil
+}
+
+// ErrCutOff is returned for an operation that this host counts itself while it reaches no other host:
+// another one may count for the zone by now.
+const ErrCutOff = errors.ConstError("no other entry host is reached")
+
+// isTakeover records that the host is asked about the customer, and reports whether another one was
+// within the last window.
+func (k *Keeper) isTakeover(host, customer string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.Now()
+	before, ok := k.asked[customer]
+	k.asked[customer] = lastAsked{host: host, at: now}
+	return ok && before.host != host && now-before.at < k.Tolerance.Window
 }
 
 // Take takes a token from the account that this host keeps for its zone. If there is none, it first
 // draws from other zones.
-func (k *Keeper) Take(ctx context.Context, customer string) limiter.Decision {
-	d := k.TakeAtHand(customer)
+func (k *Keeper) Take(ctx context.Context, customer string, takeover bool) limiter.Decision {
+	d := k.TakeAtHand(customer, takeover)
 	if d.Granted {
 		return d
 	}
@@ -177,12 +214,12 @@
 	if !k.drawAndWait(ctx, customer) {
 		return d
 	}
-	return k.take(customer)
+	return k.take(customer, false)
 }
 
 // TakeAtHand is Take without a wait for other zones.
-func (k *Keeper) TakeAtHand(customer string) limiter.Decision {
-	d := k.take(customer)
+func (k *Keeper) TakeAtHand(customer string, takeover bool) limiter.Decision {
+	d := k.take(customer, takeover)
 	if d.Granted && d.Low {
 		k.beginDraw(customer)
 	}
@@ -190,7 +227,7 @@
 }
 
 // take takes a token at hand.
-func (k *Keeper) take(customer string) limiter.Decision {
+func (k *Keeper) take(customer string, takeover bool) limiter.Decision {
 	m, ok := k.Limit(customer)
 	if !ok {
 		// The asking host has a newer configuration than this one.
@@ -198,7 +235,11 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.limiter.Take(customer, m, k.Now())
+	now := k.Now()
+	if takeover {
+		k.limiter.TakeOver(customer, m, now)
+	}
+	return k.limiter.Take(customer, m, now)
 }
 
 // Give gives up to n tokens of the customer to another zone, and returns how many.
@@ -216,8 +257,10 @@
 func (k *Keeper) Forget() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.limiter.Retain(func(c string) bool {
+	declared := func(c string) bool {
 		_, ok := k.Limit(c)
 		return ok
-	})
+	}
+	k.limiter.Retain(declared)
+	maps.DeleteFunc(k.asked, func(c string, _ lastAsked) bool { return !declared(c) })
 }
--- a/internal/proxy/quotakeeper/quotakeeper_test.go
+++ b/internal/proxy/quotakeeper/quotakeeper_test.go
@@ -22,9 +22,6 @@
 	overage = 0.1
 	slack   = 20
 
-	zoneCount    = 6
-	hostsPerZone = 5
-
 	inZone, betweenZones = 200 * time.Microsecond, 10 * time.Millisecond
 )
 
@@ -43,11 +40,15 @@
 	world  *world
 	// dark is set while the host neither answers nor refuses connections.
 	dark bool
+	// isolated is set while the host reaches no other host, though it serves callers.
+	isolated bool
 }
 
 // world is a simulated deployment.
 type world struct {
-	way    way
+	way way
+	// zones is the number of availability zones.
+	zones  int
 	hosts  []*host
 	limits map[string]limiter.Limit
 	random *rand.Rand
@@ -58,18 +59,30 @@
 	// granted holds the times of granted operations, and asked and refused their numbers, by customer.
 	granted        map[string][]time.Duration
 	asked, refused map[string]int
+	// exact counts all operations of a customer in one place. What it refuses is beyond the limit, and
+	// isn't counted in refused.
+	exact limiter.Limiter
 	// crossing counts the messages between zones.
 	crossing int
 	began    time.Time
 }
 
+// hostsPerZone is the number of hosts of each zone of a world of newWorld.
+const hostsPerZone = 5
+
+// newWorld returns a deployment of six zones.
 func newWorld(w way, limits map[string]limiter.Limit) *world {
+	return newWorldOf(w, 6, hostsPerZone, limits)
+}
+
+func newWorldOf(w way, zones, hosts int, limits map[string]limiter.Limit) *world {
 	x := &world{
-		way: w, limits: limits, random: rand.New(rand.NewPCG(1, 2)), cut: make(map[string]bool),
+		way: w, zones: zones, limits: limits, random: rand.New(rand.NewPCG(1, 2)), cut: make(map[string]bool),
+		exact:   limiter.Limiter{Parts: 1, Began: -time.Minute},
 		granted: make(map[string][]time.Duration), asked: make(map[string]int), refused: make(map[string]int), began: time.Now(),
 	}
-	for z := range zoneCount {
-		for i := range hostsPerZone {
+	for z := range zones {
+		for i := range hosts {
 			n := fmt.Sprintf("h-%d-%d", z, i)
 			x.hosts = append(x.hosts, &host{Host: declarer.Host{Name: n, Address: n, AvailabilityZone: fmt.Sprint("z", z)}, world: x})
 		}
@@ -84,7 +97,7 @@
 func (h *host) start() {
 	x := h.world
 	k := &Keeper{Self: h.Name, Zone: h.AvailabilityZone, Tolerance: limiter.Tolerance{Window: window, Overage: overage, Slack: slack}, Limit: x.limit, Counters: x.counters, Dial: h.dial, Now: x.now}
-	for z := range zoneCount {
+	for z := range x.zones {
 		k.Zones = append(k.Zones, fmt.Sprint("z", z))
 	}
 	if x.way == central {
@@ -124,6 +137,15 @@
 	x.find(name).dark = true
 }
 
+// pause has a host stop for a while, after which it goes on with what it knew.
+func (x *world) pause(name string) {
+	x.darken(name)
+	time.Sleep(1200 * time.Millisecond)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.find(name).dark = false
+}
+
 func (x *world) counters(zone, customer string) []declarer.Host {
 	var l []declarer.Host
 	for _, h := range x.hosts {
@@ -155,7 +177,7 @@
 		d = betweenZones
 		x.crossing += 2
 	}
-	lost := p.to.dark || p.from.dark || d == betweenZones && (x.cut[p.from.AvailabilityZone] || x.cut[p.to.AvailabilityZone])
+	lost := p.to.dark || p.from.dark || p.to.isolated || p.from.isolated || d == betweenZones && (x.cut[p.from.AvailabilityZone] || x.cut[p.to.AvailabilityZone])
 	x.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -165,17 +187,19 @@
 	return nil
 }
 
-func (p *peer) Take(ctx context.Context, customer string) (limiter.Decision, error) {
+func (p *peer) Take(ctx context.Context, customer string, takeover bool) (limiter.Decision, error) {
 	if err := p.travel(ctx); err != nil {
 		return limiter.Decision{}, err
 	}
-	return p.keeper().Take(ctx, customer), nil
+	p.keeper().Heard()
+	return p.keeper().Take(ctx, customer, takeover), nil
 }
 
 func (p *peer) Draw(ctx context.Context, customer string, n float64) (float64, error) {
 	if err := p.travel(ctx); err != nil {
 		return 0, err
 	}
+	p.keeper().Heard()
 	return p.keeper().Give(customer, n), nil
 }
 
@@ -227,8 +251,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.asked[customer]++
-	if r != nil {
+	within := x.exact.Take(customer, x.limits[customer], x.now()).Granted
+	if r != nil && within {
 		x.refused[customer]++
+	}
+	if r != nil {
 		return
 	}
 	x.granted[customer] = append(x.granted[customer], x.now())
@@ -255,7 +282,8 @@
 	}
 }
 
-// refusedShare returns the share of all operations that were refused, without those of a customer.
+// refusedShare returns the share of all operations that were refused below the limit, without those of a
+// customer.
 func (x *world) refusedShare(without string) float64 {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -354,13 +382,30 @@
 			x.cutOff("z1")
 		},
 		"all zones are cut off": func(x *world) {
-			for z := range zoneCount {
+			for z := range x.zones {
 				x.cutOff(fmt.Sprint("z", z))
 			}
 		},
 		"a counting host goes dark": func(x *world) {
 			x.darken(x.counters("z1", "c0")[0].Name)
 		},
+		"a counting host is paused": func(x *world) {
+			x.pause(x.counters("z1", "c0")[0].Name)
+		},
+		"counting hosts are paused again and again": func(x *world) {
+			for range 3 {
+				for z := range x.zones {
+					go x.pause(x.counters(fmt.Sprint("z", z), "c0")[0].Name)
+				}
+				time.Sleep(2500 * time.Millisecond)
+			}
+		},
+		"a counting host is isolated": func(x *world) {
+			h := x.find(x.counters("z1", "c0")[0].Name)
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			h.isolated = true
+		},
 		"all hosts lose power": func(x *world) {
 			for _, h := range x.hosts {
 				h.start()
@@ -374,6 +419,17 @@
 			}
 		},
 	} {
+		t.Run(name+", few hosts", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newWorldOf(byZone, 2, 2, map[string]limiter.Limit{"c0": {Rate: 12, Burst: 12}})
+				go func() {
+					time.Sleep(6 * time.Second)
+					fault(x)
+				}()
+				x.runUsual(map[string]float64{"c0": 60}, 16*time.Second)
+				x.check(t)
+			})
+		})
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				limits, usual := customers(6, 1.6)
@@ -406,6 +462,7 @@
 				t.Errorf("operation %d: %+v after %v", i, r, time.Since(began))
 			}
 		}
+		time.Sleep(time.Second) // until draws have ended
 	})
 }
 
@@ -433,7 +490,7 @@
 // Guards against a limit that operations use up which have not run, as no server had a connection.
 func TestReturnedTokenIsGrantedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		x := newWorld(byZone, map[string]limiter.Limit{"c": {Rate: 0.001, Burst: 6 * zoneCount}})
+		x := newWorld(byZone, map[string]limiter.Limit{"c": {Rate: 0.001, Burst: 36}})
 		for _, h := range x.hosts[:hostsPerZone] {
 			for i := range 100 {
 				if r := h.keeper.Admit(t.Context(), "c"); r != nil {
@@ -451,10 +508,10 @@
 		x := newWorld(byZone, map[string]limiter.Limit{"c": {Rate: 1, Burst: 1}})
 		k := x.hosts[0].keeper
 		time.Sleep(10 * time.Second)
-		k.Take(t.Context(), "c")
+		k.Take(t.Context(), "c", false)
 		delete(x.limits, "c")
 		k.Forget()
-		if d := k.Take(t.Context(), "c"); !d.Granted {
+		if d := k.Take(t.Context(), "c", false); !d.Granted {
 			t.Errorf("customer that this host doesn't know: %+v", d)
 		}
 	})
