fix(proxy): a failed attempt to open a connection is no service time

Cause: found by reading. Opening takes a permit; an attempt that failed after up to 0.7 s was recorded as the time that a statement takes, and a server that is back would refuse by it. Test: TestFailedOpeningsAreNoServiceTime.

--- a/internal/proxy/connpooler/customer.go
+++ b/internal/proxy/connpooler/customer.go
@@ -92,12 +92,16 @@
 	if err != nil {
 		return nil, err
 	}
-	defer t.End(declarer.CodeNone)
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	c, m, err := p.Dialer.Dial(ctx, p.Server, o.request.Customer)
 	p.observe(m, err)
-	return c, err
+	if err != nil {
+		t.Cancel()
+		return nil, err
+	}
+	t.End(declarer.CodeNone)
+	return c, nil
 }
 
 // replaceIdle closes an idle connection, after the server was found at its limit, and reports whether
--- a/internal/proxy/connpooler/customer_test.go
+++ b/internal/proxy/connpooler/customer_test.go
@@ -235,3 +235,21 @@
 	_ = l.Receive(&x, a.Deadline)
 	permit.End(declarer.CodeNone)
 }
+
+// Guards against a server that is refused after it is back, since attempts to open connections to it took
+// long while it was away.
+func TestFailedOpeningsAreNoServiceTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServer{limit: 9, err: ErrNoRoute}
+		p := newCustomerPool(f, 4)
+		for range 20 {
+			if _, err := p.Acquire(requestFor("a", time.Second)); !errors.Is(err, ErrUnreachable) {
+				t.Fatal(err)
+			}
+		}
+		if d := p.permits.gate.Load().ServiceTime; d >= openDelay {
+			t.Errorf("service time %v after failed attempts of %v", d, openDelay)
+		}
+		p.Close()
+	})
+}
--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -113,6 +113,14 @@
 	t.slot.Release()
 }
 
+// Cancel returns the permit of something that has failed. How long it took says nothing about how long
+// the next will take.
+func (t *Permit) Cancel() {
+	if t.slot != nil {
+		t.slot.ReleaseUnused()
+	}
+}
+
 // exhausted reports whether as many statements are in flight as allowed.
 func (t *permits) exhausted() bool {
 	l := t.gate.Load()
