--- a/internal/proxy/executor/model_test.go
+++ b/internal/proxy/executor/model_test.go
@@ -30,6 +30,7 @@
 	board    *blackboard.Board
 	observer executor.Observer
 	budgets  executor.RetryBudgets
+	keyWaits executor.KeyWaits
 
 	mu    sync.Mutex
 	pools map[string]*connpooler.Pool
@@ -163,7 +164,7 @@
 
 func newClient(d *entryHost, name, kind string, seed uint64) *client {
 	c := newCaller(kind)
-	s := &executor.Session{Caller: c, Board: d.board, Pools: d, Observer: &d.observer, RetryBudgets: &d.budgets, Reporter: d, Ready: func() bool { return true }}
+	s := &executor.Session{Caller: c, Board: d.board, Pools: d, Observer: &d.observer, RetryBudgets: &d.budgets, KeyWaits: &d.keyWaits, Reporter: d, Ready: func() bool { return true }}
 	return &client{name: name, kind: kind, random: rand.New(rand.NewPCG(seed, 1)), history: d.group.history, caller: c, session: s}
 }
 
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -29,6 +29,7 @@
 	Reporter     Reporter
 	Observer     *Observer
 	RetryBudgets *RetryBudgets
+	KeyWaits     *KeyWaits
 	// Limiter, if not nil, keeps the limits of customers.
 	Limiter Limiter
 	// Ready reports whether the host has what it needs to serve, such as a configuration.
@@ -105,8 +106,9 @@
 	maximumKeyWaits = 32
 )
 
-// keyWaits counts the callers of this process that wait for their key to become known.
-var keyWaits atomic.Int64
+// KeyWaits counts the callers of one host that wait for their key to become known. Its zero value is ready
+// to use. It is safe for concurrent use.
+type KeyWaits struct{ waiting atomic.Int64 }
 
 // admitStart is admit for a new caller.
 func (s *Session) admitStart() declarer.Code {
@@ -115,8 +117,8 @@
 	if code != declarer.CodeUnauthorized {
 		return code
 	}
-	defer keyWaits.Add(-1)
-	if keyWaits.Add(1) > maximumKeyWaits {
+	defer s.KeyWaits.waiting.Add(-1)
+	if s.KeyWaits.waiting.Add(1) > maximumKeyWaits {
 		return code
 	}
 	t := time.NewTimer(unknownKeyWait)
--- a/internal/proxy/quotakeeper/quotakeeper.go
+++ b/internal/proxy/quotakeeper/quotakeeper.go
@@ -263,4 +263,5 @@
 	}
 	k.limiter.Retain(declared)
 	maps.DeleteFunc(k.asked, func(c string, _ lastAsked) bool { return !declared(c) })
+	maps.DeleteFunc(k.draws, func(c string, _ *draw) bool { return !declared(c) })
 }
--- a/internal/proxy/runner/callers.go
+++ b/internal/proxy/runner/callers.go
@@ -35,7 +35,7 @@
 }
 
 func (h *Host) serve(c net.Conn) {
-	s := &executor.Session{Caller: h.NewCaller(c), Board: h.Board, Pools: &h.pools, Observer: &h.observer, RetryBudgets: &h.budgets, Limiter: &h.quotas, Reporter: h.Reporter, Ready: h.ready, KeysConfirmed: h.keysConfirmed}
+	s := &executor.Session{Caller: h.NewCaller(c), Board: h.Board, Pools: &h.pools, Observer: &h.observer, RetryBudgets: &h.budgets, KeyWaits: &h.keyWaits, Limiter: &h.quotas, Reporter: h.Reporter, Ready: h.ready, KeysConfirmed: h.keysConfirmed}
 	h.mu.Lock()
 	h.sessions[s] = struct{}{}
 	h.mu.Unlock()
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -93,6 +93,7 @@
 	pools          pools
 	observer       executor.Observer
 	budgets        executor.RetryBudgets
+	keyWaits       executor.KeyWaits
 	quotas         quotakeeper.Keeper
 	configurations follower[*declarer.Configuration]
 	servers        follower[declarer.Server]
--- a/internal/proxy/runner/load_test.go
+++ b/internal/proxy/runner/load_test.go
@@ -153,7 +153,7 @@
 	h := d.nodes[draw%uint64(len(d.nodes))].host
 	d.mu.Unlock()
 	c := &caller{database: database, in: make(chan declarer.Statement), out: make(chan declarer.Code, 4)}
-	s := &executor.Session{Caller: c, Board: h.Board, Pools: &h.pools, Reporter: l, Observer: &h.observer, RetryBudgets: &h.budgets, Ready: func() bool { return true }}
+	s := &executor.Session{Caller: c, Board: h.Board, Pools: &h.pools, Reporter: l, Observer: &h.observer, RetryBudgets: &h.budgets, KeyWaits: &h.keyWaits, Ready: func() bool { return true }}
 	go s.Run()
 	v := declarer.VerbRead
 	if text[0] == 'W' {
