feat(customer): statements that the configuration doesn't admit are logged

A statement that was answered NOAUTH, or NODB, after its session had started left no line, so explain could not say why. Each is now reported with its request, the reason and the version of the configuration. Test: TestOpenSessionLosesItsKey.

--- a/internal/proxy/executor/customer_test.go
+++ b/internal/proxy/executor/customer_test.go
@@ -12,6 +12,7 @@
 	"github.com/cuminwick/cuminwick/internal/customer/limiter"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 	"github.com/cuminwick/cuminwick/internal/proxy/quotakeeper"
 )
 
@@ -76,6 +77,8 @@
 		d := newEntryHost(w, "z-0")
 		declareCustomers(d, map[string]string{"u": "a", "v": "b"})
 		c := startSession(d, "primary")
+		var refused reports
+		c.session.Reporter = &refused
 		c.expect(t, "WRITE x 1", declarer.CodeNone)
 		c.expect(t, "BEGIN", declarer.CodeNone)
 		c.expect(t, "READ x", declarer.CodeNone)
@@ -84,12 +87,24 @@
 		c.expect(t, "COMMIT", declarer.CodeNone)
 		c.expect(t, "WRITE x 3", declarer.CodeUnauthorized)
 		c.expect(t, "BEGIN", declarer.CodeUnauthorized)
+		if n := len(refused); n != 2 || refused[0].Statement == "" || !strings.Contains(refused[0].Reason, "key") {
+			t.Errorf("refusals reported: %+v", refused)
+		}
 		declareCustomers(d, map[string]string{"u": "a", "v": "b"})
 		c.expect(t, "READ x", declarer.CodeNone)
 		endSession(d, c)
 	})
 }
 
+// reports holds the statements that were refused for their key.
+type reports []*executor.Report
+
+func (r *reports) Statement(x *executor.Report) {
+	if x.Code == declarer.CodeUnauthorized {
+		*r = append(*r, x)
+	}
+}
+
 // expect sends a statement and reports an answer with another code.
 func (c *client) expect(t *testing.T, text string, want declarer.Code) {
 	t.Helper()
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -289,6 +289,13 @@
 	return s.fail(declarer.CodeMalformed, "statement not understood")
 }
 
+// refuse answers a statement that the configuration in force doesn't admit.
+func (s *Session) refuse(x declarer.Statement, c declarer.Code) error {
+	t := s.refusalText(c)
+	s.Reporter.Statement(&Report{Database: s.database, Statement: x.ID, Verb: x.Verb, Code: c, Reason: t, Version: s.version()})
+	return s.fail(c, t)
+}
+
 // state returns the transaction state that is reported to the caller.
 func (s *Session) state() declarer.State {
 	switch {
@@ -371,7 +378,7 @@
 	}
 	m, code := s.admit()
 	if code != declarer.CodeNone {
-		return s.fail(code, s.refusalText(code))
+		return s.refuse(x, code)
 	}
 	s.openTransaction = &transaction{admission: m, arrived: s.Board.Time(), readOnly: x.Verb == declarer.VerbBeginRead}
 	return s.Caller.Done(declarer.StateTransaction)
@@ -397,7 +404,7 @@
 	}
 	m, code := s.admit()
 	if code != declarer.CodeNone {
-		return s.fail(code, s.refusalText(code))
+		return s.refuse(x, code)
 	}
 	return s.runAutocommit(m, q)
 }
