fix(proxy): a host that is cut off from the store doesn't keep others from asking it

Cause: from 1.0 s on three of eight hosts are cut off. front-brno-vystaviste-1 would read through one of them, which says that it has lost the store, and reads the store itself. At 7.7 s one of its long polls isn't answered (the store's history is being compacted). It took both for a loss of the store and asked no more until 14.2 s. Ruled out: the store, which answered this host's claims at 7.8 and 10.5 s; the way to it. Change: what an upstream host says counts only if it lost the store after the store last answered this host. Left: two long polls in a row without an answer take 4.4 s, longer than config_apply_ms of 3 s. After a silent long poll a host that reads the store itself should read the list, which the store answers all the while.

--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -13,6 +13,8 @@
 	// staleMemory is how long the answer of an upstream host that it has lost the store is taken to
 	// hold.
 	staleMemory = 2 * time.Second
+	// staleGap is the time without such an answer after which the next one begins another loss.
+	staleGap = 10 * time.Second
 )
 
 // Holder holds back a host's calls to the store while that doesn't answer and upstream hosts say that
@@ -24,26 +26,54 @@
 	Now func() time.Duration
 
 	mu sync.Mutex
-	// nextCheck is until when calls are held back, lastStale when an upstream host last said that it
-	// has lost the store.
-	nextCheck, lastStale time.Duration
+	// nextCheck is until when calls are held back, answeredAt when the store last answered this host,
+	// and lastStale when an upstream host last said that it has lost the store, if it lost it after
+	// that.
+	nextCheck, answeredAt, lastStale time.Duration
+	// losses holds the upstream hosts that have lost the store, by name.
+	losses map[string]loss
 }
 
-// recordStale records that an upstream host has lost the store.
-func (h *Holder) recordStale() {
+// loss is the time in which an upstream host has said that it has lost the store.
+type loss struct{ since, last time.Duration }
+
+// recordStale records that an upstream host has lost the store. One that lost it before the store last
+// answered this host is cut off, which tells nothing about the store.
+func (h *Holder) recordStale(host string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Now()
+	l, ok := h.losses[host]
+	if !ok || now-l.last > staleGap {
+		l.since = now
+	}
+	l.last = now
+	if h.losses == nil {
+		h.losses = make(map[string]loss)
+	}
+	h.losses[host] = l
+	if l.since >= h.answeredAt {
+		h.lastStale = now
+	}
+}
+
+// recordCurrent records that an upstream host has answered with current data.
+func (h *Holder) recordCurrent(host string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lastStale = h.Now()
+	delete(h.losses, host)
 }
 
 // recordCall records whether the store has answered a call.
 func (h *Holder) recordCall(answered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.nextCheck = 0
-	if !answered {
-		h.nextCheck = h.Now() + storeCheckInterval/2 + rand.N(storeCheckInterval)
+	now := h.Now()
+	if answered {
+		h.nextCheck, h.answeredAt = 0, now
+		return
 	}
+	h.nextCheck = now + storeCheckInterval/2 + rand.N(storeCheckInterval)
 }
 
 // holds reports whether the store isn't to be called now.
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -124,10 +124,11 @@
 		}
 		p, err := ask(h, i > 0)
 		if err == nil || errors.Is(err, ErrCompacted) || errors.Is(err, errOlderList) {
+			s.Holder.recordCurrent(h.Name)
 			return p, err
 		}
 		if errors.Is(err, ErrStale) {
-			s.Holder.recordStale()
+			s.Holder.recordStale(h.Name)
 		}
 		s.Failed(h, s.Kind, err)
 	}
