--- a/internal/proxy/quotakeeper/contact.go
+++ b/internal/proxy/quotakeeper/contact.go
@@ -12,7 +12,7 @@
 	// Hosts that don't reach it ask the next one by then.
 	contactLimit = time.Second
 	// contactGap is the time without a sign of another host after which others have taken over: they
-	// wait no longer for an answer than takeTimeout.
+	// wait takeTimeout for an answer, and ask the next host then.
 	contactGap = 400 * time.Millisecond
 	// contactPause is the time from a failed attempt to reach another host to the next one.
 	contactPause = 200 * time.Millisecond
--- a/internal/proxy/quotakeeper/draw.go
+++ b/internal/proxy/quotakeeper/draw.go
@@ -116,7 +116,7 @@
 	}
 	n, err := l.peer.Draw(ctx, q.customer, q.n)
 	if err != nil {
-		k.peers.fail(h.Name, l)
+		k.peers.fail(h.Name, l, err)
 		return 0
 	}
 	k.Heard()
--- a/internal/proxy/quotakeeper/peers.go
+++ b/internal/proxy/quotakeeper/peers.go
@@ -11,6 +11,8 @@
 // peers holds a connection to each host that is asked.
 type peers struct {
 	dial func(ctx context.Context, h declarer.Host) (Peer, error)
+	// lost, if not nil, is called with a host that has begun to fail.
+	lost func(host string, err error)
 
 	mu   sync.Mutex
 	open map[string]*link
@@ -34,7 +36,7 @@
 		l.peer, l.err = p.dial(ctx, h)
 		close(l.done)
 		if l.err != nil {
-			p.fail(h.Name, l)
+			p.fail(h.Name, l, l.err)
 		}
 	}
 	select {
@@ -89,11 +91,21 @@
 	}
 }
 
+// lossGap is the time after the end of a skip from which on a failure of the same host is reported anew.
+const lossGap = 3 * time.Second
+
 // fail closes a connection that has failed, and skips its host for a while.
-func (p *peers) fail(host string, l *link) {
+func (p *peers) fail(host string, l *link, err error) {
 	if l.peer != nil {
 		l.peer.Close()
 	}
+	if p.skip(host, l) && p.lost != nil {
+		p.lost(host, err)
+	}
+}
+
+// skip skips a host whose connection has failed, and reports whether it had not failed lately.
+func (p *peers) skip(host string, l *link) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open[host] == l {
@@ -102,7 +114,9 @@
 	if p.skippedUntil == nil {
 		p.skippedUntil = make(map[string]time.Time)
 	}
+	begins := time.Since(p.skippedUntil[host]) > lossGap
 	p.skippedUntil[host] = time.Now().Add(hostPause)
+	return begins
 }
 
 func (p *peers) skipped(host string) bool {
--- a/internal/proxy/quotakeeper/quotakeeper.go
+++ b/internal/proxy/quotakeeper/quotakeeper.go
@@ -74,6 +74,8 @@
 	Dial func(ctx context.Context, h declarer.Host) (Peer, error)
 	// Now reads a monotonic clock that also advances while the host is suspended.
 	Now func() time.Duration
+	// Lost, if not nil, is called with a host that has begun to fail, and why.
+	Lost func(host string, err error)
 
 	mu      sync.Mutex
 	limiter limiter.Limiter
@@ -97,7 +99,7 @@
 	k.limiter = limiter.Limiter{Parts: len(k.Zones), Tolerance: k.Tolerance, Began: k.Now()}
 	k.draws = make(map[string]*draw)
 	k.asked = make(map[string]lastAsked)
-	k.peers = peers{dial: k.Dial}
+	k.peers = peers{dial: k.Dial, lost: k.Lost}
 }
 
 // Admit takes a token for one operation of the customer. It returns nil if the operation may run.
@@ -142,8 +144,12 @@
 	case h.Name == k.Self:
 		k.TakeBack(customer)
 	default:
-		if l := k.peers.present(h); l != nil && l.peer.Return(customer) != nil {
-			k.peers.fail(h.Name, l)
+		l := k.peers.present(h)
+		if l == nil {
+			return
+		}
+		if err := l.peer.Return(customer); err != nil {
+			k.peers.fail(h.Name, l, err)
 		}
 	}
 }
@@ -176,7 +182,7 @@
 	}
 	d, err := l.peer.Take(c, customer, takeover)
 	if err != nil {
-		k.peers.fail(h.Name, l)
+		k.peers.fail(h.Name, l, err)
 		return d, err
 	}
 	k.Heard()
--- a/internal/proxy/quotakeeper/quotakeeper_test.go
+++ b/internal/proxy/quotakeeper/quotakeeper_test.go
@@ -456,6 +456,8 @@
 		l := x.counters("z0", "c")
 		x.darken(l[0].Name)
 		asking := x.find(l[hostsPerZone-1].Name)
+		var lost []string
+		asking.keeper.peers.lost = func(h string, _ error) { lost = append(lost, h) }
 		for i, most := range []time.Duration{takeTimeout + 10*inZone, 10 * inZone, 10 * inZone} {
 			began := time.Now()
 			if r := asking.keeper.Admit(t.Context(), "c"); r != nil || time.Since(began) > most {
@@ -463,6 +465,11 @@
 			}
 		}
 		time.Sleep(time.Second) // until draws have ended
+		asking.keeper.Admit(t.Context(), "c")
+		time.Sleep(time.Second)
+		if len(lost) != 1 || lost[0] != l[0].Name {
+			t.Errorf("reported as lost: %q, want the dark host once", lost)
+		}
 	})
 }
 
--- a/internal/soak/replicator/responder.go
+++ b/internal/soak/replicator/responder.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"maps"
 	"net"
 	"strings"
 	"sync"
@@ -285,21 +284,6 @@
 	return out
 }
 
-// countOperation records that an operation of the customer runs. The caller holds the mutex.
-func (g *Group) countOperation(customer string) {
-	if g.operations == nil {
-		g.operations = make(map[string][]time.Time)
-	}
-	g.operations[customer] = append(g.operations[customer], time.Now())
-}
-
-// Operations returns by customer when its operations ran.
-func (g *Group) Operations() map[string][]time.Time {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return maps.Clone(g.operations)
-}
-
 // status returns the row with the server's status. The caller holds the group's mutex.
 func (c *connection) status() string {
 	s, role := c.responder.Server, "replica"
--- a/internal/soak/runner/customers_test.go
+++ b/internal/soak/runner/customers_test.go
@@ -26,8 +26,8 @@
 	wildKeyShare = 20
 )
 
-// tenant is one customer of a configuration, as encoded for the store.
-type tenant struct {
+// customer is one customer of a configuration, as encoded for the store.
+type customer struct {
 	Name  string   `json:"name"`
 	Keys  []string `json:"api_keys"`
 	Rate  float64  `json:"rate_per_s,omitempty"`
@@ -47,13 +47,13 @@
 	return fmt.Sprintf("key-%s-%d", customer, version/keyVersions)
 }
 
-// tenants returns the customers of a version of the configuration, nil if there are none. Each has the
-// key of this version and the one before.
-func (d *deployment) tenants(version int64) []tenant {
-	var l []tenant
+// declaredCustomers returns the customers of a version of the configuration, nil if there are none. Each
+// has the key of this version and the one before.
+func (d *deployment) declaredCustomers(version int64) []customer {
+	var l []customer
 	for i := range d.customers {
 		n := customerName(i)
-		t := tenant{Name: n, Keys: []string{keyOf(n, version), keyOf(n, version-keyVersions)}}
+		t := customer{Name: n, Keys: []string{keyOf(n, version), keyOf(n, version-keyVersions)}}
 		if i == 0 {
 			t.Rate, t.Burst = limitedRate, limitedBurst
 		}
--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -203,11 +203,11 @@
 
 // configuration is the operator's declaration, as encoded for the store.
 type configuration struct {
-	Version  int64     `json:"version"`
-	Routes   []route   `json:"routes"`
-	Backends []backend `json:"backends"`
-	Limits   limits    `json:"limits"`
-	Tenants  []tenant  `json:"tenants,omitempty"`
+	Version   int64      `json:"version"`
+	Routes    []route    `json:"routes"`
+	Backends  []backend  `json:"backends"`
+	Limits    limits     `json:"limits"`
+	Customers []customer `json:"tenants,omitempty"`
 }
 
 // extra returns the name of the database that a version of the configuration adds.
@@ -225,7 +225,7 @@
 // and at every fourth version many.
 func (d *deployment) configure() error {
 	v := d.version.Load() + 1
-	c := configuration{Version: v, Limits: limits{Idle: 3000}, Tenants: d.tenants(v)}
+	c := configuration{Version: v, Limits: limits{Idle: 3000}, Customers: d.declaredCustomers(v)}
 	for _, g := range d.groups {
 		c.Backends = append(c.Backends, backend{Name: g.Name, Connections: d.connections})
 	}
