--- a/internal/proxy/grouptracker/grouptracker.go
+++ b/internal/proxy/grouptracker/grouptracker.go
@@ -160,18 +160,9 @@
 // ended at m. Confirmations of an earlier term than the newest are ignored.
 func (g *Group) ConfirmLeadership(id string, asked time.Duration, m marker.Mark) {
 	s := g.Find(id)
-	if s == nil || m.IsZero() {
+	if s == nil || !g.addPosition(asked, m) {
 		return
 	}
-	latest, known := g.history.Latest()
-	if known && m.Term < latest.Mark.Term {
-		return
-	}
-	if !known || m.Term > latest.Mark.Term {
-		g.newestTermStart = m
-	}
-	g.history.MaximumAge = maximumHistoryAge
-	g.history.Add(historian.Observation{PolledAt: asked, Mark: m})
 	s.NotLeading = false
 	g.primary = id
 	for _, o := range g.servers {
@@ -260,18 +251,22 @@
 // another host has observed it. It proves nothing about who the primary is now. It is ignored if it is
 // of an earlier term than the newest, or older than the latest confirmation.
 func (g *Group) AddPosition(asked time.Duration, m marker.Mark) {
-	if m.IsZero() {
-		return
-	}
+	g.addPosition(asked, m)
+}
+
+// addPosition records a position of the primary, and reports whether it is known and of no earlier term
+// than the newest.
+func (g *Group) addPosition(asked time.Duration, m marker.Mark) bool {
 	latest, known := g.history.Latest()
-	if known && m.Term < latest.Mark.Term {
-		return
+	if m.IsZero() || known && m.Term < latest.Mark.Term {
+		return false
 	}
 	if !known || m.Term > latest.Mark.Term {
 		g.newestTermStart = m
 	}
 	g.history.MaximumAge = maximumHistoryAge
 	g.history.Add(historian.Observation{PolledAt: asked, Mark: m})
+	return true
 }
 
 // EarliestPosition returns the earliest recorded position that the primary had after since, false if
