test(assembler): a change while the store leaves its watches unanswered

While the store compacts its history, its watches hear nothing for three seconds and everything else is answered. The stand-in of the store gets the fault: watches without an answer.

--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -384,6 +384,30 @@
 	})
 }
 
+// Guards against a change that stays unknown while the store leaves its watches without an answer, as
+// when it compacts its history: a reader that only watches again hears of the change when that is over.
+func TestChangeIsReadDespiteSilentWatches(t *testing.T) {
+	for name, c := range map[string]struct{ readerLost bool }{
+		"alone":                   {},
+		"beside a reader's crash": {readerLost: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startSettled(t, 10, 1400)
+				defer f.stop()
+				f.store.SetFault(storekeeper.Fault{SilentWatches: true})
+				var lost *member
+				if c.readerLost {
+					lost = f.storeReader()
+					lost.machine.powerOff()
+				}
+				f.expect(t, 1, lost)
+				f.expect(t, 1, lost)
+			})
+		})
+	}
+}
+
 // startLimit is within what time a host serves if the store answers at once.
 const startLimit = 150 * time.Millisecond
 
--- a/internal/soak/storekeeper/handler.go
+++ b/internal/soak/storekeeper/handler.go
@@ -124,6 +124,10 @@
 	defer t.Stop()
 	for expired := false; ; {
 		l, at, available, changed := v.Store.since(kind, after)
+		if v.Store.currentFault().SilentWatches {
+			<-r.Context().Done()
+			return
+		}
 		if !available {
 			w.WriteHeader(http.StatusGone)
 			return
--- a/internal/soak/storekeeper/storekeeper.go
+++ b/internal/soak/storekeeper/storekeeper.go
@@ -30,6 +30,8 @@
 	Mode Mode
 	// Delay is added before each answer.
 	Delay time.Duration
+	// SilentWatches leaves watch calls without an answer. All other calls are answered.
+	SilentWatches bool
 	// LostAnswersPerMille is how many of a thousand changes are carried out and not answered.
 	LostAnswersPerMille int
 }
