fix(cachesyncer): a host behind a lost upstream host makes one call to the store at a time

Cause: a call to the store was held back only once an earlier one had failed. Change: while upstream hosts say that they have lost the store, a call is also held back while another one of this host waits for its answer. Ruled out: a longer interval between checks, since it would hold only for one alignment. Test: TestHolds, "another call waits for its answer" and "another call waits for changes".

--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -32,6 +32,8 @@
 	nextCheck, answeredAt, lastStale time.Duration
 	// losses holds the upstream hosts that have lost the store, by name.
 	losses map[string]loss
+	// calls is the number of calls to the store that are in progress.
+	calls int
 }
 
 // loss is the time in which an upstream host has said that it has lost the store.
@@ -64,10 +66,22 @@
 	delete(h.losses, host)
 }
 
+// begin reports whether the store may be called now. If so, recordCall must be called afterwards.
+func (h *Holder) begin() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.holds() {
+		return false
+	}
+	h.calls++
+	return true
+}
+
 // recordCall records whether the store has answered a call.
 func (h *Holder) recordCall(answered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.calls--
 	now := h.Now()
 	if answered {
 		h.nextCheck, h.answeredAt = 0, now
@@ -76,10 +90,10 @@
 	h.nextCheck = now + storeCheckInterval/2 + rand.N(storeCheckInterval)
 }
 
-// holds reports whether the store isn't to be called now.
+// holds reports whether the store isn't to be called now, since a call wasn't answered or still waits
+// for its answer. The mutex is held.
 func (h *Holder) holds() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	now := h.Now()
-	return now < h.nextCheck && h.lastStale > 0 && now-h.lastStale < staleMemory
+	stale := h.lastStale > 0 && now-h.lastStale < staleMemory
+	return stale && (now < h.nextCheck || h.calls > 0)
 }
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -12,15 +12,15 @@
 	var now time.Duration
 	h := &Holder{Now: func() time.Duration { return now }}
 	now = time.Second
-	h.recordCall(true)
+	h.call(true)
 	now = 2 * time.Second
 	h.recordStale("cut off")
 	for now = 3 * time.Second; now < 8*time.Second; now += time.Second {
 		h.recordStale("cut off")
-		h.recordCall(true)
+		h.call(true)
 	}
 	h.recordStale("cut off")
-	h.recordCall(false)
+	h.call(false)
 	if h.holds() {
 		t.Error("calls are held back")
 	}
@@ -32,55 +32,62 @@
 		want bool
 	}{
 		"both lost the store": {func(h *Holder, now *time.Duration) {
-			h.recordCall(true)
+			h.call(true)
 			*now += time.Second
 			h.recordStale("a")
-			h.recordCall(false)
+			h.call(false)
 		}, true},
 		"never answered": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.recordCall(false)
+			h.call(false)
 		}, true},
 		"only this host lost it": {func(h *Holder, now *time.Duration) {
-			h.recordCall(true)
-			h.recordCall(false)
+			h.call(true)
+			h.call(false)
 		}, false},
 		"the store has answered since": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.recordCall(false)
+			h.call(false)
 			*now += time.Second
-			h.recordCall(true)
+			h.call(true)
 		}, false},
 		"the other is back": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.recordCall(false)
+			h.call(false)
 			*now += 3 * time.Second
 		}, false},
 		"lost again after it was back": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
 			*now += time.Second
 			h.recordCurrent("a")
-			h.recordCall(true)
+			h.call(true)
 			*now += time.Second
 			h.recordStale("a")
-			h.recordCall(false)
+			h.call(false)
 		}, true},
 		"lost again long after": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
 			*now += time.Second
-			h.recordCall(true)
+			h.call(true)
 			*now += time.Minute
 			h.recordStale("a")
-			h.recordCall(false)
+			h.call(false)
 		}, true},
+		"another call waits for its answer": {func(h *Holder, _ *time.Duration) {
+			h.recordStale("a")
+			h.begin()
+		}, true},
+		"another call waits for changes": {func(h *Holder, _ *time.Duration) {
+			h.begin()
+		}, false},
 		"one of two is cut off": {func(h *Holder, now *time.Duration) {
 			h.recordStale("cut off")
 			*now += time.Second
-			h.recordCall(true)
+			h.call(true)
 			*now += time.Second
 			h.recordStale("cut off")
 			h.recordStale("a")
-			h.recordCall(false)
+			h.call(false)
 		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -93,3 +100,9 @@
 		})
 	}
 }
+
+// call makes one call to the store, whether or not calls are held back.
+func (h *Holder) call(answered bool) {
+	h.calls++
+	h.recordCall(answered)
+}
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -64,7 +64,7 @@
 		s.Mirror.ApplyRemoteList(p)
 		return s.recordRevision(p, nil)
 	}
-	if s.Holder.holds() {
+	if !s.Holder.begin() {
 		return Page{}, s.lost()
 	}
 	p, err = s.Mirror.List(ctx)
@@ -97,7 +97,7 @@
 	case errors.Is(err, errNoAnswer):
 		wait = storeCheckWait
 	}
-	if s.Holder.holds() {
+	if !s.Holder.begin() {
 		return Page{}, s.lost()
 	}
 	p, err = s.Mirror.Watch(ctx, after, wait)
