fix(cachesyncer): a long poll that the store leaves silent is replaced by the list in time

Cause: the store leaves watches silent while it compacts its history (3 s here) and answers everything else. A host that got no answer to a long poll only made another one. Hosts that read through it were told that it had lost the store; they asked the store with a wait of 1 ms, in a call that might last as long as a whole long poll: 7.700 to 9.854 s. Ruled out: a store that is away (it answered claims of the same hosts), the ways (the same connections). Change: a long poll waits 0.7 s less, has a limit of its own, and in the time that is left the list is read and taken as the changes since what is known. The whole takes no longer than a long poll took before, so a mirror counts as current no longer, and a lost store is noticed no later. A check of the store in place of another host is given up 0.4 s after its wait, no longer after the time of a whole long poll. No list is read once an answer has begun, after a failed call, or behind an upstream host that has lost the store: in an outage, hosts don't all list at once.

--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -39,6 +39,9 @@
 func (f *feeder) reader(r *platform.Reader, p runner.ReadTiming) cachesyncer.Reader {
 	kind := r.Kind
 	m := &cachesyncer.Mirror{Store: r, Now: f.now, TTL: p.TTL, MinimumPause: p.MinimumPause, MaximumPause: p.MaximumPause}
+	m.OnSilent = func() {
+		f.host.Log.WithField("kind", kind).Warn("watch of the platform not answered, reading the list")
+	}
 	f.servers[kind] = &platform.FeedServer{Kind: kind, Mirror: m, OnSend: f.sent}
 	return &cachesyncer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.UpstreamHost, Failed: f.host.UpstreamFailed, Holder: &f.holder}
 }
--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -50,6 +50,16 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 }
 
+const (
+	// WatchSlack is how long after the end of its wait the store's answer to a long poll may begin.
+	WatchSlack = 400 * time.Millisecond
+	// StallTimeout ends a call whose answer has begun and makes no more progress.
+	StallTimeout = 700 * time.Millisecond
+	// listReserve is the part of a long poll's time that is kept for reading the list if the long poll
+	// isn't answered.
+	listReserve = 700 * time.Millisecond
+)
+
 // Errors of readers.
 const (
 	// ErrCompacted means that changes since the requested revision are not retained.
@@ -74,6 +84,8 @@
 	// would otherwise cost one call.
 	MinimumPause time.Duration
 	MaximumPause time.Duration
+	// OnSilent, if not nil, is called when the list is read since a long poll wasn't answered.
+	OnSilent func()
 
 	mu sync.Mutex
 	history
@@ -127,15 +139,26 @@
 // Watch reads changes from the store. The pause after a change is part of wait. The first call
 // after another host was read from waits for storeCheckWait at most, because data from another
 // host counts as current for a shorter time.
+//
+// The store may leave long polls without an answer while it answers all other calls. If it answered the
+// call before this one, the changes are then taken from its list.
 func (m *Mirror) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
-	if !m.isFromStore() {
-		wait = min(wait, storeCheckWait)
-	}
+	return m.watch(ctx, after, wait, false)
+}
+
+// watch is Watch for a host of which an upstream host has lost the store if behindStale is set. That
+// one reads the list as soon as it can. If all hosts behind it did so as well, their lists would fill
+// the link to the store.
+func (m *Mirror) watch(ctx context.Context, after uint64, wait time.Duration, behindStale bool) (Page, error) {
+	wait = m.pollWait(wait)
 	pause := min(m.remainingPause(), wait)
 	if err := scheduler.Pause(ctx, pause); err != nil {
 		return Page{}, err
 	}
-	p, err := m.Store.Watch(watchdog.WithObserver(ctx, m.recordProgress), after, wait-pause)
+	p, silent, err := m.poll(ctx, after, wait-pause)
+	if silent && m.mayList(after, behindStale) {
+		p, err = m.listChanges(ctx, after)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.receivingSince = 0
@@ -158,10 +181,50 @@
 	return p, nil
 }
 
-func (m *Mirror) isFromStore() bool {
+// pollWait returns how long a long poll waits if it and the list after it may take wait.
+func (m *Mirror) pollWait(wait time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.fromStore {
+		return min(wait, storeCheckWait)
+	}
+	return max(wait-listReserve, min(wait, storeCheckWait), wait/2)
+}
+
+// poll makes one long poll to the store. It reports whether no part of an answer was received in time.
+func (m *Mirror) poll(ctx context.Context, after uint64, wait time.Duration) (p Page, silent bool, err error) {
+	c, cancel := watchdog.WithStallTimeout(ctx, wait+WatchSlack, StallTimeout)
+	defer cancel()
+	p, err = m.Store.Watch(watchdog.WithObserver(c, m.recordProgress), after, wait)
+	stalled := err != nil && ctx.Err() == nil && errors.Is(context.Cause(c), watchdog.ErrStalled)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return p, stalled && m.receivingSince == 0, err
+}
+
+// mayList reports whether the list may be read in place of a long poll after the revision.
+func (m *Mirror) mayList(after uint64, behindStale bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current && m.revision == after && (m.fromStore || !behindStale)
+}
+
+// listChanges reads all objects from the store and returns what has changed after the revision, which
+// is that of the mirror.
+func (m *Mirror) listChanges(ctx context.Context, after uint64) (Page, error) {
+	if m.OnSilent != nil {
+		m.OnSilent()
+	}
+	p, err := m.Store.List(watchdog.WithObserver(ctx, m.recordProgress))
+	if err != nil {
+		return Page{}, err
+	}
+	if p.Revision < after {
+		return Page{}, errOlderList
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.fromStore
+	return m.changesTo(p), nil
 }
 
 // recordProgress records that more of the store's answer has arrived: another host that asked
--- a/internal/proxy/cachesyncer/history.go
+++ b/internal/proxy/cachesyncer/history.go
@@ -125,3 +125,22 @@
 	}
 	return entries
 }
+
+// changesTo returns the changes from the present state to a list, sorted by name.
+func (h *history) changesTo(list Page) Page {
+	p := Page{Revision: list.Revision}
+	listed := make(map[string]bool, len(list.Entries))
+	for _, e := range list.Entries {
+		listed[e.Name] = true
+		if old, ok := h.objects[e.Name]; !ok || old.Removed || old.Revision != e.Revision {
+			p.Entries = append(p.Entries, e)
+		}
+	}
+	for n, old := range h.objects {
+		if !old.Removed && !listed[n] {
+			p.Entries = append(p.Entries, Entry{Name: n, Revision: old.Revision, Removed: true})
+		}
+	}
+	slices.SortFunc(p.Entries, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return p
+}
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -82,11 +82,15 @@
 // revision instead of reading the whole list: a link with little bandwidth can't carry the
 // lists of many hosts at once.
 func (s *Selector) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
-	p, err := s.readFromHosts(func(h declarer.Host, retry bool) (Page, error) {
+	behindStale, began := false, s.Mirror.Now()
+	p, err := s.readFromHosts(func(h declarer.Host, retry bool) (p Page, err error) {
 		if retry {
-			return s.checkRemote(ctx, h, after)
+			p, err = s.checkRemote(ctx, h, after)
+		} else {
+			p, err = s.watchRemote(ctx, h, after, min(wait, remoteWait))
 		}
-		return s.watchRemote(ctx, h, after, min(wait, remoteWait))
+		behindStale = behindStale || errors.Is(err, ErrStale)
+		return p, err
 	})
 	switch {
 	case err == nil:
@@ -100,7 +104,8 @@
 	if !s.Holder.begin() {
 		return Page{}, s.lost()
 	}
-	p, err = s.Mirror.Watch(ctx, after, wait)
+	wait = max(storeCheckWait, wait-(s.Mirror.Now()-began))
+	p, err = s.Mirror.watch(ctx, after, wait, behindStale)
 	s.Holder.recordCall(err == nil || errors.Is(err, ErrCompacted))
 	return s.recordRevision(p, err)
 }
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -14,11 +14,11 @@
 
 const (
 	// watchSlack is how long after the end of its wait the answer to a watch call may begin.
-	watchSlack = 400 * time.Millisecond
+	watchSlack = cachesyncer.WatchSlack
 	// listTimeout bounds the time until the answer to any other call begins.
 	listTimeout = 700 * time.Millisecond
 	// stallTimeout ends a call whose answer has begun and makes no more progress.
-	stallTimeout = 700 * time.Millisecond
+	stallTimeout = cachesyncer.StallTimeout
 )
 
 // Source reads and decodes one kind of object of the platform's store.
