--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -37,6 +37,8 @@
 	KindStoreLoses
 	// KindStoreForgets is a store that drops its history of changes.
 	KindStoreForgets
+	// KindStoreWatchesSilent is a store that leaves watch calls without an answer and answers all others.
+	KindStoreWatchesSilent
 	// KindPrimaryCrash crashes a primary, which restarts with its log.
 	KindPrimaryCrash
 	// KindServerMute is a backend server that accepts statements and answers none.
@@ -52,7 +54,7 @@
 // names holds the name of each Kind, in the order of the constants.
 var names = [...]string{
 	"kill", "pause", "stop", "isolate", "silence", "store-silent", "store-busy", "store-reset", "store-slow",
-	"store-loses", "store-forgets", "primary-crash", "server-mute", "server-silence", "replica-deaf",
+	"store-loses", "store-forgets", "store-watches-silent", "primary-crash", "server-mute", "server-silence", "replica-deaf",
 }
 
 // String returns the kind's name in kebab case.
--- a/internal/soak/runner/faults_test.go
+++ b/internal/soak/runner/faults_test.go
@@ -195,6 +195,8 @@
 	planner.KindStoreReset:  {Mode: storekeeper.ModeReset},
 	planner.KindStoreSlow:   {Delay: 250 * time.Millisecond},
 	planner.KindStoreLoses:  {LostAnswersPerMille: 400},
+
+	planner.KindStoreWatchesSilent: {SilentWatches: true},
 }
 
 // plannedStops returns the planned stops and marks those that no other fault disturbed.
