fix(cachesyncer): the host after a reader that the store refuses reads the list

Cause, from the logs: the store refuses the host that the region reads through, while its watches are silent. The host after it didn't ask the store ("store isn't asked"), as a call of its own had failed in a loss five seconds earlier, which held its calls for 5 to 15 s. Had it asked, it would not have listed, since its upstream host had lost the store. All other hosts of the region then heard from it that it had lost the store. Change: calls that failed in an earlier loss hold none. Ruled out: listing by every host behind the lost reader, whose lists would fill the link between regions. Tests: TestChangeIsReadDespiteSilentWatches "beside a reader that the store refuses" (failed before), TestHolds, TestCallWaitsForResultOfAnother (in place of the case of TestHolds in which the second call was refused), TestEarlierLongPollIsNotAwaited.

--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -62,6 +62,7 @@
 type member struct {
 	host    *runner.Host
 	machine *machine
+	store   *storeDialer
 	fleet   *fleet
 	feeder  *feeder
 }
@@ -144,8 +145,9 @@
 		rate *= fastFactor
 	}
 	m := &member{fleet: f, machine: f.network.add(name, region, rate)}
+	m.store = &storeDialer{machine: m.machine}
 	store := platform.NewStore(storeAddress)
-	store.Dial = m.machine.Dial
+	store.Dial = m.store.Dial
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
 	feeds := &platform.FeedClient{Dial: m.machine.Dial}
@@ -387,9 +389,10 @@
 // Guards against a change that stays unknown while the store leaves its watches without an answer, as
 // when it compacts its history: a reader that only watches again hears of the change when that is over.
 func TestChangeIsReadDespiteSilentWatches(t *testing.T) {
-	for name, c := range map[string]struct{ readerLost bool }{
-		"alone":                   {},
-		"beside a reader's crash": {readerLost: true},
+	for name, lose := range map[string]func(reader *member){
+		"alone":                                  nil,
+		"beside a reader's crash":                func(reader *member) { reader.machine.powerOff() },
+		"beside a reader that the store refuses": func(reader *member) { reader.store.refuse(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -397,9 +400,9 @@
 				defer f.stop()
 				f.store.SetFault(storekeeper.Fault{SilentWatches: true})
 				var lost *member
-				if c.readerLost {
+				if lose != nil {
 					lost = f.storeReader()
-					lost.machine.powerOff()
+					lose(lost)
 				}
 				f.expect(t, 1, lost)
 				f.expect(t, 1, lost)
@@ -408,6 +411,25 @@
 	}
 }
 
+// Guards against a change that stays unknown after the second loss of a region's reader: the host after
+// it must ask the store, though its calls during the first loss have failed.
+func TestSecondLossOfReaderDoesNotHoldCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startSettled(t, 10, 1400)
+		defer f.stop()
+		reader := f.storeReader()
+		reader.store.refuse(true)
+		f.store.SetFault(storekeeper.Fault{Mode: storekeeper.ModeBusy})
+		time.Sleep(2 * time.Second)
+		f.store.SetFault(storekeeper.Fault{})
+		reader.store.refuse(false)
+		time.Sleep(4 * time.Second)
+		reader.store.refuse(true)
+		f.store.SetFault(storekeeper.Fault{SilentWatches: true})
+		f.expect(t, 1, reader)
+	})
+}
+
 // startLimit is within what time a host serves if the store answers at once.
 const startLimit = 150 * time.Millisecond
 
--- a/internal/proxy/assembler/network_test.go
+++ b/internal/proxy/assembler/network_test.go
@@ -129,6 +129,47 @@
 	m.off = true
 }
 
+// storeDialer connects one machine to the store.
+type storeDialer struct {
+	machine *machine
+
+	mu      sync.Mutex
+	refused bool
+	open    []net.Conn
+}
+
+// Dial opens a connection to the store unless that refuses the machine.
+func (d *storeDialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.isRefused() {
+		return nil, syscall.ECONNREFUSED
+	}
+	c, err := d.machine.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open = append(d.open, c)
+	return c, nil
+}
+
+func (d *storeDialer) isRefused() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refused
+}
+
+// refuse has the store refuse the machine, or accept it again.
+func (d *storeDialer) refuse(refused bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refused = refused
+	for _, c := range d.open {
+		c.Close()
+	}
+	d.open = nil
+}
+
 func (m *machine) isOff() bool {
 	m.network.mu.Lock()
 	defer m.network.mu.Unlock()
--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -146,9 +146,9 @@
 	return m.watch(ctx, after, wait, false)
 }
 
-// watch is Watch for a host of which an upstream host has lost the store if behindStale is set. That
-// one reads the list as soon as it can. If all hosts behind it did so as well, their lists would fill
-// the link to the store.
+// watch is Watch for a host behind others that have lost the store if behindStale is set. One of those
+// reads the list as soon as it can. If all hosts behind them did so as well, their lists would fill the
+// link to the store.
 func (m *Mirror) watch(ctx context.Context, after uint64, wait time.Duration, behindStale bool) (Page, error) {
 	wait = m.pollWait(wait)
 	pause := min(m.remainingPause(), wait)
--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -1,6 +1,7 @@
 package cachesyncer
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -28,12 +29,14 @@
 	mu sync.Mutex
 	// nextCheck is until when calls are held back, answeredAt when the store last answered this host,
 	// and lastStale when an upstream host last said that it has lost the store, if it lost it after
-	// that.
-	nextCheck, answeredAt, lastStale time.Duration
+	// that. staleAt is when any upstream host last said so.
+	nextCheck, answeredAt, lastStale, staleAt time.Duration
 	// losses holds the upstream hosts that have lost the store, by name.
 	losses map[string]loss
-	// calls is the number of calls to the store that are in progress.
-	calls int
+	// checking is set while a call is in progress that began after an upstream host had lost the store,
+	// and ended is closed when a call ends, nil while nothing waits for that.
+	checking bool
+	ended    chan struct{}
 }
 
 // loss is the time in which an upstream host has said that it has lost the store.
@@ -45,6 +48,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Now()
+	if now-h.staleAt > staleMemory {
+		h.nextCheck = 0 // a call that failed in an earlier loss tells nothing about this one
+	}
+	h.staleAt = now
 	l, ok := h.losses[host]
 	if !ok || now-l.last > staleGap {
 		l.since = now
@@ -66,34 +73,58 @@
 	delete(h.losses, host)
 }
 
-// begin reports whether the store may be called now. If so, recordCall must be called afterwards.
-func (h *Holder) begin() bool {
+// begin reports whether the store may be called now. If so, recordCall must be called afterwards. While
+// upstream hosts say that they have lost the store, begin waits for the result of a call that began since.
+func (h *Holder) begin(ctx context.Context) bool {
+	for {
+		admitted, ended := h.tryBegin()
+		if ended == nil {
+			return admitted
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// tryBegin is begin without a wait. It returns a channel if the result of a call has to be awaited.
+func (h *Holder) tryBegin() (admitted bool, ended <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.holds() {
-		return false
+	switch {
+	case h.holds():
+		return false, nil
+	case h.isStale() && h.checking:
+		if h.ended == nil {
+			h.ended = make(chan struct{})
+		}
+		return false, h.ended
 	}
-	h.calls++
-	return true
+	h.checking = h.isStale()
+	return true, nil
 }
 
 // recordCall records whether the store has answered a call.
 func (h *Holder) recordCall(answered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.calls--
+	h.checking = false
+	if h.ended != nil {
+		close(h.ended)
+		h.ended = nil
+	}
 	now := h.Now()
 	if answered {
-		h.nextCheck, h.answeredAt = 0, now
+		h.nextCheck, h.answeredAt, h.lastStale = 0, now, 0
 		return
 	}
 	h.nextCheck = now + storeCheckInterval/2 + rand.N(storeCheckInterval)
 }
 
-// holds reports whether the store isn't to be called now, since a call wasn't answered or still waits
-// for its answer. The mutex is held.
-func (h *Holder) holds() bool {
-	now := h.Now()
-	stale := h.lastStale > 0 && now-h.lastStale < staleMemory
-	return stale && (now < h.nextCheck || h.calls > 0)
-}
+// holds reports whether calls are held back, since one wasn't answered. The mutex is held.
+func (h *Holder) holds() bool { return h.isStale() && h.Now() < h.nextCheck }
+
+// isStale reports whether an upstream host has said lately that it has lost the store. The mutex is held.
+func (h *Holder) isStale() bool { return h.lastStale > 0 && h.Now()-h.lastStale < staleMemory }
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -1,7 +1,9 @@
 package cachesyncer
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -12,15 +14,15 @@
 	var now time.Duration
 	h := &Holder{Now: func() time.Duration { return now }}
 	now = time.Second
-	h.call(true)
+	h.recordCall(true)
 	now = 2 * time.Second
 	h.recordStale("cut off")
 	for now = 3 * time.Second; now < 8*time.Second; now += time.Second {
 		h.recordStale("cut off")
-		h.call(true)
+		h.recordCall(true)
 	}
 	h.recordStale("cut off")
-	h.call(false)
+	h.recordCall(false)
 	if h.holds() {
 		t.Error("calls are held back")
 	}
@@ -32,62 +34,71 @@
 		want bool
 	}{
 		"both lost the store": {func(h *Holder, now *time.Duration) {
-			h.call(true)
+			h.recordCall(true)
 			*now += time.Second
 			h.recordStale("a")
-			h.call(false)
+			h.recordCall(false)
 		}, true},
 		"never answered": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.call(false)
+			h.recordCall(false)
 		}, true},
 		"only this host lost it": {func(h *Holder, now *time.Duration) {
-			h.call(true)
-			h.call(false)
+			h.recordCall(true)
+			h.recordCall(false)
 		}, false},
 		"the store has answered since": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.call(false)
+			h.recordCall(false)
 			*now += time.Second
-			h.call(true)
+			h.recordCall(true)
 		}, false},
 		"the other is back": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.call(false)
+			h.recordCall(false)
 			*now += 3 * time.Second
 		}, false},
 		"lost again after it was back": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
 			*now += time.Second
 			h.recordCurrent("a")
-			h.call(true)
+			h.recordCall(true)
 			*now += time.Second
 			h.recordStale("a")
-			h.call(false)
+			h.recordCall(false)
 		}, true},
 		"lost again long after": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
 			*now += time.Second
-			h.call(true)
+			h.recordCall(true)
 			*now += time.Minute
 			h.recordStale("a")
-			h.call(false)
+			h.recordCall(false)
 		}, true},
-		"another call waits for its answer": {func(h *Holder, _ *time.Duration) {
+		"a call failed in an earlier loss": {func(h *Holder, now *time.Duration) {
+			h.recordStale("a")
+			h.recordCall(false)
+			*now += time.Second
+			h.recordCurrent("a")
+			*now += 3 * time.Second
 			h.recordStale("a")
-			h.begin()
-		}, true},
-		"another call waits for changes": {func(h *Holder, _ *time.Duration) {
-			h.begin()
 		}, false},
+		"the loss goes on": {func(h *Holder, now *time.Duration) {
+			h.recordStale("a")
+			h.recordCall(false)
+			for range 4 {
+				*now += time.Second
+				h.recordStale("a")
+			}
+		}, true},
 		"one of two is cut off": {func(h *Holder, now *time.Duration) {
 			h.recordStale("cut off")
 			*now += time.Second
-			h.call(true)
+			h.recordCall(true)
 			*now += time.Second
 			h.recordStale("cut off")
 			h.recordStale("a")
-			h.call(false)
+			h.recordCall(false)
 		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -101,8 +112,45 @@
 	}
 }
 
-// call makes one call to the store, whether or not calls are held back.
-func (h *Holder) call(answered bool) {
-	h.calls++
-	h.recordCall(answered)
+// Guards against a change that stays unknown for as long as a long poll for another kind of object lasts,
+// which began before the upstream host lost the store.
+func TestEarlierLongPollIsNotAwaited(t *testing.T) {
+	h := &Holder{Now: func() time.Duration { return time.Minute }}
+	if !h.begin(t.Context()) {
+		t.Fatal("long poll is held back")
+	}
+	h.recordStale("a")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if !h.begin(ctx) {
+		t.Error("a call waits for the long poll")
+	}
+}
+
+// Guards against as many calls as kinds of object from each host that loses its upstream host: a second
+// call waits for the result of the first one.
+func TestCallWaitsForResultOfAnother(t *testing.T) {
+	for name, c := range map[string]struct{ stale, answered, want, waits bool }{
+		"not answered":        {stale: true, waits: true},
+		"answered":            {stale: true, answered: true, waits: true, want: true},
+		"upstream hosts read": {want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				h := &Holder{Now: func() time.Duration { return time.Minute + time.Since(began) }}
+				if c.stale {
+					h.recordStale("a")
+				}
+				if !h.begin(t.Context()) {
+					t.Error("first call is held back")
+				}
+				time.AfterFunc(time.Second, func() { h.recordCall(c.answered) })
+				if got := h.begin(t.Context()); got != c.want || time.Since(began) > 0 != c.waits {
+					t.Errorf("second call admitted %t after %v", got, time.Since(began))
+				}
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
 }
