fix(quotakeeper): hosts with different lists agree on the one that counts

Cause: a host that is asked for a token counted, whatever its own list of hosts said. After a restart beside silent watches, entry-1 lists entry-3 alone and asks it, entry-3 still lists entry-1 first and asks that: both count for one zone until the watch ends, up to 15 s later. Ruled out: tokens collected while nothing ran (they don't explain 18 operations a second afterwards).

Change: a question to the first host of the asker's list may be passed on once, to a host that the asked one lists before itself. All hosts have the same order, so questions end at one host. The asker says if hosts before the asked one have failed; then that one counts, as before. A draw is passed on in the same way, and a host that isn't in its own list gives none.

The class: a decision by each host's own list that the one who carries it out doesn't check. Draws had it too.

Open: a host that lists itself first, while no other of its zone does.

--- a/internal/proxy/quotakeeper/quotakeeper.go
+++ b/internal/proxy/quotakeeper/quotakeeper.go
@@ -1,8 +1,9 @@
 // Package quotakeeper keeps the customers' limits over all entry hosts.
 //
 // In each availability zone one host counts the operations of a customer: the first host of the zone
-// that answers, in an order by customer. Other hosts of the zone ask it before an operation. The
-// counting hosts of different zones move tokens among each other when one runs low, so that the
+// that answers, in an order by customer. Other hosts of the zone ask it before an operation; a host that
+// is asked passes the question on if it lists one that comes before it, as lists may differ for a while.
+// The counting hosts of different zones move tokens among each other when one runs low, so that the
 // messages between zones don't grow with the operations.
 package quotakeeper
 
@@ -37,9 +38,8 @@
 
 // Peer is a connection to another entry host that counts operations.
 type Peer interface {
-	// Take asks for a token for one operation of the customer. takeover is set if another host has
-	// counted the customer's operations until now.
-	Take(ctx context.Context, customer string, takeover bool) (limiter.Decision, error)
+	// Take asks for a token for one operation of the customer.
+	Take(ctx context.Context, customer string, a Assignment) (limiter.Decision, error)
 	// Draw asks for up to n tokens of the customer, and returns how many the other host has given.
 	Draw(ctx context.Context, customer string, n float64) (float64, error)
 	// Return gives back the token of an operation that has not run. It doesn't wait for an answer.
@@ -70,12 +70,17 @@
 	// Counters returns the hosts of a zone in the order in which they count the customer's
 	// operations.
 	Counters func(zone, customer string) []declarer.Host
+	// Precedes reports whether a host of this zone comes before this one in that order.
+	Precedes func(h declarer.Host, customer string) bool
 	// Dial connects to another host.
 	Dial func(ctx context.Context, h declarer.Host) (Peer, error)
 	// Now reads a monotonic clock that also advances while the host is suspended.
 	Now func() time.Duration
 	// Lost, if not nil, is called with a host that has begun to fail, and why.
 	Lost func(host string, err error)
+	// Moved, if not nil, is called when this host asks another counting host about a customer than
+	// before. from is empty the first time.
+	Moved func(customer, from, to string)
 
 	mu      sync.Mutex
 	limiter limiter.Limiter
@@ -109,11 +114,11 @@
 		return nil
 	}
 	for range maximumCounters {
-		h, ok := k.counter(customer)
+		h, a, ok := k.counter(customer)
 		if !ok {
 			break
 		}
-		d, err := k.ask(ctx, h, customer)
+		d, err := k.ask(ctx, h, customer, a)
 		if err != nil {
 			continue
 		}
@@ -126,19 +131,22 @@
 }
 
 // counter returns the host of this zone that counts the customer's operations, false if all have failed.
-func (k *Keeper) counter(customer string) (declarer.Host, bool) {
+// The assignment is fixed if hosts before it have failed.
+func (k *Keeper) counter(customer string) (declarer.Host, Assignment, bool) {
+	a := AssignmentOpen
 	for _, h := range k.Counters(k.Zone, customer) {
 		if h.Name == k.Self || !k.peers.skipped(h.Name) {
-			return h, true
+			return h, a, true
 		}
+		a = AssignmentFixed
 	}
-	return declarer.Host{}, false
+	return declarer.Host{}, a, false
 }
 
 // Return gives back the token of an operation of the customer that has not run. The token is lost if the
 // host that counts can't be told.
 func (k *Keeper) Return(customer string) {
-	h, ok := k.counter(customer)
+	h, _, ok := k.counter(customer)
 	switch {
 	case !ok:
 	case h.Name == k.Self:
@@ -166,21 +174,28 @@
 }
 
 // ask asks a host of the zone, or this one, for a token.
-func (k *Keeper) ask(ctx context.Context, h declarer.Host, customer string) (limiter.Decision, error) {
-	takeover := k.isTakeover(h.Name, customer)
+func (k *Keeper) ask(ctx context.Context, h declarer.Host, customer string, a Assignment) (limiter.Decision, error) {
+	if k.isTakeover(h.Name, customer) {
+		a = AssignmentTakeover
+	}
 	if h.Name == k.Self {
 		if !k.inTouch(ctx, customer) {
 			return limiter.Decision{}, ErrCutOff
 		}
-		return k.Take(ctx, customer, takeover), nil
+		return k.Take(ctx, customer, a), nil
 	}
 	c, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	l, err := k.peers.get(c, h)
+	return k.askPeer(c, h, customer, a)
+}
+
+// askPeer asks another host for a token.
+func (k *Keeper) askPeer(ctx context.Context, h declarer.Host, customer string, a Assignment) (limiter.Decision, error) {
+	l, err := k.peers.get(ctx, h)
 	if err != nil {
 		return limiter.Decision{}, err
 	}
-	d, err := l.peer.Take(c, customer, takeover)
+	d, err := l.peer.Take(ctx, customer, a)
 	if err != nil {
 		k.peers.fail(h.Name, l, err)
 		return d, err
@@ -196,36 +211,46 @@
 // isTakeover records that the host is asked about the customer, and reports whether another one was
 // within the last window.
 func (k *Keeper) isTakeover(host, customer string) bool {
+	now := k.Now()
+	before, ok := k.recordAsked(host, customer, now)
+	if before.host != host && k.Moved != nil {
+		k.Moved(customer, before.host, host)
+	}
+	return ok && before.host != host && now-before.at < k.Tolerance.Window
+}
+
+// recordAsked records that the host is asked about the customer, and returns the last question before,
+// false if there was none.
+func (k *Keeper) recordAsked(host, customer string, now time.Duration) (lastAsked, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := k.Now()
 	before, ok := k.asked[customer]
 	k.asked[customer] = lastAsked{host: host, at: now}
-	return ok && before.host != host && now-before.at < k.Tolerance.Window
+	return before, ok
 }
 
 // Take takes a token from the account that this host keeps for its zone. If there is none, it first
 // draws from other zones.
-func (k *Keeper) Take(ctx context.Context, customer string, takeover bool) limiter.Decision {
-	d := k.TakeAtHand(customer, takeover)
+func (k *Keeper) Take(ctx context.Context, customer string, a Assignment) limiter.Decision {
+	d := k.takeAtHand(customer, a)
 	if d.Granted {
 		return d
 	}
-	return k.TakeAfterDraw(ctx, customer, d)
+	return k.takeAfterDraw(ctx, customer, d)
 }
 
-// TakeAfterDraw draws tokens from other zones and takes one, after the decision d of TakeAtHand. It
+// takeAfterDraw draws tokens from other zones and takes one, after the decision d of takeAtHand. It
 // returns d if it is too early for a draw.
-func (k *Keeper) TakeAfterDraw(ctx context.Context, customer string, d limiter.Decision) limiter.Decision {
+func (k *Keeper) takeAfterDraw(ctx context.Context, customer string, d limiter.Decision) limiter.Decision {
 	if !k.drawAndWait(ctx, customer) {
 		return d
 	}
-	return k.take(customer, false)
+	return k.take(customer, AssignmentFixed)
 }
 
-// TakeAtHand is Take without a wait for other zones.
-func (k *Keeper) TakeAtHand(customer string, takeover bool) limiter.Decision {
-	d := k.take(customer, takeover)
+// takeAtHand is Take without a wait for other zones.
+func (k *Keeper) takeAtHand(customer string, a Assignment) limiter.Decision {
+	d := k.take(customer, a)
 	if d.Granted && d.Low {
 		k.beginDraw(customer)
 	}
@@ -233,7 +258,7 @@
 }
 
 // take takes a token at hand.
-func (k *Keeper) take(customer string, takeover bool) limiter.Decision {
+func (k *Keeper) take(customer string, a Assignment) limiter.Decision {
 	m, ok := k.Limit(customer)
 	if !ok {
 		// The asking host has a newer configuration than this one.
@@ -242,7 +267,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.Now()
-	if takeover {
+	if a == AssignmentTakeover {
 		k.limiter.TakeOver(customer, m, now)
 	}
 	return k.limiter.Take(customer, m, now)
--- a/internal/proxy/quotakeeper/quotakeeper_test.go
+++ b/internal/proxy/quotakeeper/quotakeeper_test.go
@@ -42,6 +42,8 @@
 	dark bool
 	// isolated is set while the host reaches no other host, though it serves callers.
 	isolated bool
+	// unlisted holds the hosts that aren't in this host's list.
+	unlisted map[string]bool
 }
 
 // world is a simulated deployment.
@@ -96,7 +98,7 @@
 // start starts the host's process anew.
 func (h *host) start() {
 	x := h.world
-	k := &Keeper{Self: h.Name, Zone: h.AvailabilityZone, Tolerance: limiter.Tolerance{Window: window, Overage: overage, Slack: slack}, Limit: x.limit, Counters: x.counters, Dial: h.dial, Now: x.now}
+	k := &Keeper{Self: h.Name, Zone: h.AvailabilityZone, Tolerance: limiter.Tolerance{Window: window, Overage: overage, Slack: slack}, Limit: x.limit, Counters: h.counters, Precedes: h.isAfter, Dial: h.dial, Now: x.now}
 	for z := range x.zones {
 		k.Zones = append(k.Zones, fmt.Sprint("z", z))
 	}
@@ -137,6 +139,17 @@
 	x.find(name).dark = true
 }
 
+// unlist removes a host from the list of another, or from its own.
+func (x *world) unlist(from, host string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	h := x.find(from)
+	if h.unlisted == nil {
+		h.unlisted = make(map[string]bool)
+	}
+	h.unlisted[host] = true
+}
+
 // pause has a host stop for a while, after which it goes on with what it knew.
 func (x *world) pause(name string) {
 	x.darken(name)
@@ -153,12 +166,28 @@
 			l = append(l, h.Host)
 		}
 	}
-	slices.SortFunc(l, func(a, b declarer.Host) int {
-		return int(int32(xxhash.Sum64String(a.Name+customer)>>33)) - int(int32(xxhash.Sum64String(b.Name+customer)>>33))
-	})
+	slices.SortFunc(l, func(a, b declarer.Host) int { return compareCounters(a.Name, b.Name, customer) })
 	return l
 }
 
+// compareCounters compares two hosts in the order in which they count the customer's operations.
+func compareCounters(a, b, customer string) int {
+	return int(int32(xxhash.Sum64String(a+customer)>>33)) - int(int32(xxhash.Sum64String(b+customer)>>33))
+}
+
+// counters returns the counting hosts that this host lists.
+func (h *host) counters(zone, customer string) []declarer.Host {
+	l := h.world.counters(zone, customer)
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	return slices.DeleteFunc(l, func(o declarer.Host) bool { return h.unlisted[o.Name] })
+}
+
+// isAfter reports whether another host precedes this one in the order by customer.
+func (h *host) isAfter(o declarer.Host, customer string) bool {
+	return compareCounters(o.Name, h.Name, customer) < 0
+}
+
 // peer is a connection between two simulated hosts.
 type peer struct{ from, to *host }
 
@@ -187,12 +216,12 @@
 	return nil
 }
 
-func (p *peer) Take(ctx context.Context, customer string, takeover bool) (limiter.Decision, error) {
+func (p *peer) Take(ctx context.Context, customer string, a Assignment) (limiter.Decision, error) {
 	if err := p.travel(ctx); err != nil {
 		return limiter.Decision{}, err
 	}
 	p.keeper().Heard()
-	return p.keeper().Take(ctx, customer, takeover), nil
+	return p.keeper().Answer(ctx, customer, a), nil
 }
 
 func (p *peer) Draw(ctx context.Context, customer string, n float64) (float64, error) {
@@ -200,7 +229,7 @@
 		return 0, err
 	}
 	p.keeper().Heard()
-	return p.keeper().Give(customer, n), nil
+	return p.keeper().AnswerDraw(ctx, customer, n), nil
 }
 
 func (p *peer) keeper() *Keeper {
@@ -210,7 +239,7 @@
 }
 
 func (p *peer) Return(customer string) error {
-	p.keeper().TakeBack(customer)
+	p.keeper().AnswerReturn(customer)
 	return nil
 }
 
@@ -447,6 +476,51 @@
 	}
 }
 
+// Guards against two hosts that count for one zone since their lists of hosts differ, while a watch of the
+// hosts isn't answered, with a customer that uses whatever it gets.
+func TestHostsWithDifferentListsCountOnce(t *testing.T) {
+	for name, unlist := range map[string]func(x *world, order []declarer.Host){
+		"a host doesn't list itself": func(x *world, l []declarer.Host) {
+			x.unlist(l[0].Name, l[0].Name)
+		},
+		"only the second host lists the first": func(x *world, l []declarer.Host) {
+			for _, h := range l {
+				if h.Name != l[1].Name {
+					x.unlist(h.Name, l[0].Name)
+				}
+			}
+		},
+		"only other zones list the first": func(x *world, l []declarer.Host) {
+			for _, h := range l {
+				x.unlist(h.Name, l[0].Name)
+			}
+		},
+		"other zones don't list the first": func(x *world, l []declarer.Host) {
+			for _, h := range x.hosts {
+				if h.AvailabilityZone != l[0].AvailabilityZone {
+					x.unlist(h.Name, l[0].Name)
+				}
+			}
+		},
+	} {
+		for _, hosts := range []int{2, 4} {
+			t.Run(fmt.Sprintf("%s, %d hosts a zone", name, hosts), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					x := newWorldOf(byZone, 2, hosts, map[string]limiter.Limit{"c0": {Rate: 12, Burst: 12}})
+					for z := range x.zones {
+						unlist(x, x.counters(fmt.Sprint("z", z), "c0"))
+					}
+					x.runUsual(map[string]float64{"c0": 60}, 16*time.Second)
+					x.check(t)
+					if n := x.total(); n < 16*12*9/10 {
+						t.Errorf("%d operations ran of a customer with a limit of 12 a second, in 16 s", n)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against waits for a counting host that has failed: after the first one the next host of the
 // zone is asked at once.
 func TestDarkCounterIsSkipped(t *testing.T) {
@@ -515,10 +589,10 @@
 		x := newWorld(byZone, map[string]limiter.Limit{"c": {Rate: 1, Burst: 1}})
 		k := x.hosts[0].keeper
 		time.Sleep(10 * time.Second)
-		k.Take(t.Context(), "c", false)
+		k.Take(t.Context(), "c", AssignmentOpen)
 		delete(x.limits, "c")
 		k.Forget()
-		if d := k.Take(t.Context(), "c", false); !d.Granted {
+		if d := k.Take(t.Context(), "c", AssignmentOpen); !d.Granted {
 			t.Errorf("customer that this host doesn't know: %+v", d)
 		}
 	})
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -85,9 +85,7 @@
 			l = append(l, h)
 		}
 	}
-	slices.SortFunc(l, func(a, b declarer.Host) int {
-		return cmp.Or(cmp.Compare(b.Bandwidth, a.Bandwidth), cmp.Compare(xxhash.Sum64String(a.Name+"/"+customer), xxhash.Sum64String(b.Name+"/"+customer)))
-	})
+	slices.SortFunc(l, func(a, b declarer.Host) int { return compareCounters(a, b, customer) })
 	if r.counterHosts == nil {
 		r.counterHosts = make(map[counterKey][]declarer.Host)
 	}
@@ -95,6 +93,17 @@
 	return l
 }
 
+// precedes reports whether a host comes before this one in the order in which they count the customer's
+// operations.
+func (r *roster) precedes(h declarer.Host, customer string) bool {
+	return compareCounters(h, r.self, customer) < 0
+}
+
+// compareCounters compares two hosts in the order in which they count the customer's operations.
+func compareCounters(a, b declarer.Host, customer string) int {
+	return cmp.Or(cmp.Compare(b.Bandwidth, a.Bandwidth), cmp.Compare(xxhash.Sum64String(a.Name+"/"+customer), xxhash.Sum64String(b.Name+"/"+customer)))
+}
+
 // count returns the number of listed hosts.
 func (r *roster) count() int {
 	r.mu.Lock()
