fix(quotakeeper): a host counts once the next one of its zone lists it

Cause, of the same class as: a host that starts is in its own list before the others have heard of it (while a watch of the hosts gets no answer, up to 15 s later). It counted for itself, and the next host of the zone for all others.

Ruled out as a mend: a question that is passed on through the next host and back, as a draw has no field that ends it; a check of each question, for its round trip. Change: a host that would count asks the next host of its zone whether that one lists it, once a connection, and until then has it count. While it leaves, the answer isn't kept. A host that doesn't answer is passed over for 15 s.

Left: a host that loses its entry without leaving counts on.

--- a/internal/proxy/quotakeeper/answer.go
+++ b/internal/proxy/quotakeeper/answer.go
@@ -30,25 +30,29 @@
 func (k *Keeper) Answer(ctx context.Context, customer string, a Assignment) limiter.Decision {
 	d, ok := k.AnswerAtHand(customer, a)
 	if ok {
-		return d
+		return *d
 	}
 	return k.AnswerLater(ctx, customer, a, d)
 }
 
-// AnswerAtHand is Answer without a wait for other hosts. It returns false if AnswerLater has to follow.
-func (k *Keeper) AnswerAtHand(customer string, a Assignment) (limiter.Decision, bool) {
-	if _, ok := k.earlier(customer); ok && a == AssignmentOpen {
-		return limiter.Decision{}, false
+// AnswerAtHand is Answer without a wait for other hosts. It returns false if AnswerLater has to follow, with
+// nil if this host may not be the one that counts.
+func (k *Keeper) AnswerAtHand(customer string, a Assignment) (*limiter.Decision, bool) {
+	if a == AssignmentOpen && !k.counts(customer) {
+		return nil, false
 	}
 	d := k.takeAtHand(customer, a)
-	return d, d.Granted
+	return &d, d.Granted
 }
 
 // AnswerLater answers a question after AnswerAtHand has returned d and false.
-func (k *Keeper) AnswerLater(ctx context.Context, customer string, a Assignment, d limiter.Decision) limiter.Decision {
-	h, ok := k.earlier(customer)
-	if !ok || a != AssignmentOpen {
-		return k.takeAfterDraw(ctx, customer, d)
+func (k *Keeper) AnswerLater(ctx context.Context, customer string, a Assignment, d *limiter.Decision) limiter.Decision {
+	if d != nil {
+		return k.takeAfterDraw(ctx, customer, *d)
+	}
+	h, ok := k.other(ctx, customer)
+	if !ok {
+		return k.Take(ctx, customer, a)
 	}
 	c, cancel := context.WithTimeout(ctx, passTimeout)
 	defer cancel()
@@ -76,10 +80,10 @@
 // to follow. A host that doesn't list itself gives none: others count, and what its account has collected
 // would come on top.
 func (k *Keeper) AnswerDrawAtHand(customer string, n float64) (float64, bool) {
-	if n <= 0 || !k.listsItself(customer) {
+	if n <= 0 || !k.Lists(k.Self) {
 		return 0, true
 	}
-	if _, ok := k.earlier(customer); ok {
+	if !k.counts(customer) {
 		return 0, false
 	}
 	return k.Give(customer, n), true
@@ -87,7 +91,7 @@
 
 // AnswerDrawLater answers a question after AnswerDrawAtHand has returned false.
 func (k *Keeper) AnswerDrawLater(ctx context.Context, customer string, n float64) float64 {
-	h, ok := k.earlier(customer)
+	h, ok := k.other(ctx, customer)
 	if !ok {
 		return k.Give(customer, n)
 	}
@@ -105,6 +109,21 @@
 	return g
 }
 
+// counts reports whether this host counts the customer's operations, as far as is known without a question
+// to another one.
+func (k *Keeper) counts(customer string) bool {
+	_, ok := k.earlier(customer)
+	return !ok && k.confirmed(customer)
+}
+
+// other returns the host that counts the customer's operations, false if it is this one.
+func (k *Keeper) other(ctx context.Context, customer string) (declarer.Host, bool) {
+	if h, ok := k.earlier(customer); ok {
+		return h, true
+	}
+	return k.substitute(ctx, customer)
+}
+
 // AnswerReturn takes back the token of an operation that another host asked for.
 func (k *Keeper) AnswerReturn(customer string) {
 	if _, ok := k.earlier(customer); ok {
@@ -126,13 +145,3 @@
 	}
 	return declarer.Host{}, false
 }
-
-// listsItself reports whether this host is in its own list.
-func (k *Keeper) listsItself(customer string) bool {
-	for _, h := range k.Counters(k.Zone, customer) {
-		if h.Name == k.Self {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/proxy/quotakeeper/peers.go
+++ b/internal/proxy/quotakeeper/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -27,6 +28,8 @@
 	done chan struct{}
 	peer Peer
 	err  error
+	// listed is set once the other host has answered that it lists this one.
+	listed atomic.Bool
 }
 
 // get returns the connection to the host, which it opens if there is none.
@@ -124,3 +127,12 @@
 	defer p.mu.Unlock()
 	return time.Now().Before(p.skippedUntil[host])
 }
+
+// forgetListed drops what other hosts have answered about their lists.
+func (p *peers) forgetListed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.open {
+		l.listed.Store(false)
+	}
+}
--- a/internal/proxy/quotakeeper/quotakeeper.go
+++ b/internal/proxy/quotakeeper/quotakeeper.go
@@ -11,6 +11,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -42,6 +43,8 @@
 	Take(ctx context.Context, customer string, a Assignment) (limiter.Decision, error)
 	// Draw asks for up to n tokens of the customer, and returns how many the other host has given.
 	Draw(ctx context.Context, customer string, n float64) (float64, error)
+	// Lists asks whether the other host lists a host of its zone.
+	Lists(ctx context.Context, host string) (bool, error)
 	// Return gives back the token of an operation that has not run. It doesn't wait for an answer.
 	Return(customer string) error
 	// Ended reports whether the other host has closed the connection.
@@ -85,6 +88,10 @@
 	mu      sync.Mutex
 	limiter limiter.Limiter
 	draws   map[string]*draw
+	// silent holds, by name, until when a host isn't asked whether it lists this one.
+	silent map[string]time.Duration
+	// leaving is set once this host's entry is being removed.
+	leaving atomic.Bool
 	// asked holds by customer which host was asked last.
 	asked map[string]lastAsked
 	// contactAt is when another host was last heard from, and lostAt when the last attempt to reach
@@ -104,6 +111,7 @@
 	k.limiter = limiter.Limiter{Parts: len(k.Zones), Tolerance: k.Tolerance, Began: k.Now()}
 	k.draws = make(map[string]*draw)
 	k.asked = make(map[string]lastAsked)
+	k.silent = make(map[string]time.Duration)
 	k.peers = peers{dial: k.Dial, lost: k.Lost}
 }
 
@@ -175,13 +183,18 @@
 
 // ask asks a host of the zone, or this one, for a token.
 func (k *Keeper) ask(ctx context.Context, h declarer.Host, customer string, a Assignment) (limiter.Decision, error) {
-	if k.isTakeover(h.Name, customer) {
-		a = AssignmentTakeover
-	}
 	if h.Name == k.Self {
 		if !k.inTouch(ctx, customer) {
 			return limiter.Decision{}, ErrCutOff
 		}
+		if o, ok := k.substitute(ctx, customer); ok {
+			h, a = o, AssignmentFixed
+		}
+	}
+	if k.isTakeover(h.Name, customer) {
+		a = AssignmentTakeover
+	}
+	if h.Name == k.Self {
 		return k.Take(ctx, customer, a), nil
 	}
 	c, cancel := context.WithTimeout(ctx, takeTimeout)
--- a/internal/proxy/quotakeeper/quotakeeper_test.go
+++ b/internal/proxy/quotakeeper/quotakeeper_test.go
@@ -232,6 +232,13 @@
 	return p.keeper().AnswerDraw(ctx, customer, n), nil
 }
 
+func (p *peer) Lists(ctx context.Context, host string) (bool, error) {
+	if err := p.travel(ctx); err != nil {
+		return false, err
+	}
+	return p.keeper().Lists(host), nil
+}
+
 func (p *peer) keeper() *Keeper {
 	p.to.world.mu.Lock()
 	defer p.to.world.mu.Unlock()
@@ -495,6 +502,14 @@
 				x.unlist(h.Name, l[0].Name)
 			}
 		},
+		"the first host lists itself and no other host of its zone does": func(x *world, l []declarer.Host) {
+			for _, h := range l[1:] {
+				x.unlist(h.Name, l[0].Name)
+			}
+		},
+		"only the second host doesn't list the first": func(x *world, l []declarer.Host) {
+			x.unlist(l[1].Name, l[0].Name)
+		},
 		"other zones don't list the first": func(x *world, l []declarer.Host) {
 			for _, h := range x.hosts {
 				if h.AvailabilityZone != l[0].AvailabilityZone {
@@ -521,6 +536,24 @@
 	}
 }
 
+// Guards against a host that counts on while it leaves, after the next one has begun to count.
+func TestLeavingHostCountsWhileItIsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newWorldOf(byZone, 2, 3, map[string]limiter.Limit{"c0": {Rate: 12, Burst: 12}})
+		go func() {
+			time.Sleep(6 * time.Second)
+			for z := range x.zones {
+				l := x.counters(fmt.Sprint("z", z), "c0")
+				x.find(l[0].Name).keeper.Leave()
+				time.Sleep(time.Second)
+				x.unlist(l[1].Name, l[0].Name)
+			}
+		}()
+		x.runUsual(map[string]float64{"c0": 60}, 16*time.Second)
+		x.check(t)
+	})
+}
+
 // Guards against waits for a counting host that has failed: after the first one the next host of the
 // zone is asked at once.
 func TestDarkCounterIsSkipped(t *testing.T) {
--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -26,6 +26,7 @@
 	h.draining.Store(true)
 	h.Log.WithField("sessions", h.SessionCount()).Info("draining")
 	// Without its entry, other hosts borrow from the next owner. Leases that are out may end.
+	h.quotas.Leave()
 	h.deregister()
 	_ = scheduler.Pause(ctx, min(readinessPropagationDelay, grace/2))
 	h.forEachSession((*executor.Session).Stop)
