--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -157,6 +157,25 @@
 	})
 }
 
+// Guards against a host that others take for one without the store until its first long poll after an
+// outage ends, though the store has been back for seconds.
+func TestMirrorIsCurrentSoonAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5, names: []string{"a"}}
+		m := newMirror(s)
+		_, _ = m.List(t.Context())
+		m.RecordLost()
+		began := time.Now()
+		_, err := m.Watch(t.Context(), 5, 10*time.Second)
+		if d := time.Since(began); err != nil || d > storeCheckWait {
+			t.Errorf("first long poll after an outage answered after %v: %v", d, err)
+		}
+		if _, err := m.ServeWatch(t.Context(), 5, 0); err != nil {
+			t.Errorf("another host is answered: %v", err)
+		}
+	})
+}
+
 // Guards against a stampede: the store compacts its history, and the host that reads it has to
 // list again. If it reported itself stale meanwhile, every host of its zone would list at the
 // store as well.
