fix(connpooler): a permit whose statement was shed isn't used again at once

A server with a full queue refuses a statement, whose permit goes to the next waiter at that moment, which is refused too, until the host's queue is empty; within 100 ms of a decrease the limit doesn't fall again. Besides, each refusal counted as a service time of nearly nothing, so that the queue expected short waits and took more in.

Change: the permit of a refused statement becomes free after the time in which a slot of the server does (service time by slots), and isn't counted as a service time.

--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -95,21 +95,24 @@
 }
 
 // End returns the permit. The code is that of the server's answer; with CodeBusy, the limit is
-// lowered.
+// lowered, and the permit is used again only after the time in which a slot of the server becomes
+// free: until then the server would refuse the next statement as well.
 func (t *Permit) End(c declarer.Code) {
 	if t.slot == nil {
 		return
 	}
 	p := t.pool
 	p.mu.Lock()
-	n := p.permits.gate.Load().Running
+	defer p.mu.Unlock()
+	l := p.permits.gate.Load()
 	if c == declarer.CodeBusy {
-		p.permits.regulator.Refused(n, sinceEpoch(time.Now()))
-	} else {
-		p.permits.regulator.Accepted(n)
+		p.permits.regulator.Refused(l.Running, sinceEpoch(time.Now()))
+		p.permits.updateLimit(p)
+		time.AfterFunc(l.ServiceTime/time.Duration(max(1, p.Server.Slots)), t.slot.ReleaseUnused)
+		return
 	}
+	p.permits.regulator.Accepted(l.Running)
 	p.permits.updateLimit(p)
-	p.mu.Unlock()
 	t.slot.Release()
 }
 
--- a/internal/proxy/connpooler/permit_test.go
+++ b/internal/proxy/connpooler/permit_test.go
@@ -1,6 +1,8 @@
 package connpooler
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,6 +102,51 @@
 	})
 }
 
+// Guards against a host that sends all waiting statements to a server whose queue is full, as each refusal
+// makes room for the next one: the server refuses them too, and they go to other servers in vain.
+func TestRefusedPermitIsNotUsedAtOnce(t *testing.T) {
+	const (
+		waiting  = 20
+		fullTime = 20 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fakeServer{limit: 16})
+		l, permits := exhaust(t, p)
+		full := time.Now().Add(fullTime)
+		var refused, ran atomic.Int64
+		var callers sync.WaitGroup
+		for range waiting {
+			callers.Go(func() {
+				x, err := l.AcquirePermit(requestWithin(time.Second))
+				switch {
+				case err != nil:
+					t.Error(err)
+				case time.Now().Before(full):
+					refused.Add(1)
+					x.End(declarer.CodeBusy)
+				default:
+					ran.Add(1)
+					x.End(declarer.CodeNone)
+				}
+			})
+		}
+		synctest.Wait()
+		for _, x := range permits {
+			x.End(declarer.CodeBusy)
+		}
+		callers.Wait()
+		// Each permit is used once in the time that a statement takes.
+		if most := int64(maximumInFlightPerSlot * fullTime / admitter.DefaultServiceTime); refused.Load() > most {
+			t.Errorf("the full server refused %d of %d statements, want %d at most", refused.Load(), waiting, most)
+		}
+		if ran.Load() == 0 {
+			t.Error("no statement ran once the server had room")
+		}
+		l.Release(false)
+		p.Close()
+	})
+}
+
 func BenchmarkPermit(b *testing.B) {
 	p := newPool(&fakeServer{limit: 16})
 	p.Server.Slots = 16
