refactor(quotakeeper): moveTo says that it records the host that is asked

isTakeover reads like a question, and one of its callers needs only that the host is recorded. A line of settings in the host is split. No change of what the code does; the package's tests pass.

--- a/internal/proxy/quotakeeper/answer.go
+++ b/internal/proxy/quotakeeper/answer.go
@@ -57,13 +57,13 @@
 	c, cancel := context.WithTimeout(ctx, passTimeout)
 	defer cancel()
 	to := AssignmentFixed
-	if k.isTakeover(h.Name, customer) {
+	if k.moveTo(h.Name, customer) {
 		to = AssignmentTakeover
 	}
 	if d, err := k.askPeer(c, h, customer, to); err == nil {
 		return d
 	}
-	k.isTakeover(k.Self, customer)
+	k.moveTo(k.Self, customer)
 	return k.Take(ctx, customer, AssignmentTakeover)
 }
 
--- a/internal/proxy/quotakeeper/quotakeeper.go
+++ b/internal/proxy/quotakeeper/quotakeeper.go
@@ -191,7 +191,7 @@
 			h, a = o, AssignmentFixed
 		}
 	}
-	if k.isTakeover(h.Name, customer) {
+	if k.moveTo(h.Name, customer) {
 		a = AssignmentTakeover
 	}
 	if h.Name == k.Self {
@@ -221,9 +221,9 @@
 // another one may count for the zone by now.
 const ErrCutOff = errors.ConstError("no other entry host is reached")
 
-// isTakeover records that the host is asked about the customer, and reports whether another one was
-// within the last window.
-func (k *Keeper) isTakeover(host, customer string) bool {
+// moveTo records that the host is asked about the customer, and reports whether that takes the customer
+// over from another one, which was asked within the last window.
+func (k *Keeper) moveTo(host, customer string) bool {
 	now := k.Now()
 	before, ok := k.recordAsked(host, customer, now)
 	if before.host != host && k.Moved != nil {
--- a/internal/proxy/runner/quotas.go
+++ b/internal/proxy/runner/quotas.go
@@ -13,7 +13,8 @@
 func (h *Host) prepareQuotas() {
 	h.quotas = quotakeeper.Keeper{
 		Self: h.Name, Zone: h.Self.AvailabilityZone, Zones: slices.Sorted(maps.Keys(h.Board.Regions)), Tolerance: h.Tolerance,
-		Limit: h.customerLimit, Counters: h.roster.counters, Precedes: h.roster.precedes, Dial: h.DialQuota, Now: h.Board.Time, Lost: h.countingHostLost, Moved: h.countingHostMoved,
+		Limit: h.customerLimit, Counters: h.roster.counters, Precedes: h.roster.precedes, Dial: h.DialQuota, Now: h.Board.Time,
+		Lost: h.countingHostLost, Moved: h.countingHostMoved,
 	}
 	h.quotas.Start()
 }
