revert: the first call after a failure waits for no change

The reader's log: configuration lost at 6 s and never regained, other kinds lost again and again with 'no progress'. Cause: the short poll leaves the store 0.4 s for its answer, where the long poll before had been answered by the next change. A store that is slower than that, here in a busy test process, stays lost.

Change: pollWait is as it was before. Its tests stay, listed: TestSecondLossOfReaderDoesNotHoldCalls and TestMirrorIsCurrentSoonAfterOutage. Left: a short wait at the store with a longer wait for its answer.

--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -138,8 +138,7 @@
 
 // Watch reads changes from the store. The pause after a change is part of wait. The first call
 // after another host was read from waits for storeCheckWait at most, because data from another
-// host counts as current for a shorter time. So does the first one after a failure, as the hosts
-// that read from this one take the store for lost until it is answered.
+// host counts as current for a shorter time.
 //
 // The store may leave long polls without an answer while it answers all other calls. If it answered the
 // call before this one, the changes are then taken from its list.
@@ -186,7 +185,7 @@
 func (m *Mirror) pollWait(wait time.Duration) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.fromStore || !m.current {
+	if !m.fromStore {
 		return min(wait, storeCheckWait)
 	}
 	return max(wait-listReserve, min(wait, storeCheckWait), wait/2)
