--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -64,8 +64,9 @@
 // and RetryAfter.
 type Entry struct {
 	// Team is the name of the team that the request is charged to.
-	Team  string
-	Class Class
+	Team       string
+	Class      Class
+	Importance Importance
 	// Deadline is the time at which the caller stops waiting, on the clock that is passed to the
 	// queue's methods as now; zero for none.
 	Deadline time.Duration
--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -58,8 +58,9 @@
 // Request describes a request for a slot.
 type Request struct {
 	// Team is the name of the team that the request is charged to.
-	Team  string
-	Class admitter.Class
+	Team       string
+	Class      admitter.Class
+	Importance admitter.Importance
 	// HoldsConnection says that the request already holds a connection, see
 	// admitter.Entry.HoldsConnection.
 	HoldsConnection bool
@@ -104,6 +105,7 @@
 func (g *Gate) Acquire(ctx context.Context, r Request) (*Slot, error) {
 	w := &waiter{done: make(chan struct{})}
 	w.entry.Team, w.entry.Class, w.entry.HoldsConnection = r.Team, r.Class, r.HoldsConnection
+	w.entry.Importance = r.Importance
 	var timedOut <-chan time.Time
 	g.offer(w, r)
 	select {
--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -69,8 +69,9 @@
 	Deadline time.Time
 	// Objective is by when the lease should be granted, zero for none: if the expected wait is
 	// longer, the request is refused at once.
-	Objective time.Time
-	Class     admitter.Class
+	Objective  time.Time
+	Class      admitter.Class
+	Importance admitter.Importance
 	// Customer is the one for whom the connection is, empty for the proxy itself. It only matters
 	// to a pool with ByCustomer.
 	Customer string
@@ -111,7 +112,7 @@
 
 // acquire makes one attempt to acquire a connection. It returns errEnded if another one is needed.
 func (p *Pool) acquire(a AcquireRequest) (*Lease, error) {
-	e := &admitter.Entry{Team: a.Team, Class: a.Class, Deadline: sinceEpoch(a.Deadline)}
+	e := &admitter.Entry{Team: a.Team, Class: a.Class, Importance: a.Importance, Deadline: sinceEpoch(a.Deadline)}
 	w := &waiter{done: make(chan error, 1)}
 	e.Owner = w
 	if err := p.enqueue(e, a.Objective); err != nil {
--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -79,7 +79,7 @@
 	p.mu.Lock()
 	p.permits.updateLimit(p)
 	p.mu.Unlock()
-	q := gate.Request{Team: a.Team, Class: a.Class, Timeout: left}
+	q := gate.Request{Team: a.Team, Class: a.Class, Importance: a.Importance, Timeout: left}
 	if p.ByCustomer && !a.Objective.IsZero() {
 		// Requests wait here rather than for a connection, as each opens its own.
 		q.Objective = max(1, time.Until(a.Objective))
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -7,6 +7,7 @@
 	"github.com/cuminwick/cuminwick/internal/customer/identifier"
 	"github.com/cuminwick/cuminwick/internal/customer/limiter"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 )
 
 // RouteKind is the consistency that the reads of a route require.
@@ -34,6 +35,9 @@
 	Objective time.Duration
 	// Anonymous admits callers whose key is unknown.
 	Anonymous bool
+	// Priority is the priority of the route's requests, from 0, the highest, to
+	// admitter.MaximumPriority.
+	Priority uint8
 }
 
 // Customer is an organization whose callers are identified by their keys.
@@ -41,6 +45,10 @@
 	Name string
 	// Limit bounds the operations of its callers, over all entry hosts.
 	Limit limiter.Limit
+	// Priority orders customers whose routes have equal priority, like Route.Priority.
+	Priority uint8
+	// Share is the declared weight in the division of slot time among customers, zero if none is.
+	Share float64
 }
 
 // Group is the declaration of one database group.
@@ -65,6 +73,33 @@
 	// no key.
 	Customers map[string]Customer
 	Keys      identifier.Keys
+	// Ranked is set if a route has priority 0. Without one, all requests are equally important.
+	Ranked bool
+	// Operations holds the operators' present requests.
+	Operations Operations
+}
+
+// Operations are temporary requests of operators, which take effect with the configuration.
+type Operations struct {
+	// HeldCustomers and HeldRoutes are the names of customers and routes whose requests are refused.
+	HeldCustomers, HeldRoutes map[string]bool
+	// ShareFactors multiply the shares of customers, by name.
+	ShareFactors map[string]float64
+	// DrainedServers and DrainedHosts are the backend servers, by id, and entry hosts, by name, that
+	// get no new work, as far as others can do it.
+	DrainedServers, DrainedHosts map[string]bool
+}
+
+// Importance returns the importance of a customer's requests on the route.
+func (c *Configuration) Importance(r Route, customer string) admitter.Importance {
+	if !c.Ranked {
+		return 0
+	}
+	p := uint8(admitter.DefaultPriority)
+	if x, ok := c.Customers[customer]; ok {
+		p = x.Priority
+	}
+	return admitter.RankedImportance(r.Priority, p)
 }
 
 // Identify returns the customer that a caller of the route with this key belongs to, false if the
@@ -249,6 +284,9 @@
 	AvailabilityZone string
 	// Bandwidth is that of the host's link in bits per second, zero if unknown.
 	Bandwidth int64
+	// Strength is the number of slots of backend servers whose connections the host can own, zero if
+	// unknown.
+	Strength int
 }
 
 // Seeds are the hosts through which a starting host of one availability zone may read the platform,
--- a/internal/proxy/executor/admission.go
+++ b/internal/proxy/executor/admission.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
@@ -12,6 +13,8 @@
 	route declarer.Route
 	// customer holds the caller's key, empty if it needs none.
 	customer string
+	// importance is that of the route and the customer. A transaction keeps it to its end.
+	importance admitter.Importance
 }
 
 // admit returns what the session may use under the configuration in force, or the code with which it
@@ -35,7 +38,7 @@
 	if r.Timeout == 0 {
 		r.Timeout = defaultStatementTimeout
 	}
-	return admission{route: r, customer: n}, declarer.CodeNone
+	return admission{route: r, customer: n, importance: c.Importance(r, n)}, declarer.CodeNone
 }
 
 // refusalText describes a code of admit.
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -158,7 +158,7 @@
 
 // leaseOptions returns the terms on which the statement asks the pool for a connection.
 func (a *attempt) leaseOptions() connpooler.AcquireRequest {
-	k := connpooler.AcquireRequest{Deadline: a.deadline, Class: a.class(), Customer: a.customer, Team: a.team()}
+	k := connpooler.AcquireRequest{Deadline: a.deadline, Class: a.class(), Importance: a.importance, Customer: a.customer, Team: a.team()}
 	if a.route.Objective > 0 {
 		k.Objective = a.began.Add(a.route.Objective / objectiveDivisor)
 	}
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -37,11 +37,12 @@
 	Kind Kind
 	// Wait is how long the borrower waits: for a connection, or for the answers.
 	Wait time.Duration
-	// Objective, Class and Team are set with KindLend. Objective is the time within which the
-	// connection should be granted, zero for none.
-	Objective time.Duration
-	Class     admitter.Class
-	Team      string
+	// Objective, Class, Importance and Team are set with KindLend. Objective is the time within which
+	// the connection should be granted, zero for none.
+	Objective  time.Duration
+	Class      admitter.Class
+	Importance admitter.Importance
+	Team       string
 	// Customer and AnyCustomer, set with KindLend, are those of connpooler.AcquireRequest.
 	Customer    string
 	AnyCustomer bool
@@ -203,7 +204,7 @@
 
 // acquireRequest returns the event as a request to the pool.
 func (e *Event) acquireRequest(now time.Time) connpooler.AcquireRequest {
-	a := connpooler.AcquireRequest{Deadline: now.Add(e.Wait), Class: e.Class, Team: e.Team, Customer: e.Customer, AnyCustomer: e.AnyCustomer}
+	a := connpooler.AcquireRequest{Deadline: now.Add(e.Wait), Class: e.Class, Importance: e.Importance, Team: e.Team, Customer: e.Customer, AnyCustomer: e.AnyCustomer}
 	if e.Objective > 0 {
 		a.Objective = now.Add(e.Objective)
 	}
