fix(cachesyncer): the first long poll after a failure is short, its answer is waited for as long as before

What would be seen: after an outage of the store and a second loss of the region's reader 4 s later, no host of the region has a change 5 s later. Cause (traced before): the reader's first call after an outage is a long poll, until whose end it answers that it has lost the store, so that the hosts behind it hold their calls back.

--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -138,7 +138,8 @@
 
 // Watch reads changes from the store. The pause after a change is part of wait. The first call
 // after another host was read from waits for storeCheckWait at most, because data from another
-// host counts as current for a shorter time.
+// host counts as current for a shorter time. So does the first one after a failure, as the hosts
+// that read from this one take the store for lost until it is answered.
 //
 // The store may leave long polls without an answer while it answers all other calls. If it answered the
 // call before this one, the changes are then taken from its list.
@@ -150,12 +151,13 @@
 // reads the list as soon as it can. If all hosts behind them did so as well, their lists would fill the
 // link to the store.
 func (m *Mirror) watch(ctx context.Context, after uint64, wait time.Duration, behindStale bool) (Page, error) {
-	wait = m.pollWait(wait)
-	pause := min(m.remainingPause(), wait)
+	t := m.pollTimes(wait)
+	pause := min(m.remainingPause(), t.answer)
 	if err := scheduler.Pause(ctx, pause); err != nil {
 		return Page{}, err
 	}
-	p, silent, err := m.poll(ctx, after, wait-pause)
+	t.store, t.answer = max(0, t.store-pause), t.answer-pause
+	p, silent, err := m.poll(ctx, after, t)
 	if silent && m.mayList(after, behindStale) {
 		p, err = m.listChanges(ctx, after)
 	}
@@ -181,21 +183,35 @@
 	return p, nil
 }
 
-// pollWait returns how long a long poll waits if it and the list after it may take wait.
-func (m *Mirror) pollWait(wait time.Duration) time.Duration {
+// pollTimes says how long a long poll takes.
+type pollTimes struct {
+	// store is how long the store waits for changes.
+	store time.Duration
+	// answer is after what time, in addition to WatchSlack, the answer must have begun.
+	answer time.Duration
+}
+
+// pollTimes returns the times of a long poll if it and the list after it may take wait. After a failure
+// the store waits for storeCheckWait only, but a slow store gets as much time for its answer as otherwise.
+func (m *Mirror) pollTimes(wait time.Duration) pollTimes {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	short := min(wait, storeCheckWait)
 	if !m.fromStore {
-		return min(wait, storeCheckWait)
+		return pollTimes{store: short, answer: short}
+	}
+	long := max(wait-listReserve, short, wait/2)
+	if !m.current {
+		return pollTimes{store: short, answer: long}
 	}
-	return max(wait-listReserve, min(wait, storeCheckWait), wait/2)
+	return pollTimes{store: long, answer: long}
 }
 
 // poll makes one long poll to the store. It reports whether no part of an answer was received in time.
-func (m *Mirror) poll(ctx context.Context, after uint64, wait time.Duration) (p Page, silent bool, err error) {
-	c, cancel := watchdog.WithStallTimeout(ctx, wait+WatchSlack, StallTimeout)
+func (m *Mirror) poll(ctx context.Context, after uint64, t pollTimes) (p Page, silent bool, err error) {
+	c, cancel := watchdog.WithStallTimeout(ctx, t.answer+WatchSlack, StallTimeout)
 	defer cancel()
-	p, err = m.Store.Watch(watchdog.WithObserver(c, m.recordProgress), after, wait)
+	p, err = m.Store.Watch(watchdog.WithObserver(c, m.recordProgress), after, t.store)
 	stalled := err != nil && ctx.Err() == nil && errors.Is(context.Cause(c), watchdog.ErrStalled)
 	m.mu.Lock()
 	defer m.mu.Unlock()
