feat(limiter): within a customer's limit the more important operations go first

Cause: a customer that sends 5.6 times its usual has less than a third of its operations granted, and its most important ones are refused as often as the least important ones. Ruled out: a limit for each route (operators would split it by hand, and what one route leaves would be lost); not counting important operations (breaks the limit). Change: an operation leaves the tokens that the demand at more important levels needs within 0.5 s, half of a zone's capacity at most. Levels are zero unless the configuration is ranked.

--- a/internal/customer/limiter/limiter.go
+++ b/internal/customer/limiter/limiter.go
@@ -49,6 +49,14 @@
 	reservedDemand = 250 * time.Millisecond
 	// emptyPause is how long a part that had to refuse gives no tokens away.
 	emptyPause = 250 * time.Millisecond
+	// LevelCount is the number of levels of importance.
+	LevelCount = 8
+	// reservedImportant is the time of the demand at more important levels for which an operation leaves
+	// tokens. It bridges the random gaps in what a customer of a few operations a second is granted.
+	reservedImportant = 500 * time.Millisecond
+	// maximumReserve is the largest part of a part's capacity that is kept for more important
+	// operations, so that the less important ones aren't kept out by demand that has ended.
+	maximumReserve = 0.5
 )
 
 // Limiter holds the tokens of all customers in one part. Its exported fields are set before use. It
@@ -73,6 +81,8 @@
 	// demand is the average number of operations a second, at the time demandAt.
 	demand   float64
 	demandAt time.Duration
+	// levels holds the same by level.
+	levels [LevelCount]float64
 	// refused is set once an operation was refused, the last time at refusedAt.
 	refused   bool
 	refusedAt time.Duration
@@ -87,19 +97,39 @@
 	Low bool
 }
 
-// Take takes a token for one operation of the customer.
+// Take takes a token for one operation of the customer, at the most important level.
 func (l *Limiter) Take(customer string, m Limit, now time.Duration) Decision {
+	return l.TakeAt(0, customer, m, now)
+}
+
+// TakeAt takes a token for one operation of the customer at a level, of which zero is the most important.
+// A customer that sends more than its limit chooses by the level what runs: an operation leaves the tokens
+// that the demand at more important levels needs soon. The limit itself is the same for all levels.
+func (l *Limiter) TakeAt(level uint8, customer string, m Limit, now time.Duration) Decision {
 	if m.Rate <= 0 {
 		return Decision{Granted: true}
 	}
+	level = min(level, LevelCount-1)
 	a := l.account(customer, m, now)
-	a.countDemand(now)
-	if a.tokens >= 1 {
+	a.countDemand(level, now)
+	kept := l.keptFor(a, level)
+	if a.tokens >= 1+kept {
 		a.tokens--
 		return Decision{Granted: true, Low: a.tokens < a.reserve()}
 	}
 	a.refused, a.refusedAt = true, now
-	return Decision{RetryAfter: l.untilToken(a), Low: true}
+	return Decision{RetryAfter: l.untilToken(a, kept), Low: true}
+}
+
+// keptFor returns the tokens that an operation at the level has to leave for more important ones. It is
+// zero at the most important level, and where a part collects hardly more than one token.
+func (l *Limiter) keptFor(a *account, level uint8) float64 {
+	d := 0.0
+	for _, x := range a.levels[:level] {
+		d += x
+	}
+	c := l.capacity(a.limit)
+	return max(0, min(d*reservedImportant.Seconds(), c*maximumReserve, c-1))
 }
 
 // TakeOver bounds the tokens of an account that another host of the part has kept until now. What that
@@ -116,9 +146,9 @@
 	}
 }
 
-// untilToken returns the time until the account has a whole token.
-func (l *Limiter) untilToken(a *account) time.Duration {
-	s := (1 - a.tokens) * float64(l.parts()) / a.limit.Rate
+// untilToken returns the time until the account has a whole token beyond those that are kept.
+func (l *Limiter) untilToken(a *account, kept float64) time.Duration {
+	s := (1 + kept - a.tokens) * float64(l.parts()) / a.limit.Rate
 	return time.Duration(math.Ceil(s * float64(time.Second)))
 }
 
@@ -204,12 +234,17 @@
 // reserve returns the tokens that the part's own demand needs within reservedDemand.
 func (a *account) reserve() float64 { return a.demand * reservedDemand.Seconds() }
 
-func (a *account) countDemand(now time.Duration) {
+func (a *account) countDemand(level uint8, now time.Duration) {
 	a.decayDemand(now)
 	a.demand += 1 / demandWindow.Seconds()
+	a.levels[level] += 1 / demandWindow.Seconds()
 }
 
 func (a *account) decayDemand(now time.Duration) {
-	a.demand *= math.Exp(-(now - a.demandAt).Seconds() / demandWindow.Seconds())
+	f := math.Exp(-(now - a.demandAt).Seconds() / demandWindow.Seconds())
+	a.demand *= f
+	for i := range a.levels {
+		a.levels[i] *= f
+	}
 	a.demandAt = now
 }
--- a/internal/customer/limiter/limiter_test.go
+++ b/internal/customer/limiter/limiter_test.go
@@ -42,8 +42,10 @@
 	return d
 }
 
-func (d *deployment) take(part int, m Limit) bool {
-	x := d.parts[part].Take("c", m, d.now)
+func (d *deployment) take(part int, m Limit) bool { return d.takeAt(0, part, m) }
+
+func (d *deployment) takeAt(level uint8, part int, m Limit) bool {
+	x := d.parts[part].TakeAt(level, "c", m, d.now)
 	if x.Granted {
 		d.granted = append(d.granted, d.now)
 	}
@@ -80,8 +82,9 @@
 			case 1:
 				d.arrive(rapid.Bool().Draw(r, "lost"), m)
 			default:
+				level := uint8(rapid.IntRange(0, LevelCount).Draw(r, "level"))
 				for range rapid.IntRange(1, 40).Draw(r, "operations") {
-					d.take(p, m)
+					d.takeAt(level, p, m)
 				}
 			}
 		}
--- a/internal/proxy/executor/customer_test.go
+++ b/internal/proxy/executor/customer_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -117,13 +120,16 @@
 type limits struct {
 	most     int
 	admitted map[string]int
+	// levels holds the levels of the operations in the order in which they were counted.
+	levels []uint8
 }
 
-func (l *limits) Admit(_ context.Context, customer string) *quotakeeper.Refusal {
-	if l.admitted[customer] == l.most {
+func (l *limits) Admit(_ context.Context, o quotakeeper.Operation) *quotakeeper.Refusal {
+	l.levels = append(l.levels, o.Level)
+	if l.admitted[o.Customer] == l.most {
 		return &quotakeeper.Refusal{Limit: limiter.Limit{Rate: 2, Burst: 1}, RetryAfter: 400 * time.Millisecond}
 	}
-	l.admitted[customer]++
+	l.admitted[o.Customer]++
 	return nil
 }
 
@@ -184,6 +190,42 @@
 	})
 }
 
+// Guards against a limit that doesn't know which operations are more important, so that the least important
+// ones use it up, and against levels in a configuration that ranks nothing.
+func TestLimitIsToldTheLevel(t *testing.T) {
+	for ranked, want := range map[bool][]uint8{false: {0, 0}, true: {3, 3}} {
+		t.Run(fmt.Sprint("ranked ", ranked), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+				d := newEntryHost(w, "z-0")
+				declareCustomers(d, map[string]string{"u": "a"})
+				x := *d.board.Configuration()
+				x.Ranked = ranked
+				x.Routes = maps.Clone(x.Routes)
+				for n, r := range x.Routes {
+					r.Priority = 3
+					x.Routes[n] = r
+				}
+				x.Version++
+				d.board.Configure(&x)
+				c := newClient(d, "s1", "primary", 1)
+				l := &limits{most: 9, admitted: make(map[string]int)}
+				c.session.Limiter = l
+				go c.session.Run()
+				<-c.caller.out
+				c.expect(t, "WRITE x 1", declarer.CodeNone)
+				c.expect(t, "BEGIN", declarer.CodeNone)
+				c.expect(t, "READ x", declarer.CodeNone)
+				c.expect(t, "COMMIT", declarer.CodeNone)
+				if !slices.Equal(l.levels, want) {
+					t.Errorf("levels %v, want %v", l.levels, want)
+				}
+				endSession(d, c)
+			})
+		})
+	}
+}
+
 // Guards against a host that serves keys which it can't confirm where the deployment forbids that.
 func TestUnconfirmedKeysAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/proxy/executor/limiting.go
+++ b/internal/proxy/executor/limiting.go
@@ -16,7 +16,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
 	defer cancel()
-	r := a.session.Limiter.Admit(ctx, a.customer)
+	r := a.session.Limiter.Admit(ctx, quotakeeper.Operation{Customer: a.customer, Level: a.importance.Level()})
 	if r == nil {
 		return ""
 	}
--- a/internal/proxy/executor/ports.go
+++ b/internal/proxy/executor/ports.go
@@ -39,8 +39,8 @@
 
 // Limiter keeps the limits of customers.
 type Limiter interface {
-	// Admit counts an operation of the customer. It returns nil if the operation may run.
-	Admit(ctx context.Context, customer string) *quotakeeper.Refusal
+	// Admit counts an operation of a customer. It returns nil if the operation may run.
+	Admit(ctx context.Context, o quotakeeper.Operation) *quotakeeper.Refusal
 	// Return takes back the count of an operation that has not run.
 	Return(customer string)
 }
--- a/internal/proxy/quotakeeper/answer.go
+++ b/internal/proxy/quotakeeper/answer.go
@@ -27,44 +27,44 @@
 const passTimeout = 50 * time.Millisecond
 
 // Answer answers another host's question for a token.
-func (k *Keeper) Answer(ctx context.Context, customer string, a Assignment) limiter.Decision {
-	d, ok := k.AnswerAtHand(customer, a)
+func (k *Keeper) Answer(ctx context.Context, o Operation, a Assignment) limiter.Decision {
+	d, ok := k.AnswerAtHand(o, a)
 	if ok {
 		return *d
 	}
-	return k.AnswerLater(ctx, customer, a, d)
+	return k.AnswerLater(ctx, o, a, d)
 }
 
 // AnswerAtHand is Answer without a wait for other hosts. It returns false if AnswerLater has to follow, with
 // nil if this host may not be the one that counts.
-func (k *Keeper) AnswerAtHand(customer string, a Assignment) (*limiter.Decision, bool) {
-	if a == AssignmentOpen && !k.counts(customer) {
+func (k *Keeper) AnswerAtHand(o Operation, a Assignment) (*limiter.Decision, bool) {
+	if a == AssignmentOpen && !k.counts(o.Customer) {
 		return nil, false
 	}
-	d := k.takeAtHand(customer, a)
+	d := k.takeAtHand(o, a)
 	return &d, d.Granted
 }
 
 // AnswerLater answers a question after AnswerAtHand has returned d and false.
-func (k *Keeper) AnswerLater(ctx context.Context, customer string, a Assignment, d *limiter.Decision) limiter.Decision {
+func (k *Keeper) AnswerLater(ctx context.Context, o Operation, a Assignment, d *limiter.Decision) limiter.Decision {
 	if d != nil {
-		return k.takeAfterDraw(ctx, customer, *d)
+		return k.takeAfterDraw(ctx, o, *d)
 	}
-	h, ok := k.other(ctx, customer)
+	h, ok := k.other(ctx, o.Customer)
 	if !ok {
-		return k.Take(ctx, customer, a)
+		return k.Take(ctx, o, a)
 	}
 	c, cancel := context.WithTimeout(ctx, passTimeout)
 	defer cancel()
 	to := AssignmentFixed
-	if k.moveTo(h.Name, customer) {
+	if k.moveTo(h.Name, o.Customer) {
 		to = AssignmentTakeover
 	}
-	if d, err := k.askPeer(c, h, customer, to); err == nil {
+	if d, err := k.askPeer(c, h, o, to); err == nil {
 		return d
 	}
-	k.moveTo(k.Self, customer)
-	return k.Take(ctx, customer, AssignmentTakeover)
+	k.moveTo(k.Self, o.Customer)
+	return k.Take(ctx, o, AssignmentTakeover)
 }
 
 // AnswerDraw answers another zone's question for up to n tokens of the customer.
--- a/internal/proxy/quotakeeper/quotakeeper.go
+++ b/internal/proxy/quotakeeper/quotakeeper.go
@@ -39,8 +39,8 @@
 
 // Peer is a connection to another entry host that counts operations.
 type Peer interface {
-	// Take asks for a token for one operation of the customer.
-	Take(ctx context.Context, customer string, a Assignment) (limiter.Decision, error)
+	// Take asks for a token for one operation.
+	Take(ctx context.Context, o Operation, a Assignment) (limiter.Decision, error)
 	// Draw asks for up to n tokens of the customer, and returns how many the other host has given.
 	Draw(ctx context.Context, customer string, n float64) (float64, error)
 	// Lists asks whether the other host lists a host of its zone.
@@ -52,6 +52,13 @@
 	Close()
 }
 
+// Operation is one operation of a customer.
+type Operation struct {
+	Customer string
+	// Level is lower for operations that are more important to the customer, see limiter.Limiter.
+	Level uint8
+}
+
 // Refusal is why an operation of a customer is refused.
 type Refusal struct {
 	// Unreachable is set if no host that counts the customer's operations answered.
@@ -115,18 +122,18 @@
 	k.peers = peers{dial: k.Dial, lost: k.Lost}
 }
 
-// Admit takes a token for one operation of the customer. It returns nil if the operation may run.
-func (k *Keeper) Admit(ctx context.Context, customer string) *Refusal {
-	m, ok := k.Limit(customer)
+// Admit takes a token for one operation. It returns nil if the operation may run.
+func (k *Keeper) Admit(ctx context.Context, o Operation) *Refusal {
+	m, ok := k.Limit(o.Customer)
 	if !ok || m.Rate <= 0 {
 		return nil
 	}
 	for range maximumCounters {
-		h, a, ok := k.counter(customer)
+		h, a, ok := k.counter(o.Customer)
 		if !ok {
 			break
 		}
-		d, err := k.ask(ctx, h, customer, a)
+		d, err := k.ask(ctx, h, o, a)
 		if err != nil {
 			continue
 		}
@@ -182,33 +189,33 @@
 }
 
 // ask asks a host of the zone, or this one, for a token.
-func (k *Keeper) ask(ctx context.Context, h declarer.Host, customer string, a Assignment) (limiter.Decision, error) {
+func (k *Keeper) ask(ctx context.Context, h declarer.Host, o Operation, a Assignment) (limiter.Decision, error) {
 	if h.Name == k.Self {
-		if !k.inTouch(ctx, customer) {
+		if !k.inTouch(ctx, o.Customer) {
 			return limiter.Decision{}, ErrCutOff
 		}
-		if o, ok := k.substitute(ctx, customer); ok {
-			h, a = o, AssignmentFixed
+		if x, ok := k.substitute(ctx, o.Customer); ok {
+			h, a = x, AssignmentFixed
 		}
 	}
-	if k.moveTo(h.Name, customer) {
+	if k.moveTo(h.Name, o.Customer) {
 		a = AssignmentTakeover
 	}
 	if h.Name == k.Self {
-		return k.Take(ctx, customer, a), nil
+		return k.Take(ctx, o, a), nil
 	}
 	c, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	return k.askPeer(c, h, customer, a)
+	return k.askPeer(c, h, o, a)
 }
 
 // askPeer asks another host for a token.
-func (k *Keeper) askPeer(ctx context.Context, h declarer.Host, customer string, a Assignment) (limiter.Decision, error) {
+func (k *Keeper) askPeer(ctx context.Context, h declarer.Host, o Operation, a Assignment) (limiter.Decision, error) {
 	l, err := k.peers.get(ctx, h)
 	if err != nil {
 		return limiter.Decision{}, err
 	}
-	d, err := l.peer.Take(ctx, customer, a)
+	d, err := l.peer.Take(ctx, o, a)
 	if err != nil {
 		k.peers.fail(h.Name, l, err)
 		return d, err
@@ -244,35 +251,35 @@
 
 // Take takes a token from the account that this host keeps for its zone. If there is none, it first
 // draws from other zones.
-func (k *Keeper) Take(ctx context.Context, customer string, a Assignment) limiter.Decision {
-	d := k.takeAtHand(customer, a)
+func (k *Keeper) Take(ctx context.Context, o Operation, a Assignment) limiter.Decision {
+	d := k.takeAtHand(o, a)
 	if d.Granted {
 		return d
 	}
-	return k.takeAfterDraw(ctx, customer, d)
+	return k.takeAfterDraw(ctx, o, d)
 }
 
 // takeAfterDraw draws tokens from other zones and takes one, after the decision d of takeAtHand. It
 // returns d if it is too early for a draw.
-func (k *Keeper) takeAfterDraw(ctx context.Context, customer string, d limiter.Decision) limiter.Decision {
-	if !k.drawAndWait(ctx, customer) {
+func (k *Keeper) takeAfterDraw(ctx context.Context, o Operation, d limiter.Decision) limiter.Decision {
+	if !k.drawAndWait(ctx, o.Customer) {
 		return d
 	}
-	return k.take(customer, AssignmentFixed)
+	return k.take(o, AssignmentFixed)
 }
 
 // takeAtHand is Take without a wait for other zones.
-func (k *Keeper) takeAtHand(customer string, a Assignment) limiter.Decision {
-	d := k.take(customer, a)
+func (k *Keeper) takeAtHand(o Operation, a Assignment) limiter.Decision {
+	d := k.take(o, a)
 	if d.Granted && d.Low {
-		k.beginDraw(customer)
+		k.beginDraw(o.Customer)
 	}
 	return d
 }
 
 // take takes a token at hand.
-func (k *Keeper) take(customer string, a Assignment) limiter.Decision {
-	m, ok := k.Limit(customer)
+func (k *Keeper) take(o Operation, a Assignment) limiter.Decision {
+	m, ok := k.Limit(o.Customer)
 	if !ok {
 		// The asking host has a newer configuration than this one.
 		return limiter.Decision{Granted: true}
@@ -281,9 +288,9 @@
 	defer k.mu.Unlock()
 	now := k.Now()
 	if a == AssignmentTakeover {
-		k.limiter.TakeOver(customer, m, now)
+		k.limiter.TakeOver(o.Customer, m, now)
 	}
-	return k.limiter.Take(customer, m, now)
+	return k.limiter.TakeAt(o.Level, o.Customer, m, now)
 }
 
 // Give gives up to n tokens of the customer to another zone, and returns how many.
--- a/internal/proxy/quotakeeper/quotakeeper_test.go
+++ b/internal/proxy/quotakeeper/quotakeeper_test.go
@@ -216,12 +216,12 @@
 	return nil
 }
 
-func (p *peer) Take(ctx context.Context, customer string, a Assignment) (limiter.Decision, error) {
+func (p *peer) Take(ctx context.Context, o Operation, a Assignment) (limiter.Decision, error) {
 	if err := p.travel(ctx); err != nil {
 		return limiter.Decision{}, err
 	}
 	p.keeper().Heard()
-	return p.keeper().Answer(ctx, customer, a), nil
+	return p.keeper().Answer(ctx, o, a), nil
 }
 
 func (p *peer) Draw(ctx context.Context, customer string, n float64) (float64, error) {
@@ -283,7 +283,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	r := k.Admit(ctx, customer)
+	r := k.Admit(ctx, Operation{Customer: customer})
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.asked[customer]++
@@ -565,7 +565,7 @@
 		}
 		began := time.Now()
 		for range 20 {
-			if r := x.find(l[0].Name).keeper.Admit(t.Context(), "c"); r != nil {
+			if r := x.find(l[0].Name).keeper.Admit(t.Context(), Operation{Customer: "c"}); r != nil {
 				t.Errorf("refused: %+v", r)
 			}
 		}
@@ -589,12 +589,12 @@
 		asking.keeper.peers.lost = func(h string, _ error) { lost = append(lost, h) }
 		for i, most := range []time.Duration{takeTimeout + 10*inZone, 10 * inZone, 10 * inZone} {
 			began := time.Now()
-			if r := asking.keeper.Admit(t.Context(), "c"); r != nil || time.Since(began) > most {
+			if r := asking.keeper.Admit(t.Context(), Operation{Customer: "c"}); r != nil || time.Since(began) > most {
 				t.Errorf("operation %d: %+v after %v", i, r, time.Since(began))
 			}
 		}
 		time.Sleep(time.Second) // until draws have ended
-		asking.keeper.Admit(t.Context(), "c")
+		asking.keeper.Admit(t.Context(), Operation{Customer: "c"})
 		time.Sleep(time.Second)
 		if len(lost) != 1 || lost[0] != l[0].Name {
 			t.Errorf("reported as lost: %q, want the dark host once", lost)
@@ -612,11 +612,11 @@
 			x.darken(h.Name)
 		}
 		asking := x.find(l[hostsPerZone-1].Name)
-		if r := asking.keeper.Admit(t.Context(), "c"); r == nil || !r.Unreachable || r.RetryAfter <= 0 {
+		if r := asking.keeper.Admit(t.Context(), Operation{Customer: "c"}); r == nil || !r.Unreachable || r.RetryAfter <= 0 {
 			t.Errorf("refusal %+v", r)
 		}
 		for _, c := range []string{"free", "unknown"} {
-			if r := asking.keeper.Admit(t.Context(), c); r != nil {
+			if r := asking.keeper.Admit(t.Context(), Operation{Customer: c}); r != nil {
 				t.Errorf("%s, without a limit: %+v", c, r)
 			}
 		}
@@ -629,7 +629,7 @@
 		x := newWorld(byZone, map[string]limiter.Limit{"c": {Rate: 0.001, Burst: 36}})
 		for _, h := range x.hosts[:hostsPerZone] {
 			for i := range 100 {
-				if r := h.keeper.Admit(t.Context(), "c"); r != nil {
+				if r := h.keeper.Admit(t.Context(), Operation{Customer: "c"}); r != nil {
 					t.Fatalf("operation %d refused: %+v", i, r)
 				}
 				h.keeper.Return("c")
@@ -644,10 +644,10 @@
 		x := newWorld(byZone, map[string]limiter.Limit{"c": {Rate: 1, Burst: 1}})
 		k := x.hosts[0].keeper
 		time.Sleep(10 * time.Second)
-		k.Take(t.Context(), "c", AssignmentOpen)
+		k.Take(t.Context(), Operation{Customer: "c"}, AssignmentOpen)
 		delete(x.limits, "c")
 		k.Forget()
-		if d := k.Take(t.Context(), "c", AssignmentOpen); !d.Granted {
+		if d := k.Take(t.Context(), Operation{Customer: "c"}, AssignmentOpen); !d.Granted {
 			t.Errorf("customer that this host doesn't know: %+v", d)
 		}
 	})
