fix(connpooler): callers don't wait for a link to a host that accepts none

Cause, from the log of each refusal: the pool of links to an owner in the other part has one or two links open, whose statements get no answer either, so that waiters aren't refused when opening another link fails, which takes 250 ms. And idle links to that owner are silent too: each costs one more statement its timeout before a new link is tried, which finds the owner lost. Ruled out: slots of servers (median wait 0), processors (0.034 cores at most), lists of hosts (hosts knew each other). Change: a failed attempt to open a link refuses all that wait for one, so that they go to the next owner or another server; a statement without an answer closes the idle links to the same host that weren't used since. Connections to servers are treated as before. Left: statements under way on a link that goes silent wait for their timeout.

--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -192,7 +192,7 @@
 			p.drop(l)
 			continue
 		}
-		l.entry = e
+		l.entry, l.leasedAt = e, time.Now()
 		l.borrow(a)
 		return l, nil
 	}
@@ -257,6 +257,20 @@
 	p.queue.Slots = p.slots()
 }
 
+// dropUnusedSince closes the idle links that weren't used since a statement without an answer was sent over
+// another one. Links to a host go silent together, and each of them would cost a statement its time.
+func (p *Pool) dropUnusedSince(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(l *Lease) bool {
+		unused := l.usedAt.Before(t)
+		if unused {
+			p.drop(l)
+		}
+		return unused
+	})
+}
+
 // adjust grants the connections that have become usable. The caller must hold the mutex.
 func (p *Pool) adjust() {
 	p.queue.Slots = p.slots()
--- a/internal/proxy/connpooler/lease.go
+++ b/internal/proxy/connpooler/lease.go
@@ -47,8 +47,8 @@
 	// customer is the one that the connection serves, empty for the proxy itself and for
 	// connections that serve all.
 	customer string
-	// usedAt is when the connection was opened or last released.
-	usedAt time.Time
+	// usedAt is when the connection was opened or last released, leasedAt when it was last leased.
+	usedAt, leasedAt time.Time
 }
 
 // Release returns the connection to its pool. A connection with pending answers or an open
@@ -60,6 +60,9 @@
 	case borrowed:
 		// The owner recovers its connection. Pending answers would be taken for those of the
 		// next use, so that the connection to the owner must be closed.
+		if l.PendingAnswers() > 0 {
+			p.dropUnusedSince(l.leasedAt)
+		}
 		p.release(l, broken || l.PendingAnswers() > 0 || b.Return() != nil)
 	case broken:
 		p.release(l, true)
--- a/internal/proxy/connpooler/opening.go
+++ b/internal/proxy/connpooler/opening.go
@@ -113,7 +113,7 @@
 		p.idle = append(p.idle, p.addOpen(c, ""))
 	case errors.Is(err, ErrTooManyConnections):
 		p.backOff()
-	case p.opening == 0:
+	case p.opening == 0 || p.OnDemand:
 		p.refuseWaiting(admitter.ReasonLeaving)
 	}
 	p.adjust()
@@ -162,9 +162,10 @@
 }
 
 // refuseWaiting refuses all waiters if the pool has no connection, so that they can try another
-// server. The caller must hold the mutex.
+// server. Links to another host that are open tell nothing: a host that accepts no new one may have
+// gone silent on them, and there is another host to borrow from. The caller must hold the mutex.
 func (p *Pool) refuseWaiting(r admitter.Reason) {
-	if p.open > 0 {
+	if p.open > 0 && !p.OnDemand {
 		return
 	}
 	p.queue.RefuseWaiting(r)
