--- a/internal/pool/assigner/assigner.go
+++ b/internal/pool/assigner/assigner.go
@@ -10,6 +10,8 @@
 	Region           string
 	// Leaving reports that the host is shutting down; it owns no connections then.
 	Leaving bool
+	// Strength is the number of slots that the host can own, zero if unknown. Only Place reads it.
+	Strength int
 }
 
 // Server is a backend server with the properties that its owners depend on.
@@ -18,6 +20,8 @@
 	Name             string
 	AvailabilityZone string
 	Region           string
+	// Slots is how many requests the server runs at a time, zero if unknown. Only Place reads it.
+	Slots int
 }
 
 // MaximumOwners is the maximum number of hosts that Owners can hold.
@@ -37,6 +41,8 @@
 	zones   map[string][]candidate
 	regions map[string][]candidate
 	all     []candidate
+	// strengths holds the strengths of the hosts of all.
+	strengths []int
 }
 
 type candidate struct {
@@ -45,6 +51,8 @@
 	hash uint64
 	// region is used to skip hosts of the server's region in the last step of Owners.
 	region string
+	// index is the host's place in Assigner.all.
+	index int
 }
 
 // Compile returns an Assigner for the live hosts. Leaving hosts are left out.
@@ -54,10 +62,11 @@
 		if h.Leaving {
 			continue
 		}
-		r := candidate{name: h.Name, zone: h.AvailabilityZone, region: h.Region, hash: xxhash.Sum64String(h.Name)}
+		r := candidate{name: h.Name, zone: h.AvailabilityZone, region: h.Region, hash: xxhash.Sum64String(h.Name), index: len(a.all)}
 		a.zones[r.zone] = append(a.zones[r.zone], r)
 		a.regions[r.region] = append(a.regions[r.region], r)
 		a.all = append(a.all, r)
+		a.strengths = append(a.strengths, h.Strength)
 	}
 	return a
 }
@@ -67,7 +76,7 @@
 // zone without live entry hosts is still served.
 func (a *Assigner) Owners(s Server, n int) Owners {
 	n = min(n, MaximumOwners)
-	k := xxhash.Sum64String(s.DatabaseGroup) ^ mix(xxhash.Sum64String(s.Name))
+	k := s.key()
 	var o Owners
 	o.addBest(a.zones[s.AvailabilityZone], k, n, func(candidate) bool { return true })
 	o.addBest(a.regions[s.Region], k, n, func(r candidate) bool { return r.zone != s.AvailabilityZone })
@@ -75,6 +84,11 @@
 	return o
 }
 
+// key returns the hash by which the hosts' weights for s are computed.
+func (s Server) key() uint64 {
+	return xxhash.Sum64String(s.DatabaseGroup) ^ mix(xxhash.Sum64String(s.Name))
+}
+
 // Owner returns the owner of s, empty if there is no live host.
 func (a *Assigner) Owner(s Server) string {
 	return a.Owners(s, 1).Hosts[0]
