--- a/internal/proxy/commander/validate.go
+++ b/internal/proxy/commander/validate.go
@@ -24,7 +24,7 @@
 	if v.Configuration {
 		return v.checkConfiguration(b, out)
 	}
-	s, err := platform.ParseSettings(string(b))
+	s, err := platform.CheckSettings(string(b))
 	if err != nil {
 		return errors.Annotatef(err, "%s", v.File)
 	}
