feat(runner): owners follow the hosts' strengths, a slow host hands over

Cause: nothing placed owners by strength, and a host whose processor is taken away kept its servers. Ruled out: a recomputation with each report of a server, which comes many times a second; one under the roster's mutex, which statements take. Change: the roster places the listed servers when the hosts, or the servers' ids, groups, zones or slots change; the owners of before are in force until then. After its registration a host of known strength measures timers of 50 ms and writes its entry as appraiser.Observer decides, unless the store is known not to answer. Registration ends before a draining host removes its entry. Seed lists hold no strengths, and a host that has reduced its own keeps them. Metrics cuminwick_host_strength, cuminwick_owned_slots and cuminwick_timer_delay_seconds; a line for each change of the strength, and by the owner for each server that it owns instead of the first host.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -13,6 +13,7 @@
 	"github.com/cuminwick/cuminwick/internal/clock/steady"
 	"github.com/cuminwick/cuminwick/internal/log/encoder"
 	"github.com/cuminwick/cuminwick/internal/metric/server"
+	"github.com/cuminwick/cuminwick/internal/pool/appraiser"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
@@ -75,6 +76,7 @@
 		},
 		Age:         h.Board.Age,
 		PositionAge: h.Board.PositionAge, GroupsWithoutPrimary: h.Board.GroupsWithoutPrimary,
+		Strength: h.Strength, OwnedSlots: h.OwnedSlots, TimerDelay: h.TimerDelay,
 	})
 	x := &reporter.Transfers{Log: h.Log, Metrics: m}
 	a.store.OnCall, a.store.OnReceive = m.PlatformCall, x.Received
@@ -143,6 +145,9 @@
 func (a *Assembler) newHost(e *encoder.Encoder) *runner.Host {
 	s := a.Settings
 	l := &log.Logger{Handler: e, Level: log.InfoLevel}
+	for _, p := range s.Ignored {
+		l.WithField("setting", p).Warn("setting ignored, strength unknown")
+	}
 	store := platform.NewStore(s.StoreAddress)
 	a.store = store
 	reportInvalid := func(err error) { l.WithError(err).Warn("invalid object skipped") }
@@ -165,7 +170,7 @@
 		DialLink:          platform.DialLink,
 		NewBorrower:       func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
 		Relayer:           &relayer.Relayer{ReadRequest: platform.ReadHostRequest, Dial: platform.DialRaw, Reply: platform.WriteHostReply, Feed: f.serve, Log: l},
-		Self:              declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone, Bandwidth: s.Bandwidth},
+		Self:              declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone, Bandwidth: s.Bandwidth, Strength: appraiser.Strength(s.Cores, s.Bandwidth)},
 		PromotionPlatform: &platform.PromotionClient{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
 		NewCaller:         func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
 		Tolerance:         s.Tolerance,
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -51,6 +51,11 @@
 	PositionAge func() time.Duration
 	// GroupsWithoutPrimary returns the number of database groups without a known primary.
 	GroupsWithoutPrimary func() int
+	// Strength returns the number of slots that the host declares it can own, and OwnedSlots the
+	// number that it owns.
+	Strength, OwnedSlots func() int
+	// TimerDelay returns how late the host's timers fire.
+	TimerDelay func() time.Duration
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -78,6 +83,9 @@
 	m.gauge("hosts_age_seconds", "Time since the list of entry hosts was last confirmed.", func() float64 { return g.Age(blackboard.SectionHosts).Seconds() })
 	m.gauge("primary_position_age_seconds", "Time since the primary whose position is oldest proved it.", func() float64 { return g.PositionAge().Seconds() })
 	m.gauge("groups_without_primary", "Database groups without a known primary.", func() float64 { return float64(g.GroupsWithoutPrimary()) })
+	m.gauge("host_strength", "Slots of backend servers whose connections the host declares it can own, 0 if unknown.", func() float64 { return float64(g.Strength()) })
+	m.gauge("owned_slots", "Slots of the backend servers whose connections the host owns.", func() float64 { return float64(g.OwnedSlots()) })
+	m.gauge("timer_delay_seconds", "Smoothed delay of the host's timers.", func() float64 { return g.TimerDelay().Seconds() })
 	m.gauge("log_lines_dropped", "Log lines that found their queue full.", func() float64 { return float64(g.DroppedLogLines()) })
 	return m
 }
--- a/internal/proxy/reporter/reporter_test.go
+++ b/internal/proxy/reporter/reporter_test.go
@@ -27,6 +27,7 @@
 	return NewMetrics(Gauges{
 		Sessions: func() int { return 3 }, Configuration: func() uint64 { return 7 }, DroppedLogLines: func() uint64 { return 0 },
 		Age: func(blackboard.Section) time.Duration { return age() }, PositionAge: age, GroupsWithoutPrimary: func() int { return 2 },
+		Strength: func() int { return 20 }, OwnedSlots: func() int { return 16 }, TimerDelay: func() time.Duration { return 25 * time.Millisecond },
 	})
 }
 
@@ -85,3 +86,22 @@
 		t.Errorf("%v, %v", p, err)
 	}
 }
+
+// Guards against a host whose strength, load or delay can't be seen from outside.
+func TestStrengthIsMeasured(t *testing.T) {
+	want := `
+# HELP cuminwick_host_strength Slots of backend servers whose connections the host declares it can own, 0 if unknown.
+# TYPE cuminwick_host_strength gauge
+cuminwick_host_strength 20
+# HELP cuminwick_owned_slots Slots of the backend servers whose connections the host owns.
+# TYPE cuminwick_owned_slots gauge
+cuminwick_owned_slots 16
+# HELP cuminwick_timer_delay_seconds Smoothed delay of the host's timers.
+# TYPE cuminwick_timer_delay_seconds gauge
+cuminwick_timer_delay_seconds 0.025
+`
+	err := testutil.GatherAndCompare(newTestMetrics().Registry, strings.NewReader(want), "cuminwick_host_strength", "cuminwick_owned_slots", "cuminwick_timer_delay_seconds")
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/proxy/runner/gate.go
+++ b/internal/proxy/runner/gate.go
@@ -45,6 +45,13 @@
 	return ctx.Err()
 }
 
+// open reports whether calls are admitted without delay.
+func (g *gate) open() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pause == 0
+}
+
 // delay returns how long to wait and a channel whose closing ends the wait early. A caller that
 // gets no delay while the store does not answer makes the only call of this interval.
 func (g *gate) delay() (time.Duration, <-chan struct{}) {
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -100,6 +100,9 @@
 	hosts          follower[declarer.Host]
 	catalogue      catalogue
 	roster         roster
+	strength       strengthKeeper
+	// registration is nil before the host follows the platform.
+	registration *registration
 	// starter is nil at a first start.
 	starter *starter
 	// began is when the host started.
@@ -165,6 +168,7 @@
 	h.promoters = make(map[string]bool)
 	h.roster.self = h.Self
 	h.roster.regions = h.Board.Regions
+	h.prepareStrength()
 	h.dialer = relaydialer.Dialer{Transport: h.Transport, Hosts: h.roster.others}
 	h.prober = promoter.Prober{Dialer: &h.dialer, Parse: h.ParseStatus}
 	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.dialer, observer: h, roster: &h.roster, dialLink: h.DialLink}
@@ -247,7 +251,7 @@
 	go h.configurations.run(ctx)
 	go h.servers.run(ctx)
 	go h.hosts.run(ctx)
-	go (&registration{host: h}).run(ctx)
+	h.startRegistration(ctx)
 }
 
 // readinessServer serves the balancer's readiness checks.
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -64,13 +64,24 @@
 }
 
 // setServers replaces the list of servers and closes the pools of those that are not listed or
-// have restarted.
+// have restarted. The owners are recomputed only if they may change, as each report of a server
+// replaces the list.
 func (p *pools) setServers(l []declarer.Server) {
+	if p.replaceServers(l) {
+		p.roster.setServers(l)
+	}
+}
+
+// replaceServers replaces the list of servers, and reports whether their owners may change.
+func (p *pools) replaceServers(l []declarer.Server) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	old, changed := p.servers, len(l) != len(p.servers)
 	p.servers = make(map[string]declarer.Server, len(l))
 	for _, s := range l {
 		p.servers[s.ID] = s
+		o, ok := old[s.ID]
+		changed = changed || !ok || o.Group != s.Group || o.AvailabilityZone != s.AvailabilityZone || o.Slots != s.Slots
 	}
 	for w, o := range p.pools {
 		s, ok := p.servers[w.server]
@@ -79,6 +90,7 @@
 			o.Close()
 		}
 	}
+	return changed
 }
 
 // Pool returns the pool through which this host uses the server: links to the owner of the
@@ -163,7 +175,7 @@
 // owner returns the host that owns the server's connections, false if each host opens its own or
 // all possible owners are skipped.
 func (p *pools) owner(s declarer.Server) (declarer.Host, bool) {
-	if p.connectionLimit(s.Group) >= ownershipThreshold*p.roster.count() {
+	if !p.hasOwner(s.Group) {
 		return declarer.Host{}, false
 	}
 	for _, h := range p.roster.owners(s) {
@@ -174,6 +186,11 @@
 	return declarer.Host{}, false
 }
 
+// hasOwner reports whether one host owns the connections to each server of the group.
+func (p *pools) hasOwner(group string) bool {
+	return p.connectionLimit(group) < ownershipThreshold*p.roster.count()
+}
+
 func (p *pools) isSkipped(host string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -29,11 +29,22 @@
 	self declarer.Host
 	// regions maps availability zones to their regions.
 	regions map[string]string
+	// onDisplaced, if not nil, is called when this host has become the owner of a server instead of the
+	// first host.
+	onDisplaced func(assigner.Displacement)
+
+	// changing is held during a change of the hosts or servers, until their owners are computed.
+	changing sync.Mutex
+	// servers holds the listed servers as far as their owners depend on it. changing guards it.
+	servers []assigner.Server
+	// displaced holds the servers that onDisplaced was called for and that this host still owns.
+	// changing guards it.
+	displaced map[assigner.Displacement]bool
 
 	mu    sync.Mutex
 	hosts map[string]declarer.Host
-	// assigner assigns the owners of the servers' connections among hosts.
-	assigner *assigner.Assigner
+	// placement holds the owners of the servers' connections, nil before the first list.
+	placement *assigner.Placement
 	// region holds the listed hosts of this host's region in their order as upstream hosts, and
 	// upstreams the hosts through which this host may read, in the order in which they are tried.
 	region, upstreams []declarer.Host
@@ -44,25 +55,24 @@
 }
 
 func (r *roster) reset(l []declarer.Host) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.hosts = make(map[string]declarer.Host, len(l))
-	for _, h := range l {
-		r.hosts[h.Name] = h
-	}
-	r.rebuild()
+	r.change(func() {
+		r.hosts = make(map[string]declarer.Host, len(l))
+		for _, h := range l {
+			r.hosts[h.Name] = h
+		}
+	})
 }
 
-// rebuild recomputes the assigner and the order of the upstream hosts from hosts. The caller holds
-// the mutex.
-func (r *roster) rebuild() {
-	var l []assigner.Host
-	for _, h := range r.hosts {
-		l = append(l, assigner.Host{Name: h.Name, AvailabilityZone: h.AvailabilityZone, Region: r.regions[h.AvailabilityZone]})
-	}
-	r.assigner = assigner.Compile(l)
+// change changes hosts, and recomputes what depends on them.
+func (r *roster) change(f func()) {
+	r.changing.Lock()
+	defer r.changing.Unlock()
+	r.mu.Lock()
+	f()
 	r.counterHosts = nil
 	r.rankUpstreams()
+	r.mu.Unlock()
+	r.place()
 }
 
 // counterKey identifies the hosts that count a customer's operations in a zone.
@@ -111,22 +121,6 @@
 	return len(r.hosts)
 }
 
-// owners returns the possible owners of the server's connections, in the order in which they are to
-// be tried.
-func (r *roster) owners(s declarer.Server) []declarer.Host {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.assigner == nil {
-		return nil
-	}
-	o := r.assigner.Owners(assigner.Server{DatabaseGroup: s.Group, Name: s.ID, AvailabilityZone: s.AvailabilityZone, Region: r.regions[s.AvailabilityZone]}, assigner.MaximumOwners)
-	l := make([]declarer.Host, 0, o.Count)
-	for _, n := range o.Hosts[:o.Count] {
-		l = append(l, r.hosts[n])
-	}
-	return l
-}
-
 const (
 	// watcherCount is the number of hosts that check a group at the full rate.
 	watcherCount = 12
@@ -155,16 +149,15 @@
 }
 
 func (r *roster) apply(l []Change[declarer.Host]) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range l {
-		if c.Removed {
-			delete(r.hosts, c.Name)
-			continue
+	r.change(func() {
+		for _, c := range l {
+			if c.Removed {
+				delete(r.hosts, c.Name)
+				continue
+			}
+			r.hosts[c.Name] = c.Value
 		}
-		r.hosts[c.Name] = c.Value
-	}
-	r.rebuild()
+	})
 }
 
 // others returns all listed hosts except this one.
@@ -191,15 +184,37 @@
 // time start and register.
 const firstStartSpread = 400 * time.Millisecond
 
-// registration registers this host in the store.
+// registration registers this host in the store, and keeps its strength there.
 type registration struct {
 	host *Host
+	// cancel ends run, which closes ended.
+	cancel context.CancelFunc
+	ended  chan struct{}
 }
 
-// run registers the host once the hosts are listed: before that the store does not answer, and the
+// startRegistration starts the host's registration.
+func (h *Host) startRegistration(ctx context.Context) {
+	c, cancel := context.WithCancel(ctx)
+	h.registration = &registration{host: h, cancel: cancel, ended: make(chan struct{})}
+	go h.registration.run(c)
+}
+
+// stop ends the registration, so that the entry isn't written any more.
+func (r *registration) stop() {
+	r.cancel()
+	<-r.ended
+}
+
+func (r *registration) run(ctx context.Context) {
+	defer close(r.ended)
+	r.enter(ctx)
+	r.host.strength.run(ctx)
+}
+
+// enter registers the host once the hosts are listed: before that the store does not answer, and the
 // entry of a host that was killed may still exist. At the first start of a deployment it registers
 // before the hosts are listed, so that the list contains all of them.
-func (r *registration) run(ctx context.Context) {
+func (r *registration) enter(ctx context.Context) {
 	h := r.host
 	if h.FirstStart {
 		r.register(ctx)
@@ -237,6 +252,9 @@
 // deregister removes the host's entry from the store. An entry that stays costs the other hosts an
 // occasional failed attempt.
 func (h *Host) deregister() {
+	if h.registration != nil {
+		h.registration.stop()
+	}
 	c, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
 	if err := h.Registrar.Deregister(c, h.Name); err != nil {
--- a/internal/proxy/runner/seeds.go
+++ b/internal/proxy/runner/seeds.go
@@ -148,13 +148,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	zones := make(map[string][]declarer.Host)
-	for _, h := range r.region {
+	region := slices.Clone(r.region)
+	for i := range region {
+		// A strength may change each few seconds, and readers of the list don't need it.
+		region[i].Strength = 0
+		h := region[i]
 		zones[h.AvailabilityZone] = append(zones[h.AvailabilityZone], h)
 	}
 	m := make(map[string]declarer.Seeds, len(zones))
 	for z, l := range zones {
 		n := zoneUpstreams(len(l))
-		s := declarer.Seeds{ZoneUpstreams: n, Hosts: slices.Clone(r.region[:min(regionSeeds, len(r.region))])}
+		s := declarer.Seeds{ZoneUpstreams: n, Hosts: slices.Clone(region[:min(regionSeeds, len(region))])}
 		for _, h := range l[:min(n+spareSeeds, len(l))] {
 			if !slices.Contains(s.Hosts, h) {
 				s.Hosts = append(s.Hosts, h)
@@ -174,7 +178,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Contains(r.region[:min(regionSeeds, len(r.region))], r.self)
+	return slices.ContainsFunc(r.region[:min(regionSeeds, len(r.region))], func(h declarer.Host) bool {
+		h.Strength = r.self.Strength // the host may have declared a reduced one
+		return h == r.self
+	})
 }
 
 // seedWriter keeps the seed lists of a region as the hosts are listed.
