--- a/internal/pool/assigner/placement_test.go
+++ b/internal/pool/assigner/placement_test.go
@@ -225,34 +225,54 @@
 	}
 }
 
-// Guards against long chains of displaced servers in a zone that is nearly full: a host that leaves
-// may move few servers besides its own.
+// Guards against long chains of displaced servers in a zone that is nearly full: a host that leaves,
+// joins or halves its strength may move few servers besides its own.
 func TestMovesInNearlyFullFleet(t *testing.T) {
-	own, others, most := 0, 0, 0
-	for seed := range uint64(100) {
-		r := rand.New(rand.NewPCG(seed, 0))
-		h, s := fleet(24, 60, 2, 2)
-		for i := range h {
-			h[i].Name, h[i].Strength = fmt.Sprintf("front-%d-%d", seed, i), 6
-		}
-		gone := r.IntN(len(h))
-		a, b := Compile(h).Place(s), Compile(slices.Delete(slices.Clone(h), gone, gone+1)).Place(s)
-		n := 0
-		for _, x := range s {
-			switch o := a.Owners(x, 1).Hosts[0]; {
-			case o == h[gone].Name:
-				own++
-			case o != b.Owners(x, 1).Hosts[0]:
-				n++
+	for _, tt := range []struct {
+		name   string
+		change func(l []Host, i int) (before, after []Host)
+	}{
+		{name: "leaves", change: func(l []Host, i int) (before, after []Host) { return l, slices.Delete(slices.Clone(l), i, i+1) }},
+		{name: "joins", change: func(l []Host, i int) (before, after []Host) { return slices.Delete(slices.Clone(l), i, i+1), l }},
+		{name: "halves its strength", change: func(l []Host, i int) (before, after []Host) {
+			after = slices.Clone(l)
+			after[i].Strength /= 2
+			return l, after
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			own, others, most := 0, 0, 0
+			for seed := range uint64(100) {
+				r := rand.New(rand.NewPCG(seed, 0))
+				h, s := fleet(24, 60, 2, 2)
+				for i := range h {
+					h[i].Name, h[i].Strength = fmt.Sprintf("front-%d-%d", seed, i), 6
+				}
+				i := r.IntN(len(h))
+				before, after := tt.change(h, i)
+				o, n := countMoves(Compile(before).Place(s), Compile(after).Place(s), s, h[i].Name)
+				own, others, most = own+o, others+n, max(most, n)
 			}
-		}
-		others += n
-		most = max(most, n)
+			t.Logf("100 times: %d servers of the host moved and %d others, at most %d at once", own, others, most)
+			if own == 0 || others > 2*own {
+				t.Errorf("%d servers of other hosts moved with %d of the changed ones", others, own)
+			}
+		})
 	}
-	t.Logf("100 hosts left: %d servers of theirs moved and %d others, at most %d at once", own, others, most)
-	if others > 2*own {
-		t.Errorf("%d servers of other hosts moved with %d of the hosts that left", others, own)
+}
+
+// countMoves returns how many servers moved from or to the changed host, and between others.
+func countMoves(before, after *Placement, l []Server, changed string) (own, others int) {
+	for _, s := range l {
+		switch o, n := before.Owners(s, 1).Hosts[0], after.Owners(s, 1).Hosts[0]; {
+		case o == n:
+		case o == changed || n == changed:
+			own++
+		default:
+			others++
+		}
 	}
+	return own, others
 }
 
 // largeFleet returns 2,600 hosts and 8,400 servers of 26 zones and 7 regions.
