feat(admitter): order by importance, displacement, entitlements

Cause: the queue doesn't know which requests matter most. A burst of the least important ones costs the others as much as itself, and under shares alone a customer that sends ten times its usual load takes the slots of the others' less important requests. Change: statements of transactions first, as before; then the level of the route, at least one of 16 grants for a less important level; then fair shares, with slot time counted by level; then the customer's priority. The expected wait counts what is granted before, and the more important requests that are expected to arrive, with a margin that adapts until one of 25 refusals is late. A full queue displaces the last request of the least important level. Requests that can't meet their objective or deadline any more after a more important one has arrived are refused at once. With SetTeams, requests beyond the part that a team's share entitles it to come after all others, but for level 0. Ruled out: one virtual time for all levels, as a newcomer of a level that is seldom granted would wait behind all others of it.

--- a/internal/limit/admitter/admission.go
+++ b/internal/limit/admitter/admission.go
@@ -26,11 +26,7 @@
 	if q.mayRun(e.Class) && q.Waiting() == 0 {
 		return ReasonNone
 	}
-	w := q.expectedWait(e.team, e.Class)
-	if e.Deadline != 0 && now+w+q.ServiceTime() > e.Deadline {
-		return ReasonExpectedWait
-	}
-	if e.Objective != 0 && now+max(w, q.stalledFor(now)) > e.Objective {
+	if q.late(e, q.expectedWait(e, e.Class), now) {
 		return ReasonExpectedWait
 	}
 	if q.waiting[ClassRead]+q.waiting[ClassWrite] >= q.length() && !q.displace(e) {
@@ -49,75 +45,6 @@
 	return now - q.progressAt
 }
 
-// expectedWait returns the expected wait of a request of t and class c that arrives now.
-func (q *Queue) expectedWait(t *team, c Class) time.Duration {
-	if q.Slots <= 0 {
-		return 0
-	}
-	ahead := q.waiting[ClassTransaction]
-	if c != ClassTransaction {
-		ahead += min(q.waiting[ClassRead]+q.waiting[ClassWrite], q.aheadAtFairShare(t))
-	}
-	n := ahead + q.running + 1 - q.Slots
-	if n <= 0 {
-		return 0
-	}
-	return time.Duration(n) * q.ServiceTime() / time.Duration(q.Slots)
-}
-
-// aheadAtFairShare returns the number of requests that are granted before the next one of t if each
-// waiting team gets its share.
-func (q *Queue) aheadAtFairShare(t *team) int {
-	shares := t.share
-	for _, a := range q.waitingTeams {
-		if a != t {
-			shares += a.share
-		}
-	}
-	own := len(t.heaps[ClassRead]) + len(t.heaps[ClassWrite])
-	return (own+1)*shares/t.share - 1
-}
-
-// displace refuses an entry of a full queue in favour of e, if entryToDisplace returns one, and
-// reports whether it did.
-func (q *Queue) displace(e *Entry) bool {
-	v := q.entryToDisplace(e)
-	if v == nil {
-		return false
-	}
-	q.remove(v)
-	q.refuse(v, ReasonQueueFull)
-	if v.team != e.team {
-		q.dropIdle(v.team)
-	}
-	return true
-}
-
-// entryToDisplace returns the waiting entry that e displaces, nil if none. A write displaces a read
-// of its own team: a refused write may have to be entered again by a user, while a read is simply
-// repeated. Otherwise e displaces the last entry of the team with the longest queue relative to its
-// share, so that no team can fill the queue and keep the others out.
-func (q *Queue) entryToDisplace(e *Entry) *Entry {
-	if e.Class == ClassWrite {
-		if v := e.team.last(ClassRead); v != nil {
-			return v
-		}
-	}
-	var longest *team
-	for _, t := range q.waitingTeams {
-		if longest == nil || t.queued()*longest.share > longest.queued()*t.share {
-			longest = t
-		}
-	}
-	if longest == nil || longest == e.team || (e.team.queued()+1)*longest.share >= longest.queued()*e.team.share {
-		return nil
-	}
-	if v := longest.last(ClassRead); v != nil {
-		return v
-	}
-	return longest.last(ClassWrite)
-}
-
 // mayRun reports whether a slot is free for class c, see OpenTransactions.
 func (q *Queue) mayRun(c Class) bool {
 	free := q.Slots - q.running
@@ -166,38 +93,37 @@
 	e.State = StateGranted
 	e.grantedAt = now
 	q.progressAt = now
-	e.chargedTime = q.ServiceTime()
-	q.virtualTime = max(q.virtualTime, t.virtualTime)
-	t.virtualTime += e.chargedTime / time.Duration(t.share)
+	e.chargedTime = q.levelTime(e.level)
+	q.charge(e, e.chargedTime)
 	t.running++
 	q.running++
 	q.transactionsInRow++
 	if e.Class != ClassTransaction {
 		q.transactionsInRow = 0
+		q.countPassed(e, now)
 	}
 	q.Granted = append(q.Granted, e)
 }
 
 // next returns the entry to grant next, nil if none can run. Statements of transactions come first,
-// up to maximumTransactionsInRow; then the team with the least virtual time, and of that team the
-// first entry by Entry.before.
+// up to maximumTransactionsInRow.
 func (q *Queue) next() *Entry {
-	other := q.nextOf(ClassRead, ClassWrite)
+	other := q.nextRequest()
 	if other != nil && q.transactionsInRow >= maximumTransactionsInRow {
 		return other
 	}
-	if e := q.nextOf(ClassTransaction, ClassTransaction); e != nil {
+	if e := q.nextTransaction(); e != nil {
 		return e
 	}
 	return other
 }
 
-// nextOf returns the first runnable entry of the classes a and b of the team with the least virtual
-// time, nil if there is none.
-func (q *Queue) nextOf(a, b Class) *Entry {
+// nextTransaction returns the first runnable statement of a transaction of the team with the least virtual
+// time, nil if there is none. Their importance is ignored, as each holds a connection and possibly locks.
+func (q *Queue) nextTransaction() *Entry {
 	var best *Entry
 	for _, t := range q.waitingTeams {
-		e := earlier(q.firstRunnable(t, a), q.firstRunnable(t, b))
+		e := q.firstRunnable(t, ClassTransaction)
 		if e == nil {
 			continue
 		}
@@ -208,6 +134,25 @@
 	return best
 }
 
+// nextRequest returns the first runnable entry outside of transactions by Entry.precedes, or the one that
+// has a reserved grant; nil if there is none. Of each team it regards the first one by Entry.before.
+func (q *Queue) nextRequest() *Entry {
+	var best *Entry
+	for _, t := range q.waitingTeams {
+		e := earlier(q.firstRunnable(t, ClassRead), q.firstRunnable(t, ClassWrite))
+		if e != nil && (best == nil || e.precedes(best)) {
+			best = e
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	if e := q.nextReserved(best); e != nil {
+		return e
+	}
+	return best
+}
+
 func (q *Queue) firstRunnable(t *team, c Class) *Entry {
 	if len(t.heaps[c]) == 0 || !q.mayRun(c) {
 		return nil
--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -85,6 +85,8 @@
 	Owner any
 
 	team *team
+	// level is the level in the order of the queue, see Queue.levelOf.
+	level uint8
 	// index is the position in the team's heap, -1 if the entry isn't waiting.
 	index     int
 	arrivedAt time.Duration
@@ -120,8 +122,9 @@
 	minimumRetryAfter = 10 * time.Millisecond
 )
 
-// Queue divides the slots of one backend server among requests by weighted fair queueing between
-// teams. The exported settings may change between calls. A Queue must not be used concurrently.
+// Queue divides the slots of one backend server among requests by their importance, and within a level by
+// weighted fair queueing between teams. The exported settings may change between calls. A Queue must not be
+// used concurrently.
 type Queue struct {
 	// Slots is the maximum number of requests that run at the same time.
 	Slots int
@@ -149,6 +152,8 @@
 	waitingTeams []*team
 	// virtualTime is the highest virtual time that a team had when it was granted a slot.
 	virtualTime time.Duration
+	// virtualTimes is the same for the grants of each level.
+	virtualTimes [orderCount]time.Duration
 	// serviceTime is the moving average of service times, zero if there is no sample.
 	serviceTime time.Duration
 	// serviceDeviation is the moving average of the absolute deviation from serviceTime.
@@ -157,6 +162,27 @@
 	progressAt time.Duration
 	running    int
 	waiting    [classCount]int
+	// queued is the number of waiting entries outside of transactions by level.
+	queued levelCounts
+	// levelGrantedAt is the time at which each level had its last grant outside of transactions, or
+	// began to wait if that was later.
+	levelGrantedAt [orderCount]time.Duration
+	// passed is the number of grants since the last one to a less important level for which such a
+	// level waited, see reservedInterval.
+	passed int
+	// used is the moving sum of the slot time that each level took until usedAt, in seconds.
+	used   [orderCount]float64
+	usedAt time.Duration
+	// serviceTimes is the same as serviceTime by level of importance.
+	serviceTimes [LevelCount]time.Duration
+	// caution is added to expectedMargin by level, see observeRefusal.
+	caution [orderCount]float64
+	// usages holds the use of their entitlements by team, and entitledShares the sum of the shares,
+	// once SetTeams has been called.
+	usages         map[string]*usage
+	entitledShares int
+	// places is working memory of refuseLate.
+	places []placed
 	// transactionsInRow is the number of ClassTransaction entries granted since the last other one.
 	transactionsInRow int
 	// sequence is the number of entries offered so far.
@@ -169,13 +195,18 @@
 	t := q.teamOf(e.Team)
 	q.sequence++
 	e.team, e.arrivedAt, e.sequence, e.index, e.State = t, now, q.sequence, -1, StateWaiting
+	e.level = q.levelOf(e, now)
 	if r := q.refusal(e, now); r != ReasonNone {
 		q.refuse(e, r)
+		if r == ReasonExpectedWait {
+			q.observeRefusal(e.level, false)
+		}
 		q.dropIdle(t)
 		return
 	}
 	q.push(e)
 	q.grant(now)
+	q.refuseLate(e, now)
 }
 
 // Cancel refuses e with ReasonCancelled if it is waiting. It reports whether e is refused now; if it
@@ -212,6 +243,7 @@
 	}
 	d := now - e.grantedAt
 	q.observeServiceTime(d)
+	q.observeUsed(e.level, d, now)
 	q.end(e, d, now)
 }
 
@@ -229,7 +261,10 @@
 	q.progressAt = now
 	e.team.running--
 	// The charge at the grant was an estimate: correct it by the time actually used.
-	e.team.virtualTime += (took - e.chargedTime) / time.Duration(e.team.share)
+	q.use(e, took-e.chargedTime)
+	d := (took - e.chargedTime) / time.Duration(e.team.share)
+	e.team.virtualTime += d
+	e.team.virtualTimes[e.level] += d
 	q.dropIdle(e.team)
 	q.grant(now)
 }
@@ -270,7 +305,10 @@
 // ResetServiceTime discards the observed service times. It is called when the slots that they were
 // observed on are gone: an estimate that is too long would refuse every request, and none could run
 // and correct it.
-func (q *Queue) ResetServiceTime() { q.serviceTime, q.serviceDeviation = 0, 0 }
+func (q *Queue) ResetServiceTime() {
+	q.serviceTime, q.serviceDeviation = 0, 0
+	clear(q.serviceTimes[:])
+}
 
 func (q *Queue) observeServiceTime(d time.Duration) {
 	if q.serviceTime == 0 {
@@ -281,6 +319,17 @@
 	q.serviceTime = max(q.serviceTime+(d-q.serviceTime)/smoothingDivisor, 1)
 }
 
+// charge adds took to the virtual time of the team of e, which is granted a slot.
+func (q *Queue) charge(e *Entry, took time.Duration) {
+	t, l := e.team, e.level
+	q.virtualTime = max(q.virtualTime, t.virtualTime)
+	q.virtualTimes[l] = max(q.virtualTimes[l], t.virtualTimes[l])
+	q.use(e, took)
+	d := took / time.Duration(t.share)
+	t.virtualTime += d
+	t.virtualTimes[l] += d
+}
+
 // clear empties Granted and Refused at the start of each method call.
 func (q *Queue) clear() {
 	clear(q.Granted)
@@ -292,7 +341,7 @@
 func (q *Queue) refuse(e *Entry, r Reason) {
 	e.State = StateRefused
 	e.Reason = r
-	e.RetryAfter = max(minimumRetryAfter, q.expectedWait(e.team, ClassWrite))
+	e.RetryAfter = q.retryAfter(e)
 	q.Refused = append(q.Refused, e)
 }
 
--- a/internal/limit/admitter/team.go
+++ b/internal/limit/admitter/team.go
@@ -16,12 +16,20 @@
 	share int
 	// virtualTime is the slot time charged to the team, divided by its share.
 	virtualTime time.Duration
-	running     int
-	heaps       [classCount]entryHeap
-	isWaiting   bool
+	// virtualTimes is the same for the slot time of each level. A newcomer of a level that is seldom
+	// granted would wait behind all others of its level if the grants of other levels counted.
+	virtualTimes [orderCount]time.Duration
+	running      int
+	heaps        [classCount]entryHeap
+	// queuedAt and transactionsAt are the numbers of waiting requests outside of and inside
+	// transactions by level.
+	queuedAt, transactionsAt levelCounts
+	isWaiting                bool
+	// usage is the use of the team's entitlement, nil if it has none.
+	usage *usage
 }
 
-// entryHeap orders the entries of one team and class by deadline.
+// entryHeap orders the entries of one team and class by Entry.before.
 type entryHeap []*Entry
 
 func (h entryHeap) Len() int           { return len(h) }
@@ -50,9 +58,13 @@
 	return e
 }
 
-// before reports whether e is granted before o. Entries that hold a connection come first, then
-// those with the earlier deadline, those without a deadline last; ties are broken by arrival.
+// before reports whether e is granted before o of the same team. The more important level comes first
+// outside of transactions, then entries that hold a connection, then those with the earlier deadline,
+// those without a deadline last; ties are broken by arrival.
 func (e *Entry) before(o *Entry) bool {
+	if a, b := e.level, o.level; a != b && e.Class != ClassTransaction {
+		return a < b
+	}
 	if e.HoldsConnection != o.HoldsConnection {
 		return e.HoldsConnection
 	}
@@ -74,17 +86,20 @@
 	return len(t.heaps[ClassRead]) + len(t.heaps[ClassWrite])
 }
 
+// waitsAt reports whether a request of level l waits.
+func (t *team) waitsAt(l uint8) bool { return t.queuedAt[l]+t.transactionsAt[l] > 0 }
+
 // requests returns the number of the team's running and waiting requests.
 func (t *team) requests() int {
 	return t.running + t.queued() + len(t.heaps[ClassTransaction])
 }
 
-// last returns the waiting entry of class c that would be granted last, nil if there is none. Entries
-// that hold a connection are left out, as they are not displaced.
-func (t *team) last(c Class) *Entry {
+// last returns the waiting entry of class c and the level that would be granted last, nil if there is
+// none. Entries that hold a connection are left out, as they are not displaced.
+func (t *team) last(c Class, level uint8) *Entry {
 	var l *Entry
 	for _, e := range t.heaps[c] {
-		if !e.HoldsConnection && (l == nil || l.before(e)) {
+		if e.level == level && !e.HoldsConnection && (l == nil || l.before(e)) {
 			l = e
 		}
 	}
@@ -102,7 +117,7 @@
 	if len(q.teams) >= 2*len(q.waitingTeams)+minimumTeamsToSweep {
 		q.sweep()
 	}
-	t = &team{name: name, virtualTime: q.virtualTime}
+	t = &team{name: name, virtualTime: q.virtualTime, virtualTimes: q.virtualTimes, usage: q.usages[name]}
 	t.applyLimit(q.Teams[name])
 	q.teams[name] = t
 	return t
@@ -116,14 +131,21 @@
 		t.virtualTime = max(t.virtualTime, q.virtualTime)
 		q.waitingTeams = append(q.waitingTeams, t)
 	}
+	l := e.level
+	if !t.waitsAt(l) {
+		t.virtualTimes[l] = max(t.virtualTimes[l], q.virtualTimes[l])
+	}
+	if q.queued[l] == 0 {
+		q.levelGrantedAt[l] = e.arrivedAt
+	}
 	heap.Push(&t.heaps[e.Class], e)
-	q.waiting[e.Class]++
+	q.count(e, 1)
 }
 
 func (q *Queue) remove(e *Entry) {
 	t := e.team
 	heap.Remove(&t.heaps[e.Class], e.index)
-	q.waiting[e.Class]--
+	q.count(e, -1)
 	if t.queued()+len(t.heaps[ClassTransaction]) > 0 {
 		return
 	}
@@ -141,7 +163,13 @@
 
 // dropIdle drops t if it has no requests and its virtual time isn't above the queue's.
 func (q *Queue) dropIdle(t *team) {
-	if t.requests() == 0 && t.virtualTime <= q.virtualTime {
-		delete(q.teams, t.name)
+	if t.requests() > 0 || t.virtualTime > q.virtualTime {
+		return
+	}
+	for l, v := range t.virtualTimes {
+		if v > q.virtualTimes[l] {
+			return
+		}
 	}
+	delete(q.teams, t.name)
 }
