feat(gate): waiting requests by level in Load, SetTeams

Cause: what decides on admission at an owner has to know how many requests wait at each level, and shares have to reach the queue of a gate while it is in use. Change: Load.WaitingByLevel; statements of transactions count as level 0, as they are granted before all levels. SetTeams passes shares on to the queue. Ruled out: the counts in the messages between hosts, as a host that doesn't know them has no use for them and messages would change without a need. Conclusion: the messages of Load are the same bytes as before.

--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -156,6 +156,14 @@
 	g.notifyWaiters()
 }
 
+// SetTeams calls the same method of the queue.
+func (g *Gate) SetTeams(teams map[string]admitter.TeamLimit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Queue.SetTeams(teams, g.now())
+	g.notifyWaiters()
+}
+
 // TransactionOpened counts a transaction that holds a connection of the server, see
 // admitter.Queue.OpenTransactions. TransactionClosed must be called when it ends.
 func (g *Gate) TransactionOpened() {
@@ -173,6 +181,9 @@
 	Running     int           `cbor:"2,keyasint" json:"running"`
 	Waiting     int           `cbor:"3,keyasint" json:"waiting"`
 	ServiceTime time.Duration `cbor:"4,keyasint" json:"service-time"`
+	// WaitingByLevel is Waiting by level of importance, where statements of transactions count as
+	// level 0. It is for decisions at the queue's own host and isn't sent.
+	WaitingByLevel [admitter.LevelCount]int `cbor:"-" json:"-"`
 }
 
 // Load returns the current load.
@@ -180,7 +191,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q := &g.Queue
-	return Load{Slots: q.Slots, Running: q.Running(), Waiting: q.Waiting(), ServiceTime: q.ServiceTime()}
+	return Load{
+		Slots: q.Slots, Running: q.Running(), Waiting: q.Waiting(), ServiceTime: q.ServiceTime(),
+		WaitingByLevel: q.WaitingByLevel(),
+	}
 }
 
 func (g *Gate) offer(w *waiter, r Request) {
