test(admitter): properties of the decisions with entitlements

Cause: the property test calls the queue without entitlements only. Change: half of its runs set shares at the start and change them on the way. A request is put back only beyond its team's credit, never at level 0 or inside a transaction, and is never granted while one within its credit can run. Ruled out: a test of its own, as the same properties have to hold.

--- a/internal/limit/admitter/importance_test.go
+++ b/internal/limit/admitter/importance_test.go
@@ -33,6 +33,9 @@
 	}
 	c.live = append(c.live, e)
 	c.q.Offer(e, c.now)
+	if l := e.Importance.Level(); e.level != l && (c.q.usages == nil || l == 0 || e.Class == ClassTransaction || e.level != l+LevelCount) {
+		c.t.Fatalf("importance %d is at level %d", e.Importance, e.level)
+	}
 	c.checkDisplaced(e)
 }
 
@@ -50,16 +53,16 @@
 		}
 		switch {
 		case v.Reason == ReasonDeadline:
-		case v.Importance.Level() < e.Importance.Level():
+		case v.level < e.level:
 			c.t.Fatalf("importance %d refused (%s) for %d", v.Importance, v.Reason, e.Importance)
-		case v.Reason == ReasonExpectedWait && v.Importance.Level() == e.Importance.Level():
+		case v.Reason == ReasonExpectedWait && v.level == e.level:
 			c.t.Fatalf("refused as late for one of its own level")
 		}
 		if v.Reason != ReasonQueueFull {
 			continue
 		}
 		for _, o := range c.waited {
-			if o.State == StateWaiting && o.Class != ClassTransaction && !o.HoldsConnection && o.Importance.Level() > v.Importance.Level() {
+			if o.State == StateWaiting && o.Class != ClassTransaction && !o.HoldsConnection && o.level > v.level {
 				c.t.Fatalf("displaced importance %d while %d waited", v.Importance, o.Importance)
 			}
 		}
@@ -78,10 +81,10 @@
 		}
 		more, less := false, false
 		for _, o := range waiting {
-			more = more || o.Importance.Level() < e.Importance.Level()
-			less = less || o.Importance.Level() > e.Importance.Level()
+			more = more || o.level < e.level
+			less = less || o.level > e.level && o.level < LevelCount
 		}
-		if more && c.passed < reservedInterval-1 && c.q.OpenTransactions == 0 {
+		if more && (c.passed < reservedInterval-1 || e.level >= LevelCount) {
 			c.t.Fatalf("importance %d granted after %d grants while a more important one waited", e.Importance, c.passed)
 		}
 		if more || !less {
@@ -109,6 +112,8 @@
 		c.q.Expire(e, c.now)
 	case k == 6:
 		c.q.Cancel(e, c.now)
+	case k == 7 && c.q.usages != nil:
+		c.q.SetTeams(map[string]TeamLimit{"a": {Share: rapid.IntRange(1, 1000).Draw(c.t, "share")}, "b": {Share: 30}}, c.now)
 	default:
 		c.q.Adjust(c.now)
 	}
@@ -132,6 +137,9 @@
 		c := &rankedChecker{checker: checker{t: t, final: map[*Entry]State{}}}
 		c.q = Queue{Slots: rapid.IntRange(1, 3).Draw(t, "slots"), Length: rapid.IntRange(1, 40).Draw(t, "length")}
 		c.q.Teams = map[string]TeamLimit{"b": {Share: 3}}
+		if rapid.Bool().Draw(t, "entitlements") {
+			c.q.SetTeams(map[string]TeamLimit{"a": {Share: 1}, "b": {Share: 30}, "c": {Share: 9}}, 0)
+		}
 		for range 150 {
 			c.step()
 		}
