feat(platform): routes and customers have a priority, customers a share

Cause: the operator's configuration has priorities, and no code reads them. Ruled out: fields of numeric types, as one value of another type would make the whole configuration unreadable, which is in force today; a line of the log for each decoding, as lists are read again and again. Change: priority and share are decoded as they come.

--- a/internal/proxy/commander/validate.go
+++ b/internal/proxy/commander/validate.go
@@ -12,7 +12,7 @@
 
 // validate checks a settings file, or a configuration.
 type validate struct {
-	Configuration bool   `arg:"--configuration" help:"FILE is an operator's configuration: check its customers, keys and limits"`
+	Configuration bool   `arg:"--configuration" help:"FILE is an operator's configuration: check its customers, keys, limits, priorities and shares"`
 	File          string `arg:"positional,required" placeholder:"FILE" help:"settings file"`
 }
 
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -77,6 +77,8 @@
 	Ranked bool
 	// Operations holds the operators' present requests.
 	Operations Operations
+	// Replaced describes the invalid values of the declaration in place of which others are in force.
+	Replaced []string
 }
 
 // Operations are temporary requests of operators, which take effect with the configuration.
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -307,9 +308,13 @@
 }
 
 func (h *Host) setConfiguration(c *declarer.Configuration) {
-	if h.Board.Configure(c) {
-		h.quotas.Forget()
-		h.Log.WithField("version", c.Version).WithField("routes", len(c.Routes)).Info("configuration in force")
+	if !h.Board.Configure(c) {
+		return
+	}
+	h.quotas.Forget()
+	h.Log.WithField("version", c.Version).WithField("routes", len(c.Routes)).Info("configuration in force")
+	if len(c.Replaced) > 0 {
+		h.Log.WithField("version", c.Version).WithField("values", strings.Join(c.Replaced, "; ")).Warn("invalid values of the configuration replaced")
 	}
 }
 
