feat(platform): a loan tells the owner of the connections the importance

Cause: most requests wait at the owner of a server's connections, which is another host and doesn't know their importance. Ruled out: leaving out an importance of 0, as a request without one counts as 9 at a ranked owner; an owner that asks its own configuration by the team, as the team names no route; a link that reads the board when it writes, as a transaction keeps what it began with. An owner whose configuration isn't ranked takes all requests as equal. Reports of statements carry the importance.

--- a/internal/proxy/blackboard/blackboard.go
+++ b/internal/proxy/blackboard/blackboard.go
@@ -58,6 +58,12 @@
 // Configuration returns the configuration in force, nil before the first.
 func (b *Board) Configuration() *declarer.Configuration { return b.configuration.Load() }
 
+// Ranked reports whether the configuration in force ranks requests by their importance.
+func (b *Board) Ranked() bool {
+	c := b.Configuration()
+	return c != nil && c.Ranked
+}
+
 // Configure puts c into force unless the current version is the same or newer, and reports
 // whether it did.
 func (b *Board) Configure(c *declarer.Configuration) bool {
--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -72,6 +72,9 @@
 	Objective  time.Time
 	Class      admitter.Class
 	Importance admitter.Importance
+	// Ranked is set if Importance was determined under a ranked configuration, so that a host from which
+	// the connection is borrowed is told it.
+	Ranked bool
 	// Customer is the one for whom the connection is, empty for the proxy itself. It only matters
 	// to a pool with ByCustomer.
 	Customer string
--- a/internal/proxy/executor/admission.go
+++ b/internal/proxy/executor/admission.go
@@ -13,8 +13,10 @@
 	route declarer.Route
 	// customer holds the caller's key, empty if it needs none.
 	customer string
-	// importance is that of the route and the customer. A transaction keeps it to its end.
+	// importance is that of the route and the customer, and ranked whether the configuration ranks them.
+	// A transaction keeps both to its end.
 	importance admitter.Importance
+	ranked     bool
 }
 
 // admit returns what the session may use under the configuration in force, or the code with which it
@@ -38,7 +40,7 @@
 	if r.Timeout == 0 {
 		r.Timeout = defaultStatementTimeout
 	}
-	return admission{route: r, customer: n, importance: c.Importance(r, n)}, declarer.CodeNone
+	return admission{route: r, customer: n, importance: c.Importance(r, n), ranked: c.Ranked}, declarer.CodeNone
 }
 
 // refusalText describes a code of admit.
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -158,7 +158,7 @@
 
 // leaseOptions returns the terms on which the statement asks the pool for a connection.
 func (a *attempt) leaseOptions() connpooler.AcquireRequest {
-	k := connpooler.AcquireRequest{Deadline: a.deadline, Class: a.class(), Importance: a.importance, Customer: a.customer, Team: a.team()}
+	k := connpooler.AcquireRequest{Deadline: a.deadline, Class: a.class(), Importance: a.importance, Ranked: a.ranked, Customer: a.customer, Team: a.team()}
 	if a.route.Objective > 0 {
 		k.Objective = a.began.Add(a.route.Objective / objectiveDivisor)
 	}
@@ -313,6 +313,7 @@
 		Group: a.route.Group, Database: a.route.Database, Customer: a.customer, Statement: a.request.ID, Verb: a.request.verb,
 		Server: a.server, Primary: a.primary, Code: c, Reason: a.reason, Attempts: a.retries.Tries(),
 		RequiredPosition: a.request.RequiredPosition, Version: a.session.version(),
+		Importance: a.importance, Ranked: a.ranked,
 		Wait: a.waited, Elapsed: time.Since(a.began),
 	})
 }
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -100,7 +100,8 @@
 		return
 	}
 	end := time.Now().Add(observeTimeout)
-	l, err := p.Acquire(connpooler.AcquireRequest{Deadline: end, Class: admitter.ClassTransaction, AnyCustomer: true})
+	q := connpooler.AcquireRequest{Deadline: end, Class: admitter.ClassTransaction, AnyCustomer: true, Ranked: f.observer.Board.Ranked()}
+	l, err := p.Acquire(q)
 	if err != nil {
 		return
 	}
@@ -111,7 +112,7 @@
 			return
 		}
 		l.Release(false)
-		if l, err = p.Acquire(connpooler.AcquireRequest{Deadline: end, Class: admitter.ClassTransaction, AnyCustomer: true}); err != nil {
+		if l, err = p.Acquire(q); err != nil {
 			return
 		}
 	}
--- a/internal/proxy/executor/ports.go
+++ b/internal/proxy/executor/ports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/quotakeeper"
@@ -68,6 +69,10 @@
 	Reason string
 	// RequiredPosition is the log position that the server had to have, zero for none.
 	RequiredPosition marker.Mark
+	// Importance is that of the statement, set if Ranked is: the configuration by which the statement or
+	// its transaction was admitted ranks requests.
+	Importance admitter.Importance
+	Ranked     bool
 	// Version is the version of the configuration in force.
 	Version  uint64
 	Attempts int
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -132,7 +132,7 @@
 	for {
 		a.retries.CountTry()
 		e := &exchange{lease: t.lease, deadline: a.deadline}
-		if err := e.acquirePermit(connpooler.AcquireRequest{Deadline: a.deadline, Class: admitter.ClassTransaction, Importance: a.importance, Customer: a.customer, Team: a.team()}); err != nil {
+		if err := e.acquirePermit(connpooler.AcquireRequest{Deadline: a.deadline, Class: admitter.ClassTransaction, Importance: a.importance, Ranked: a.ranked, Customer: a.customer, Team: a.team()}); err != nil {
 			a.reason = err.Error()
 			return err
 		}
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -38,7 +38,8 @@
 	// Wait is how long the borrower waits: for a connection, or for the answers.
 	Wait time.Duration
 	// Objective, Class, Importance and Team are set with KindLend. Objective is the time within which
-	// the connection should be granted, zero for none.
+	// the connection should be granted, zero for none. Importance is that of default priorities if the
+	// borrower sends none.
 	Objective  time.Duration
 	Class      admitter.Class
 	Importance admitter.Importance
@@ -96,6 +97,9 @@
 	// Pool returns this host's own connections to the server, nil if the server isn't listed.
 	// byCustomer is set if each must serve one customer only.
 	Pool func(byCustomer bool) *connpooler.Pool
+	// Ranked, if not nil, reports whether this host's configuration is ranked. If it isn't, the requests
+	// of borrowers are equally important.
+	Ranked func() bool
 	// OnAnswer is called for each answer of the server.
 	OnAnswer func()
 	// Position returns a position that the server had as the primary at most maximum ago, and how long
@@ -192,6 +196,9 @@
 	if p == nil {
 		return
 	}
+	if l.Ranked == nil || !l.Ranked() {
+		e.Importance = 0
+	}
 	var err error
 	l.lease, err = p.Acquire(e.acquireRequest(time.Now()))
 	if err != nil {
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -322,3 +322,33 @@
 		})
 	}
 }
+
+// Guards against owners whose decisions change where nothing is ranked, because of requests of hosts that
+// have a ranked configuration already, and against requests whose importance is lost between the link and
+// the queue.
+func TestImportanceOfLoanAtOwner(t *testing.T) {
+	for name, x := range map[string]struct {
+		ranked func() bool
+		want   admitter.Importance
+	}{
+		"ranked":     {func() bool { return true }, 17},
+		"not ranked": {func() bool { return false }, 0},
+		"unset":      {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &server{}
+				p := pool(s)
+				var lent atomic.Int64
+				l := &Link{Pool: func(bool) *connpooler.Pool { return p }, ActiveLeases: &lent, Ranked: x.ranked}
+				l.lend(Event{Kind: KindLend, Wait: time.Second, Importance: 17})
+				if a := l.request.acquireRequest(time.Now()); a.Importance != x.want {
+					t.Errorf("importance %d, want %d", a.Importance, x.want)
+				}
+				l.returnLease(false)
+				p.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/proxy/runner/lending.go
+++ b/internal/proxy/runner/lending.go
@@ -22,6 +22,7 @@
 		},
 		Pool: func(byCustomer bool) *connpooler.Pool { return h.pools.ownPool(server, byCustomer) },
 
+		Ranked:                 h.Board.Ranked,
 		IdleTransactionTimeout: h.Board.IdleTransactionTimeout,
 		OnAnswer: func() {
 			s, ok := h.pools.find(server)
