feat(retrier): the last quarter of a retry budget is for the first level

Cause: statements that are refused by busy servers are retried within a budget of their group, which the many less important ones use up first. Ruled out: a budget for each level, as a level that retries rarely would leave its budget unused. Change: a statement of another level than 0 takes a retry only as long as a quarter of the burst is left. Without a ranked configuration, all statements have level 0 and the whole budget. Conclusion: kept for level 0 also in groups without such a route, so that it doesn't depend on which routes a group has.

--- a/internal/limit/retrier/retrier.go
+++ b/internal/limit/retrier/retrier.go
@@ -49,13 +49,25 @@
 // Allow reports whether a request whose run ended with o may be run again, and takes one retry from
 // the budget if so. A request of unknown outcome may only be run again if it is repeatable, as a read
 // is.
-func (b *Budget) Allow(o Outcome, repeatable bool) bool {
+func (b *Budget) Allow(o Outcome, repeatable bool) bool { return b.allow(o, repeatable, 1) }
+
+// reserveShare is the part of Burst that AllowBeyondReserve leaves.
+const reserveShare = 0.25
+
+// AllowBeyondReserve is Allow for a request that must leave the last quarter of Burst to more important
+// ones: these have retries left after others have used up theirs.
+func (b *Budget) AllowBeyondReserve(o Outcome, repeatable bool) bool {
+	return b.allow(o, repeatable, 1-reserveShare)
+}
+
+// allow is Allow with a part of Burst as the limit.
+func (b *Budget) allow(o Outcome, repeatable bool, part float64) bool {
 	if o == OutcomeRan || o == OutcomeUnknown && !repeatable {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent+1 > orDefault(b.Burst, DefaultBurst) {
+	if b.spent+1 > part*orDefault(b.Burst, DefaultBurst) {
 		return false
 	}
 	b.spent++
--- a/internal/limit/retrier/retrier_test.go
+++ b/internal/limit/retrier/retrier_test.go
@@ -56,3 +56,30 @@
 		t.Error("no reserve after first runs have earned a retry")
 	}
 }
+
+// Guards against less important requests that use up the whole budget, and against a reserve that is
+// denied to the requests for which it is.
+func TestLastQuarterIsReserved(t *testing.T) {
+	b := Budget{Share: 0.5, Burst: 8}
+	n := 0
+	for b.AllowBeyondReserve(OutcomeNotRun, true) {
+		n++
+	}
+	if n != 6 {
+		t.Errorf("%d of 8 retries beyond the reserve, want 6", n)
+	}
+	for b.Allow(OutcomeNotRun, true) {
+		n++
+	}
+	if n != 8 {
+		t.Errorf("%d of 8 retries in total", n)
+	}
+	b.CountRequest()
+	b.CountRequest()
+	if b.AllowBeyondReserve(OutcomeNotRun, true) || !b.Allow(OutcomeNotRun, true) {
+		t.Error("the first retry that is earned again isn't part of the reserve")
+	}
+	if new(Budget).AllowBeyondReserve(OutcomeUnknown, false) {
+		t.Error("a write of unknown outcome may be repeated")
+	}
+}
--- a/internal/limit/retrier/statement.go
+++ b/internal/limit/retrier/statement.go
@@ -73,6 +73,8 @@
 	SingleServer bool
 	// Budget limits the retries at servers that were busy, unlimited if nil.
 	Budget *Budget
+	// KeepReserve leaves the last quarter of Budget to more important statements.
+	KeepReserve bool
 
 	// queueTooLong are the servers that can't run the statement by its deadline. They are never
 	// tried again.
@@ -159,7 +161,7 @@
 func (s *Statement) retryLater(c Cause, now time.Duration, random uint64) Step {
 	switch c {
 	case CauseBusy:
-		if s.Budget != nil && !s.Budget.Allow(OutcomeNotRun, true) {
+		if s.Budget != nil && !s.allowed() {
 			return s.refuse()
 		}
 	case CauseUnreachable:
@@ -176,6 +178,14 @@
 	return s.wait(s.backoff/2+time.Duration(random%uint64(s.backoff)), now)
 }
 
+// allowed takes a retry from the budget if there is one for the statement.
+func (s *Statement) allowed() bool {
+	if s.KeepReserve {
+		return s.Budget.AllowBeyondReserve(OutcomeNotRun, true)
+	}
+	return s.Budget.Allow(OutcomeNotRun, true)
+}
+
 // wait returns a step that waits for d, or a refusal if the deadline would be reached by then.
 func (s *Statement) wait(d, now time.Duration) Step {
 	if now+d >= s.Deadline {
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -58,7 +58,7 @@
 	b.CountRequest()
 	return &attempt{
 		session: s, admission: m, request: q, arrived: s.Board.Time(), began: now, deadline: now.Add(m.route.Timeout),
-		retries: retrier.Statement{Deadline: m.route.Timeout, Budget: b},
+		retries: retrier.Statement{Deadline: m.route.Timeout, Budget: b, KeepReserve: m.importance.Level() > 0},
 	}
 }
 
