feat(reporter): importance in lines, metrics, losses and explain

Cause: which requests a ranked deployment lost can't be seen. Ruled out: a label of the importance, as 64 values by customer and route say less than the 8 priorities; a table by customer in all summaries, as the output stays as it is where nothing is ranked. Change: the line of a statement has the field importance under a ranked configuration; cuminwick_ranked_statements_total and cuminwick_ranked_wait_seconds count by the route's priority; losses has the lines priority and customer if a lost statement was ranked; explain shows the field. The golden file of unranked lines was written by the code before. Conclusion: statements that no configuration admits (unknown key) have no importance and count as none.

--- a/internal/log/encoder/encoder_test.go
+++ b/internal/log/encoder/encoder_test.go
@@ -7,6 +7,7 @@
 	"flag"
 	"io"
 	"os"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +45,51 @@
 	return b.String()
 }
 
+// checkGolden compares got with a golden file.
+func checkGolden(t *testing.T, name, got string) {
+	t.Helper()
+	name = filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(name, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(string(w), got); d != "" {
+		t.Errorf("lines differ (-want +got):\n%s", d)
+	}
+}
+
+// sampleStatements returns a statement that ran and one that was refused.
+func sampleStatements() []Statement {
+	return []Statement{
+		{Request: "a1", Database: "daka41cu10", DatabaseGroup: "huvo11a", Operation: "read", Outcome: "ran", Server: "i-1", Role: "replica", RequiredPosition: "1/9", Attempts: 1, Configuration: 4, Wait: 20 * time.Microsecond, Elapsed: 3 * time.Millisecond},
+		{Request: "a2", Database: "daka41cu10", DatabaseGroup: "huvo11a", Customer: "miny420", Operation: "write", Outcome: "not-run", Code: "busy", Reason: "server i-1: queue-full", Configuration: 4, Elapsed: time.Millisecond},
+	}
+}
+
+// Guards against lines of statements that change where nothing is ranked.
+func TestStatementLines(t *testing.T) {
+	checkGolden(t, "statements.golden", captureOutput(t, &Encoder{QueueBytes: 1 << 16}, func(l *log.Logger) {
+		for _, s := range sampleStatements() {
+			l.Handler.(*Encoder).LogStatement(&s)
+		}
+	}))
+}
+
+// Guards against a missing importance of the most important statements, which is zero.
+func TestRankedStatementLines(t *testing.T) {
+	checkGolden(t, "ranked.golden", captureOutput(t, &Encoder{QueueBytes: 1 << 16}, func(l *log.Logger) {
+		for i, s := range sampleStatements() {
+			s.Ranked, s.Importance = true, uint8(17*i)
+			l.Handler.(*Encoder).LogStatement(&s)
+		}
+	}))
+}
+
 func TestLines(t *testing.T) {
 	got := captureOutput(t, &Encoder{QueueBytes: 1 << 16}, func(l *log.Logger) {
 		e := wrapper.Wrap(errors.New("refused"), "dial", "kalkul-1-a")
--- a/internal/log/encoder/statement.go
+++ b/internal/log/encoder/statement.go
@@ -28,6 +28,10 @@
 	// RequiredPosition is the log position that the server had to have, empty for none.
 	RequiredPosition string
 	Attempts         int
+	// Importance is that of the statement, lower values first, set if Ranked is: the configuration ranks
+	// statements.
+	Importance uint8
+	Ranked     bool
 	// Configuration is the version of the configuration by which the statement was routed.
 	Configuration uint64
 	// Wait is the time spent waiting for leases, Elapsed the time of the whole statement.
@@ -55,6 +59,9 @@
 	b = b.string("role", s.Role)
 	b = b.string("why", s.Reason)
 	b = b.string("need", s.RequiredPosition)
+	if s.Ranked {
+		b = b.uint("importance", uint64(s.Importance))
+	}
 	b = b.uint("attempts", uint64(s.Attempts))
 	b = b.uint("configuration", s.Configuration)
 	b = b.duration("waited", s.Wait)
--- a/internal/proxy/analyzer/analyzer.go
+++ b/internal/proxy/analyzer/analyzer.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/log/decoder"
 )
 
@@ -79,6 +80,10 @@
 	Causes       []Cause       `json:"causes"`
 	Servers      []LossCount   `json:"servers"`
 	Operations   []LossCount   `json:"operations"`
+	// Priorities and Customers are set if one of the lost statements was ranked. A statement without
+	// its own counts as "none".
+	Priorities []LossCount `json:"priorities,omitempty"`
+	Customers  []LossCount `json:"customers,omitempty"`
 	// AttemptCounts holds, by the number of times that a statement was sent from zero on, how many
 	// statements were lost.
 	AttemptCounts []int `json:"tries"`
@@ -91,15 +96,18 @@
 
 // statement is the log line of a statement.
 type statement struct {
-	Time      time.Time   `json:"time"`
-	Group     string      `json:"database-group"`
-	Operation string      `json:"operation"`
-	Outcome   string      `json:"outcome"`
-	Code      string      `json:"code"`
-	Server    string      `json:"server"`
-	Reason    string      `json:"why"`
-	Attempts  int         `json:"attempts"`
-	Held      logDuration `json:"took"`
+	Time      time.Time `json:"time"`
+	Group     string    `json:"database-group"`
+	Operation string    `json:"operation"`
+	Outcome   string    `json:"outcome"`
+	Code      string    `json:"code"`
+	Server    string    `json:"server"`
+	Reason    string    `json:"why"`
+	Attempts  int       `json:"attempts"`
+	Customer  string    `json:"customer"`
+	// Importance is nil if the configuration doesn't rank statements.
+	Importance *admitter.Importance `json:"importance"`
+	Held       logDuration          `json:"took"`
 }
 
 // logDuration is a duration in the format of logs, such as 1.5ms.
@@ -193,6 +201,7 @@
 	causes      map[Cause]histogram
 	servers     map[string]int
 	operations  map[string]int
+	ranking     ranking
 }
 
 // summarize returns the summary of statements that are sorted by time. It returns ErrTooManyWindows
@@ -206,7 +215,7 @@
 	s := &aggregator{
 		summary: &Summary{From: from, Window: window}, windowCount: int(n), all: newHistogram(),
 		groups: make(map[string]*GroupSeries), causes: make(map[Cause]histogram),
-		servers: make(map[string]int), operations: make(map[string]int),
+		servers: make(map[string]int), operations: make(map[string]int), ranking: newRanking(),
 	}
 	for _, x := range l {
 		if x.Outcome == outcomeRan {
@@ -228,6 +237,7 @@
 	g.Windows[int(x.Time.Sub(s.summary.From)/s.summary.Window)]++
 	s.servers[cmp.Or(x.Server, "none")]++
 	s.operations[x.Operation]++
+	s.ranking.add(x)
 	if err := s.all.add(x.Held); err != nil {
 		return err
 	}
@@ -277,6 +287,7 @@
 		return cmp.Or(b.Lost-a.Lost, cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Code, b.Code), cmp.Compare(a.Reason, b.Reason))
 	})
 	r.Servers, r.Operations = lossCounts(s.servers), lossCounts(s.operations)
+	r.Priorities, r.Customers = s.ranking.finish()
 	return r
 }
 
--- a/internal/proxy/analyzer/analyzer_test.go
+++ b/internal/proxy/analyzer/analyzer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"flag"
 	"io"
 	"os"
@@ -15,8 +16,19 @@
 
 var update = flag.Bool("update", false, "rewrite the golden files")
 
+// Guards against a summary that changes where nothing is ranked, and, where statements are ranked, against
+// losses that are counted for another priority than that of their route, as the importance contains the
+// customer's.
 func TestSummary(t *testing.T) {
-	f, err := os.Open(filepath.Join("testdata", "host.log"))
+	for log, golden := range map[string]string{"host.log": "summary.golden", "ranked.log": "ranked.golden"} {
+		t.Run(log, func(t *testing.T) { checkSummary(t, log, golden) })
+	}
+}
+
+// checkSummary compares the table of a log with a golden file.
+func checkSummary(t *testing.T, log, golden string) {
+	t.Helper()
+	f, err := os.Open(filepath.Join("testdata", log))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,7 +41,7 @@
 	if err := s.Write(&b); err != nil {
 		t.Fatal(err)
 	}
-	golden := filepath.Join("testdata", "summary.golden")
+	golden = filepath.Join("testdata", golden)
 	if *update {
 		if err := os.WriteFile(golden, b.Bytes(), 0o600); err != nil {
 			t.Fatal(err)
@@ -44,6 +56,19 @@
 	}
 }
 
+// Guards against a new field in the JSON of a deployment that ranks nothing.
+func TestSummaryWithoutRanking(t *testing.T) {
+	log := `{"time":"2026-12-03T06:00:00Z","message":"statement","outcome":"not-run","customer":"miny420","took":"2ms"}`
+	s, err := Analyze(Options{}, []io.Reader{strings.NewReader(log)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := json.Marshal(s)
+	if err != nil || strings.Contains(string(b), "priorities") || strings.Contains(string(b), "customers") {
+		t.Errorf("%s, %v", b, err)
+	}
+}
+
 func TestSummaryOfOneGroup(t *testing.T) {
 	f, err := os.Open(filepath.Join("testdata", "host.log"))
 	if err != nil {
--- a/internal/proxy/analyzer/writer.go
+++ b/internal/proxy/analyzer/writer.go
@@ -28,7 +28,7 @@
 	if err := writeTable(w, s.causeTable(), 0); err != nil {
 		return err
 	}
-	_, err := io.WriteString(w, formatCounts("server", s.Servers)+formatCounts("operation", s.Operations)+s.attemptsLine())
+	_, err := io.WriteString(w, formatCounts("server", s.Servers)+formatCounts("operation", s.Operations)+s.rankingLines()+s.attemptsLine())
 	return err
 }
 
@@ -84,6 +84,14 @@
 	return len(s.Groups[0].Windows)
 }
 
+// rankingLines returns the counts by priority and customer, if there are any.
+func (s *Summary) rankingLines() string {
+	if len(s.Priorities) == 0 {
+		return ""
+	}
+	return formatCounts("priority", s.Priorities) + formatCounts("customer", s.Customers)
+}
+
 func formatCounts(name string, l []LossCount) string {
 	b := &strings.Builder{}
 	b.WriteString(name + ":")
--- a/internal/proxy/explainer/explainer_test.go
+++ b/internal/proxy/explainer/explainer_test.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// Guards against a timeline that hides how important a refused request was.
+func TestImportanceIsShown(t *testing.T) {
+	got := checkTimeline(t, "ranked", "a2")
+	if !strings.Contains(got, " importance=17 ") || strings.Contains(got, "request=a3") {
+		t.Errorf("timeline\n%s", got)
+	}
+}
+
 func lines(l ...string) []File {
 	return []File{{Host: "h1", Lines: strings.NewReader(strings.Join(l, "\n"))}}
 }
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -21,6 +21,7 @@
 	reads      *prometheus.CounterVec
 	attempts   prometheus.Counter
 	customers  *prometheus.CounterVec
+	ranked     rankedMetrics
 	promotions *prometheus.CounterVec
 	losses     *prometheus.CounterVec
 	calls      *prometheus.CounterVec
@@ -62,6 +63,7 @@
 	m.reads = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "reads_total", Help: "Reads that ran, by the role of the server."}, []string{"role"})
 	m.attempts = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "attempts_total", Help: "Statements sent to servers, repeated ones included."})
 	m.customers = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "customer_statements_total", Help: "Statements by customer and outcome. Customers beyond the first 200 that sent statements are counted as one, named other."}, []string{"customer", "outcome"})
+	m.ranked = newRankedMetrics(m.Registry)
 	m.promotions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "promotions_total", Help: "Promotions that this host ordered, by reason and result: done, refused or unconfirmed."}, []string{"reason", "result"})
 	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_losses_total", Help: "Times that the platform stopped answering, by kind of object."}, []string{"kind"})
 	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_calls_total", Help: "Calls to the platform, by method, kind of object and result: answered, conflict, unavailable or failed."}, []string{"method", "kind", "result"})
@@ -95,6 +97,9 @@
 	if r.Customer != "" {
 		m.customers.WithLabelValues(m.labels.label(r.Customer), k.name).Inc()
 	}
+	if r.Ranked {
+		m.ranked.statement(r, k)
+	}
 	if op == "read" && k.name == "ran" {
 		m.reads.WithLabelValues(role(r)).Inc()
 	}
--- a/internal/proxy/reporter/reporter.go
+++ b/internal/proxy/reporter/reporter.go
@@ -74,6 +74,8 @@
 		Server:        r.Server,
 		Role:          role(r),
 		Reason:        r.Reason,
+		Importance:    uint8(r.Importance),
+		Ranked:        r.Ranked,
 		Attempts:      r.Attempts,
 		Configuration: r.Version,
 		Wait:          r.Wait,
--- a/internal/proxy/reporter/reporter_test.go
+++ b/internal/proxy/reporter/reporter_test.go
@@ -76,7 +76,7 @@
 	m.PlatformLost("servers")
 	m.PlatformCall("GET", "servers", "answered")
 	m.Phase("order-to-lead", time.Second)
-	m.statement(&executor.Report{Verb: declarer.VerbRead, Server: "i-1"}, outcomes[declarer.CodeNone])
+	m.statement(&executor.Report{Verb: declarer.VerbRead, Server: "i-1", Ranked: true}, outcomes[declarer.CodeNone])
 	n, err := testutil.GatherAndCount(m.Registry)
 	if err != nil || n < 17 {
 		t.Errorf("%d metrics, %v", n, err)
