test(soak): one seed in four ranks requests

Cause: importance passes between real hosts in unit tests only. Change: seeds 2 and 5 of each eight declare priorities 0, 1 and 2 of routes and customers, one customer with a share; every fourth version of their configuration ranks nothing. Ruled out: a ranking in all seeds, as deployments without one are most.

--- a/internal/soak/runner/customers_test.go
+++ b/internal/soak/runner/customers_test.go
@@ -32,6 +32,9 @@
 	Keys  []string `json:"api_keys"`
 	Rate  float64  `json:"rate_per_s,omitempty"`
 	Burst float64  `json:"burst,omitempty"`
+	// Priority and Share are declared by ranked configurations only.
+	Priority *int    `json:"priority,omitempty"`
+	Share    float64 `json:"share,omitempty"`
 }
 
 // customerOf returns the customer of a session, by the number at the end of its name.
@@ -57,6 +60,7 @@
 		if i == 0 {
 			t.Rate, t.Burst = limitedRate, limitedBurst
 		}
+		d.rank(&t, i, version)
 		l = append(l, t)
 	}
 	return l
--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -65,6 +65,8 @@
 	// customers is the number of customers, zero if callers are not identified, and connections how many
 	// connections each server is declared to accept.
 	customers, connections int
+	// ranked is set if the configuration ranks requests.
+	ranked bool
 	// version is the version of the configuration that was declared last.
 	version atomic.Int64
 	// storeFaultLock is held by the active fault of the store, so that faults of the store do not overlap.
@@ -80,25 +82,25 @@
 	faultLock sync.Mutex
 }
 
-// deploy starts all parts of a soak, which keep their files in the directory.
-func deploy(ctx context.Context, directory string, customers, connections int) (*deployment, error) {
-	d := &deployment{directory: directory, customers: customers, connections: connections, prefix: loopbackPrefix(), done: make(chan struct{})}
+// start starts all parts of a soak, which keep their files in the directory.
+func (d *deployment) start(ctx context.Context) error {
+	d.prefix, d.done = loopbackPrefix(), make(chan struct{})
 	d.network = &disturber.Network{Latency: func(disturber.Path) time.Duration { return 0 }}
 	d.network.Open(ctx)
 	d.store = &storekeeper.Store{Promote: d.promote}
 	if err := d.addGroups(); err != nil {
-		return nil, err
+		return err
 	}
 	if err := d.configure(); err != nil {
-		return nil, err
+		return err
 	}
 	for i := range *hosts {
 		if err := d.addHost(i); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	go (&registrar{deployment: d}).run()
-	return d, nil
+	return nil
 }
 
 // addGroups starts the database groups with their servers and replication.
@@ -188,6 +190,7 @@
 	Timeout   int64  `json:"timeout_ms"`
 	Backend   string `json:"backend"`
 	Staleness int64  `json:"max_staleness_ms"`
+	Priority  *int   `json:"priority,omitempty"`
 }
 
 // backend is one database group of a configuration, as encoded for the store.
@@ -230,7 +233,7 @@
 		c.Backends = append(c.Backends, backend{Name: g.Name, Connections: d.connections})
 	}
 	for _, x := range d.databases {
-		c.Routes = append(c.Routes, route{Name: x.name, Host: x.name, Kind: routeTypes[x.kind], Timeout: 1500, Backend: d.groups[x.group].Name, Staleness: staleness.Milliseconds()})
+		c.Routes = append(c.Routes, route{Name: x.name, Host: x.name, Kind: routeTypes[x.kind], Timeout: 1500, Backend: d.groups[x.group].Name, Staleness: staleness.Milliseconds(), Priority: d.routePriority(x.kind, v)})
 	}
 	for i := int64(1); i <= v; i++ {
 		c.Routes = append(c.Routes, route{Name: extra(i), Host: extra(i), Kind: routeTypes["every"], Timeout: 1500, Backend: d.groups[0].Name})
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -60,8 +60,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	n, connections := kindOfSoak(seed)
-	d, err := deploy(ctx, directory, n, connections)
+	d := &deployment{directory: directory, ranked: isRanked(seed)}
+	d.customers, d.connections = kindOfSoak(seed)
+	err = d.start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,6 +132,7 @@
 	findings = append(findings, s.injector.findings...)
 	findings = append(findings, d.close()...)
 	findings = append(findings, d.checkLimit()...)
+	findings = append(findings, d.checkImportance()...)
 	for i, r := range d.recorders {
 		h := r.History()
 		h.Staleness, h.Stops = staleness, s.injector.plannedStops()
