feat(forecaster): which requests a queue refuses, and what hosts do with it

Cause: a host asks the owner of a server's connections for each statement, even if the owner has just refused the same kind. The duration includes the time for those refused lately, as the drain time alone is below 10 ms whenever the queue is full, and is at most half of the time in which the queue runs empty. Ruled out: a forecast by the waiting requests of all teams while one team holds half of them or more. It would refuse the customers whom fair shares admit.

--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -42,9 +42,12 @@
 	ReasonNoConnections
 	// ReasonCancelled means that the caller cancelled the request.
 	ReasonCancelled
+	// ReasonNotAdmitted means that the host that owns the server's connections would refuse the request,
+	// by its last forecast. It wasn't asked.
+	ReasonNotAdmitted
 )
 
-var reasonNames = [...]string{"none", "queue-full", "team-limit", "expected-wait", "deadline", "leaving", "shutdown", "no-connections", "cancelled"}
+var reasonNames = [...]string{"none", "queue-full", "team-limit", "expected-wait", "deadline", "leaving", "shutdown", "no-connections", "cancelled", "not-admitted"}
 
 // String returns the reason in kebab case.
 func (r Reason) String() string { return reasonNames[r] }
--- /dev/null
+++ b/internal/limit/forecaster/forecaster.go
@@ -0,0 +1,153 @@
+// Package forecaster tells other hosts which requests a queue would refuse, and decides at those hosts
+// which requests aren't sent for that reason.
+package forecaster
+
+import (
+	"math"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+)
+
+// Forecast says which requests a queue would refuse. The zero value restricts nothing.
+type Forecast struct {
+	// Admits is the least important importance that the queue admits: requests with a higher value would
+	// be refused.
+	Admits admitter.Importance
+	// For is how long this holds, zero if nothing is restricted.
+	For time.Duration
+}
+
+const (
+	// minimumFor keeps the cost of a probe small against the round trips that a forecast saves.
+	minimumFor = 10 * time.Millisecond
+	// MaximumFor bounds how long a restriction outlasts the loss of the host that imposed it.
+	MaximumFor = 250 * time.Millisecond
+	// memory is how long the tolerance of a refused request stands for those of its level. The hosts
+	// send no requests of a restricted level but for probes, which arrive more often than this.
+	memory = time.Second
+	// refusalHalfLife is about the time after which refused callers have come back.
+	refusalHalfLife = 100 * time.Millisecond
+)
+
+// Refusal describes a request that the queue has refused.
+type Refusal struct {
+	Importance admitter.Importance
+	// Tolerance is the longest wait that the request could accept. It is ignored if the queue was full.
+	Tolerance time.Duration
+	// QueueFull says that the queue was at its maximum length.
+	QueueFull bool
+}
+
+// level holds what the refusals of one level have shown.
+type level struct {
+	// known says that a request was refused within memory, the last time at refusedAt.
+	known     bool
+	refusedAt time.Duration
+	// tolerance is the longest wait that a refused request could accept, and important the most
+	// important one that was refused.
+	tolerance time.Duration
+	important admitter.Importance
+	// recent is the number of refusals, each of which counts half after refusalHalfLife.
+	recent float64
+}
+
+// Forecaster computes the forecasts of one queue. A Forecaster must not be used concurrently.
+type Forecaster struct {
+	levels [admitter.LevelCount]level
+}
+
+// Refused records a refusal and returns the forecast for the queue's load.
+func (f *Forecaster) Refused(r Refusal, l admitter.Load, now time.Duration) Forecast {
+	f.forget(now)
+	f.record(r, l, now)
+	restricted := f.firstRestricted(l)
+	if restricted == admitter.LevelCount {
+		return Forecast{}
+	}
+	return Forecast{Admits: max(f.levels[restricted].important, 1) - 1, For: f.duration(restricted, l)}
+}
+
+// duration returns how long requests of a restricted level would be refused: until the queue has drained
+// to where they are admitted, and the ones that were refused before have had their turn. It is at most
+// half of the time in which the queue runs empty, so that requests arrive before the slots are idle.
+func (f *Forecaster) duration(restricted int, l admitter.Load) time.Duration {
+	v := &f.levels[restricted]
+	w := expectedWait(l, restricted)
+	d := w - v.tolerance + time.Duration(v.recent*float64(l.ServiceTime)/float64(l.Slots))
+	return min(max(min(d, w/2), minimumFor), MaximumFor)
+}
+
+func (f *Forecaster) forget(now time.Duration) {
+	for i := range f.levels {
+		if v := &f.levels[i]; v.known && now-v.refusedAt > memory {
+			*v = level{}
+		}
+	}
+}
+
+func (f *Forecaster) record(r Refusal, l admitter.Load, now time.Duration) {
+	i := int(r.Importance.Level())
+	t := r.Tolerance
+	if r.QueueFull {
+		// There is room as soon as one waiting request is granted.
+		t = max(0, expectedWait(l, i)-1)
+	}
+	v := &f.levels[i]
+	if !v.known {
+		*v = level{known: true, tolerance: t, important: r.Importance}
+	}
+	v.recent = v.recent*math.Exp2(-float64(now-v.refusedAt)/float64(refusalHalfLife)) + 1
+	v.refusedAt = now
+	v.important = min(v.important, r.Importance)
+	if r.QueueFull {
+		// The queue's length binds, whatever wait was accepted before.
+		v.tolerance = t
+	}
+	v.tolerance = max(v.tolerance, t)
+}
+
+// firstRestricted returns the most important level whose requests, like all less important ones, would
+// be refused; admitter.LevelCount if there is none. A level without refusals counts as restricted like
+// the more important one before it unless its requests wait in the queue.
+func (f *Forecaster) firstRestricted(l admitter.Load) int {
+	first := admitter.LevelCount
+	for i := admitter.LevelCount - 1; i >= 0; i-- {
+		v := &f.levels[i]
+		switch {
+		case v.known && expectedWait(l, i) > v.tolerance:
+			first = i
+		case v.known || l.WaitingByLevel[i] > 0:
+			return first
+		}
+	}
+	return first
+}
+
+// expectedWait returns the expected wait of a request of a level: it waits for all more important ones,
+// and for those of its own level as far as its team's share doesn't let it go before them.
+func expectedWait(l admitter.Load, level int) time.Duration {
+	if l.Slots <= 0 {
+		return 0
+	}
+	n := l.Transactions + l.Running + 1 - l.Slots
+	for _, w := range l.WaitingByLevel[:level] {
+		n += w
+	}
+	n += ahead(l, level)
+	return max(0, time.Duration(n)*l.ServiceTime/time.Duration(l.Slots))
+}
+
+// ahead returns how many requests of its own level a request waits for. If most of the waiting requests
+// belong to one team, those of other teams wait for one request of each team only: a forecast must not
+// refuse them because of that team.
+func ahead(l admitter.Load, level int) int {
+	waiting := 0
+	for _, w := range l.WaitingByLevel {
+		waiting += w
+	}
+	if l.Teams > 0 && 2*l.LongestTeam >= waiting {
+		return min(l.WaitingByLevel[level], l.Teams)
+	}
+	return l.WaitingByLevel[level]
+}
