fix(booker): retry times are whole milliseconds

Cause: callers and other hosts are told whole milliseconds, and a time that is cut to them lies up to 1 ms before the bucket that was booked. Change: Book rounds up.

--- a/internal/limit/booker/booker.go
+++ b/internal/limit/booker/booker.go
@@ -45,7 +45,7 @@
 	spilled uint32
 }
 
-// Book books a retry and returns the time until it. It isn't before earliest, the time until the queue is
+// Book books a retry and returns the time until it, in whole milliseconds. It isn't before earliest, the time until the queue is
 // expected to have room.
 func (c *Calendar) Book(i admitter.Importance, earliest time.Duration, k Capacity, now time.Duration) time.Duration {
 	c.advance(now)
@@ -58,12 +58,18 @@
 		room = min(room, 0) + n - booked
 		if b >= from && room > 0 {
 			l[i.Level()]++
-			return at(b, booked/n) - now
+			return roundUp(at(b, booked/n) - now)
 		}
 	}
 	c.spilled++
 	b := max(from, c.first+bucketCount-spilloverCount) + int64(c.spilled%spilloverCount)
-	return at(b, 0) - now
+	return roundUp(at(b, 0) - now)
+}
+
+// roundUp rounds up to whole milliseconds, in which callers are told the time: a shorter one could be too
+// early.
+func roundUp(d time.Duration) time.Duration {
+	return (d + time.Millisecond - 1).Truncate(time.Millisecond)
 }
 
 // at returns the time at which a fraction of bucket b has passed.
--- a/internal/limit/booker/booker_test.go
+++ b/internal/limit/booker/booker_test.go
@@ -23,6 +23,7 @@
 		for i := range 3 {
 			d := c.Book(importance(1), 20*ms, four, 1003*ms)
 			want := 1030*ms + time.Duration(bucket)*bucketWidth + time.Duration(float64(i)/3*float64(bucketWidth)) - 1003*ms
+			want = (want + ms - 1).Truncate(ms)
 			if d != want {
 				t.Errorf("booking %d of bucket %d: after %s, want %s", i, bucket, d, want)
 			}
