feat(connpooler): refusals carry forecasts, and pools of links apply them

Cause: a borrowing host asks the owner of a server's connections for each statement, and all callers that the owner refuses are told the same time. Change: Pool.SetRanked turns on what the packages forecaster and booker decide. An owner's refusals, of connections and of permits, get a booked retry time and a forecast. lender.Refusal and the suffix " admits=N for=M" of NOLEASE carry it; a pool of links hears it in Lease.Receive and refuses by it in Acquire, with the reason not-admitted. The executor needs no change: the refusal excludes the server as one whose queue is too long, so that a read goes to another one first. A host of an earlier version shows the suffix as part of the reason; a refusal without it, or with one that can't be read, restricts nothing. Ruled out: a board in the executor, as each of its callers would have to ask it. The decisions get the time since SetRanked: the pool's epoch is taken when the process starts, later than the time within synctest.

--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -44,6 +45,11 @@
 	// ByCustomer is set if each connection serves one customer only, whose name the server is told
 	// when it opens.
 	ByCustomer bool
+	// Admissions is told about requests that aren't sent because of a forecast, nil if nobody is.
+	Admissions AdmissionObserver
+
+	// admission is nil unless requests are ranked, see SetRanked.
+	admission atomic.Pointer[admission]
 
 	mu      sync.Mutex
 	queue   admitter.Queue
@@ -98,11 +104,19 @@
 // wait was or would be too long, ErrUnreachable if the server can't be reached, and ErrClosed if
 // the pool is closed.
 func (p *Pool) Acquire(a AcquireRequest) (*Lease, error) {
+	t, err := p.admit(a.Importance)
+	if err != nil {
+		return nil, err
+	}
 	for {
 		l, err := p.acquire(a)
-		if !errors.Is(err, errEnded) {
-			return l, err
+		if errors.Is(err, errEnded) {
+			continue
+		}
+		if err == nil {
+			l.pass = t
 		}
+		return l, err
 	}
 }
 
@@ -328,6 +342,7 @@
 // Trim closes connections that have been idle for long or are beyond Limit, as long as more than
 // MinOpen are open.
 func (p *Pool) Trim(now time.Time) {
+	p.endRefusals(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	timeout := idleTimeout
@@ -344,6 +359,7 @@
 // Close closes the idle connections now and the others when they are released. It refuses all
 // waiters.
 func (p *Pool) Close() {
+	p.SetRanked(false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
--- a/internal/proxy/connpooler/lease.go
+++ b/internal/proxy/connpooler/lease.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/limit/forecaster"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
@@ -47,6 +48,8 @@
 	// customer is the one that the connection serves, empty for the proxy itself and for
 	// connections that serve all.
 	customer string
+	// pass is that of the present use, if its answer is counted.
+	pass forecaster.Pass
 	// usedAt is when the connection was opened or last released.
 	usedAt time.Time
 }
--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -86,7 +86,7 @@
 	}
 	s, err := p.permits.gate.Acquire(context.Background(), q)
 	if r, ok := errors.AsType[*gate.Refusal](err); ok {
-		return nil, &Refusal{Server: p.Server.ID, Reason: r.Reason, RetryAfter: r.RetryAfter}
+		return nil, p.permitRefusal(r, q)
 	}
 	if err != nil {
 		return nil, err
@@ -94,6 +94,22 @@
 	return &Permit{pool: p, slot: s}, nil
 }
 
+// permitRefusal returns the refusal of a request for a permit.
+func (p *Pool) permitRefusal(g *gate.Refusal, q gate.Request) *Refusal {
+	r := &Refusal{Server: p.Server.ID, Reason: g.Reason, RetryAfter: g.RetryAfter}
+	a := p.admission.Load()
+	if a == nil {
+		return r
+	}
+	l := p.permits.gate.QueueLoad()
+	t := q.Timeout - l.ServiceTime
+	if q.Objective > 0 {
+		t = min(t, q.Objective)
+	}
+	a.complete(r, &a.permits, q.Importance, t, l)
+	return r
+}
+
 // End returns the permit. The code is that of the server's answer; with CodeBusy, the limit is
 // lowered, and the permit is used again only after the time in which a slot of the server becomes
 // free: until then the server would refuse the next statement as well.
--- a/internal/proxy/connpooler/refusal.go
+++ b/internal/proxy/connpooler/refusal.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/limit/forecaster"
 )
 
 // Refusal is the error of a lease or permit that wasn't granted because the wait was or would be
@@ -16,10 +17,15 @@
 	Reason admitter.Reason
 	// RetryAfter is after what time there should be capacity, zero if that isn't known.
 	RetryAfter time.Duration
+	// Forecast says which further requests would be refused. It is zero unless requests are ranked.
+	Forecast forecaster.Forecast
 }
 
 // Error describes why the request was refused.
 func (r *Refusal) Error() string {
+	if r.Reason == admitter.ReasonNotAdmitted {
+		return "server " + r.Server + ": " + r.Reason.String() + ": its owner would refuse the request"
+	}
 	return "server " + r.Server + ": " + r.Reason.String() + ": " + ErrRefused.Error()
 }
 
@@ -56,5 +62,10 @@
 	case e.Reason == admitter.ReasonLeaving:
 		return errors.Annotatef(ErrUnreachable, "server %s", p.Server.ID)
 	}
-	return &Refusal{Server: p.Server.ID, Reason: e.Reason, RetryAfter: e.RetryAfter}
+	r := &Refusal{Server: p.Server.ID, Reason: e.Reason, RetryAfter: e.RetryAfter}
+	if a := p.admission.Load(); a != nil && !p.OnDemand {
+		t, _ := e.Tolerance(p.queue.ServiceTime())
+		a.complete(r, &a.connections, e.Importance, t, p.queue.Load())
+	}
+	return r
 }
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -8,6 +8,7 @@
 	"github.com/cuminwick/cuminwick/internal/customer/limiter"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/limit/forecaster"
 )
 
 // RouteKind is the consistency that the reads of a route require.
@@ -252,6 +253,8 @@
 	// RetryAfter goes with CodeNoLease: the time until a connection is expected to be available,
 	// zero if unknown.
 	RetryAfter time.Duration
+	// Forecast goes with CodeNoLease: which further requests would be refused, zero if unknown.
+	Forecast forecaster.Forecast
 	// Row is the first row, for statements of the proxy itself.
 	Row   string
 	State State
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -15,6 +15,7 @@
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/limit/forecaster"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
@@ -59,6 +60,8 @@
 	RetryAfter time.Duration
 	// Message describes the reason.
 	Message string
+	// Forecast says which further requests would be refused, zero if none is known.
+	Forecast forecaster.Forecast
 }
 
 // Borrower is the link to a host that borrows connections.
@@ -225,7 +228,7 @@
 func refusalOf(err error) Refusal {
 	r := Refusal{Message: err.Error()}
 	if q, ok := errors.AsType[*connpooler.Refusal](err); ok {
-		r.RetryAfter = q.RetryAfter
+		r.RetryAfter, r.Forecast = q.RetryAfter, q.Forecast
 		return r
 	}
 	r.Unreachable = true
