feat(runner): pools follow the ranks of the configuration in force

Cause: nothing turned on what the pools can do under ranks, and operators couldn't see that a host refuses by another host's forecast. Change: pools set Pool.SetRanked from Configuration.Ranked at each use. The lines "requests not admitted by forecast" and "requests admitted again" mark a period of such refusals, which ends after 1 s without any; cuminwick_not_admitted_total{priority} counts them. Where teams aren't customers, a forecast counts the waiting requests of all: a team is then a database, and one of them fills most of a queue.

--- a/internal/proxy/connpooler/admission.go
+++ b/internal/proxy/connpooler/admission.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// Ranked reports whether requests have different importance.
+func (p *Pool) Ranked() bool { return p.admission.Load() != nil }
+
+// withoutTeams removes the number of teams from a load unless teams are customers. Otherwise each team is
+// a database, and its requests have an importance of their own.
+func (p *Pool) withoutTeams(l admitter.Load) admitter.Load {
+	if !p.ByCustomer {
+		l.Teams, l.LongestTeam = 0, 0
+	}
+	return l
+}
+
 // complete adds the forecast and the booked retry time to a refusal by the queue that f belongs to.
 // tolerance is the longest wait that the request could accept, and l the load of the queue.
 func (a *admission) complete(r *Refusal, f *forecaster.Forecaster, i admitter.Importance, tolerance time.Duration, l admitter.Load) {
--- a/internal/proxy/connpooler/admission_test.go
+++ b/internal/proxy/connpooler/admission_test.go
@@ -297,3 +297,42 @@
 		l.Release(false)
 	}
 }
+
+// Guards against forecasts that never restrict anything where a team is a database, whose requests make up
+// the whole queue, and against those that count one customer's requests against all others.
+func TestTeamsOfForecastAreCustomers(t *testing.T) {
+	const service = 200 * time.Millisecond
+	for byCustomer, want := range map[bool]time.Duration{false: forecaster.MaximumFor, true: service} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPool(&fakeServer{limit: 16})
+			p.Limit, p.ByCustomer = 1, byCustomer
+			p.SetRanked(true)
+			l := acquire(t, p)
+			time.Sleep(service - openDelay)
+			l.Release(false)
+			l = acquire(t, p)
+			p.queue.ResetServiceTime()
+			time.Sleep(service)
+			l.Release(false)
+			l = acquire(t, p)
+			for range 3 {
+				go func() {
+					if x, err := p.Acquire(requestWithin(10 * time.Second)); err == nil {
+						x.Release(false)
+					}
+				}()
+			}
+			synctest.Wait()
+			got := decisions(t, 1, func() error {
+				_, err := p.Acquire(requestWithin(100 * time.Millisecond))
+				return err
+			})
+			if got[0].Forecast.For != want {
+				t.Errorf("by customer %t: %+v, want a forecast for %s", byCustomer, got[0], want)
+			}
+			l.Release(false)
+			synctest.Wait()
+			p.Close()
+		})
+	}
+}
--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -101,7 +101,7 @@
 	if a == nil {
 		return r
 	}
-	l := p.permits.gate.QueueLoad()
+	l := p.withoutTeams(p.permits.gate.QueueLoad())
 	t := q.Timeout - l.ServiceTime
 	if q.Objective > 0 {
 		t = min(t, q.Objective)
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -1,6 +1,7 @@
 package reporter
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +24,7 @@
 	customers  *prometheus.CounterVec
 	promotions *prometheus.CounterVec
 	losses     *prometheus.CounterVec
+	unadmitted *prometheus.CounterVec
 	calls      *prometheus.CounterVec
 	phases     *prometheus.HistogramVec
 	received   *prometheus.CounterVec
@@ -69,7 +71,8 @@
 	m.received = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_received_bytes_total", Help: "Bytes of answers about the platform's objects, by source (store, host), kind of object and result: whole, or cut if the answer was given up."}, []string{"source", "kind", "result"})
 	m.sent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_sent_bytes_total", Help: "Bytes of answers to other entry hosts, by kind of object and result: whole or cut."}, []string{"kind", "result"})
 	m.transfers = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "platform_transfer_seconds", Help: "Time from an answer's first byte to its last, by direction (received, sent) and kind of object.", Buckets: buckets}, []string{"direction", "kind"})
-	m.Registry.MustRegister(m.received, m.sent, m.transfers, m.customers)
+	m.unadmitted = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "not_admitted_total", Help: "Requests that were refused without a round trip, as the owner of the server's connections would have refused them, by the priority of the route."}, []string{"priority"})
+	m.Registry.MustRegister(m.received, m.sent, m.transfers, m.customers, m.unadmitted)
 	m.Registry.MustRegister(m.calls, m.phases, m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
 	m.gauge("sessions", "Sessions that are served.", func() float64 { return float64(g.Sessions()) })
 	m.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.Configuration()) })
@@ -110,6 +113,11 @@
 	m.losses.WithLabelValues(kind).Inc()
 }
 
+// NotAdmitted counts a request that was refused without a round trip.
+func (m *Metrics) NotAdmitted(priority uint8) {
+	m.unadmitted.WithLabelValues(strconv.Itoa(int(priority))).Inc()
+}
+
 // PlatformCall counts a call to the platform.
 func (m *Metrics) PlatformCall(method, kind, result string) {
 	m.calls.WithLabelValues(method, kind, result).Inc()
--- a/internal/proxy/reporter/reporter_test.go
+++ b/internal/proxy/reporter/reporter_test.go
@@ -74,11 +74,15 @@
 	m := newTestMetrics()
 	m.Promotion("primary-absent", "done")
 	m.PlatformLost("servers")
+	m.NotAdmitted(2)
+	if n := testutil.ToFloat64(m.unadmitted.WithLabelValues("2")); n != 1 {
+		t.Errorf("%v requests not admitted, want 1", n)
+	}
 	m.PlatformCall("GET", "servers", "answered")
 	m.Phase("order-to-lead", time.Second)
 	m.statement(&executor.Report{Verb: declarer.VerbRead, Server: "i-1"}, outcomes[declarer.CodeNone])
 	n, err := testutil.GatherAndCount(m.Registry)
-	if err != nil || n < 17 {
+	if err != nil || n < 18 {
 		t.Errorf("%d metrics, %v", n, err)
 	}
 	if p, err := testutil.GatherAndLint(m.Registry); err != nil || len(p) > 0 {
--- a/internal/proxy/runner/deployment_test.go
+++ b/internal/proxy/runner/deployment_test.go
@@ -380,7 +380,7 @@
 }
 
 func (l *link) Borrow(a connpooler.AcquireRequest) {
-	l.pendingLend = &lender.Event{Kind: lender.KindLend, Wait: time.Until(a.Deadline) - 20*messageDelay, Class: a.Class, Team: a.Team}
+	l.pendingLend = &lender.Event{Kind: lender.KindLend, Wait: time.Until(a.Deadline) - 20*messageDelay, Class: a.Class, Importance: a.Importance, Team: a.Team}
 	if !a.Objective.IsZero() {
 		l.pendingLend.Objective = max(time.Millisecond, time.Until(a.Objective)-20*messageDelay)
 	}
@@ -467,7 +467,7 @@
 }
 
 func (b *borrower) Refuse(r lender.Refusal) {
-	x := declarer.Answer{Code: declarer.CodeNoLease, Detail: r.Message, RetryAfter: r.RetryAfter}
+	x := declarer.Answer{Code: declarer.CodeNoLease, Detail: r.Message, RetryAfter: r.RetryAfter, Forecast: r.Forecast}
 	if r.Unreachable {
 		x.Code = declarer.CodeServerUnreachable
 	}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -129,6 +129,9 @@
 	promoter.Counter
 	// PlatformLost counts that calls about one kind of object have begun to fail.
 	PlatformLost(kind string)
+	// NotAdmitted counts a request of a route with this priority that wasn't sent to another host, as
+	// that host would have refused it.
+	NotAdmitted(priority uint8)
 }
 
 // Run serves callers until drain is closed, and then until all sessions have ended or the grace
@@ -167,7 +170,7 @@
 	h.roster.regions = h.Board.Regions
 	h.dialer = relaydialer.Dialer{Transport: h.Transport, Hosts: h.roster.others}
 	h.prober = promoter.Prober{Dialer: &h.dialer, Parse: h.ParseStatus}
-	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.dialer, observer: h, roster: &h.roster, dialLink: h.DialLink}
+	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.dialer, observer: h, roster: &h.roster, dialLink: h.DialLink, admissions: &admissions{log: h.Log, counter: h.Counter}}
 	h.hosts = follower[declarer.Host]{
 		name: "entry hosts", source: h.Hosts, wait: constant(hostsWait), firstListed: make(chan struct{}), gate: &h.gate, onAnswer: h.confirmFunc(blackboard.SectionHosts),
 		reset: h.roster.reset, apply: h.roster.apply, log: h.Log, onLost: h.Counter.PlatformLost,
--- a/internal/proxy/runner/load_test.go
+++ b/internal/proxy/runner/load_test.go
@@ -178,7 +178,11 @@
 // runUnderLoad runs callers at a rate against a deployment into which injectFaults injects faults.
 func runUnderLoad(t *testing.T, hosts, limit int, end time.Duration, rate func(time.Duration) float64, injectFaults func(*deployment)) *load {
 	t.Helper()
-	d := newDeployment(hosts, limit, 1)
+	return runDeployment(t, newDeployment(hosts, limit, 1), end, rate, injectFaults)
+}
+
+func runDeployment(t *testing.T, d *deployment, end time.Duration, rate func(time.Duration) float64, injectFaults func(*deployment)) *load {
+	t.Helper()
 	l := &load{deployment: d, arrived: make(map[int]int), inTime: make(map[int]int)}
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.trim(ctx)
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -53,6 +53,8 @@
 	dialer   connpooler.Dialer
 	observer connpooler.Observer
 	roster   *roster
+	// admissions is told about requests that aren't sent because of a forecast.
+	admissions connpooler.AdmissionObserver
 	// dialLink opens a link to the owner of a server's connections.
 	dialLink func(ctx context.Context, owner string, s declarer.Server) (connpooler.Connection, error)
 
@@ -106,6 +108,7 @@
 	b := byCustomer || p.byCustomer()
 	o := p.getOrAdd(poolKey{server: id, byCustomer: b}, &connpooler.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, MinOpen: minimum, ByCustomer: b})
 	o.Resize(limit, minimum)
+	o.SetRanked(p.ranked())
 	return o
 }
 
@@ -143,7 +146,15 @@
 // borrowedPool returns the pool of links to the owner.
 func (p *pools) borrowedPool(s declarer.Server, o declarer.Host) *connpooler.Pool {
 	l := &linkDialer{pools: p, owner: o}
-	return p.getOrAdd(poolKey{server: s.ID, owner: o.Name}, &connpooler.Pool{Server: s, Dialer: l, Observer: l, Limit: maximumLinks, MinOpen: 1, OnDemand: true})
+	n := p.getOrAdd(poolKey{server: s.ID, owner: o.Name}, &connpooler.Pool{Server: s, Dialer: l, Observer: l, Limit: maximumLinks, MinOpen: 1, OnDemand: true, Admissions: p.admissions})
+	n.SetRanked(p.ranked())
+	return n
+}
+
+// ranked reports whether requests have different importance.
+func (p *pools) ranked() bool {
+	c := p.board.Configuration()
+	return c != nil && c.Ranked
 }
 
 // getOrAdd returns the pool of the key, which is n if there was none.
