fix(forecaster): a late retry doesn't stand for all requests of its level

Cause: a forecast took the longest wait that refused requests could accept. A single retry with little time left, refused while the queue admits all others, restricted its whole level at that host. Change: Offered records what each arriving request accepts, and a level is restricted if its expected wait exceeds the mean of them. Ruled out: the longest of them.

--- a/internal/limit/forecaster/forecaster.go
+++ b/internal/limit/forecaster/forecaster.go
@@ -23,41 +23,67 @@
 	minimumFor = 10 * time.Millisecond
 	// MaximumFor bounds how long a restriction outlasts the loss of the host that imposed it.
 	MaximumFor = 250 * time.Millisecond
-	// memory is how long the tolerance of a refused request stands for those of its level. The hosts
-	// send no requests of a restricted level but for probes, which arrive more often than this.
+	// memory is how long a refusal stands for further requests of its level. The hosts send no requests
+	// of a restricted level but for probes, which arrive more often than this.
 	memory = time.Second
 	// refusalHalfLife is about the time after which refused callers have come back.
 	refusalHalfLife = 100 * time.Millisecond
+	// smoothingDivisor is the divisor of the moving average of tolerances: a new sample has a weight of
+	// one in this many.
+	smoothingDivisor = 16
 )
 
 // Refusal describes a request that the queue has refused.
 type Refusal struct {
 	Importance admitter.Importance
-	// Tolerance is the longest wait that the request could accept. It is ignored if the queue was full.
-	Tolerance time.Duration
 	// QueueFull says that the queue was at its maximum length.
 	QueueFull bool
 }
 
-// level holds what the refusals of one level have shown.
+// level holds what the requests of one level have shown.
 type level struct {
-	// known says that a request was refused within memory, the last time at refusedAt.
+	// tolerance is the moving average of the longest waits that requests accept. offered says that there
+	// was one.
+	tolerance time.Duration
+	offered   bool
+	// known says that a request was refused within memory, the last time at refusedAt, and important is
+	// the most important one of them.
 	known     bool
 	refusedAt time.Duration
-	// tolerance is the longest wait that a refused request could accept, and important the most
-	// important one that was refused.
-	tolerance time.Duration
 	important admitter.Importance
+	// fullWait is the longest expected wait at which the queue isn't full, zero if the last request was
+	// refused for another reason.
+	fullWait time.Duration
 	// recent is the number of refusals, each of which counts half after refusalHalfLife.
 	recent float64
 }
 
+// limit returns the longest expected wait with which requests are admitted.
+func (v *level) limit() time.Duration {
+	if v.fullWait > 0 {
+		return v.fullWait
+	}
+	return v.tolerance
+}
+
 // Forecaster computes the forecasts of one queue. A Forecaster must not be used concurrently.
 type Forecaster struct {
 	levels [admitter.LevelCount]level
 }
 
-// Refused records a refusal and returns the forecast for the queue's load.
+// Offered records the longest wait that an arriving request could accept, whether it is admitted or not.
+// The mean of them stands for further requests: the one that is refused may be a late retry, and hosts
+// leave different margins.
+func (f *Forecaster) Offered(i admitter.Importance, tolerance time.Duration) {
+	v := &f.levels[i.Level()]
+	if !v.offered {
+		v.tolerance, v.offered = tolerance, true
+		return
+	}
+	v.tolerance += (tolerance - v.tolerance) / smoothingDivisor
+}
+
+// Refused records the refusal of a request that was offered, and returns the forecast for the queue's load.
 func (f *Forecaster) Refused(r Refusal, l admitter.Load, now time.Duration) Forecast {
 	f.forget(now)
 	f.record(r, l, now)
@@ -74,37 +100,33 @@
 func (f *Forecaster) duration(restricted int, l admitter.Load) time.Duration {
 	v := &f.levels[restricted]
 	w := expectedWait(l, restricted)
-	d := w - v.tolerance + time.Duration(v.recent*float64(l.ServiceTime)/float64(l.Slots))
+	d := w - v.limit() + time.Duration(v.recent*float64(l.ServiceTime)/float64(l.Slots))
 	return min(max(min(d, w/2), minimumFor), MaximumFor)
 }
 
+// forget drops refusals that are too old to stand for further requests.
 func (f *Forecaster) forget(now time.Duration) {
 	for i := range f.levels {
 		if v := &f.levels[i]; v.known && now-v.refusedAt > memory {
-			*v = level{}
+			*v = level{tolerance: v.tolerance, offered: v.offered}
 		}
 	}
 }
 
 func (f *Forecaster) record(r Refusal, l admitter.Load, now time.Duration) {
 	i := int(r.Importance.Level())
-	t := r.Tolerance
-	if r.QueueFull {
-		// There is room as soon as one waiting request is granted.
-		t = max(0, expectedWait(l, i)-1)
-	}
 	v := &f.levels[i]
 	if !v.known {
-		*v = level{known: true, tolerance: t, important: r.Importance}
+		v.known, v.important = true, r.Importance
 	}
-	v.recent = v.recent*math.Exp2(-float64(now-v.refusedAt)/float64(refusalHalfLife)) + 1
-	v.refusedAt = now
 	v.important = min(v.important, r.Importance)
+	v.fullWait = 0
 	if r.QueueFull {
-		// The queue's length binds, whatever wait was accepted before.
-		v.tolerance = t
+		// There is room as soon as one waiting request is granted.
+		v.fullWait = max(0, expectedWait(l, i)-1)
 	}
-	v.tolerance = max(v.tolerance, t)
+	v.recent = v.recent*math.Exp2(-float64(now-v.refusedAt)/float64(refusalHalfLife)) + 1
+	v.refusedAt = now
 }
 
 // firstRestricted returns the most important level whose requests, like all less important ones, would
@@ -115,7 +137,7 @@
 	for i := admitter.LevelCount - 1; i >= 0; i-- {
 		v := &f.levels[i]
 		switch {
-		case v.known && expectedWait(l, i) > v.tolerance:
+		case v.known && expectedWait(l, i) > v.limit():
 			first = i
 		case v.known || l.WaitingByLevel[i] > 0:
 			return first
--- a/internal/proxy/connpooler/admission.go
+++ b/internal/proxy/connpooler/admission.go
@@ -62,9 +62,30 @@
 	return l
 }
 
-// complete adds the forecast and the booked retry time to a refusal by the queue that f belongs to.
-// tolerance is the longest wait that the request could accept, and l the load of the queue.
-func (a *admission) complete(r *Refusal, f *forecaster.Forecaster, i admitter.Importance, tolerance time.Duration, l admitter.Load) {
+// recordOffered records the wait that a request for a connection could accept. The queue knows its
+// objective only while the pool is saturated. The caller must hold the mutex.
+func (p *Pool) recordOffered(e *admitter.Entry, objective time.Time) {
+	a := p.admission.Load()
+	if a == nil || p.OnDemand {
+		return
+	}
+	t, _ := e.Tolerance(p.queue.ServiceTime())
+	if !objective.IsZero() {
+		t = min(t, time.Until(objective))
+	}
+	a.offered(&a.connections, e.Importance, t)
+}
+
+// offered records the wait that a request at the queue that f belongs to could accept.
+func (a *admission) offered(f *forecaster.Forecaster, i admitter.Importance, tolerance time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f.Offered(i, tolerance)
+}
+
+// complete adds the forecast and the booked retry time to a refusal by the queue that f belongs to, whose
+// load is l.
+func (a *admission) complete(r *Refusal, f *forecaster.Forecaster, i admitter.Importance, l admitter.Load) {
 	full := r.Reason == admitter.ReasonQueueFull
 	if !full && r.Reason != admitter.ReasonExpectedWait && r.Reason != admitter.ReasonDeadline {
 		return
@@ -74,7 +95,7 @@
 	now := time.Since(a.began)
 	r.RetryAfter = a.calendar.Book(i, r.RetryAfter, booker.Capacity{Slots: l.Slots, ServiceTime: l.ServiceTime}, now)
 	if r.Reason != admitter.ReasonDeadline {
-		r.Forecast = f.Refused(forecaster.Refusal{Importance: i, Tolerance: tolerance, QueueFull: full}, l, now)
+		r.Forecast = f.Refused(forecaster.Refusal{Importance: i, QueueFull: full}, l, now)
 	}
 }
 
--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -164,6 +164,7 @@
 	}
 	p.queue.Slots = p.slots()
 	p.queue.Offer(e, sinceEpoch(time.Now()))
+	p.recordOffered(e, objective)
 	// A request that is refused because of its expected wait or a full queue also counts as
 	// demand for another connection.
 	wanted := e.State == admitter.StateRefused && (e.Reason == admitter.ReasonExpectedWait || e.Reason == admitter.ReasonQueueFull)
--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -84,6 +84,7 @@
 		// Requests wait here rather than for a connection, as each opens its own.
 		q.Objective = max(1, time.Until(a.Objective))
 	}
+	p.recordOfferedPermit(q)
 	s, err := p.permits.gate.Acquire(context.Background(), q)
 	if r, ok := errors.AsType[*gate.Refusal](err); ok {
 		return nil, p.permitRefusal(r, q)
@@ -102,12 +103,25 @@
 		return r
 	}
 	l := p.withoutTeams(p.permits.gate.QueueLoad())
-	t := q.Timeout - l.ServiceTime
+	a.complete(r, &a.permits, q.Importance, l)
+	return r
+}
+
+// recordOfferedPermit records the wait that a request for a permit can accept.
+func (p *Pool) recordOfferedPermit(q gate.Request) {
+	if a := p.admission.Load(); a != nil {
+		a.offered(&a.permits, q.Importance, permitTolerance(q, p.permits.gate.Load().ServiceTime))
+	}
+}
+
+// permitTolerance returns the longest wait with which a request for a permit is acceptable if it then runs
+// for so long.
+func permitTolerance(q gate.Request, run time.Duration) time.Duration {
+	t := q.Timeout - run
 	if q.Objective > 0 {
 		t = min(t, q.Objective)
 	}
-	a.complete(r, &a.permits, q.Importance, t, l)
-	return r
+	return t
 }
 
 // End returns the permit. The code is that of the server's answer; with CodeBusy, the limit is
