--- a/internal/limit/booker/booker_test.go
+++ b/internal/limit/booker/booker_test.go
@@ -49,6 +49,23 @@
 	}
 }
 
+// Guards against more important callers that come back after less important ones: callers of three levels
+// are refused in turn, and each level gets the room that the more important ones leave.
+func TestMoreImportantRetryFirst(t *testing.T) {
+	var c Calendar
+	var sums [3]time.Duration
+	const each = 30
+	for i := range 3 * each {
+		level := 2 - i%3
+		sums[level] += c.Book(importance(uint8(level)), 100*ms, four, 0)
+	}
+	for level, want := range []time.Duration{150 * ms, 200 * ms, 250 * ms} {
+		if mean := sums[level] / each; mean < want-20*ms || mean > want+20*ms {
+			t.Errorf("level %d comes back after %s in the mean, want %s", level, mean, want)
+		}
+	}
+}
+
 // Guards against slots that stay idle as a bucket holds less than one request, and against bookings
 // beyond the capacity.
 func TestSlowServerIsBookedInFull(t *testing.T) {
