feat(apportioner): a customer's share of slot time is its entitlement

Cause: all customers have equal shares of slot time, however much each may send, so that a flood of one takes from a large customer what it is entitled to. Change: under a ranked configuration a customer's share is its rate (or declared share) relative to the highest one, times the operators' factor. The owner's queues have the shares of the configuration in force; they are computed once for each configuration, with the first request after it. Ruled out: a call from the host when a configuration comes into force. A pool that is created at the same moment could keep the former shares.

--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -61,6 +61,7 @@
 	pools   map[poolKey]*connpooler.Pool
 	// skippedUntil holds, by host name, until when an owner is skipped.
 	skippedUntil map[string]time.Time
+	shares       shares
 }
 
 // setServers replaces the list of servers and closes the pools of those that are not listed or
@@ -102,6 +103,7 @@
 	if !ok {
 		return nil
 	}
+	p.followShares()
 	limit, minimum := p.connectionShare(s)
 	b := byCustomer || p.byCustomer()
 	o := p.getOrAdd(poolKey{server: id, byCustomer: b}, &connpooler.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, MinOpen: minimum, ByCustomer: b})
@@ -157,6 +159,9 @@
 		p.pools = make(map[poolKey]*connpooler.Pool)
 	}
 	p.pools[w] = n
+	if p.shares.teams != nil {
+		p.applyShares(w, n)
+	}
 	return n
 }
 
