feat(platform): operators' requests are part of the configuration

Cause: an operator can't hold back a customer or drain a server or host. Entries that are invalid are left out with their field and value in a log line, and the rest is in force: ParseConfiguration returns the configuration along with an ErrEntryIgnored, which Source reports without skipping the object. Ruled out: typed fields in the wire's struct, as one wrong type would keep the whole configuration from coming into force.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -145,7 +145,13 @@
 	l := &log.Logger{Handler: e, Level: log.InfoLevel}
 	store := platform.NewStore(s.StoreAddress)
 	a.store = store
-	reportInvalid := func(err error) { l.WithError(err).Warn("invalid object skipped") }
+	reportInvalid := func(err error) {
+		if errors.Is(err, platform.ErrEntryIgnored) {
+			l.WithError(err).Warn("object in force without its invalid entries")
+			return
+		}
+		l.WithError(err).Warn("invalid object skipped")
+	}
 	a.feeds = &platform.FeedClient{}
 	f := &feeder{store: store, remote: a.feeds, sent: func(t declarer.Transfer) { a.sent(t) }, servers: make(map[string]*platform.FeedServer), now: steady.Now}
 	a.feeds.LastValue = f.lastValue
