feat(executor): held customers and routes are refused

Cause: an operator can't hold back a customer or a route. It asks neither the limiter nor a server. Open transactions keep the admission that they began with. Sessions may start, so that each refusal has the request's id in the log. Log lines have the code held and the field held; cuminwick_held_statements_total counts by customer or route; losses lists them. Ruled out: refusing the start of sessions, which would show a held caller as one that can't connect.

--- a/internal/log/encoder/statement.go
+++ b/internal/log/encoder/statement.go
@@ -25,6 +25,8 @@
 	Role string
 	// Reason explains the choice of Server or the refusal.
 	Reason string
+	// Held is what operators held back if the statement was refused for it, such as "customer a".
+	Held string
 	// RequiredPosition is the log position that the server had to have, empty for none.
 	RequiredPosition string
 	Attempts         int
@@ -54,6 +56,7 @@
 	b = b.string("server", s.Server)
 	b = b.string("role", s.Role)
 	b = b.string("why", s.Reason)
+	b = b.string("held", s.Held)
 	b = b.string("need", s.RequiredPosition)
 	b = b.uint("attempts", uint64(s.Attempts))
 	b = b.uint("configuration", s.Configuration)
--- a/internal/proxy/analyzer/analyzer.go
+++ b/internal/proxy/analyzer/analyzer.go
@@ -11,6 +11,7 @@
 	"io"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -79,6 +80,9 @@
 	Causes       []Cause       `json:"causes"`
 	Servers      []LossCount   `json:"servers"`
 	Operations   []LossCount   `json:"operations"`
+	// Held holds, by what operators held back, the statements that were refused for it. It is empty if
+	// nothing was held.
+	Held []LossCount `json:"held,omitempty"`
 	// AttemptCounts holds, by the number of times that a statement was sent from zero on, how many
 	// statements were lost.
 	AttemptCounts []int `json:"tries"`
@@ -98,6 +102,7 @@
 	Code      string      `json:"code"`
 	Server    string      `json:"server"`
 	Reason    string      `json:"why"`
+	HeldBack  string      `json:"held"`
 	Attempts  int         `json:"attempts"`
 	Held      logDuration `json:"took"`
 }
@@ -193,6 +198,7 @@
 	causes      map[Cause]histogram
 	servers     map[string]int
 	operations  map[string]int
+	held        map[string]int
 }
 
 // summarize returns the summary of statements that are sorted by time. It returns ErrTooManyWindows
@@ -206,7 +212,7 @@
 	s := &aggregator{
 		summary: &Summary{From: from, Window: window}, windowCount: int(n), all: newHistogram(),
 		groups: make(map[string]*GroupSeries), causes: make(map[Cause]histogram),
-		servers: make(map[string]int), operations: make(map[string]int),
+		servers: make(map[string]int), operations: make(map[string]int), held: make(map[string]int),
 	}
 	for _, x := range l {
 		if x.Outcome == outcomeRan {
@@ -228,6 +234,9 @@
 	g.Windows[int(x.Time.Sub(s.summary.From)/s.summary.Window)]++
 	s.servers[cmp.Or(x.Server, "none")]++
 	s.operations[x.Operation]++
+	if x.HeldBack != "" {
+		s.held[x.HeldBack]++
+	}
 	if err := s.all.add(x.Held); err != nil {
 		return err
 	}
@@ -252,6 +261,9 @@
 
 func (s *aggregator) causeHistogram(x statement) histogram {
 	c := Cause{Outcome: x.Outcome, Code: x.Code, Reason: generalize(x.Reason)}
+	if kind, _, ok := strings.Cut(x.HeldBack, " "); ok {
+		c.Reason = kind + " * is held by the operator" // names without digits are one cause, too
+	}
 	h, ok := s.causes[c]
 	if !ok {
 		h = newHistogram()
@@ -276,7 +288,7 @@
 	slices.SortFunc(r.Causes, func(a, b Cause) int {
 		return cmp.Or(b.Lost-a.Lost, cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Code, b.Code), cmp.Compare(a.Reason, b.Reason))
 	})
-	r.Servers, r.Operations = lossCounts(s.servers), lossCounts(s.operations)
+	r.Servers, r.Operations, r.Held = lossCounts(s.servers), lossCounts(s.operations), lossCounts(s.held)
 	return r
 }
 
--- a/internal/proxy/analyzer/analyzer_test.go
+++ b/internal/proxy/analyzer/analyzer_test.go
@@ -103,3 +103,21 @@
 		t.Errorf("summary %+v, %v", s, err)
 	}
 }
+
+// Guards against statements that operators held back and that are listed as a cause for each customer, or
+// without the customer.
+func TestSummaryOfHeldStatements(t *testing.T) {
+	const line = `{"time":"2026-10-01T04:28:41.200000Z","level":"info","message":"statement","request":"a","database-group":"books","operation":"read","outcome":"not-run","code":"held","why":"customer NAME is held by the operator","held":"customer NAME","attempts":0,"took":"0us"}` + "\n"
+	f := strings.NewReader(strings.ReplaceAll(line, "NAME", "one") + strings.ReplaceAll(line, "NAME", "other") + strings.ReplaceAll(line, "NAME", "other"))
+	s, err := Analyze(Options{}, []io.Reader{f})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Causes) != 1 || s.Causes[0].Lost != 3 || s.Causes[0].Code != "held" {
+		t.Errorf("causes %+v", s.Causes)
+	}
+	var b bytes.Buffer
+	if err := s.Write(&b); err != nil || !strings.Contains(b.String(), "held:  customer other 2  customer one 1\n") {
+		t.Errorf("%s, %v", b.String(), err)
+	}
+}
--- a/internal/proxy/analyzer/writer.go
+++ b/internal/proxy/analyzer/writer.go
@@ -28,7 +28,11 @@
 	if err := writeTable(w, s.causeTable(), 0); err != nil {
 		return err
 	}
-	_, err := io.WriteString(w, formatCounts("server", s.Servers)+formatCounts("operation", s.Operations)+s.attemptsLine())
+	held := ""
+	if len(s.Held) > 0 {
+		held = formatCounts("held", s.Held)
+	}
+	_, err := io.WriteString(w, formatCounts("server", s.Servers)+formatCounts("operation", s.Operations)+held+s.attemptsLine())
 	return err
 }
 
--- a/internal/proxy/executor/admission.go
+++ b/internal/proxy/executor/admission.go
@@ -15,6 +15,8 @@
 	customer string
 	// importance is that of the route and the customer. A transaction keeps it to its end.
 	importance admitter.Importance
+	// hold is what operators hold back of such requests. It doesn't apply to open transactions.
+	hold Hold
 }
 
 // admit returns what the session may use under the configuration in force, or the code with which it
@@ -38,7 +40,7 @@
 	if r.Timeout == 0 {
 		r.Timeout = defaultStatementTimeout
 	}
-	return admission{route: r, customer: n, importance: c.Importance(r, n)}, declarer.CodeNone
+	return admission{route: r, customer: n, importance: c.Importance(r, n), hold: holdOf(&c.Operations, r.Name, n)}, declarer.CodeNone
 }
 
 // refusalText describes a code of admit.
--- a/internal/proxy/executor/ports.go
+++ b/internal/proxy/executor/ports.go
@@ -66,6 +66,8 @@
 	Code    declarer.Code
 	// Reason explains the choice of the server or the refusal.
 	Reason string
+	// Held is what operators held back if the statement was refused for it.
+	Held Hold
 	// RequiredPosition is the log position that the server had to have, zero for none.
 	RequiredPosition marker.Mark
 	// Version is the version of the configuration in force.
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -293,8 +293,11 @@
 		return s.fail(declarer.CodeMalformed, "a transaction is open")
 	}
 	m, code := s.admit()
-	if code != declarer.CodeNone {
+	switch {
+	case code != declarer.CodeNone:
 		return s.refuse(x, code)
+	case m.hold.Kind != HoldNone:
+		return s.refuseHeld(x, m)
 	}
 	s.openTransaction = &transaction{admission: m, arrived: s.Board.Time(), readOnly: x.Verb == declarer.VerbBeginRead}
 	return s.Caller.Done(declarer.StateTransaction)
@@ -319,8 +322,11 @@
 		return s.runInTransaction(q)
 	}
 	m, code := s.admit()
-	if code != declarer.CodeNone {
+	switch {
+	case code != declarer.CodeNone:
 		return s.refuse(x, code)
+	case m.hold.Kind != HoldNone:
+		return s.refuseHeld(x, m)
 	}
 	return s.runAutocommit(m, q)
 }
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -21,6 +21,7 @@
 	reads      *prometheus.CounterVec
 	attempts   prometheus.Counter
 	customers  *prometheus.CounterVec
+	held       *prometheus.CounterVec
 	promotions *prometheus.CounterVec
 	losses     *prometheus.CounterVec
 	calls      *prometheus.CounterVec
@@ -29,6 +30,8 @@
 	sent       *prometheus.CounterVec
 	transfers  *prometheus.HistogramVec
 	labels     customerLabels
+	// routeLabels bounds the names of held routes.
+	routeLabels customerLabels
 }
 
 // buckets are the bounds of latency histograms, from 0.5 ms to 8 s.
@@ -62,6 +65,7 @@
 	m.reads = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "reads_total", Help: "Reads that ran, by the role of the server."}, []string{"role"})
 	m.attempts = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "attempts_total", Help: "Statements sent to servers, repeated ones included."})
 	m.customers = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "customer_statements_total", Help: "Statements by customer and outcome. Customers beyond the first 200 that sent statements are counted as one, named other."}, []string{"customer", "outcome"})
+	m.held = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "held_statements_total", Help: "Statements refused as held by operators, by kind (customer, route) and name of what is held. Names beyond the first 200 are counted as one, named other."}, []string{"kind", "name"})
 	m.promotions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "promotions_total", Help: "Promotions that this host ordered, by reason and result: done, refused or unconfirmed."}, []string{"reason", "result"})
 	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_losses_total", Help: "Times that the platform stopped answering, by kind of object."}, []string{"kind"})
 	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_calls_total", Help: "Calls to the platform, by method, kind of object and result: answered, conflict, unavailable or failed."}, []string{"method", "kind", "result"})
@@ -69,7 +73,7 @@
 	m.received = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_received_bytes_total", Help: "Bytes of answers about the platform's objects, by source (store, host), kind of object and result: whole, or cut if the answer was given up."}, []string{"source", "kind", "result"})
 	m.sent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_sent_bytes_total", Help: "Bytes of answers to other entry hosts, by kind of object and result: whole or cut."}, []string{"kind", "result"})
 	m.transfers = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "platform_transfer_seconds", Help: "Time from an answer's first byte to its last, by direction (received, sent) and kind of object.", Buckets: buckets}, []string{"direction", "kind"})
-	m.Registry.MustRegister(m.received, m.sent, m.transfers, m.customers)
+	m.Registry.MustRegister(m.received, m.sent, m.transfers, m.customers, m.held)
 	m.Registry.MustRegister(m.calls, m.phases, m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
 	m.gauge("sessions", "Sessions that are served.", func() float64 { return float64(g.Sessions()) })
 	m.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.Configuration()) })
@@ -95,6 +99,12 @@
 	if r.Customer != "" {
 		m.customers.WithLabelValues(m.labels.label(r.Customer), k.name).Inc()
 	}
+	switch r.Held.Kind {
+	case executor.HoldCustomer:
+		m.held.WithLabelValues(r.Held.Kind.String(), m.labels.label(r.Held.Name)).Inc()
+	case executor.HoldRoute:
+		m.held.WithLabelValues(r.Held.Kind.String(), m.routeLabels.label(r.Held.Name)).Inc()
+	}
 	if op == "read" && k.name == "ran" {
 		m.reads.WithLabelValues(role(r)).Inc()
 	}
--- a/internal/proxy/reporter/reporter.go
+++ b/internal/proxy/reporter/reporter.go
@@ -48,6 +48,16 @@
 	declarer.CodeOutcomeUnknown:     {"unknown", "answer-lost"},
 }
 
+// held is the outcome of statements that operators hold back.
+var held = outcome{"not-run", "held"}
+
+func outcomeOf(r *executor.Report) outcome {
+	if r.Held.Kind != executor.HoldNone {
+		return held
+	}
+	return outcomes[r.Code]
+}
+
 // operations maps verbs to the operations in logs and metrics.
 var operations = map[declarer.Verb]string{
 	declarer.VerbRead:    "read",
@@ -58,7 +68,7 @@
 
 // Statement counts r and logs it. It never waits for the output.
 func (o *Reporter) Statement(r *executor.Report) {
-	k := outcomes[r.Code]
+	k := outcomeOf(r)
 	o.Metrics.statement(r, k)
 	if r.Code == declarer.CodeNone && !o.sampled(r.Statement) {
 		return
@@ -79,6 +89,9 @@
 		Wait:          r.Wait,
 		Elapsed:       r.Elapsed,
 	}
+	if r.Held.Kind != executor.HoldNone {
+		l.Held = r.Held.Kind.String() + " " + r.Held.Name
+	}
 	if !r.RequiredPosition.IsZero() {
 		l.RequiredPosition = r.RequiredPosition.String()
 	}
--- a/internal/proxy/reporter/reporter_test.go
+++ b/internal/proxy/reporter/reporter_test.go
@@ -70,6 +70,31 @@
 	}
 }
 
+// Guards against refusals on behalf of an operator that look like those of an overload.
+func TestHeldStatements(t *testing.T) {
+	var b strings.Builder
+	e := &encoder.Encoder{Writer: &b, QueueBytes: 1 << 20}
+	o := &Reporter{Lines: e, Metrics: newTestMetrics()}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- e.Run(ctx) }()
+	o.Statement(&executor.Report{Statement: "x", Verb: declarer.VerbRead, Code: declarer.CodeBusy, Customer: "a", Held: executor.Hold{Kind: executor.HoldCustomer, Name: "a"}})
+	o.Statement(&executor.Report{Statement: "y", Verb: declarer.VerbWrite, Code: declarer.CodeBusy, Held: executor.Hold{Kind: executor.HoldRoute, Name: "r"}})
+	cancel()
+	<-done
+	for _, l := range [][]string{{"read", "customer", "a"}, {"write", "route", "r"}} {
+		if got := testutil.ToFloat64(o.Metrics.held.WithLabelValues(l[1], l[2])); got != 1 {
+			t.Errorf("%v refused as held: %v", l, got)
+		}
+		if got := testutil.ToFloat64(o.Metrics.statements.WithLabelValues(l[0], "not-run", "held")); got != 1 {
+			t.Errorf("%v counted by code: %v", l, got)
+		}
+		if want := `"held":"` + l[1] + " " + l[2] + `"`; !strings.Contains(b.String(), want) || strings.Contains(b.String(), "busy") {
+			t.Errorf("lines %s lack %s", b.String(), want)
+		}
+	}
+}
+
 func TestMetricNames(t *testing.T) {
 	m := newTestMetrics()
 	m.Promotion("primary-absent", "done")
