feat(previewer): validate shows what a configuration changes

Cause: an operator can't see before a configuration is in force whom it holds, what it drains, or how it ranks requests and shares slot time. Ruled out: reading the running configuration from the store, as the command runs without access to it; names of servers and hosts can't be checked for that reason.

--- a/internal/proxy/commander/commander_test.go
+++ b/internal/proxy/commander/commander_test.go
@@ -20,6 +20,15 @@
 	if err := os.WriteFile(configuration, []byte(`{"version":7,"tenants":[{"name":"a","api_keys":["k"]}]}`), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	running := filepath.Join(d, "running.json")
+	// The running configuration has an entry that hosts ignore.
+	if err := os.WriteFile(running, []byte(`{"version":6,"tenants":[{"name":"a","api_keys":["k"]}],"operations":{"held-customers":["a",5]}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	warned := filepath.Join(d, "warned.json")
+	if err := os.WriteFile(warned, []byte(`{"version":8,"operations":{"held-routes":["r-0"]}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for name, c := range map[string]struct {
 		args   []string
 		code   int
@@ -33,6 +42,14 @@
 		"bad settings":        {[]string{"validate", bad}, exitFailure, "", "zone is missing"},
 		"good configuration":  {[]string{"validate", "--configuration", configuration}, exitSuccess, "version 7, 0 routes, 1 customers with 1 keys", ""},
 		"bad configuration":   {[]string{"validate", "--configuration", bad}, exitFailure, "", "not a configuration"},
+		"invalid request":     {[]string{"validate", "--configuration", running}, exitFailure, "", "held-customers: entry 2 is 5, must be a name"},
+		"unmatched name":      {[]string{"validate", "--configuration", warned}, exitSuccess, `warning: operations: held-routes: "r-0" matches no route`, ""},
+		"preview":             {[]string{"validate", "--configuration", configuration, "--running", running}, exitSuccess, "version 7 takes the place of 6\nranked: no, as before\n\nkind      name  change\ncustomer  a     released\n", ""},
+		"preview as json":     {[]string{"validate", "--configuration", configuration, "--running", running, "--format", "json"}, exitSuccess, `"operations":[{"kind":"customer","name":"a","change":"released"}]`, ""},
+		"preview, bad format": {[]string{"validate", "--configuration", configuration, "--running", running, "--format", "xml"}, exitFailure, "", `format "xml"`},
+		"preview, bad file":   {[]string{"validate", "--configuration", configuration, "--running", bad}, exitFailure, "", "isn't an object"},
+		"preview, no file":    {[]string{"validate", "--configuration", configuration, "--running", filepath.Join(d, "none")}, exitFailure, "", "none"},
+		"preview of settings": {[]string{"validate", good, "--running", running}, exitFailure, "", "--running needs --configuration"},
 		"no settings":         {[]string{"validate", filepath.Join(d, "none")}, exitFailure, "", "none"},
 		"serve, no settings":  {[]string{"serve"}, exitFailure, "", "CUMINWICK_BOOT names no file"},
 		"explain":             {[]string{"explain", "--request", "141bc760d96d8f76", log}, exitSuccess, "outcome=unknown", ""},
