feat(runner): drained servers and hosts get no new work

Cause: an operator can't empty a backend server or an entry host before work on it, other than by stopping it. Change: a drained server is chosen for a read only if no other server of the group can run it; one that has merely refused it for now can, as each burst would reach the drained server otherwise. Writes go to the primary as before. Idle connections to a drained server aren't kept, unless it is the primary or all servers are drained. A drained host is left out of the placement of owners and is not ready; its sessions go on, and callers that come nevertheless are served. If all hosts are drained, owners are placed as if none was, since without owners the hosts together would open more connections than a server allows. Each change of what is held or drained is a line of the log. Ruled out: a limit of zero connections to a drained server, as the reads that only it can run would be refused; a drain by the code of a stopping host, which ends sessions and can't be taken back.

--- a/internal/proxy/blackboard/blackboard.go
+++ b/internal/proxy/blackboard/blackboard.go
@@ -67,6 +67,9 @@
 		return false
 	}
 	b.configuration.Store(c)
+	for _, g := range b.groups {
+		g.Drained = c.Operations.DrainedServers
+	}
 	if b.configured != nil {
 		close(b.configured)
 		b.configured = nil
@@ -121,6 +124,9 @@
 	g := b.groups[name]
 	if g == nil {
 		g = &grouptracker.Group{Name: name, Zone: b.Zone, Region: b.Region, Regions: b.Regions, Chooser: chooser.Chooser{}}
+		if c := b.configuration.Load(); c != nil {
+			g.Drained = c.Operations.DrainedServers
+		}
 		b.groups[name] = g
 	}
 	return g
--- a/internal/proxy/grouptracker/grouptracker.go
+++ b/internal/proxy/grouptracker/grouptracker.go
@@ -76,6 +76,8 @@
 	// Zone is this host's availability zone.
 	Zone    string
 	Chooser chooser.Chooser
+	// Drained holds the ids of the servers that operators drain. It may be replaced at any time.
+	Drained map[string]bool
 
 	servers []*Server
 	primary string
@@ -306,7 +308,7 @@
 		}
 		l = append(l, g.candidate(s, need, now))
 	}
-	d := g.Chooser.Choose(&q, l)
+	d := g.choose(&q, l)
 	if d.Refused {
 		return nil, d
 	}
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -271,8 +271,9 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Ready reports whether the host accepts callers.
-func (h *Host) Ready() bool { return !h.draining.Load() && h.ready() }
+// Ready reports whether the host accepts callers. Callers that the balancer sends nevertheless while
+// operators drain the host are served.
+func (h *Host) Ready() bool { return !h.draining.Load() && !h.drained() && h.ready() }
 
 // ready reports whether the host has received the configuration, the list of servers and the list of
 // hosts. Without the latter it would open connections to servers whose connections another host owns;
@@ -307,9 +308,11 @@
 }
 
 func (h *Host) setConfiguration(c *declarer.Configuration) {
+	old := h.Board.Configuration()
 	if h.Board.Configure(c) {
 		h.quotas.Forget()
 		h.Log.WithField("version", c.Version).WithField("routes", len(c.Routes)).Info("configuration in force")
+		h.applyOperations(old, c)
 	}
 }
 
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -119,17 +119,21 @@
 	o, ok := p.owner(s)
 	switch {
 	case !ok:
-		return max(minimumHostShare, n/hostShareDivisor), p.kept((n - probeReserve) / max(1, p.roster.count()))
+		return max(minimumHostShare, n/hostShareDivisor), p.kept(s, (n-probeReserve)/max(1, p.roster.count()))
 	case o.Name == p.self:
-		return max(minimumHostShare, n-probeReserve), p.kept(n - probeReserve)
+		return max(minimumHostShare, n-probeReserve), p.kept(s, n-probeReserve)
 	}
 	return max(minimumHostShare, n/hostShareDivisor), 0
 }
 
 // kept returns how many idle connections a host keeps of a share that no other host needs. An idle
 // connection that serves all customers is soon used again or not needed. One that serves a single
-// customer is kept, as opening it again takes longer than most statements.
-func (p *pools) kept(share int) int {
+// customer is kept, as opening it again takes longer than most statements. A host keeps none to a drained
+// server that its group can do without.
+func (p *pools) kept(s declarer.Server, share int) int {
+	if p.isReplaceable(s) {
+		return 0
+	}
 	if p.byCustomer() {
 		return max(1, share/keptDivisor)
 	}
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -32,6 +32,8 @@
 
 	mu    sync.Mutex
 	hosts map[string]declarer.Host
+	// drained holds the names of the hosts that operators drain.
+	drained map[string]bool
 	// assigner assigns the owners of the servers' connections among hosts.
 	assigner *assigner.Assigner
 	// region holds the listed hosts of this host's region in their order as upstream hosts, and
@@ -60,6 +62,7 @@
 	for _, h := range r.hosts {
 		l = append(l, assigner.Host{Name: h.Name, AvailabilityZone: h.AvailabilityZone, Region: r.regions[h.AvailabilityZone]})
 	}
+	r.leaveDrained(l)
 	r.assigner = assigner.Compile(l)
 	r.counterHosts = nil
 	r.rankUpstreams()
