--- a/internal/proxy/runner/shares_test.go
+++ b/internal/proxy/runner/shares_test.go
@@ -1,12 +1,14 @@
 package runner
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/customer/limiter"
+	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -24,6 +26,16 @@
 	}
 }
 
+// openDialer opens connections that are never used.
+type openDialer struct{}
+
+func (openDialer) Dial(context.Context, declarer.Server, string) (connpooler.Connection, marker.Mark, error) {
+	return &openConnection{}, marker.Mark{}, nil
+}
+
+func (openDialer) Connected(declarer.Server, marker.Mark) {}
+func (openDialer) Unreachable(_ declarer.Server, _ error) {}
+
 // contend has 24 requests of each customer wait for the two connections of the pool, each for 5 ms, and
 // returns how many of "large" are among the first 24 that got one.
 func contend(t *testing.T, o *connpooler.Pool) int {
@@ -60,7 +72,7 @@
 // configuration, or that have shares where no configuration asks for them.
 func TestPoolsHaveSharesOfConfigurationInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := &customerDialer{}
+		d := openDialer{}
 		p := &pools{self: "h", board: &blackboard.Board{}, dialer: d, observer: d, roster: &roster{}}
 		p.setServers([]declarer.Server{{ID: "i", Group: "g"}, {ID: "k", Group: "g"}})
 		for v, x := range []struct {
@@ -89,7 +101,7 @@
 func BenchmarkOwnPool(b *testing.B) {
 	for name, ranked := range map[string]bool{"unranked": false, "ranked": true} {
 		b.Run(name, func(b *testing.B) {
-			d := &customerDialer{}
+			d := openDialer{}
 			p := &pools{self: "h", board: &blackboard.Board{}, dialer: d, observer: d, roster: &roster{}}
 			p.setServers([]declarer.Server{{ID: "i", Group: "g"}})
 			p.board.Configure(sharesConfiguration(1, ranked))
