--- a/internal/proxy/executor/admission.go
+++ b/internal/proxy/executor/admission.go
@@ -17,6 +17,8 @@
 	// A transaction keeps both to its end.
 	importance admitter.Importance
 	ranked     bool
+	// hold is what operators hold back of such requests. It doesn't apply to open transactions.
+	hold Hold
 }
 
 // admit returns what the session may use under the configuration in force, or the code with which it
@@ -40,7 +42,7 @@
 	if r.Timeout == 0 {
 		r.Timeout = defaultStatementTimeout
 	}
-	return admission{route: r, customer: n, importance: c.Importance(r, n), ranked: c.Ranked}, declarer.CodeNone
+	return admission{route: r, customer: n, importance: c.Importance(r, n), ranked: c.Ranked, hold: holdOf(&c.Operations, r.Name, n)}, declarer.CodeNone
 }
 
 // refusalText describes a code of admit.
--- a/internal/proxy/runner/placement.go
+++ b/internal/proxy/runner/placement.go
@@ -25,8 +25,7 @@
 	return assigner.Server{DatabaseGroup: s.Group, Name: s.ID, AvailabilityZone: s.AvailabilityZone, Region: r.regions[s.AvailabilityZone], Slots: s.Slots}
 }
 
-// assignedHost returns a listed host as the assigner takes it. A host that must not own connections is
-// marked as leaving here.
+// assignedHost returns a listed host as the assigner takes it.
 func (r *roster) assignedHost(h declarer.Host) assigner.Host {
 	return assigner.Host{Name: h.Name, AvailabilityZone: h.AvailabilityZone, Region: r.regions[h.AvailabilityZone], Strength: h.Strength}
 }
@@ -39,6 +38,7 @@
 	for _, h := range r.hosts {
 		l = append(l, r.assignedHost(h))
 	}
+	r.leaveDrained(l)
 	r.mu.Unlock()
 	p := assigner.Compile(l).Place(r.servers)
 	r.mu.Lock()
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -43,6 +43,8 @@
 
 	mu    sync.Mutex
 	hosts map[string]declarer.Host
+	// drained holds the names of the hosts that operators drain.
+	drained map[string]bool
 	// placement holds the owners of the servers' connections, nil before the first list.
 	placement *assigner.Placement
 	// region holds the listed hosts of this host's region in their order as upstream hosts, and
