fix(apportioner): routes that serve no anonymous callers have no share

Cause: each route's database counted as a team with the median share, though callers with a key are charged to their customer. What customers are entitled to would shrink with each route added, idle ones too: with 1,400 routes to a twentieth for 81 customers, and their requests would count as beyond it. Change: databases have a share only where callers without a customer reach them.

--- a/internal/customer/apportioner/apportioner.go
+++ b/internal/customer/apportioner/apportioner.go
@@ -18,7 +18,8 @@
 )
 
 // Shares returns the share of each team under the configuration, nil if it is neither ranked nor has
-// share factors. Teams are the customers and, for callers without a customer, the databases of routes.
+// share factors. Teams are the customers and, for callers without a customer, the databases of routes
+// that serve such callers.
 //
 // Under a ranked configuration a customer is entitled to its declared share, or else its rate,
 // relative to those of the others. Customers that declare neither, and databases, are entitled to the
@@ -29,8 +30,12 @@
 	}
 	a := newApportioner(c)
 	m := make(map[string]admitter.TeamLimit, len(c.Routes)+len(c.Customers))
-	for d := range c.Routes {
-		m[d] = admitter.TeamLimit{Share: a.share(0, 1)}
+	for d, r := range c.Routes {
+		// The other routes serve no caller without a customer. With a share, each of them would reduce
+		// what the customers are entitled to.
+		if c.Customers == nil || r.Anonymous {
+			m[d] = admitter.TeamLimit{Share: a.share(0, 1)}
+		}
 	}
 	for n, x := range c.Customers {
 		f, ok := c.Operations.ShareFactors[n]
--- a/internal/customer/apportioner/apportioner_test.go
+++ b/internal/customer/apportioner/apportioner_test.go
@@ -29,7 +29,8 @@
 }
 
 func TestShares(t *testing.T) {
-	database := map[string]declarer.Route{"db": {Database: "db"}}
+	database := map[string]declarer.Route{"db": {Database: "db", Anonymous: true}}
+	keyed := map[string]declarer.Route{"db": {Database: "db"}}
 	for name, x := range map[string]struct {
 		configuration declarer.Configuration
 		want          map[string]int
@@ -46,6 +47,14 @@
 			declarer.Configuration{Ranked: true, Customers: customers(map[string]float64{"a": 100, "b": 50, "c": 0})},
 			map[string]int{"a": 1000, "b": 500, "c": 750},
 		},
+		"routes without anonymous callers reduce no entitlement": {
+			declarer.Configuration{Ranked: true, Routes: keyed, Customers: customers(map[string]float64{"a": 100, "b": 40})},
+			map[string]int{"a": 1000, "b": 400},
+		},
+		"no customers": {
+			declarer.Configuration{Ranked: true, Routes: keyed},
+			map[string]int{"db": 1000},
+		},
 		"no rates at all": {
 			declarer.Configuration{Ranked: true, Customers: customers(map[string]float64{"a": 0, "b": 0})},
 			map[string]int{"a": 1000, "b": 1000},
