--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -78,15 +78,15 @@
 	// queue is full, and is granted before others of its team and class.
 	HoldsConnection bool
 	// State is set by the queue, as are Reason and RetryAfter when the request is refused.
-	State      State
-	Reason     Reason
+	State  State
+	Reason Reason
+	// level is the level in the order of the queue, see Queue.levelOf. It takes no further memory here.
+	level      uint8
 	RetryAfter time.Duration
 	// Owner is for the caller's use; the queue ignores it.
 	Owner any
 
 	team *team
-	// level is the level in the order of the queue, see Queue.levelOf.
-	level uint8
 	// index is the position in the team's heap, -1 if the entry isn't waiting.
 	index     int
 	arrivedAt time.Duration
