test(connpooler): a test of silent links waits for its last attempt to connect

Cause: the test ended while an attempt to open a link still slept, which testing/synctest reports as a deadlock; seen once in two runs of the package. Change: the test waits for as long as such an attempt takes.

--- a/internal/proxy/connpooler/silent_owner_test.go
+++ b/internal/proxy/connpooler/silent_owner_test.go
@@ -55,6 +55,7 @@
 			t.Errorf("refused after %v, a link takes %v to open", d, openDelay)
 		}
 		l[0].Release(true)
+		time.Sleep(openDelay) // until the last attempt to open a link has ended
 	})
 }
 
