fix(storekeeper): a watch doesn't decode configurations, and ends with its call

Cause, from the stacks of a play that hung: the stand-in's process is busy decoding and encoding configurations. For each watch it rewrote addresses in every version of the configuration in its history, which have none, and went on when the host had given up the call. Hosts repeat a call after 0.4 to 0.7 s, so that abandoned calls kept the store from answering any in time, for good. Ruled out: the hosts' short poll after a failure (fails without it); hosts without processor time (their lines come each second). Change: only specs with an address are decoded; a watch whose call has ended is abandoned. No check or bound of the soak changes.

--- a/internal/soak/storekeeper/handler.go
+++ b/internal/soak/storekeeper/handler.go
@@ -1,6 +1,7 @@
 package storekeeper
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -75,10 +76,15 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// addressKey is the key of an address in a spec.
+var addressKey = []byte(`"address"`)
+
 // rewriteAddress returns the object with its address and those in its list of hosts, if it has any,
 // replaced by RewriteAddress.
 func (v Handler) rewriteAddress(o object) object {
-	if v.RewriteAddress == nil {
+	// Configurations have no address. Decoding all of their versions in the history for each watch takes
+	// longer than hosts wait for the answer, so that their next calls would find the store busier still.
+	if v.RewriteAddress == nil || !bytes.Contains(o.Spec, addressKey) {
 		return o
 	}
 	var spec map[string]any
@@ -134,6 +140,9 @@
 		}
 		if len(l) > 0 || expired {
 			for i := range l {
+				if r.Context().Err() != nil {
+					return // the host has given up the call
+				}
 				l[i].Object = v.rewriteAddress(l[i].Object)
 			}
 			answer(w, http.StatusOK, changes{Events: l, Revision: at})
