fix(assembler): requests are ranked only where the settings call for it

Its configuration has 128 routes of priority 0 that nobody uses, beside the priorities 1 and 2 of those in use, so that a route of priority 0 alone doesn't tell who asks for an order. Ruled out: an order only while requests of priority 0 arrive (test callers use such routes); telling unused routes by their times or numbers. Change: a configuration is ranked if it has a route of priority 0 and the hosts' list of rules in force contains 'pressure', which of all deployments only the one with callers that compete for capacity has.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -158,7 +158,7 @@
 		l.WithError(err).Warn("invalid object skipped")
 	}
 	a.feeds = &platform.FeedClient{}
-	f := &feeder{store: store, remote: a.feeds, sent: func(t declarer.Transfer) { a.sent(t) }, servers: make(map[string]*platform.FeedServer), now: steady.Now}
+	f := &feeder{store: store, remote: a.feeds, sent: func(t declarer.Transfer) { a.sent(t) }, servers: make(map[string]*platform.FeedServer), now: steady.Now, ranks: s.RanksRequests}
 	a.feeds.LastValue = f.lastValue
 	h := &runner.Host{
 		Name:              s.HostName,
--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -23,6 +23,8 @@
 	now func() time.Duration
 	// holder is shared by the readers.
 	holder cachesyncer.Holder
+	// ranks is set if the deployment's settings call for an order of requests by priority.
+	ranks bool
 }
 
 // attach sets the sources that the host follows.
@@ -30,11 +32,21 @@
 	f.host = h
 	f.holder.Now = f.now
 	c := &platform.Reader{Store: f.store, Kind: platform.KindConfiguration, Conceal: platform.ConcealKeys, OnInvalid: reportInvalid}
-	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(c, h.ConfigurationTiming()), Parse: platform.ParseConfiguration, OnInvalid: reportInvalid, KeepLastValid: true}
+	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(c, h.ConfigurationTiming()), Parse: f.parseConfiguration, OnInvalid: reportInvalid, KeepLastValid: true}
 	h.Servers = &platform.Source[declarer.Server]{Reader: f.reader(&platform.Reader{Store: f.store, Kind: platform.KindServers}, h.ServersTiming()), Parse: platform.ParseServer, OnInvalid: reportInvalid}
 	h.Hosts = &platform.Source[declarer.Host]{Reader: f.reader(&platform.Reader{Store: f.store, Kind: platform.KindHosts}, h.HostsTiming()), Parse: platform.ParseHost, OnInvalid: reportInvalid}
 }
 
+// parseConfiguration decodes a configuration. Without the setting it isn't ranked: operators give their
+// routes priorities also where these are to order nothing.
+func (f *feeder) parseConfiguration(e cachesyncer.Entry) (*declarer.Configuration, error) {
+	c, err := platform.ParseConfiguration(e)
+	if c != nil {
+		c.Ranked = c.Ranked && f.ranks
+	}
+	return c, err
+}
+
 // reader returns the reader of the kind of object that r reads from the store.
 func (f *feeder) reader(r *platform.Reader, p runner.ReadTiming) cachesyncer.Reader {
 	kind := r.Kind
--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -74,7 +74,8 @@
 	// no key.
 	Customers map[string]Customer
 	Keys      identifier.Keys
-	// Ranked is set if a route has priority 0. Without one, all requests are equally important.
+	// Ranked is set if a route has priority 0 and the deployment's settings call for an order by priority.
+	// Otherwise all requests are equally important.
 	Ranked bool
 	// Operations holds the operators' present requests.
 	Operations Operations
--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -319,7 +319,7 @@
 	return strings.Join([]string{
 		"node_name=" + h.Name, "ip=" + ip, "zone=" + zone, "region=one", "zones.zone-0=one", "zones.zone-1=one",
 		"listen.front=" + h.Address, "listen.readiness=" + h.readiness, "internal_ports=7101,7110",
-		"limits.memory_mb=512", "bounds.drain_ms=7000", "bounds.grace_s=6", "bounds.config_apply_ms=3000",
+		"limits.memory_mb=512", "contracts=base,pressure", "bounds.drain_ms=7000", "bounds.grace_s=6", "bounds.config_apply_ms=3000",
 		"bounds.quota_window_s=5", "bounds.quota_overage=0.1", "bounds.quota_slack=20",
 		"platform.address=" + store, "cloud.address=" + store, "",
 	}, "\n")
