fix(executor): statements that operators hold back are reported with their importance

Cause: refuseHeld filled its report without the importance of the admission, although the hold is decided after the importance is known. Under a ranked configuration the line of a held statement had no field importance, cuminwick_ranked_statements_total left it out, and losses counted it under priority "none".

Ruled out: statements that are refused before a route or customer is known have no importance; they stay as they are.

Change: the report has the importance of the admission, and whether the configuration ranks.

The test failed before with importance 0, not ranked, where 3 was declared; it passes now, and checks that a configuration without priority 0 still reports none.

--- a/internal/proxy/executor/holding.go
+++ b/internal/proxy/executor/holding.go
@@ -51,7 +51,7 @@
 	r := m.hold.Kind.String() + " " + m.hold.Name + " is held by the operator"
 	s.Reporter.Statement(&Report{
 		Group: m.route.Group, Database: s.database, Customer: m.customer, Statement: x.ID, Verb: x.Verb,
-		Code: declarer.CodeBusy, Reason: r, Held: m.hold, Version: s.version(),
+		Code: declarer.CodeBusy, Reason: r, Held: m.hold, Importance: m.importance, Ranked: m.ranked, Version: s.version(),
 	})
 	return s.fail(declarer.CodeBusy, "not run: "+r+", retry after "+strconv.FormatInt(heldRetryAfter.Milliseconds(), 10)+" ms")
 }
--- a/internal/proxy/executor/holding_test.go
+++ b/internal/proxy/executor/holding_test.go
@@ -141,3 +141,36 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against held statements that the lines, metrics and losses by priority lack under a ranked
+// configuration, and against an importance in those of one that ranks nothing.
+func TestHeldStatementsAreReportedWithImportance(t *testing.T) {
+	for _, priority := range []uint8{0, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+			d := newEntryHost(w, "z-0")
+			declarePriorities(d, 3, map[string]uint8{"primary": priority})
+			request(d, declarer.Operations{HeldCustomers: only("a")})
+			c := newClient(d, "s1", "primary", 1)
+			var refused holds
+			c.session.Reporter = &refused
+			go c.session.Run()
+			<-c.caller.out
+			c.expect(t, "READ x", declarer.CodeBusy)
+			c.expect(t, "BEGIN", declarer.CodeBusy)
+			want := rankedRequest{importance: 3, ranked: true}
+			if priority != 0 {
+				want = rankedRequest{}
+			}
+			if len(refused) != 2 {
+				t.Fatalf("%d refusals reported, want 2", len(refused))
+			}
+			for _, r := range refused {
+				if got := (rankedRequest{r.Importance, r.Ranked}); got != want {
+					t.Errorf("route of priority %d: %+v, want %+v", priority, got, want)
+				}
+			}
+			endSession(d, c)
+		})
+	}
+}
