fix(runner): servers without an owner take no room of the hosts' strengths

Cause: the placement counted the slots of all listed servers, also of groups with so many connections that each host opens its own. Nobody owns those. Hosts that stay within their strength were treated as full, servers that have an owner were displaced by them, and a line said that a server is owned by another host than its first although no host owns it.

Ruled out: the assigner itself; it places what it is given. The metric of owned slots left such servers out already.

Change: the roster places only servers of groups whose connections one host owns, and places again when a configuration changes the limits of the groups.

The test has 4 hosts of strength 4, and two groups of 3 servers with 4 slots of which one has an owner.

--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -175,7 +176,7 @@
 	h.prepareStrength()
 	h.dialer = relaydialer.Dialer{Transport: h.Transport, Hosts: h.roster.others}
 	h.prober = promoter.Prober{Dialer: &h.dialer, Parse: h.ParseStatus}
-	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.dialer, observer: h, roster: &h.roster, dialLink: h.DialLink, admissions: &admissions{log: h.Log, counter: h.Counter}}
+	h.preparePools()
 	h.hosts = follower[declarer.Host]{
 		name: "entry hosts", source: h.Hosts, wait: constant(hostsWait), firstListed: make(chan struct{}), gate: &h.gate, onAnswer: h.confirmFunc(blackboard.SectionHosts),
 		reset: h.roster.reset, apply: h.roster.apply, log: h.Log, onLost: h.Counter.PlatformLost,
@@ -196,6 +197,11 @@
 	}
 }
 
+func (h *Host) preparePools() {
+	h.pools = pools{self: h.Name, board: h.Board, dialer: &h.dialer, observer: h, roster: &h.roster, dialLink: h.DialLink, admissions: &admissions{log: h.Log, counter: h.Counter}}
+	h.roster.connectionLimit = h.pools.connectionLimit
+}
+
 // prepareStart has the list of hosts read after what has to precede it, and returns what the other
 // lists wait for and how long: the hosts through which they are read.
 func (h *Host) prepareStart() (after <-chan struct{}, timeout time.Duration) {
@@ -322,6 +328,9 @@
 	}
 	h.quotas.Forget()
 	h.Log.WithField("version", c.Version).WithField("routes", len(c.Routes)).Info("configuration in force")
+	if old == nil || !maps.Equal(old.Groups, c.Groups) {
+		h.roster.updatePlacement()
+	}
 	h.applyOperations(old, c)
 	if len(c.Replaced) > 0 {
 		h.Log.WithField("version", c.Version).WithField("values", strings.Join(c.Replaced, "; ")).Warn("invalid values of the configuration replaced")
--- a/internal/proxy/runner/placement.go
+++ b/internal/proxy/runner/placement.go
@@ -40,13 +40,38 @@
 	}
 	r.leaveDrained(l)
 	r.mu.Unlock()
-	p := assigner.Compile(l).Place(r.servers)
+	p := assigner.Compile(l).Place(r.ownedServers(len(l)))
 	r.mu.Lock()
 	r.placement = p
 	r.mu.Unlock()
 	r.reportDisplaced(p)
 }
 
+// updatePlacement recomputes the owners after a change of the groups' limits.
+func (r *roster) updatePlacement() {
+	r.changing.Lock()
+	defer r.changing.Unlock()
+	r.place()
+}
+
+// ownedServers returns the servers whose connections one of n hosts owns. Where each host opens its own,
+// the slots of a server take no room. The caller holds changing.
+func (r *roster) ownedServers(n int) []assigner.Server {
+	if r.connectionLimit == nil {
+		return r.servers
+	}
+	l := make([]assigner.Server, 0, len(r.servers))
+	for _, s := range r.servers {
+		if hasOwner(r.connectionLimit(s.DatabaseGroup), n) {
+			l = append(l, s)
+		}
+	}
+	return l
+}
+
+// hasOwner reports whether one of n hosts owns the connections to a server with the limit.
+func hasOwner(limit, n int) bool { return limit < ownershipThreshold*n }
+
 // reportDisplaced calls onDisplaced for servers that this host has come to own instead of their first
 // hosts. The caller holds changing.
 func (r *roster) reportDisplaced(p *assigner.Placement) {
--- a/internal/proxy/runner/placement_test.go
+++ b/internal/proxy/runner/placement_test.go
@@ -147,6 +147,46 @@
 	}
 }
 
+// Guards against servers of which each host opens its own connections: nobody owns their slots, so that they
+// take no room from others, and no line says that one is owned by another host than its first. Guards also
+// against owners that stay as they are when a configuration changes which servers have one.
+func TestServersWithoutOwnerTakeNoRoom(t *testing.T) {
+	servers := groupServers(6, 4)
+	h := &Host{Name: "h-0", Board: &blackboard.Board{}, Log: discardLog}
+	h.preparePools()
+	h.roster.self, h.roster.regions = declarer.Host{Name: "h-0", AvailabilityZone: "z"}, map[string]string{"z": "r"}
+	var reported []string
+	h.roster.onDisplaced = func(d assigner.Displacement) { reported = append(reported, d.Server.DatabaseGroup) }
+	h.roster.reset(strongHosts(4, 4, 4, 4))
+	displaced := func(version uint64, connections int, l []declarer.Server) (first, second int) {
+		h.setConfiguration(&declarer.Configuration{Version: version, Groups: map[string]declarer.Group{
+			"g-0": {Name: "g-0", MaximumConnections: connections}, "g-1": {Name: "g-1", MaximumConnections: 10},
+		}})
+		h.pools.setServers(l)
+		for _, d := range h.roster.placement.Displaced() {
+			if d.Server.DatabaseGroup == "g-0" {
+				first++
+			} else {
+				second++
+			}
+		}
+		return first, second
+	}
+	_, alone := displaced(1, 10, servers[3:])
+	if n, m := displaced(2, 4*ownershipThreshold, servers); n != 0 || m != alone {
+		t.Errorf("%d servers without owner displaced, and %d others, %d without them", n, m, alone)
+	}
+	if slices.Contains(reported, "g-0") {
+		t.Error("a server without owner is reported as owned")
+	}
+	if n, m := displaced(3, 4*ownershipThreshold-1, servers); n+m <= alone {
+		t.Errorf("%d servers displaced once all have owners, %d before", n+m, alone)
+	}
+	if n, m := displaced(4, 4*ownershipThreshold, servers); n != 0 || m != alone {
+		t.Errorf("%d servers displaced that have no owner any more, and %d others, want %d", n, m, alone)
+	}
+}
+
 // Guards against a metric that counts servers of which each host opens its own connections, or those of
 // other owners.
 func TestOwnedSlots(t *testing.T) {
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -226,7 +226,7 @@
 
 // hasOwner reports whether one host owns the connections to each server of the group.
 func (p *pools) hasOwner(group string) bool {
-	return p.connectionLimit(group) < ownershipThreshold*p.roster.count()
+	return hasOwner(p.connectionLimit(group), p.roster.count())
 }
 
 func (p *pools) isSkipped(host string) bool {
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -32,6 +32,9 @@
 	// onDisplaced, if not nil, is called when this host has become the owner of a server instead of the
 	// first host.
 	onDisplaced func(assigner.Displacement)
+	// connectionLimit returns the limit of connections to each server of a group. If it is nil, one host
+	// owns the connections to each server.
+	connectionLimit func(group string) int
 
 	// changing is held during a change of the hosts or servers, until their owners are computed.
 	changing sync.Mutex
