test(soak): operators hold and drain during faults, hosts of uneven strength

Cause: the soak covered neither the operators' requests nor strengths, so that nothing checked them in real processes under faults.

After the faults each host has to follow a hold, a drain and their release. Refusals as held are recorded by the callers and compared with what was held; they count as not run, so that the existing checks find one whose write takes effect.

Not covered: which server runs a read while another one is drained.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -188,12 +188,30 @@
 	return s.read("READ "+item, item)
 }
 
+// IsHeld opens the session and reports whether a transaction is refused as held by the operators. It
+// returns an error if it isn't answered, or is refused otherwise.
+func (s *Session) IsHeld() (bool, error) {
+	if ok, err := s.Open(); err != nil || !ok {
+		return false, errors.Errorf("session not opened: %v", err)
+	}
+	a, err := s.ask("BEGIN")
+	if err == nil && a.code != "" && !a.held {
+		err = errors.Errorf("refused with %s", a.code)
+	}
+	return a.held, err
+}
+
 // answer is the result row or the error code that was received for one statement.
 type answer struct {
 	row  string
 	code string
+	// held reports that the statement was refused as held by the operators.
+	held bool
 }
 
+// heldText is the part of an answer by which a statement held by the operators is recognized.
+const heldText = "is held by the operator"
+
 // ask sends one statement and waits for its answer, unless the session disconnects at random. It
 // records a connection that broke meanwhile.
 func (s *Session) ask(text string) (answer, error) {
@@ -207,7 +225,7 @@
 	if s.Random.IntN(100) < disconnectPercent && s.disconnect(text) {
 		return answer{}, errCallerDisconnected
 	}
-	a, err := s.await(id, text)
+	a, err := s.await(id, text, sent)
 	if err != nil {
 		if s.tx.open {
 			sent = s.tx.began // the whole transaction was broken off
@@ -233,7 +251,7 @@
 
 // await reads the answer. It records an unexpected answer if the signature of the server is not the
 // one of this statement.
-func (s *Session) await(id, text string) (answer, error) {
+func (s *Session) await(id, text string, sent time.Time) (answer, error) {
 	var a answer
 	signature := ""
 	for {
@@ -249,6 +267,9 @@
 			signature = rest
 		case "ERR":
 			a.code, _, _ = strings.Cut(rest, " ")
+			if a.held = strings.Contains(rest, heldText); a.held {
+				s.recordHeld(id, rest, sent)
+			}
 		case "READY":
 			if a.code == "" && signed(text) && signature != "sig."+id {
 				s.Recorder.Update(func(h *checker.History) {
@@ -260,6 +281,17 @@
 	}
 }
 
+// recordHeld records a statement that was refused as held, and an unexpected answer if a transaction is
+// open: operators hold back no statement of an open transaction.
+func (s *Session) recordHeld(id, text string, sent time.Time) {
+	s.Recorder.Update(func(h *checker.History) {
+		h.Held = append(h.Held, checker.HeldAnswer{Session: s.Name, Database: s.Database, Text: text, Sent: sent})
+		if s.tx.open {
+			h.UnexpectedAnswers = append(h.UnexpectedAnswers, fmt.Sprintf("strange: %s is held in an open transaction", id))
+		}
+	})
+}
+
 // signed reports whether the answer to the statement must carry a server's signature, as an entry
 // host may not answer it by itself.
 func signed(text string) bool {
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -81,6 +81,14 @@
 	Sent, Ended time.Time
 }
 
+// HeldAnswer is an answer that refuses a statement as held by the operators.
+type HeldAnswer struct {
+	Session, Database string
+	// Text is the answer without its keyword.
+	Text string
+	Sent time.Time
+}
+
 // Stop is a planned stop of an entry host.
 type Stop struct {
 	Host string
@@ -102,6 +110,7 @@
 	ConfigurationProbes []ConfigurationProbe
 	Disconnects         []Disconnect
 	Stops               []Stop
+	Held                []HeldAnswer
 	// UnexpectedAnswers describes answers that do not match their request.
 	UnexpectedAnswers []string
 }
--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -67,6 +67,12 @@
 	customers, connections int
 	// ranked is set if the configuration ranks requests.
 	ranked bool
+	// operated is set if operators hold customers and routes and drain servers and hosts, and uneven if
+	// the hosts declare different strengths.
+	operated, uneven bool
+	// pinned holds the operators' requests of all further versions of the configuration, nil for those
+	// that the version determines.
+	pinned atomic.Pointer[requests]
 	// version is the version of the configuration that was declared last.
 	version atomic.Int64
 	// storeFaultLock is held by the active fault of the store, so that faults of the store do not overlap.
@@ -211,6 +217,7 @@
 	Backends  []backend  `json:"backends"`
 	Limits    limits     `json:"limits"`
 	Customers []customer `json:"tenants,omitempty"`
+	Requests  *requests  `json:"operations,omitempty"`
 }
 
 // extra returns the name of the database that a version of the configuration adds.
@@ -228,7 +235,7 @@
 // and at every fourth version many.
 func (d *deployment) configure() error {
 	v := d.version.Load() + 1
-	c := configuration{Version: v, Limits: limits{Idle: 3000}, Customers: d.declaredCustomers(v)}
+	c := configuration{Version: v, Limits: limits{Idle: 3000}, Customers: d.declaredCustomers(v), Requests: d.requestsOf(v)}
 	for _, g := range d.groups {
 		c.Backends = append(c.Backends, backend{Name: g.Name, Connections: d.connections})
 	}
@@ -280,7 +287,7 @@
 		return err
 	}
 	h.settings = filepath.Join(d.directory, h.Name+".conf")
-	if err := os.WriteFile(h.settings, []byte(settings(h, ip, zone(i), store)), 0o600); err != nil {
+	if err := os.WriteFile(h.settings, []byte(settings(h, ip, zone(i), store)+d.strengthSettings(i)), 0o600); err != nil {
 		return err
 	}
 	d.hosts = append(d.hosts, h)
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -60,7 +60,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := &deployment{directory: directory, ranked: isRanked(seed)}
+	d := &deployment{directory: directory, ranked: isRanked(seed), operated: isOperated(seed), uneven: isUneven(seed)}
 	d.customers, d.connections = kindOfSoak(seed)
 	err = d.start(ctx)
 	if err != nil {
@@ -105,6 +105,8 @@
 	mu sync.Mutex
 	// sessions is the number of sessions made, from which their names are derived.
 	sessions int
+	// released is when all hosts had followed the release of what operators held back and drained.
+	released time.Time
 }
 
 // run runs the soak and returns its findings.
@@ -126,6 +128,7 @@
 	s.injectFaults(seed)
 	findings = append(findings, s.recover()...)
 	findings = append(findings, s.checkRemovedKeys()...)
+	findings = append(findings, s.checkOperations(seed)...)
 	s.stop(seed)
 	close(over)
 	g.Wait()
@@ -133,6 +136,8 @@
 	findings = append(findings, d.close()...)
 	findings = append(findings, d.checkLimit()...)
 	findings = append(findings, d.checkImportance()...)
+	findings = append(findings, d.checkStrength()...)
+	findings = append(findings, s.checkHeld()...)
 	for i, r := range d.recorders {
 		h := r.History()
 		h.Staleness, h.Stops = staleness, s.injector.plannedStops()
@@ -147,7 +152,7 @@
 // summary describes the soak in numbers, so that one in which nothing happened can be recognized.
 func (s *soakRun) summary() string {
 	var outcomes [3]int
-	reads, probes, disconnects, dropped := 0, 0, 0, 0
+	reads, probes, disconnects, dropped, held := 0, 0, 0, 0, 0
 	for i, r := range s.deployment.recorders {
 		h := r.History()
 		for _, w := range h.Writes {
@@ -156,6 +161,7 @@
 		reads += len(h.Reads)
 		probes += len(h.ConfigurationProbes)
 		disconnects += len(h.Disconnects)
+		held += len(h.Held)
 		dropped += len(s.deployment.groups[i].Truth().Dropped)
 	}
 	undisturbed := 0
@@ -164,8 +170,8 @@
 			undisturbed++
 		}
 	}
-	return fmt.Sprintf("%d sessions, %d reads, writes: %d ran, %d not run, %d unknown, %d rolled back by promotions; %d configuration probes, %d disconnects, %d faults, %d planned stops (%d undisturbed)",
-		s.sessions, reads, outcomes[checker.OutcomeRan], outcomes[checker.OutcomeNotRun], outcomes[checker.OutcomeUnknown], dropped, probes, disconnects, len(s.injector.injected), len(s.injector.stops), undisturbed)
+	return fmt.Sprintf("%d sessions, %d reads, writes: %d ran, %d not run, %d unknown, %d rolled back by promotions; %d held; %d configuration probes, %d disconnects, %d faults, %d planned stops (%d undisturbed)",
+		s.sessions, reads, outcomes[checker.OutcomeRan], outcomes[checker.OutcomeNotRun], outcomes[checker.OutcomeUnknown], dropped, held, probes, disconnects, len(s.injector.injected), len(s.injector.stops), undisturbed)
 }
 
 // injectFaults carries out the plan of the seed and waits until all faults are over.
