style(appraiser): a method is named after what it restores

Cause: forgive is a figurative name, and the comment of a test compared with the time before strengths.

Change: the method is restorePromptTime, and the comment says which writes the test guards against.

--- a/internal/pool/appraiser/delay.go
+++ b/internal/pool/appraiser/delay.go
@@ -84,7 +84,7 @@
 	d := o.Delay()
 	o.lateSince = since(o.lateSince, now, d > lateDelay)
 	o.promptSince = since(o.promptSince, now, d < promptDelay)
-	o.forgive(now)
+	o.restorePromptTime(now)
 	if !o.writtenAt.IsZero() && now.Sub(o.writtenAt) < writeInterval {
 		return Change{}, false
 	}
@@ -121,9 +121,9 @@
 	o.raised = false
 }
 
-// forgive restores promptTime once the host has been fast at its full strength for as long as a raise
-// takes at present.
-func (o *Observer) forgive(now time.Time) {
+// restorePromptTime restores promptTime once the host has been fast at its full strength for as long as a
+// raise takes at present.
+func (o *Observer) restorePromptTime(now time.Time) {
 	if o.reduction == 0 && o.requiredTime > 0 && passed(o.promptSince, now, o.requiredTime) {
 		o.requiredTime = 0
 	}
--- a/internal/proxy/runner/strength_test.go
+++ b/internal/proxy/runner/strength_test.go
@@ -164,7 +164,7 @@
 	})
 }
 
-// Guards against timers and writes of a host that knows no strength, as before there were any.
+// Guards against timers, and writes beyond the first one, of a host whose strength is unknown.
 func TestHostOfUnknownStrengthDeclaresNone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newSlowHost(t, 0)
