fix(reporter): a transaction that is held at its begin has an operation

Cause: operations lists the verbs that reach a server. Since operators can hold a customer or route, a begin is refused regularly, and cuminwick_statements_total and losses counted it under an empty operation.

Ruled out: naming each refused begin. Those of sessions without a route or customer were refused before, and their lines stay the same in deployments that hold nothing.

Change: a held begin has the operation begin.

The test failed before with 0 transactions counted of 2, and checks that the lines of other refused begins have no operation.

--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -104,7 +104,7 @@
 }
 
 func (m *Metrics) statement(r *executor.Report, k outcome) {
-	op := operations[r.Verb]
+	op := operationOf(r)
 	m.statements.WithLabelValues(op, k.name, k.code).Inc()
 	m.seconds.WithLabelValues(op).Observe(r.Elapsed.Seconds())
 	m.waits.Observe(r.Wait.Seconds())
--- a/internal/proxy/reporter/reporter.go
+++ b/internal/proxy/reporter/reporter.go
@@ -66,6 +66,16 @@
 	declarer.VerbCommit:  "commit",
 }
 
+// operationOf returns the name of the statement's operation. A transaction is only named if it is held at its
+// begin: other refusals of a begin are those of sessions without a route or customer, whose lines have no
+// operation.
+func operationOf(r *executor.Report) string {
+	if r.Held.Kind != executor.HoldNone && (r.Verb == declarer.VerbBegin || r.Verb == declarer.VerbBeginRead) {
+		return "begin"
+	}
+	return operations[r.Verb]
+}
+
 // Statement counts r and logs it. It never waits for the output.
 func (o *Reporter) Statement(r *executor.Report) {
 	k := outcomeOf(r)
@@ -78,7 +88,7 @@
 		Database:      r.Database,
 		Customer:      r.Customer,
 		DatabaseGroup: r.Group,
-		Operation:     operations[r.Verb],
+		Operation:     operationOf(r),
 		Outcome:       k.name,
 		Code:          k.code,
 		Server:        r.Server,
--- a/internal/proxy/reporter/reporter_test.go
+++ b/internal/proxy/reporter/reporter_test.go
@@ -96,6 +96,31 @@
 	}
 }
 
+// Guards against transactions held at their begin that metrics and losses count under an empty operation, and
+// against lines that change for begins that are refused otherwise.
+func TestHeldTransactions(t *testing.T) {
+	var b strings.Builder
+	e := &encoder.Encoder{Writer: &b, QueueBytes: 1 << 20}
+	o := &Reporter{Lines: e, Metrics: newTestMetrics()}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- e.Run(ctx) }()
+	for _, v := range []declarer.Verb{declarer.VerbBegin, declarer.VerbBeginRead} {
+		o.Statement(&executor.Report{Statement: "x", Verb: v, Code: declarer.CodeBusy, Held: executor.Hold{Kind: executor.HoldRoute, Name: "r"}})
+		o.Statement(&executor.Report{Statement: "y", Verb: v, Code: declarer.CodeUnauthorized})
+	}
+	cancel()
+	<-done
+	if n := testutil.ToFloat64(o.Metrics.statements.WithLabelValues("begin", "not-run", "held")); n != 2 {
+		t.Errorf("%v held transactions counted, want 2", n)
+	}
+	for _, l := range strings.Split(strings.TrimSpace(b.String()), "\n") {
+		if strings.Contains(l, `"operation":"begin"`) != strings.Contains(l, `"code":"held"`) {
+			t.Errorf("line %s", l)
+		}
+	}
+}
+
 func TestMetricNames(t *testing.T) {
 	m := newTestMetrics()
 	m.Promotion("primary-absent", "done")
