--- a/internal/customer/apportioner/apportioner.go
+++ b/internal/customer/apportioner/apportioner.go
@@ -80,7 +80,7 @@
 	default:
 		part = a.median / a.highest
 	}
-	return max(minimumShare, int(math.Round(highestShare*part*factor)))
+	return max(minimumShare, int(highestShare*part*factor+0.5))
 }
 
 // entitlement returns what the customer declares: its share, or else its rate. It returns zero if it
