test(connpooler): the opening of a link may outlast its waiter

Cause: TestUnreachableOwnerRefusesWaitersBesideSilentLink ended while a link was being opened for a waiter that the failure of another one had refused. synctest then reports a deadlock. Ruled out: a goroutine that never ends. The opening ends after its delay. Change: the test lets it end. All checks are as before.

--- a/internal/proxy/connpooler/silent_owner_test.go
+++ b/internal/proxy/connpooler/silent_owner_test.go
@@ -55,6 +55,8 @@
 			t.Errorf("refused after %v, a link takes %v to open", d, openDelay)
 		}
 		l[0].Release(true)
+		// The opening of a link may outlast the waiter that it was for.
+		time.Sleep(openDelay)
 	})
 }
 
