fix(booker): a flood's bookings leave room to others' entitlements

Cause: the calendar knew only the importance of a refused request. The requests that one customer sends beyond its entitlement, which the queue grants last, booked the room of its level, and the few refused requests of other customers were told times beyond their timeouts. Change: a booking has the order that the request had in the queue, so that those beyond an entitlement yield. admitter.Entry.Order and gate.Refusal.Order carry it. Ruled out: forecasts.

--- a/internal/limit/admitter/admitter.go
+++ b/internal/limit/admitter/admitter.go
@@ -156,7 +156,7 @@
 	// virtualTime is the highest virtual time that a team had when it was granted a slot.
 	virtualTime time.Duration
 	// virtualTimes is the same for the grants of each level.
-	virtualTimes [orderCount]time.Duration
+	virtualTimes [OrderCount]time.Duration
 	// serviceTime is the moving average of service times, zero if there is no sample.
 	serviceTime time.Duration
 	// serviceDeviation is the moving average of the absolute deviation from serviceTime.
@@ -169,17 +169,17 @@
 	queued levelCounts
 	// levelGrantedAt is the time at which each level had its last grant outside of transactions, or
 	// began to wait if that was later.
-	levelGrantedAt [orderCount]time.Duration
+	levelGrantedAt [OrderCount]time.Duration
 	// passed is the number of grants since the last one to a less important level for which such a
 	// level waited, see reservedInterval.
 	passed int
 	// used is the moving sum of the slot time that each level took until usedAt, in seconds.
-	used   [orderCount]float64
+	used   [OrderCount]float64
 	usedAt time.Duration
 	// serviceTimes is the same as serviceTime by level of importance.
 	serviceTimes [LevelCount]time.Duration
 	// caution is added to expectedMargin by level, see observeRefusal.
-	caution [orderCount]float64
+	caution [OrderCount]float64
 	// usages holds the use of their entitlements by team, and entitledShares the sum of the shares,
 	// once SetTeams has been called.
 	usages         map[string]*usage
--- a/internal/limit/admitter/displacement.go
+++ b/internal/limit/admitter/displacement.go
@@ -22,7 +22,7 @@
 // no team can fill the queue and keep the others out.
 func (q *Queue) entryToDisplace(e *Entry) *Entry {
 	l := e.level
-	for k := uint8(orderCount - 1); k > l; k-- {
+	for k := uint8(OrderCount - 1); k > l; k-- {
 		if v := q.lastOf(k, nil); v != nil {
 			return v
 		}
--- a/internal/limit/admitter/late.go
+++ b/internal/limit/admitter/late.go
@@ -31,8 +31,8 @@
 // mayBeLate reports whether any request of a less important level than l would be late if it were the
 // last one of its level. It spares the sorting where none is.
 func (q *Queue) mayBeLate(l uint8, now time.Duration) bool {
-	var longest [orderCount]time.Duration
-	for k := l + 1; k < orderCount; k++ {
+	var longest [OrderCount]time.Duration
+	for k := l + 1; k < OrderCount; k++ {
 		longest[k] = q.waitBehind(q.aheadInOrder(k, max(0, q.queued[k]-1)))
 	}
 	for _, t := range q.waitingTeams {
--- a/internal/limit/admitter/levels.go
+++ b/internal/limit/admitter/levels.go
@@ -6,12 +6,11 @@
 // to a waiting request of a less important level.
 const reservedInterval = 16
 
-// orderCount is the number of levels in the order of a queue: those of the importance, and the same again
-// for requests beyond the entitlement of their team, see Queue.SetTeams.
-const orderCount = 2 * LevelCount
+// OrderCount is the number of levels in the order of a queue, see Entry.Order.
+const OrderCount = 2 * LevelCount
 
 // levelCounts holds a number of requests for each level of the order.
-type levelCounts [orderCount]int
+type levelCounts [OrderCount]int
 
 // above returns the number of requests of the levels that are more important than l.
 func (c *levelCounts) above(l uint8) int { return sum(c[:l]) }
@@ -28,6 +27,10 @@
 	return sum(c[l+1 : LevelCount])
 }
 
+// Order returns the level of the entry in the order of the queue: that of its importance, or LevelCount more
+// if it was beyond the entitlement of its team, see Queue.SetTeams.
+func (e *Entry) Order() uint8 { return e.level }
+
 func sum[T int | float64](l []T) T {
 	var n T
 	for _, x := range l {
--- a/internal/limit/admitter/team.go
+++ b/internal/limit/admitter/team.go
@@ -18,7 +18,7 @@
 	virtualTime time.Duration
 	// virtualTimes is the same for the slot time of each level. A newcomer of a level that is seldom
 	// granted would wait behind all others of its level if the grants of other levels counted.
-	virtualTimes [orderCount]time.Duration
+	virtualTimes [OrderCount]time.Duration
 	running      int
 	heaps        [classCount]entryHeap
 	// queuedAt and transactionsAt are the numbers of waiting requests outside of and inside
--- a/internal/limit/booker/booker.go
+++ b/internal/limit/booker/booker.go
@@ -36,28 +36,30 @@
 // Calendar holds the retries that are booked at one server. Its zero value has none. A Calendar must not
 // be used concurrently.
 type Calendar struct {
-	// buckets holds the number of bookings by level. A bucket's position is its number modulo
-	// bucketCount.
-	buckets [bucketCount][admitter.LevelCount]uint32
+	// buckets holds the number of bookings by level of the queue's order. A bucket's position is its number
+	// modulo bucketCount.
+	buckets [bucketCount][admitter.OrderCount]uint32
 	// first is the number of the present bucket.
 	first int64
 	// spilled counts the requests that found no room.
 	spilled uint32
 }
 
-// Book books a retry and returns the time until it, in whole milliseconds. It isn't before earliest, the time until the queue is
-// expected to have room.
-func (c *Calendar) Book(i admitter.Importance, earliest time.Duration, k Capacity, now time.Duration) time.Duration {
+// Book books a retry of a request and returns the time until it, in whole milliseconds. It isn't before
+// earliest, the time until the queue is expected to have room. The order is that of the request's level in the
+// queue, see admitter.Entry.Order: a customer's requests beyond its entitlement leave the room to those of
+// others, as in the queue.
+func (c *Calendar) Book(order uint8, earliest time.Duration, k Capacity, now time.Duration) time.Duration {
 	c.advance(now)
 	n, room := k.perBucket(), 0.0
 	from := int64((now + max(0, earliest) + bucketWidth - 1) / bucketWidth)
 	for b := c.first; b < c.first+bucketCount; b++ {
 		l := &c.buckets[b%bucketCount]
-		booked := ahead(l, i.Level())
+		booked := ahead(l, order)
 		// room is negative by the bookings that earlier buckets have no room for.
 		room = min(room, 0) + n - booked
 		if b >= from && room > 0 {
-			l[i.Level()]++
+			l[order]++
 			return roundUp(at(b, booked/n) - now)
 		}
 	}
@@ -78,11 +80,11 @@
 	return time.Duration(b)*bucketWidth + time.Duration(f*float64(bucketWidth))
 }
 
-// ahead returns the number of bookings in a bucket that a request of the level yields to. Those of less
-// important levels don't count, so that it may take their room.
-func ahead(l *[admitter.LevelCount]uint32, level uint8) float64 {
+// ahead returns the number of bookings in a bucket that a request of the order yields to. Those of later
+// levels don't count, so that it may take their room.
+func ahead(l *[admitter.OrderCount]uint32, order uint8) float64 {
 	n := uint32(0)
-	for _, k := range l[:level+1] {
+	for _, k := range l[:order+1] {
 		n += k
 	}
 	return float64(n)
@@ -96,6 +98,6 @@
 		c.first = b
 	}
 	for ; c.first < b; c.first++ {
-		c.buckets[c.first%bucketCount] = [admitter.LevelCount]uint32{}
+		c.buckets[c.first%bucketCount] = [admitter.OrderCount]uint32{}
 	}
 }
--- a/internal/limit/forecaster/world_test.go
+++ b/internal/limit/forecaster/world_test.go
@@ -267,7 +267,7 @@
 	}
 	d := max(10*time.Millisecond, w.wait(r.level, len(w.queue[r.level])))
 	if w.books {
-		d = w.calendar.Book(importance(r.level), d, booker.Capacity{Slots: slots, ServiceTime: w.serviceTime}, w.now)
+		d = w.calendar.Book(uint8(r.level), d, booker.Capacity{Slots: slots, ServiceTime: w.serviceTime}, w.now)
 	}
 	h := &w.hosts[r.host]
 	w.after(h.delay, func() {
--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -29,6 +29,8 @@
 	Reason        admitter.Reason
 	// RetryAfter is the time after which a retry is likely to be granted, zero if unknown.
 	RetryAfter time.Duration
+	// Order is that of the request in the queue, see admitter.Entry.Order.
+	Order uint8
 }
 
 // Error describes the refusal for the caller.
@@ -251,7 +253,7 @@
 	if w.entry.State == admitter.StateGranted {
 		return &Slot{gate: g, waiter: w}, nil
 	}
-	return nil, &Refusal{BackendServer: g.BackendServer, Reason: w.entry.Reason, RetryAfter: w.entry.RetryAfter}
+	return nil, &Refusal{BackendServer: g.BackendServer, Reason: w.entry.Reason, RetryAfter: w.entry.RetryAfter, Order: w.entry.Order()}
 }
 
 // now returns the monotonic time since the gate's first use.
--- a/internal/proxy/connpooler/admission.go
+++ b/internal/proxy/connpooler/admission.go
@@ -84,8 +84,8 @@
 }
 
 // complete adds the forecast and the booked retry time to a refusal by the queue that f belongs to, whose
-// load is l.
-func (a *admission) complete(r *Refusal, f *forecaster.Forecaster, i admitter.Importance, l admitter.Load) {
+// load is l and in which the request was at the given order.
+func (a *admission) complete(r *Refusal, f *forecaster.Forecaster, i admitter.Importance, order uint8, l admitter.Load) {
 	full := r.Reason == admitter.ReasonQueueFull
 	if !full && r.Reason != admitter.ReasonExpectedWait && r.Reason != admitter.ReasonDeadline {
 		return
@@ -93,7 +93,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Since(a.began)
-	r.RetryAfter = a.calendar.Book(i, r.RetryAfter, booker.Capacity{Slots: l.Slots, ServiceTime: l.ServiceTime}, now)
+	r.RetryAfter = a.calendar.Book(order, r.RetryAfter, booker.Capacity{Slots: l.Slots, ServiceTime: l.ServiceTime}, now)
 	if r.Reason != admitter.ReasonDeadline {
 		r.Forecast = f.Refused(forecaster.Refusal{Importance: i, QueueFull: full}, l, now)
 	}
--- a/internal/proxy/connpooler/permit.go
+++ b/internal/proxy/connpooler/permit.go
@@ -103,7 +103,7 @@
 		return r
 	}
 	l := p.withoutTeams(p.permits.gate.QueueLoad())
-	a.complete(r, &a.permits, q.Importance, l)
+	a.complete(r, &a.permits, q.Importance, g.Order, l)
 	return r
 }
 
--- a/internal/proxy/connpooler/refusal.go
+++ b/internal/proxy/connpooler/refusal.go
@@ -64,7 +64,7 @@
 	}
 	r := &Refusal{Server: p.Server.ID, Reason: e.Reason, RetryAfter: e.RetryAfter}
 	if a := p.admission.Load(); a != nil && !p.OnDemand {
-		a.complete(r, &a.connections, e.Importance, p.withoutTeams(p.queue.Load()))
+		a.complete(r, &a.connections, e.Importance, e.Order(), p.withoutTeams(p.queue.Load()))
 	}
 	return r
 }
