fix(forecaster): requests beyond an entitlement restrict no other customer

Cause: the load counted the requests that a customer has beyond its entitlement like all others of their level, and their refusals stood for the level. The queue grants them last and displaces them first, so that a forecast refused requests of other customers that the queue admits at the same moment. Change: admitter.Load leaves them out, and Refused doesn't record their refusals. It still returns a restriction that is in force for all.

--- a/internal/limit/admitter/load.go
+++ b/internal/limit/admitter/load.go
@@ -7,11 +7,12 @@
 	Slots   int
 	Running int
 	// Transactions is the number of waiting statements of open transactions, and WaitingByLevel that of
-	// the other waiting requests by Importance.Level.
+	// the other waiting requests by Importance.Level. Those beyond the entitlement of their team aren't
+	// counted, as they wait until no others do.
 	Transactions   int
 	WaitingByLevel [LevelCount]int
-	// Teams is the number of teams with waiting requests outside of transactions, and LongestTeam the
-	// number of those requests that belong to the team with the most.
+	// Teams is the number of teams with requests in WaitingByLevel, and LongestTeam the number of those
+	// requests that belong to the team with the most.
 	Teams       int
 	LongestTeam int
 	ServiceTime time.Duration
@@ -31,21 +32,19 @@
 	return 0, false
 }
 
-// Load returns the present state. It visits each waiting entry, so that it is for refusals rather than
-// for each request.
+// Load returns the present state. It visits each waiting team, so that it is for refusals rather than for
+// each request.
 func (q *Queue) Load() Load {
 	l := Load{Slots: q.Slots, Running: q.running, Transactions: q.waiting[ClassTransaction], ServiceTime: q.ServiceTime()}
 	for _, t := range q.waitingTeams {
-		n := t.queued()
-		if n == 0 {
-			continue
+		n := 0
+		for i, w := range t.queuedAt[:LevelCount] {
+			l.WaitingByLevel[i] += w
+			n += w
 		}
-		l.Teams++
-		l.LongestTeam = max(l.LongestTeam, n)
-		for _, c := range [...]Class{ClassRead, ClassWrite} {
-			for _, e := range t.heaps[c] {
-				l.WaitingByLevel[e.Importance.Level()]++
-			}
+		if n > 0 {
+			l.Teams++
+			l.LongestTeam = max(l.LongestTeam, n)
 		}
 	}
 	return l
--- a/internal/limit/forecaster/flood_test.go
+++ b/internal/limit/forecaster/flood_test.go
@@ -189,7 +189,7 @@
 func (d *deployment) refuse(e *admitter.Entry) {
 	o, l := e.Owner.(*operation), d.queue.Load()
 	w := d.calendar.Book(e.Order(), e.RetryAfter, booker.Capacity{Slots: l.Slots, ServiceTime: l.ServiceTime}, d.now)
-	r := forecaster.Refusal{Importance: e.Importance, QueueFull: e.Reason == admitter.ReasonQueueFull}
+	r := forecaster.Refusal{Importance: e.Importance, BeyondEntitlement: e.Order() >= admitter.LevelCount, QueueFull: e.Reason == admitter.ReasonQueueFull}
 	var f forecaster.Forecast
 	if e.Reason != admitter.ReasonDeadline {
 		f = d.forecaster.Refused(r, l, d.now)
@@ -278,3 +278,44 @@
 		}
 	}
 }
+
+// Guards against a forecast by the requests that one customer sends beyond its entitlement: the queue admits
+// those of the others at the same moment.
+func TestForecastAdmitsWithinEntitlement(t *testing.T) {
+	const objective = 60 * time.Millisecond
+	var f forecaster.Forecaster
+	q := admitter.Queue{Slots: slots}
+	teams := make(map[string]admitter.TeamLimit)
+	for c := range 40 {
+		teams[team(c)] = admitter.TeamLimit{Share: 100}
+	}
+	q.SetTeams(teams, 0)
+	offer := func(customer, level int) *admitter.Entry {
+		e := &admitter.Entry{Team: team(customer), Class: admitter.ClassRead, Importance: importance(level), Deadline: 10 * time.Second}
+		if level == 2 {
+			e.Objective = objective
+		}
+		q.Offer(e, 0)
+		w, _ := e.Tolerance(q.ServiceTime())
+		f.Offered(e.Importance, w)
+		return e
+	}
+	for range 60 {
+		offer(0, 1)
+	}
+	e := offer(0, 2)
+	if e.Reason != admitter.ReasonExpectedWait || e.Order() < admitter.LevelCount {
+		t.Fatalf("request of the flood: %s, order %d", e.Reason, e.Order())
+	}
+	r := forecaster.Refusal{Importance: e.Importance, BeyondEntitlement: true}
+	if g := f.Refused(r, q.Load(), 0); g != (forecaster.Forecast{}) {
+		t.Errorf("forecast %+v by a refusal beyond the entitlement", g)
+	}
+	r.BeyondEntitlement = false
+	if g := f.Refused(r, q.Load(), 0); g != (forecaster.Forecast{}) {
+		t.Errorf("forecast %+v by waiting requests beyond the entitlement", g)
+	}
+	if e := offer(1, 2); e.State != admitter.StateWaiting {
+		t.Errorf("request of another customer: %s", e.Reason)
+	}
+}
--- a/internal/limit/forecaster/forecaster.go
+++ b/internal/limit/forecaster/forecaster.go
@@ -36,6 +36,9 @@
 // Refusal describes a request that the queue has refused.
 type Refusal struct {
 	Importance admitter.Importance
+	// BeyondEntitlement says that the request was beyond the entitlement of its team. Its refusal doesn't
+	// stand for the requests of others.
+	BeyondEntitlement bool
 	// QueueFull says that the queue was at its maximum length.
 	QueueFull bool
 }
@@ -86,7 +89,9 @@
 // Refused records the refusal of a request that was offered, and returns the forecast for the queue's load.
 func (f *Forecaster) Refused(r Refusal, l admitter.Load, now time.Duration) Forecast {
 	f.forget(now)
-	f.record(r, l, now)
+	if !r.BeyondEntitlement {
+		f.record(r, l, now)
+	}
 	restricted := f.firstRestricted(l)
 	if restricted == admitter.LevelCount {
 		return Forecast{}
--- a/internal/limit/forecaster/forecaster_test.go
+++ b/internal/limit/forecaster/forecaster_test.go
@@ -91,6 +91,23 @@
 	}
 }
 
+// Guards against requests beyond a customer's entitlement, displaced from a full queue, that stand for those
+// which displace them, and against their refusals ending a restriction that is in force for all.
+func TestRefusalBeyondEntitlementRestrictsNothing(t *testing.T) {
+	var f Forecaster
+	f.Offered(of(1, 1), 60*ms)
+	beyond := Refusal{Importance: of(1, 1), BeyondEntitlement: true, QueueFull: true}
+	if g := f.Refused(beyond, loadOf(0, 12), 0); g != (Forecast{}) {
+		t.Errorf("forecast %+v by a displaced request", g)
+	}
+	if g := f.Refused(Refusal{Importance: of(1, 1)}, loadOf(0, 40), 0); g.Admits != 8 {
+		t.Errorf("forecast %+v by a request within the entitlement", g)
+	}
+	if g := f.Refused(beyond, loadOf(0, 40), 0); g.Admits != 8 {
+		t.Errorf("forecast %+v while the level is restricted", g)
+	}
+}
+
 // Guards against a queue that was full and counts as such when it has become too slow for all, or the
 // other way round.
 func TestFullQueueIsNotForGood(t *testing.T) {
--- a/internal/proxy/connpooler/admission.go
+++ b/internal/proxy/connpooler/admission.go
@@ -95,7 +95,7 @@
 	now := time.Since(a.began)
 	r.RetryAfter = a.calendar.Book(order, r.RetryAfter, booker.Capacity{Slots: l.Slots, ServiceTime: l.ServiceTime}, now)
 	if r.Reason != admitter.ReasonDeadline {
-		r.Forecast = f.Refused(forecaster.Refusal{Importance: i, QueueFull: full}, l, now)
+		r.Forecast = f.Refused(forecaster.Refusal{Importance: i, BeyondEntitlement: order >= admitter.LevelCount, QueueFull: full}, l, now)
 	}
 }
 
