fix(admitter): a retry time is when the queue has room, without margins

Cause: refused callers were told the wait by which requests are admitted. It has a margin for more important requests that may arrive and counts the slot time that a team has had before, so that a caller of a small customer was told half a second or more with a single request waiting, and times beyond its timeout. Change: the time is that of the requests that wait now. The bound of 2 s isn't needed any more; it could also be before the queue has room. Ruled out: the wait for admission without the debt, or with a bound on it.

--- a/internal/limit/admitter/estimate.go
+++ b/internal/limit/admitter/estimate.go
@@ -25,13 +25,8 @@
 	cautionIdle = 200 * time.Millisecond
 )
 
-const (
-	// maximumPlace bounds placeByDebt, so that waits calculated from it don't overflow.
-	maximumPlace = 1 << 20
-	// maximumRetryAfter bounds the retry times of teams with entitlements. The load changes within it,
-	// so that estimates beyond it, of teams with small shares, say little.
-	maximumRetryAfter = 2 * time.Second
-)
+// maximumPlace bounds placeByDebt, so that waits calculated from it don't overflow.
+const maximumPlace = 1 << 20
 
 // work is an estimate of what is granted before a request.
 type work struct {
@@ -48,8 +43,7 @@
 	}
 	l, t := e.level, e.team
 	shares := q.waitingSharesWith(t, l)
-	place := min(q.queued[l], placeAtFairShare(t.queuedAt[l], shares, t.share))
-	return q.waitBehind(q.expectedAhead(l, max(place, q.placeByDebt(t, l, t.queuedAt[l], shares))))
+	return q.waitBehind(q.expectedAhead(l, max(q.placeByShare(t, l, shares), q.placeByDebt(t, l, t.queuedAt[l], shares))))
 }
 
 // waitBehind returns the expected wait of a request before which w is granted besides the waiting
@@ -73,9 +67,11 @@
 	return shares
 }
 
-// placeAtFairShare returns the number of requests that are granted before one of a team with the given
-// share that has own requests before it, if the shares of the waiting teams add up to shares.
-func placeAtFairShare(own, shares, share int) int { return (own+1)*shares/share - 1 }
+// placeByShare returns the number of waiting requests of level l that are granted before a further one of t,
+// if the shares of the waiting teams add up to shares.
+func (q *Queue) placeByShare(t *team, l uint8, shares int) int {
+	return min(q.queued[l], (t.queuedAt[l]+1)*shares/t.share-1)
+}
 
 // placeByDebt returns the number of requests of level l that are granted before one of t that has own
 // requests before it, as t has had more than its share of the slot time: the requests of teams that haven't
@@ -181,11 +177,10 @@
 	q.caution[l] = min(max(c, 0), maximumCaution)
 }
 
-// retryAfter returns the time after which a retry of e makes sense.
+// retryAfter returns the time after which a retry of e makes sense: when those that wait before it have been
+// granted. What else expectedWait includes is caution, with which a caller would be told to come back long
+// after the queue has room.
 func (q *Queue) retryAfter(e *Entry) time.Duration {
-	w := max(minimumRetryAfter, q.expectedWait(e, ClassWrite))
-	if q.usages != nil {
-		return min(w, maximumRetryAfter)
-	}
-	return w
+	l, t := e.level, e.team
+	return max(minimumRetryAfter, q.waitBehind(q.aheadInOrder(l, q.placeByShare(t, l, q.waitingSharesWith(t, l)))))
 }
--- a/internal/limit/admitter/importance_test.go
+++ b/internal/limit/admitter/importance_test.go
@@ -398,3 +398,33 @@
 		}
 	}
 }
+
+// Guards against a refused caller of a small customer that is told to come back long after the queue has room:
+// its request is refused with the margin for others that may arrive, but the time is that of those that wait.
+func TestRetryTimeIsWhenQueueHasRoom(t *testing.T) {
+	q := Queue{Slots: 1}
+	q.SetTeams(map[string]TeamLimit{"small": {Share: 100}, "large": {Share: 2500}}, 0)
+	now := time.Duration(0)
+	run := func(team string, i Importance) *Entry {
+		e := &Entry{Team: team, Class: ClassRead, Importance: i, Deadline: now + time.Second}
+		q.Offer(e, now)
+		return e
+	}
+	for range 20 {
+		a, b := run("large", 9), run("small", 17)
+		now += 10 * ms
+		q.Release(a, now)
+		now += 10 * ms
+		q.Release(b, now)
+	}
+	run("large", 9)
+	run("large", 17)
+	e := &Entry{Team: "small", Class: ClassRead, Importance: 17, Deadline: now + time.Second, Objective: now + 5*ms}
+	q.Offer(e, now)
+	if e.Reason != ReasonExpectedWait {
+		t.Fatalf("reason %s", e.Reason)
+	}
+	if e.RetryAfter < 20*ms || e.RetryAfter > 40*ms {
+		t.Errorf("retry after %s, one request of 10 ms runs and one waits", e.RetryAfter)
+	}
+}
