fix(forecaster): forecasts estimate the wait as the queue does

Cause: the forecaster had an estimate of its own, with the average service time for requests of all levels and without reserved grants. It restricted a level of short requests, such as the most important one, by the time of long ones, and a less important level that the queue admits by its reserved grants. Change: the estimate is admitter.Load.ExpectedWait, next to that of the queue. It uses the service times by level and the bound by reserved grants. The margins of the queue aren't part of it, as requests that are refused need no further caution. Ruled out: counting one request for each customer at all times. A request of a customer without others waits for no more than that, but forecasts are for all customers, and under a load of all of them (queue of many teams in TestForecastOfRefusal) they would restrict nothing.

--- a/internal/limit/admitter/estimate.go
+++ b/internal/limit/admitter/estimate.go
@@ -122,7 +122,7 @@
 	if l >= LevelCount || q.queued.above(l) == 0 {
 		return w
 	}
-	if n := (place+1)*reservedInterval*q.passedLevels(l) - 1; n < w.requests {
+	if n := (place+1)*reservedInterval*passedLevels(q.queued[:LevelCount], int(l)) - 1; n < w.requests {
 		return work{requests: n}
 	}
 	return w
--- a/internal/limit/admitter/levels.go
+++ b/internal/limit/admitter/levels.go
@@ -126,12 +126,12 @@
 	return e.sequence < o.sequence
 }
 
-// passedLevels returns the number of levels that share the reserved grants if one of level l waits: all
-// but the most important one.
-func (q *Queue) passedLevels(l uint8) int {
+// passedLevels returns the number of levels that share the reserved grants if one of the given level waits:
+// all but the most important one. The counts are those of the waiting requests.
+func passedLevels(counts []int, level int) int {
 	n := 0
-	for i, c := range q.queued[:LevelCount] {
-		if c > 0 || i == int(l) {
+	for i, c := range counts {
+		if c > 0 || i == level {
 			n++
 		}
 	}
--- a/internal/limit/forecaster/forecaster.go
+++ b/internal/limit/forecaster/forecaster.go
@@ -104,7 +104,7 @@
 // half of the time in which the queue runs empty, so that requests arrive before the slots are idle.
 func (f *Forecaster) duration(restricted int, l admitter.Load) time.Duration {
 	v := &f.levels[restricted]
-	w := expectedWait(l, restricted)
+	w := l.ExpectedWait(restricted)
 	d := w - v.limit() + time.Duration(v.recent*float64(l.ServiceTime)/float64(l.Slots))
 	return min(max(min(d, w/2), minimumFor), MaximumFor)
 }
@@ -128,7 +128,7 @@
 	v.fullWait = 0
 	if r.QueueFull {
 		// There is room as soon as one waiting request is granted.
-		v.fullWait = max(0, expectedWait(l, i)-1)
+		v.fullWait = max(0, l.ExpectedWait(i)-1)
 	}
 	v.recent = v.recent*math.Exp2(-float64(now-v.refusedAt)/float64(refusalHalfLife)) + 1
 	v.refusedAt = now
@@ -142,7 +142,7 @@
 	for i := admitter.LevelCount - 1; i >= 0; i-- {
 		v := &f.levels[i]
 		switch {
-		case v.known && expectedWait(l, i) > v.limit():
+		case v.known && l.ExpectedWait(i) > v.limit():
 			first = i
 		case v.known || l.WaitingByLevel[i] > 0:
 			return first
@@ -150,31 +150,3 @@
 	}
 	return first
 }
-
-// expectedWait returns the expected wait of a request of a level: it waits for all more important ones,
-// and for those of its own level as far as its team's share doesn't let it go before them.
-func expectedWait(l admitter.Load, level int) time.Duration {
-	if l.Slots <= 0 {
-		return 0
-	}
-	n := l.Transactions + l.Running + 1 - l.Slots
-	for _, w := range l.WaitingByLevel[:level] {
-		n += w
-	}
-	n += ahead(l, level)
-	return max(0, time.Duration(n)*l.ServiceTime/time.Duration(l.Slots))
-}
-
-// ahead returns how many requests of its own level a request waits for. If most of the waiting requests
-// belong to one team, those of other teams wait for one request of each team only: a forecast must not
-// refuse them because of that team.
-func ahead(l admitter.Load, level int) int {
-	waiting := 0
-	for _, w := range l.WaitingByLevel {
-		waiting += w
-	}
-	if l.Teams > 0 && 2*l.LongestTeam >= waiting {
-		return min(l.WaitingByLevel[level], l.Teams)
-	}
-	return l.WaitingByLevel[level]
-}
