fix(forecaster): a free slot is never restricted

Cause: the mean of the waits that requests accept is negative while they have less time left than a request takes. The expected wait of zero exceeded it, and a level was restricted with a free slot, which the queue grants regardless of its estimate. Change: a wait that is accepted counts as at least zero.

--- a/internal/limit/forecaster/forecaster.go
+++ b/internal/limit/forecaster/forecaster.go
@@ -142,7 +142,7 @@
 	for i := admitter.LevelCount - 1; i >= 0; i-- {
 		v := &f.levels[i]
 		switch {
-		case v.known && l.ExpectedWait(i) > v.limit():
+		case v.known && l.ExpectedWait(i) > max(0, v.limit()):
 			first = i
 		case v.known || l.WaitingByLevel[i] > 0:
 			return first
--- a/internal/limit/forecaster/forecaster_test.go
+++ b/internal/limit/forecaster/forecaster_test.go
@@ -28,6 +28,8 @@
 	many.Teams, many.LongestTeam = 20, 4
 	noSlots := loadOf(0, 0, 40)
 	noSlots.Slots = 0
+	free := loadOf()
+	free.Running = 3
 	for _, c := range []struct {
 		name      string
 		r         Refusal
@@ -46,6 +48,7 @@
 		{"wait is tolerable, the refusal had another cause", Refusal{Importance: of(2, 1)}, 103 * ms, loadOf(0, 0, 40), Forecast{}},
 		{"queue of one team", Refusal{Importance: of(2, 1)}, 60 * ms, flood, Forecast{}},
 		{"queue of many teams", Refusal{Importance: of(2, 1)}, 60 * ms, many, Forecast{Admits: 16, For: 45 * ms}},
+		{"a slot is free, and requests have less time left than one takes", Refusal{Importance: of(1, 1)}, -50 * ms, free, Forecast{}},
 		{"no slots", Refusal{Importance: of(2, 1)}, 60 * ms, noSlots, Forecast{}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
