perf(runner): requests find their pool without allocating one

Cause: each request made a connpooler.Pool and dropped it when there was one. With the levels and entitlements of its two queues a Pool has grown from 896 to 2,688 bytes, also where nothing is ranked. Change: the pool is looked up first, and made only if there is none. TestPoolIsFoundWithoutAllocation got 1 and 2 allocations before.

--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -138,7 +138,11 @@
 	p.followShares()
 	limit, minimum := p.connectionShare(s)
 	b := byCustomer || p.byCustomer()
-	o := p.getOrAdd(poolKey{server: id, byCustomer: b}, &connpooler.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, MinOpen: minimum, ByCustomer: b})
+	k := poolKey{server: id, byCustomer: b}
+	o := p.get(k)
+	if o == nil {
+		o = p.getOrAdd(k, &connpooler.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, MinOpen: minimum, ByCustomer: b})
+	}
 	o.Resize(limit, minimum)
 	o.SetRanked(p.ranked())
 	return o
@@ -181,8 +185,12 @@
 
 // borrowedPool returns the pool of links to the owner.
 func (p *pools) borrowedPool(s declarer.Server, o declarer.Host) *connpooler.Pool {
-	l := &linkDialer{pools: p, owner: o}
-	n := p.getOrAdd(poolKey{server: s.ID, owner: o.Name}, &connpooler.Pool{Server: s, Dialer: l, Observer: l, Limit: maximumLinks, MinOpen: 1, OnDemand: true, Admissions: p.admissions})
+	k := poolKey{server: s.ID, owner: o.Name}
+	n := p.get(k)
+	if n == nil {
+		l := &linkDialer{pools: p, owner: o}
+		n = p.getOrAdd(k, &connpooler.Pool{Server: s, Dialer: l, Observer: l, Limit: maximumLinks, MinOpen: 1, OnDemand: true, Admissions: p.admissions})
+	}
 	n.SetRanked(p.ranked())
 	return n
 }
@@ -193,6 +201,13 @@
 	return c != nil && c.Ranked
 }
 
+// get returns the pool of the key, nil if there is none.
+func (p *pools) get(w poolKey) *connpooler.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pools[w]
+}
+
 // getOrAdd returns the pool of the key, which is n if there was none.
 func (p *pools) getOrAdd(w poolKey, n *connpooler.Pool) *connpooler.Pool {
 	p.mu.Lock()
--- a/internal/proxy/runner/pools_test.go
+++ b/internal/proxy/runner/pools_test.go
@@ -72,3 +72,21 @@
 		}
 	})
 }
+
+// Guards against a pool that is made and dropped for each request, which takes longer than finding the one
+// that there is.
+func TestPoolIsFoundWithoutAllocation(t *testing.T) {
+	d := &customerDialer{}
+	p := &pools{self: "h", board: &blackboard.Board{}, dialer: d, observer: d, roster: &roster{}}
+	s := declarer.Server{ID: "i", Group: "g"}
+	p.setServers([]declarer.Server{s})
+	o := declarer.Host{Name: "o"}
+	for name, find := range map[string]func(){
+		"own":      func() { p.ownPool("i", false) },
+		"borrowed": func() { p.borrowedPool(s, o) },
+	} {
+		if n := testing.AllocsPerRun(100, find); n != 0 {
+			t.Errorf("%s: %.0f allocations", name, n)
+		}
+	}
+}
