--- a/internal/limit/admitter/shares.go
+++ b/internal/limit/admitter/shares.go
@@ -22,11 +22,10 @@
 	credit, at time.Duration
 }
 
-// SetTeams replaces Teams, applies the new limits, and makes the shares entitlements, unless there are none: a
-// team is entitled to
-// its part of the slots, and its requests beyond that come after those of the teams that are within
-// theirs, unless they are of the most important level. Otherwise one team that sends many requests of one
-// level would leave no slot to the less important ones of all others.
+// SetTeams replaces Teams, applies the new limits, and makes the shares entitlements, unless there are none:
+// a team is entitled to its part of the slots, and its requests beyond that come after those of the teams
+// that are within theirs, unless they are of the most important level. Otherwise one team that sends many
+// requests of one level would leave no slot to the less important ones of all others.
 //
 // The slot time that each team has had beyond that of the queue is converted to its new share. Otherwise, a
 // change from small shares to large ones would leave it in the old unit, and the team would be passed over
