refactor(forecaster): Board.Update in place of Hear

Cause: the name was figurative. The test of floods also plays the usual load once for each seed in place of once for each flood; its cases and bounds are the same.

--- a/internal/limit/forecaster/board.go
+++ b/internal/limit/forecaster/board.go
@@ -61,8 +61,8 @@
 	refusedAt time.Duration
 }
 
-// Hear records a forecast of the server's owner. It replaces the one in force.
-func (b *Board) Hear(f Forecast, now time.Duration) {
+// Update records a forecast of the server's owner. It replaces the one in force.
+func (b *Board) Update(f Forecast, now time.Duration) {
 	if f.For <= 0 {
 		return
 	}
@@ -123,7 +123,7 @@
 }
 
 // Answered records the answer to a request with a counted pass. granted says that the server has run it
-// or answered it. A request that was refused with a forecast is passed to Hear before.
+// or answered it. A request that was refused with a forecast is passed to Update before.
 func (b *Board) Answered(p Pass, granted bool, now time.Duration) {
 	if b.state != stateProbing || p.generation != b.generation {
 		return
--- a/internal/limit/forecaster/flood_test.go
+++ b/internal/limit/forecaster/flood_test.go
@@ -195,7 +195,7 @@
 		f = d.forecaster.Refused(r, l, d.now)
 	}
 	d.after(o.host.delay, func() {
-		o.host.board.Hear(f, d.now)
+		o.host.board.Update(f, d.now)
 		if o.pass.Counted() {
 			o.host.board.Answered(o.pass, false, d.now)
 		}
@@ -233,7 +233,7 @@
 // forecasts that refuse customers within their entitlement because of requests beyond that of another, and
 // retry times that the flood has booked out.
 func TestFloodAcrossHostsCostsOthersLittle(t *testing.T) {
-	for _, flood := range []struct {
+	floods := []struct {
 		name     string
 		customer int
 		route    int
@@ -247,12 +247,12 @@
 		{"large customer, first route", 9, 0},
 		{"large customer, second route", 9, 1},
 		{"large customer, third route", 9, 2},
-	} {
-		for seed := range uint64(3) {
+	}
+	for seed := range uint64(3) {
+		usual := &deployment{factor: func(int, int) float64 { return 1 }}
+		usual.play(seed, floodLoad)
+		for _, flood := range floods {
 			t.Run(fmt.Sprintf("%s, seed %d", flood.name, seed), func(t *testing.T) {
-				others := func(o *operation) bool { return o.customer != flood.customer }
-				usual := &deployment{factor: func(int, int) float64 { return 1 }}
-				usual.play(seed, floodLoad)
 				flooded := &deployment{factor: func(route, customer int) float64 {
 					if customer == flood.customer && (flood.route == levels || flood.route == route) {
 						return floodFactor
@@ -260,17 +260,13 @@
 					return 1
 				}}
 				flooded.play(seed, floodLoad)
+				others := func(o *operation) bool { return o.customer != flood.customer }
 				u, f := usual.outcome(others), flooded.outcome(others)
 				loss := float64(u.done-f.done) / float64(u.entitled)
 				t.Logf("others: usual %+v, flooded %+v; loss %.4f", u, f, loss)
 				if loss >= 0.01 {
 					t.Errorf("the others lose %.4f of what they are entitled to", loss)
 				}
-				for r := range routes {
-					t.Logf("route %d: in time %.4f of the others, %.4f without the flood", r,
-						flooded.outcome(func(o *operation) bool { return others(o) && o.route == r }).partInTime(),
-						usual.outcome(func(o *operation) bool { return others(o) && o.route == r }).partInTime())
-				}
 				if p := flooded.outcome(func(o *operation) bool { return o.route == 0 }).partInTime(); p < 0.99 {
 					t.Errorf("%.4f of the most important requests in time, want 0.99", p)
 				}
--- a/internal/limit/forecaster/forecaster_test.go
+++ b/internal/limit/forecaster/forecaster_test.go
@@ -137,7 +137,7 @@
 	}
 	low := of(2, 1)
 	ask(0, low, true)
-	b.Hear(Forecast{Admits: of(1, 7), For: 50 * ms}, 0)
+	b.Update(Forecast{Admits: of(1, 7), For: 50 * ms}, 0)
 	ask(49*ms, low, false)
 	ask(49*ms, of(1, 7), true)
 	probe := ask(50*ms, low, true)
@@ -167,7 +167,7 @@
 // Guards against a probe whose answer is lost with its link and keeps all others out.
 func TestLostProbeEndsRestriction(t *testing.T) {
 	var b Board
-	b.Hear(Forecast{Admits: 8, For: 50 * ms}, 0)
+	b.Update(Forecast{Admits: 8, For: 50 * ms}, 0)
 	b.Ask(17, 50*ms)
 	if _, _, ok := b.Ask(17, 149*ms); ok {
 		t.Error("admitted while the probe may still be answered")
@@ -183,13 +183,13 @@
 // longer forecasts, and against a forecast of another version that holds for hours.
 func TestBoardIgnoresWhatDoesNotCount(t *testing.T) {
 	var b Board
-	b.Hear(Forecast{Admits: 8, For: time.Hour}, 0)
+	b.Update(Forecast{Admits: 8, For: time.Hour}, 0)
 	earlier, _, ok := b.Ask(17, MaximumFor)
 	if !ok {
 		t.Error("refused after the longest time of a forecast")
 	}
-	b.Hear(Forecast{Admits: 8, For: 50 * ms}, 300*ms)
-	b.Hear(Forecast{}, 300*ms)
+	b.Update(Forecast{Admits: 8, For: 50 * ms}, 300*ms)
+	b.Update(Forecast{}, 300*ms)
 	p, _, _ := b.Ask(17, 350*ms)
 	b.Answered(earlier, true, 351*ms)
 	if _, _, ok := b.Ask(17, 352*ms); ok {
@@ -201,13 +201,13 @@
 			t.Error("refused after a refusal without a forecast")
 		}
 	}
-	b.Hear(Forecast{Admits: 8, For: 50 * ms}, 400*ms)
+	b.Update(Forecast{Admits: 8, For: 50 * ms}, 400*ms)
 	for range 3 {
 		if _, _, ok := b.Ask(17, 450*ms+MaximumFor); !ok {
 			t.Error("refused though no request came for long after the forecast")
 		}
 	}
-	b.Hear(Forecast{Admits: 8, For: 50 * ms}, 800*ms)
+	b.Update(Forecast{Admits: 8, For: 50 * ms}, 800*ms)
 	p, _, _ = b.Ask(17, 850*ms)
 	b.Answered(p, true, 860*ms)
 	for range 3 {
@@ -223,7 +223,7 @@
 	var b Board
 	now := time.Duration(0)
 	for _, interval := range []time.Duration{20 * ms, 40 * ms, 80 * ms, 160 * ms, MaximumFor, MaximumFor} {
-		b.Hear(Forecast{Admits: 8, For: 20 * ms}, now)
+		b.Update(Forecast{Admits: 8, For: 20 * ms}, now)
 		var tenths [10]int
 		for range 100 {
 			_, d, ok := b.Ask(17, now)
@@ -250,7 +250,7 @@
 	if b.Begun() {
 		t.Error("begun without a refusal")
 	}
-	b.Hear(Forecast{Admits: 8, For: 50 * ms}, 0)
+	b.Update(Forecast{Admits: 8, For: 50 * ms}, 0)
 	for i := range 3 {
 		b.Ask(17, ms)
 		if b.Begun() != (i == 0) {
--- a/internal/limit/forecaster/world_test.go
+++ b/internal/limit/forecaster/world_test.go
@@ -274,7 +274,7 @@
 		if h.cut {
 			return
 		}
-		h.board.Hear(f, w.now)
+		h.board.Update(f, w.now)
 		if r.pass.Counted() {
 			h.board.Answered(r.pass, false, w.now)
 		}
--- a/internal/proxy/connpooler/admission.go
+++ b/internal/proxy/connpooler/admission.go
@@ -122,8 +122,8 @@
 	return t, &Refusal{Server: p.Server.ID, Reason: admitter.ReasonNotAdmitted, RetryAfter: d}
 }
 
-// hear applies what an answer over a link says about further requests.
-func (l *Lease) hear(a *declarer.Answer) {
+// applyForecast applies what an answer over a link says about further requests.
+func (l *Lease) applyForecast(a *declarer.Answer) {
 	x := l.pool.admission.Load()
 	if x == nil || a.Forecast.For == 0 && !l.pass.Counted() {
 		return
@@ -131,7 +131,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Since(x.began)
-	x.board.Hear(a.Forecast, now)
+	x.board.Update(a.Forecast, now)
 	if l.pass.Counted() {
 		x.board.Answered(l.pass, !a.Code.FromOwner(), now)
 		l.pass = forecaster.Pass{}
@@ -142,7 +142,7 @@
 func (l *Lease) Receive(a *declarer.Answer, deadline time.Time) error {
 	err := l.Connection.Receive(a, deadline)
 	if err == nil && l.pool.OnDemand {
-		l.hear(a)
+		l.applyForecast(a)
 	}
 	return err
 }
