fix(connpooler): a probe that gets no link is taken back

Cause: after a forecast one request is sent as a probe, and the others are refused until its answer, for at most 100 ms. A probe that the pool refused, for example at its deadline, kept that place although nothing was sent. Change: Board.Cancel gives the place to the next request.

--- a/internal/limit/forecaster/board.go
+++ b/internal/limit/forecaster/board.go
@@ -34,7 +34,8 @@
 // Pass belongs to an admitted request. The zero value is that of a request whose answer isn't counted.
 type Pass struct{ generation uint64 }
 
-// Counted reports whether the answer to the request must be passed to Answered.
+// Counted reports whether the answer to the request must be passed to Answered, or the request to Cancel
+// if it isn't sent.
 func (p Pass) Counted() bool { return p.generation != 0 }
 
 // Board is what a host keeps of the forecasts for one server. Its zero value admits all requests. A
@@ -137,6 +138,13 @@
 	}
 }
 
+// Cancel takes back a request with a counted pass that wasn't sent. Its place goes to the next one.
+func (b *Board) Cancel(p Pass) {
+	if b.state == stateProbing && p.generation == b.generation {
+		b.onTheWay--
+	}
+}
+
 // refuse counts a refusal and returns its retry time, after the forecast has expired. The retry times of
 // consecutive refusals are spread evenly over the forecast's duration, and over twice the interval after
 // each probe that was refused.
--- a/internal/proxy/connpooler/admission.go
+++ b/internal/proxy/connpooler/admission.go
@@ -122,6 +122,17 @@
 	return t, &Refusal{Server: p.Server.ID, Reason: admitter.ReasonNotAdmitted, RetryAfter: d}
 }
 
+// cancelPass tells the board that a request that it has admitted got no link.
+func (p *Pool) cancelPass(t forecaster.Pass) {
+	a := p.admission.Load()
+	if a == nil || !t.Counted() {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.board.Cancel(t)
+}
+
 // applyForecast applies what an answer over a link says about further requests.
 func (l *Lease) applyForecast(a *declarer.Answer) {
 	x := l.pool.admission.Load()
--- a/internal/proxy/connpooler/admission_test.go
+++ b/internal/proxy/connpooler/admission_test.go
@@ -140,6 +140,24 @@
 	})
 }
 
+// Guards against requests that are refused for the answer to a probe that wasn't sent, as it got no link.
+func TestProbeWithoutLinkIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &owner{answers: []declarer.Answer{refused, granted}}
+		p := newLinks(o, nil)
+		p.SetRanked(true)
+		ask(t, p, 17)
+		time.Sleep(50 * time.Millisecond)
+		if _, err := p.Acquire(AcquireRequest{Deadline: time.Now(), Class: admitter.ClassRead, Importance: 17}); err == nil {
+			t.Fatal("a link after the deadline")
+		}
+		if r := ask(t, p, 17); r != nil {
+			t.Errorf("refused beside a probe that wasn't sent: %+v", r)
+		}
+		p.Close()
+	})
+}
+
 // Guards against forecasts that are applied where nothing is ranked, or after the configuration that
 // ranked requests has been replaced.
 func TestForecastNeedsRanks(t *testing.T) {
--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -116,10 +116,12 @@
 		if errors.Is(err, errEnded) {
 			continue
 		}
-		if err == nil {
-			l.pass = t
+		if err != nil {
+			p.cancelPass(t)
+			return nil, err
 		}
-		return l, err
+		l.pass = t
+		return l, nil
 	}
 }
 
