fix(apportioner): databases without customers have no entitlement

Cause: a ranked configuration without customers gave each route's database the same share, and with shares a queue has entitlements. A server runs the requests of a few databases, each of which was entitled to its part of all, so that most requests counted as beyond it: those of less important routes had no reserved grants, and forecasts don't regard them. Change: without customers there are no shares. Databases have equal ones, as they had. Ruled out: entitlements among the databases of a server's group. No configuration declares what a database is entitled to. Tests: TestDatabasesWithoutCustomersHaveNoEntitlement saw 16 grants in a row without one to the least important route that waits.

--- a/internal/customer/apportioner/apportioner.go
+++ b/internal/customer/apportioner/apportioner.go
@@ -18,14 +18,15 @@
 )
 
 // Shares returns the share of each team under the configuration, nil if it is neither ranked nor has
-// share factors. Teams are the customers and, for callers without a customer, the databases of routes
-// that serve such callers.
+// share factors, or declares no customers: all databases have equal shares then, and as a server runs the
+// requests of a few of them, none is entitled to a part of its slots. Teams are the customers and, for callers
+// without a customer, the databases of routes that serve such callers.
 //
 // Under a ranked configuration a customer is entitled to its declared share, or else its rate,
 // relative to those of the others. Customers that declare neither, and databases, are entitled to the
 // median. Otherwise all are entitled to the same.
 func Shares(c *declarer.Configuration) map[string]admitter.TeamLimit {
-	if c == nil || !c.Ranked && len(c.Operations.ShareFactors) == 0 {
+	if c == nil || c.Customers == nil || !c.Ranked && len(c.Operations.ShareFactors) == 0 {
 		return nil
 	}
 	a := newApportioner(c)
@@ -33,7 +34,7 @@
 	for d, r := range c.Routes {
 		// The other routes serve no caller without a customer. With a share, each of them would reduce
 		// what the customers are entitled to.
-		if c.Customers == nil || r.Anonymous {
+		if r.Anonymous {
 			m[d] = admitter.TeamLimit{Share: a.share(0, 1)}
 		}
 	}
