--- a/internal/limit/forecaster/board.go
+++ b/internal/limit/forecaster/board.go
@@ -34,7 +34,8 @@
 // Pass belongs to an admitted request. The zero value is that of a request whose answer isn't counted.
 type Pass struct{ generation uint64 }
 
-// Counted reports whether the answer to the request must be passed to Answered.
+// Counted reports whether the answer to the request must be passed to Answered, or the request to Cancel
+// if it isn't sent.
 func (p Pass) Counted() bool { return p.generation != 0 }
 
 // Board is what a host keeps of the forecasts for one server. Its zero value admits all requests. A
@@ -61,8 +62,8 @@
 	refusedAt time.Duration
 }
 
-// Hear records a forecast of the server's owner. It replaces the one in force.
-func (b *Board) Hear(f Forecast, now time.Duration) {
+// Update records a forecast of the server's owner. It replaces the one in force.
+func (b *Board) Update(f Forecast, now time.Duration) {
 	if f.For <= 0 {
 		return
 	}
@@ -123,7 +124,7 @@
 }
 
 // Answered records the answer to a request with a counted pass. granted says that the server has run it
-// or answered it. A request that was refused with a forecast is passed to Hear before.
+// or answered it. A request that was refused with a forecast is passed to Update before.
 func (b *Board) Answered(p Pass, granted bool, now time.Duration) {
 	if b.state != stateProbing || p.generation != b.generation {
 		return
@@ -137,6 +138,13 @@
 	}
 }
 
+// Cancel takes back a request with a counted pass that wasn't sent. Its place goes to the next one.
+func (b *Board) Cancel(p Pass) {
+	if b.state == stateProbing && p.generation == b.generation {
+		b.onTheWay--
+	}
+}
+
 // refuse counts a refusal and returns its retry time, after the forecast has expired. The retry times of
 // consecutive refusals are spread evenly over the forecast's duration, and over twice the interval after
 // each probe that was refused.
--- a/internal/proxy/connpooler/admission.go
+++ b/internal/proxy/connpooler/admission.go
@@ -84,8 +84,8 @@
 }
 
 // complete adds the forecast and the booked retry time to a refusal by the queue that f belongs to, whose
-// load is l.
-func (a *admission) complete(r *Refusal, f *forecaster.Forecaster, i admitter.Importance, l admitter.Load) {
+// load is l and in which the request was at the given order.
+func (a *admission) complete(r *Refusal, f *forecaster.Forecaster, i admitter.Importance, order uint8, l admitter.Load) {
 	full := r.Reason == admitter.ReasonQueueFull
 	if !full && r.Reason != admitter.ReasonExpectedWait && r.Reason != admitter.ReasonDeadline {
 		return
@@ -93,9 +93,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Since(a.began)
-	r.RetryAfter = a.calendar.Book(i, r.RetryAfter, booker.Capacity{Slots: l.Slots, ServiceTime: l.ServiceTime}, now)
+	r.RetryAfter = a.calendar.Book(order, r.RetryAfter, booker.Capacity{Slots: l.Slots, ServiceTime: l.ServiceTime}, now)
 	if r.Reason != admitter.ReasonDeadline {
-		r.Forecast = f.Refused(forecaster.Refusal{Importance: i, QueueFull: full}, l, now)
+		r.Forecast = f.Refused(forecaster.Refusal{Importance: i, BeyondEntitlement: order >= admitter.LevelCount, QueueFull: full}, l, now)
 	}
 }
 
@@ -122,8 +122,19 @@
 	return t, &Refusal{Server: p.Server.ID, Reason: admitter.ReasonNotAdmitted, RetryAfter: d}
 }
 
-// hear applies what an answer over a link says about further requests.
-func (l *Lease) hear(a *declarer.Answer) {
+// cancelPass tells the board that a request that it has admitted got no link.
+func (p *Pool) cancelPass(t forecaster.Pass) {
+	a := p.admission.Load()
+	if a == nil || !t.Counted() {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.board.Cancel(t)
+}
+
+// applyForecast applies what an answer over a link says about further requests.
+func (l *Lease) applyForecast(a *declarer.Answer) {
 	x := l.pool.admission.Load()
 	if x == nil || a.Forecast.For == 0 && !l.pass.Counted() {
 		return
@@ -131,7 +142,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Since(x.began)
-	x.board.Hear(a.Forecast, now)
+	x.board.Update(a.Forecast, now)
 	if l.pass.Counted() {
 		x.board.Answered(l.pass, !a.Code.FromOwner(), now)
 		l.pass = forecaster.Pass{}
@@ -142,7 +153,7 @@
 func (l *Lease) Receive(a *declarer.Answer, deadline time.Time) error {
 	err := l.Connection.Receive(a, deadline)
 	if err == nil && l.pool.OnDemand {
-		l.hear(a)
+		l.applyForecast(a)
 	}
 	return err
 }
--- a/internal/proxy/connpooler/silent_owner_test.go
+++ b/internal/proxy/connpooler/silent_owner_test.go
@@ -55,7 +55,8 @@
 			t.Errorf("refused after %v, a link takes %v to open", d, openDelay)
 		}
 		l[0].Release(true)
-		time.Sleep(openDelay) // until the last attempt to open a link has ended
+		// The opening of a link may outlast the waiter that it was for.
+		time.Sleep(openDelay)
 	})
 }
 
