fix(executor): a statement goes to the next owner at once

Cause: a server whose connections' owner can't be reached counts as unreachable itself, for which statements wait 100 ms, and are refused after 150, though the next owner of its connections is known by then. Ruled out: treating the server as reachable for good (the next owner may not reach it either; then the wait is as before). Change: if the server's pool is another one when a link to its owner has failed, the statement asks again at once, three times at most.

--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -38,6 +38,8 @@
 	primary bool
 	// reason explains the choice of the server or the refusal.
 	reason string
+	// ownerMoves counts the calls of moveToNextOwner that returned true.
+	ownerMoves int
 	// waited is the time spent waiting for leases.
 	waited time.Duration
 	answer declarer.Answer
@@ -145,9 +147,26 @@
 	if r, ok := errors.AsType[*connpooler.Refusal](err); ok {
 		return nil, a.afterRefusal(id, retrier.CauseQueueTooLong, r.RetryAfter)
 	}
+	if a.moveToNextOwner(id, p) {
+		return nil, retrier.Step{}
+	}
 	return nil, a.afterRefusal(id, retrier.CauseUnreachable, 0)
 }
 
+// maximumOwnerMoves bounds the owners of a server's connections that one statement asks at once.
+const maximumOwnerMoves = 3
+
+// moveToNextOwner reports whether the server's connections are borrowed from another host by now than
+// through the pool that couldn't reach its owner. That says nothing about the server, so that the statement
+// needn't wait.
+func (a *attempt) moveToNextOwner(id string, p *connpooler.Pool) bool {
+	if !p.OnDemand || a.ownerMoves == maximumOwnerMoves || a.session.Pools.Pool(id) == p {
+		return false
+	}
+	a.ownerMoves++
+	return true
+}
+
 // unknownPositionWait bounds the wait for a change on the blackboard while the position that a
 // read requires is unknown.
 const unknownPositionWait = 100 * time.Millisecond
