perf(connpooler): a calendar of retry times is made with the first refusal

Cause: each pool of a ranked configuration held a calendar of 13 kB, also pools of links, which book no retry. A host of a large deployment has thousands of them. Change: the calendar is allocated when a queue first refuses. Ruled out: a smaller calendar; owners need it whole. Figures: size of booker.Calendar 200 buckets of 16 counters of 4 bytes.

--- a/internal/proxy/connpooler/admission.go
+++ b/internal/proxy/connpooler/admission.go
@@ -27,10 +27,11 @@
 	began time.Time
 
 	mu sync.Mutex
-	// connections and permits compute the forecasts of the two queues of a pool, and calendar books the
-	// retries of requests that either refuses.
+	// connections and permits compute the forecasts of the two queues of a pool.
 	connections, permits forecaster.Forecaster
-	calendar             booker.Calendar
+	// calendar books the retries of requests that either queue refuses. It is nil before the first one: it
+	// takes 13 kB, and a host of a large deployment has pools of links to thousands of servers.
+	calendar *booker.Calendar
 	// board keeps the forecasts of the owner, in a pool of links.
 	board forecaster.Board
 }
@@ -93,6 +94,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Since(a.began)
+	if a.calendar == nil {
+		a.calendar = &booker.Calendar{}
+	}
 	r.RetryAfter = a.calendar.Book(order, r.RetryAfter, booker.Capacity{Slots: l.Slots, ServiceTime: l.ServiceTime}, now)
 	if r.Reason != admitter.ReasonDeadline {
 		r.Forecast = f.Refused(forecaster.Refusal{Importance: i, BeyondEntitlement: order >= admitter.LevelCount, QueueFull: full}, l, now)
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -8,8 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -31,25 +29,6 @@
 	disconnectPercent = 10
 )
 
-// Recorder collects the history of the callers of one group.
-type Recorder struct {
-	mu      sync.Mutex
-	history checker.History
-	// value is the last value that nextValue returned.
-	value atomic.Int64
-}
-
-// Update calls f with the history while it holds the recorder's lock.
-func (r *Recorder) Update(f func(h *checker.History)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f(&r.history)
-}
-
-// nextValue returns a value higher than all that it returned before. The checker relies on growing
-// values of each item.
-func (r *Recorder) nextValue() int { return int(r.value.Add(1)) }
-
 // Host is the name of an entry host and the address at which callers reach it.
 type Host struct {
 	Name    string
@@ -402,6 +381,3 @@
 	}
 	s.Recorder.Update(func(h *checker.History) { h.Writes = append(h.Writes, l...) })
 }
-
-// History returns the history without locking, so only once all sessions have ended.
-func (r *Recorder) History() *checker.History { return &r.history }
