test(soak): readiness path without an import of package platform

Cause: imported package platform in the soak for the path of the readiness check. Ruled out: a wider list in the check. The soak polls as a load balancer does, which knows the path and not the package. Change: the path is a constant of the soak.

--- a/internal/soak/runner/operations_test.go
+++ b/internal/soak/runner/operations_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/soak/caller"
-	"github.com/cuminwick/cuminwick/platform"
 )
 
 const (
@@ -24,6 +23,9 @@
 	// connectionsPerHost is the number of connections per host below which one host owns those to a
 	// server.
 	connectionsPerHost = 3
+	// readinessPath is the path of the load balancer's readiness check, as the balancer polls it. Tests
+	// outside of the assembly don't import package platform.
+	readinessPath = "/api/ready"
 )
 
 // requests are the operators' requests of a configuration, as encoded for the store.
@@ -130,7 +132,7 @@
 // isReady reports whether the host's readiness check answers that it accepts callers.
 func (h *host) isReady() bool {
 	c := http.Client{Timeout: time.Second}
-	r, err := c.Get("http://" + h.readiness + platform.ReadinessPath)
+	r, err := c.Get("http://" + h.readiness + readinessPath)
 	if err != nil {
 		return false
 	}
