refactor: one readiness for ranks, bounded labels for names, log field database-group

Ruled out: one list of unmatched names for validate and its preview (their texts differ and are tested; the one reads the declaration, the other the decoded configuration); a flag for the hosts' settings in the preview (its page says what 'ranked' stands for). Conclusion: but for that field's name, behaviour and assertions are as before.

--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -1,7 +1,6 @@
 package reporter
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -32,9 +31,9 @@
 	received   *prometheus.CounterVec
 	sent       *prometheus.CounterVec
 	transfers  *prometheus.HistogramVec
-	labels     customerLabels
+	labels     nameLabels
 	// routeLabels bounds the names of held routes.
-	routeLabels customerLabels
+	routeLabels nameLabels
 }
 
 // buckets are the bounds of latency histograms, from 0.5 ms to 8 s.
@@ -138,7 +137,7 @@
 
 // NotAdmitted counts a request that was refused without a round trip.
 func (m *Metrics) NotAdmitted(priority uint8) {
-	m.unadmitted.WithLabelValues(strconv.Itoa(int(priority))).Inc()
+	m.unadmitted.WithLabelValues(priorities[priority]).Inc()
 }
 
 // PlatformCall counts a call to the platform.
--- a/internal/proxy/reporter/ranked_test.go
+++ b/internal/proxy/reporter/ranked_test.go
@@ -1,7 +1,6 @@
 package reporter
 
 import (
-	"context"
 	"io"
 	"strings"
 	"testing"
@@ -48,17 +47,11 @@
 
 // Guards against lines of refused statements without their importance.
 func TestLineOfRankedStatement(t *testing.T) {
-	var b strings.Builder
-	e := &encoder.Encoder{Writer: &b, QueueBytes: 1 << 20}
-	o := &Reporter{Lines: e, Metrics: newTestMetrics()}
-	o.Statement(&executor.Report{Statement: "a1", Code: declarer.CodeBusy, Importance: 17, Ranked: true})
-	o.Statement(&executor.Report{Statement: "a2", Code: declarer.CodeBusy})
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	if err := e.Run(ctx); err != nil {
-		t.Fatal(err)
-	}
-	first, second, _ := strings.Cut(b.String(), "\n")
+	s := reportAll(t, &Reporter{Metrics: newTestMetrics()},
+		executor.Report{Statement: "a1", Code: declarer.CodeBusy, Importance: 17, Ranked: true},
+		executor.Report{Statement: "a2", Code: declarer.CodeBusy},
+	)
+	first, second, _ := strings.Cut(s, "\n")
 	if !strings.Contains(first, `"importance":17`) || strings.Contains(second, "importance") {
 		t.Errorf("lines %q and %q", first, second)
 	}
--- a/internal/proxy/reporter/reporter_test.go
+++ b/internal/proxy/reporter/reporter_test.go
@@ -55,34 +55,41 @@
 	<-done
 }
 
-func TestSampling(t *testing.T) {
+// reportAll reports the statements, and returns the log lines.
+func reportAll(t *testing.T, o *Reporter, l ...executor.Report) string {
+	t.Helper()
 	var b strings.Builder
 	e := &encoder.Encoder{Writer: &b, QueueBytes: 1 << 20}
-	o := &Reporter{Lines: e, Metrics: newTestMetrics(), Sample: 1 << 40}
+	o.Lines = e
+	for _, r := range l {
+		o.Statement(&r)
+	}
 	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error)
-	go func() { done <- e.Run(ctx) }()
-	o.Statement(&executor.Report{Statement: "ran-1", Verb: declarer.VerbRead, Server: "i-1", Elapsed: time.Millisecond})
-	o.Statement(&executor.Report{Statement: "lost-1", Verb: declarer.VerbWrite, Server: "i-1", Primary: true, Code: declarer.CodeOutcomeUnknown})
 	cancel()
-	<-done
-	if s := b.String(); strings.Contains(s, "ran-1") || !strings.Contains(s, `"request":"lost-1"`) || !strings.Contains(s, `"outcome":"unknown"`) {
+	if err := e.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return b.String()
+}
+
+func TestSampling(t *testing.T) {
+	o := &Reporter{Metrics: newTestMetrics(), Sample: 1 << 40}
+	s := reportAll(t, o,
+		executor.Report{Statement: "ran-1", Verb: declarer.VerbRead, Server: "i-1", Elapsed: time.Millisecond},
+		executor.Report{Statement: "lost-1", Verb: declarer.VerbWrite, Server: "i-1", Primary: true, Code: declarer.CodeOutcomeUnknown},
+	)
+	if strings.Contains(s, "ran-1") || !strings.Contains(s, `"request":"lost-1"`) || !strings.Contains(s, `"outcome":"unknown"`) {
 		t.Errorf("lines %q", s)
 	}
 }
 
 // Guards against refusals on behalf of an operator that look like those of an overload.
 func TestHeldStatements(t *testing.T) {
-	var b strings.Builder
-	e := &encoder.Encoder{Writer: &b, QueueBytes: 1 << 20}
-	o := &Reporter{Lines: e, Metrics: newTestMetrics()}
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error)
-	go func() { done <- e.Run(ctx) }()
-	o.Statement(&executor.Report{Statement: "x", Verb: declarer.VerbRead, Code: declarer.CodeBusy, Customer: "a", Held: executor.Hold{Kind: executor.HoldCustomer, Name: "a"}})
-	o.Statement(&executor.Report{Statement: "y", Verb: declarer.VerbWrite, Code: declarer.CodeBusy, Held: executor.Hold{Kind: executor.HoldRoute, Name: "r"}})
-	cancel()
-	<-done
+	o := &Reporter{Metrics: newTestMetrics()}
+	lines := reportAll(t, o,
+		executor.Report{Statement: "x", Verb: declarer.VerbRead, Code: declarer.CodeBusy, Customer: "a", Held: executor.Hold{Kind: executor.HoldCustomer, Name: "a"}},
+		executor.Report{Statement: "y", Verb: declarer.VerbWrite, Code: declarer.CodeBusy, Held: executor.Hold{Kind: executor.HoldRoute, Name: "r"}},
+	)
 	for _, l := range [][]string{{"read", "customer", "a"}, {"write", "route", "r"}} {
 		if got := testutil.ToFloat64(o.Metrics.held.WithLabelValues(l[1], l[2])); got != 1 {
 			t.Errorf("%v refused as held: %v", l, got)
@@ -90,8 +97,8 @@
 		if got := testutil.ToFloat64(o.Metrics.statements.WithLabelValues(l[0], "not-run", "held")); got != 1 {
 			t.Errorf("%v counted by code: %v", l, got)
 		}
-		if want := `"held":"` + l[1] + " " + l[2] + `"`; !strings.Contains(b.String(), want) || strings.Contains(b.String(), "busy") {
-			t.Errorf("lines %s lack %s", b.String(), want)
+		if want := `"held":"` + l[1] + " " + l[2] + `"`; !strings.Contains(lines, want) || strings.Contains(lines, "busy") {
+			t.Errorf("lines %s lack %s", lines, want)
 		}
 	}
 }
@@ -99,22 +106,19 @@
 // Guards against transactions held at their begin that metrics and losses count under an empty operation, and
 // against lines that change for begins that are refused otherwise.
 func TestHeldTransactions(t *testing.T) {
-	var b strings.Builder
-	e := &encoder.Encoder{Writer: &b, QueueBytes: 1 << 20}
-	o := &Reporter{Lines: e, Metrics: newTestMetrics()}
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error)
-	go func() { done <- e.Run(ctx) }()
+	o := &Reporter{Metrics: newTestMetrics()}
+	var reports []executor.Report
 	for _, v := range []declarer.Verb{declarer.VerbBegin, declarer.VerbBeginRead} {
-		o.Statement(&executor.Report{Statement: "x", Verb: v, Code: declarer.CodeBusy, Held: executor.Hold{Kind: executor.HoldRoute, Name: "r"}})
-		o.Statement(&executor.Report{Statement: "y", Verb: v, Code: declarer.CodeUnauthorized})
+		reports = append(reports,
+			executor.Report{Statement: "x", Verb: v, Code: declarer.CodeBusy, Held: executor.Hold{Kind: executor.HoldRoute, Name: "r"}},
+			executor.Report{Statement: "y", Verb: v, Code: declarer.CodeUnauthorized},
+		)
 	}
-	cancel()
-	<-done
+	lines := reportAll(t, o, reports...)
 	if n := testutil.ToFloat64(o.Metrics.statements.WithLabelValues("begin", "not-run", "held")); n != 2 {
 		t.Errorf("%v held transactions counted, want 2", n)
 	}
-	for _, l := range strings.Split(strings.TrimSpace(b.String()), "\n") {
+	for _, l := range strings.Split(strings.TrimSpace(lines), "\n") {
 		if strings.Contains(l, `"operation":"begin"`) != strings.Contains(l, `"code":"held"`) {
 			t.Errorf("line %s", l)
 		}
--- a/internal/proxy/runner/placement.go
+++ b/internal/proxy/runner/placement.go
@@ -138,6 +138,6 @@
 
 // logDisplaced logs that this host owns a server instead of its first host.
 func (h *Host) logDisplaced(d assigner.Displacement) {
-	h.Log.WithFields(log.Fields{"group": d.Server.DatabaseGroup, "server": d.Server.Name, "slots": d.Server.Slots, "first": d.First, "owner": d.Owner}).
+	h.Log.WithFields(log.Fields{"database-group": d.Server.DatabaseGroup, "server": d.Server.Name, "slots": d.Server.Slots, "first": d.First, "owner": d.Owner}).
 		Info("server owned by another host than its first")
 }
--- a/internal/proxy/runner/pools.go
+++ b/internal/proxy/runner/pools.go
@@ -144,7 +144,7 @@
 		o = p.getOrAdd(k, &connpooler.Pool{Server: s, Dialer: p.dialer, Observer: p.observer, Limit: limit, MinOpen: minimum, ByCustomer: b})
 	}
 	o.Resize(limit, minimum)
-	o.SetRanked(p.ranked())
+	o.SetRanked(p.board.Ranked())
 	return o
 }
 
@@ -191,16 +191,10 @@
 		l := &linkDialer{pools: p, owner: o}
 		n = p.getOrAdd(k, &connpooler.Pool{Server: s, Dialer: l, Observer: l, Limit: maximumLinks, MinOpen: 1, OnDemand: true, Admissions: p.admissions})
 	}
-	n.SetRanked(p.ranked())
+	n.SetRanked(p.board.Ranked())
 	return n
 }
 
-// ranked reports whether requests have different importance.
-func (p *pools) ranked() bool {
-	c := p.board.Configuration()
-	return c != nil && c.Ranked
-}
-
 // get returns the pool of the key, nil if there is none.
 func (p *pools) get(w poolKey) *connpooler.Pool {
 	p.mu.Lock()
