test(executor): a reserve of retries is tested far from the deadline

Trace: in each case it was the first write after 5 to 7 attempts, exactly 400 ms after it came, the timeout of the test's routes. The pause before a retry is random, and now and then the last one leaves less time than the answer takes. That the write may have run is true as far as the host can know, so the answer is allowed; the test isn't about it. Change: the routes of this test have a timeout of a minute, in virtual time, so that the budget and not the deadline ends the retries. What it asserts is as before. Conclusion: a retry that has less time left than an answer takes makes an unknown outcome of a certain refusal.

--- a/internal/proxy/executor/reserve_test.go
+++ b/internal/proxy/executor/reserve_test.go
@@ -1,9 +1,11 @@
 package executor_test
 
 import (
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
@@ -24,6 +26,8 @@
 				w.busy = 1000
 				d := newEntryHost(w, "z-0")
 				declarePriorities(d, 0, x.priorities)
+				// A retry whose answer doesn't come before the deadline is answered as unknown, not as busy.
+				declareTimeout(d, time.Minute)
 				var r allReports
 				write := func(database string, n int) {
 					c := newClient(d, "s-"+database, database, 1)
@@ -48,3 +52,15 @@
 		})
 	}
 }
+
+// declareTimeout replaces the timeout of all routes.
+func declareTimeout(d *entryHost, timeout time.Duration) {
+	c := *d.board.Configuration()
+	c.Version++
+	c.Routes = maps.Clone(c.Routes)
+	for n, r := range c.Routes {
+		r.Timeout = timeout
+		c.Routes[n] = r
+	}
+	d.board.Configure(&c)
+}
