fix(promoter): an unanswered order is closed once the primary is back

Cause: the order to promote got no answer, and the platform carried it out seconds later. The platform compares an order's token with those of earlier orders. The host gave its order up after four seconds and renewed its claim in the store only, so that the platform had received no newer token.

Ruled out: the choice of the replica, whose log was the longest of those that had answered when the order was sent; the claim, which was renewed each time.

Change: while an order has no answer, the host also queries the other servers and gives the order up if one of them leads. It then takes a newer token and requests the promotion of the server that leads, which changes nothing and has the platform refuse older orders. The claim names a server until that is answered, so that other hosts that have seen the loss, and the holder after a restart, find the open order and close it. An order without an answer is repeated after 0.25 s; before, the host waited until four seconds were over and claimed the group again.

--- a/internal/proxy/promoter/claims.go
+++ b/internal/proxy/promoter/claims.go
@@ -17,7 +17,8 @@
 type Claim struct {
 	// Holder is the name of the host that holds the claim.
 	Holder string
-	// Server is the server that the holder has chosen, empty for none yet.
+	// Server is the server that the holder has chosen. It is empty if no order of the holder can
+	// be carried out any more.
 	Server string
 	// AboveTerm is the newest term that the holder found in the group. A promotion under this
 	// claim leads to a newer one.
@@ -46,9 +47,11 @@
 	if scheduler.Pause(ctx, firstClaimDelay+firstClaimDelayFactor*p.detector.Delay()) != nil || !p.Roles.MayClaim(p.Group) {
 		return
 	}
-	if _, err := p.readClaim(ctx); errors.Is(err, ErrNoClaim) {
+	c, err := p.readClaim(ctx)
+	if errors.Is(err, ErrNoClaim) {
 		_, _ = p.putClaim(ctx, Claim{Holder: p.Host})
 	}
+	p.suspected = c.Server != ""
 }
 
 // acquireClaim replaces the present claim by one to promote the server, and reports whether this
@@ -61,6 +64,7 @@
 	case p.defersTo(ctx, present, server):
 		return Claim{}, false
 	}
+	p.unsettled = p.unsettled || present.Server != ""
 	c, failure := p.putClaim(ctx, Claim{Holder: p.Host, Server: server, AboveTerm: above, Token: present.Token})
 	return c, failure == nil
 }
@@ -96,7 +100,7 @@
 // for is over. Otherwise, the host could not act if the store were lost together with the next
 // primary, as its claim would be valid for the server of the last promotion only.
 func (p *Promoter) renewClaim(ctx context.Context) {
-	if p.heldClaim.Server == "" || time.Since(p.renewedAt) < claimRenewInterval {
+	if p.unsettled || p.heldClaim.Server == "" || time.Since(p.renewedAt) < claimRenewInterval {
 		return
 	}
 	p.renewedAt = time.Now()
--- /dev/null
+++ b/internal/proxy/promoter/orders.go
@@ -0,0 +1,183 @@
+package promoter
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
+)
+
+const (
+	// promotionTimeout bounds the wait until a promoted server reports to be the primary, and
+	// promotionPollInterval is how often it is queried.
+	promotionTimeout      = 4 * time.Second
+	promotionPollInterval = 50 * time.Millisecond
+	// promotionRetryDelay is how long after a request without an answer the next one is sent.
+	promotionRetryDelay = 250 * time.Millisecond
+	// rivalPollInterval is how often the other servers are queried while an order has no answer.
+	rivalPollInterval = 100 * time.Millisecond
+	// settleInterval is the least time between two attempts to close an order, and settleDelay how
+	// long after the end of a loss a host leaves that to the one that has sent the order.
+	settleInterval = 250 * time.Millisecond
+	settleDelay    = time.Second
+)
+
+// Results of a promotion.
+const (
+	resultDone        = "done"
+	resultRefused     = "refused"
+	resultUnconfirmed = "unconfirmed"
+	resultSuperseded  = "superseded"
+)
+
+// order is an order to promote a server. The platform may carry out one that it hasn't answered seconds
+// later, unless it has received a newer token for the group by then.
+type order struct {
+	heir declarer.Server
+	// rivals are the other servers that may lead before the order is carried out. A draining primary
+	// isn't among them: it leads until then.
+	rivals []*grouptracker.Server
+	claim  Claim
+}
+
+// promote has the platform promote the server, waits until the server reports to be the primary, and
+// returns the result. It gives the order up if another server leads before the platform has answered.
+func (p *Promoter) promote(ctx context.Context, o order, l log.Interface) string {
+	began := time.Now()
+	l.Info("promotion ordered")
+	heir := p.watchLeader(ctx, []*grouptracker.Server{{Server: o.heir}}, promotionPollInterval)
+	defer heir.stop()
+	rival := p.watchLeader(heir.context, o.rivals, rivalPollInterval)
+	defer rival.stop()
+	err := p.requestUntilAnswered(rival.context, o, began, l)
+	rival.stop()
+	switch {
+	case errors.Is(err, ErrFenced):
+		l.WithError(err).Warn("promotion refused")
+		return resultRefused
+	case err != nil && rival.found.Load():
+		l.Warn("promotion superseded")
+		return resultSuperseded
+	}
+	_ = scheduler.Pause(heir.context, promotionTimeout-time.Since(began))
+	if !heir.found.Load() {
+		l.Warn("promoted server does not lead")
+		return resultUnconfirmed
+	}
+	p.needed, p.unsettled, p.suspected = false, err != nil, false
+	p.Counter.Phase(phaseLead, time.Since(began))
+	l.WithField("took", time.Since(began).String()).Info("promotion done")
+	return resultDone
+}
+
+// requestUntilAnswered repeats the request until the platform accepts or refuses it, or until ctx or
+// promotionTimeout ends, and returns the last error. All of its requests have the same token and server,
+// so that a late one changes nothing after an earlier one.
+func (p *Promoter) requestUntilAnswered(ctx context.Context, o order, began time.Time, l log.Interface) error {
+	for {
+		err := p.requestPromotion(ctx, o.heir.ID, o.claim.Token)
+		if err == nil || errors.Is(err, ErrFenced) {
+			return err
+		}
+		p.unsettled, p.settleAt = true, time.Now()
+		if ctx.Err() != nil {
+			return err
+		}
+		l.WithError(err).Warn("promotion not answered")
+		if time.Since(began)+promotionRetryDelay > promotionTimeout || scheduler.Pause(ctx, promotionRetryDelay) != nil {
+			return err
+		}
+	}
+}
+
+// requestPromotion sends one promotion request to the platform.
+func (p *Promoter) requestPromotion(ctx context.Context, server string, token uint64) error {
+	c, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return p.Platform.Promote(c, p.Group, server, p.Host, token)
+}
+
+// leaderWatch queries servers until one of them reports to be the primary.
+type leaderWatch struct {
+	promoter *Promoter
+	servers  []*grouptracker.Server
+	interval time.Duration
+	// context ends once a server leads or the watch is stopped.
+	context context.Context
+	stop    context.CancelFunc
+	found   atomic.Bool
+}
+
+// watchLeader starts a watch, which the caller must stop. It also ends with ctx.
+func (p *Promoter) watchLeader(ctx context.Context, l []*grouptracker.Server, interval time.Duration) *leaderWatch {
+	w := &leaderWatch{promoter: p, servers: l, interval: interval}
+	w.context, w.stop = context.WithCancel(ctx)
+	if len(l) > 0 {
+		go w.run(context.WithoutCancel(ctx))
+	}
+	return w
+}
+
+// run queries the servers under ctx, which outlasts the watch: a query that is cut off would count as a
+// failure of its server.
+func (w *leaderWatch) run(ctx context.Context) {
+	for scheduler.Pause(w.context, w.interval) == nil {
+		for _, c := range w.promoter.queryStatus(ctx, w.servers) {
+			if c.Status.Primary {
+				w.found.Store(true)
+				w.stop()
+				return
+			}
+		}
+	}
+}
+
+// suspectOrder notes that another host may have ordered a promotion for a loss that is over, and may have
+// failed since.
+func (p *Promoter) suspectOrder() {
+	if !p.unsettled && p.Roles.Watches(p.Group) {
+		p.suspected, p.settleAt = true, time.Now().Add(settleDelay)
+	}
+}
+
+// settle closes an order that may still be carried out although the group has a primary. The platform
+// refuses the order once it has received a newer token, with a request that names the present primary
+// and thus changes nothing. The order of another host is left to that host while it may act.
+func (p *Promoter) settle(ctx context.Context) {
+	if !p.unsettled && !p.suspected || time.Now().Before(p.settleAt) {
+		return
+	}
+	p.settleAt = time.Now().Add(settleInterval)
+	// The claim is read before the primary is queried: if another host orders a promotion in between,
+	// the claim below fails.
+	present, err := p.readClaim(ctx)
+	switch {
+	case errors.Is(err, ErrNoClaim), err == nil && present.Server == "":
+		p.unsettled, p.suspected = false, false
+		return
+	case err != nil:
+		return
+	}
+	leader, ok := p.confirmPrimary(ctx)
+	if !ok || p.defersTo(ctx, present, leader.Server.ID) {
+		return
+	}
+	x, err := p.putClaim(ctx, Claim{Holder: p.Host, Server: leader.Server.ID, AboveTerm: leader.Status.Term, Token: present.Token})
+	if err != nil {
+		return
+	}
+	err = p.requestPromotion(ctx, leader.Server.ID, x.Token)
+	l := p.Log.WithFields(log.Fields{"database-group": p.Group, "primary": leader.Server.ID, "token": x.Token, "closed": present.Token})
+	if err != nil {
+		l.WithError(err).Warn("promotion order not closed")
+		return
+	}
+	p.unsettled, p.suspected = false, false
+	l.Info("promotion order closed")
+}
--- a/internal/proxy/promoter/promoter.go
+++ b/internal/proxy/promoter/promoter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -64,10 +65,6 @@
 	switchoverRetryInterval = 3 * time.Second
 	// claimRenewInterval is the least time between two attempts to renew a claim.
 	claimRenewInterval = 2 * time.Second
-	// promotionTimeout bounds the wait until a promoted server reports to be the primary, and
-	// promotionPollInterval is how often it is queried.
-	promotionTimeout      = 4 * time.Second
-	promotionPollInterval = 50 * time.Millisecond
 	// catchUpTimeout bounds the wait until the candidate of a planned switchover has the whole
 	// log of the old primary, and catchUpPollInterval is how often it is queried.
 	catchUpTimeout      = 500 * time.Millisecond
@@ -132,6 +129,12 @@
 	warnedUnreadable bool
 	// claimReadAt is when the claim was last read.
 	claimReadAt time.Time
+	// unsettled is set while an order under this host's claim, or under the one that it has replaced,
+	// may still be carried out. suspected is set if such an order of another host is possible.
+	unsettled bool
+	suspected bool
+	// settleAt is when this host next tries to close such an order.
+	settleAt time.Time
 }
 
 // Run checks the group at intervals until ctx ends.
@@ -162,7 +165,11 @@
 	}
 	r := p.detector.Decide(s)
 	if r == successor.ReasonNone {
-		p.needed = false
+		if p.needed {
+			p.needed = false
+			p.suspectOrder()
+		}
+		p.settle(ctx)
 		p.renewClaim(ctx)
 		return
 	}
@@ -240,7 +247,16 @@
 		p.Board.Do(p.Group, func(g *grouptracker.Group) { g.RecordNotLeading(s.Primary.ID) })
 		return
 	}
-	p.Counter.Promotion(string(r), p.promote(ctx, candidate.Server, claim, l))
+	o := order{heir: candidate.Server, claim: claim}
+	if r != successor.ReasonDraining {
+		o.rivals = without(s.Servers, candidate.Server.ID)
+	}
+	p.Counter.Promotion(string(r), p.promote(ctx, o, l))
+}
+
+// without returns the servers other than the one with the id.
+func without(l []*grouptracker.Server, id string) []*grouptracker.Server {
+	return slices.DeleteFunc(slices.Clone(l), func(s *grouptracker.Server) bool { return s.ID == id })
 }
 
 // synchronous returns how many replicas must have a commit of the group before it is
@@ -284,60 +300,3 @@
 	// phaseLead lasts from the promotion request until the server reports to be the primary.
 	phaseLead = "order-to-lead"
 )
-
-// Results of a promotion.
-const (
-	resultDone        = "done"
-	resultRefused     = "refused"
-	resultUnconfirmed = "unconfirmed"
-)
-
-// promote has the platform promote the server, waits until the server reports to be the
-// primary, and returns the result.
-func (p *Promoter) promote(ctx context.Context, s declarer.Server, x Claim, l log.Interface) string {
-	began := time.Now()
-	l.Info("promotion ordered")
-	for time.Since(began) < promotionTimeout {
-		err := p.requestPromotion(ctx, s, x)
-		switch {
-		case errors.Is(err, ErrFenced):
-			l.WithError(err).Warn("promotion refused")
-			return resultRefused
-		case err != nil:
-			l.WithError(err).Warn("promotion not answered")
-		}
-		if p.awaitPrimary(ctx, s, began) {
-			p.Counter.Phase(phaseLead, time.Since(began))
-			l.WithField("took", time.Since(began).String()).Info("promotion done")
-			return resultDone
-		}
-		if err == nil {
-			break
-		}
-	}
-	l.Warn("promoted server does not lead")
-	return resultUnconfirmed
-}
-
-// requestPromotion sends one promotion request to the platform.
-func (p *Promoter) requestPromotion(ctx context.Context, s declarer.Server, x Claim) error {
-	c, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	return p.Platform.Promote(c, p.Group, s.ID, p.Host, x.Token)
-}
-
-// awaitPrimary queries the server until it reports to be the primary, and returns false if it
-// doesn't within promotionTimeout from began.
-func (p *Promoter) awaitPrimary(ctx context.Context, s declarer.Server, began time.Time) bool {
-	for time.Since(began) < promotionTimeout {
-		for _, c := range p.queryStatus(ctx, []*grouptracker.Server{{Server: s}}) {
-			if c.Status.Primary {
-				return true
-			}
-		}
-		if scheduler.Pause(ctx, promotionPollInterval) != nil {
-			return false
-		}
-	}
-	return false
-}
--- a/internal/proxy/promoter/promoter_test.go
+++ b/internal/proxy/promoter/promoter_test.go
@@ -49,6 +49,11 @@
 	unavailable, loseAnswer bool
 	// refuses makes promotions fail with ErrFenced.
 	refuses bool
+	// token is the highest token that the platform has received with a promotion.
+	token uint64
+	// unanswered is the number of the next promotions that get no answer. They are kept in late.
+	unanswered int
+	late       []lateOrder
 	// othersReach is set if other hosts reach the servers that this host doesn't reach, and hangs
 	// if these servers accept connections there but don't answer.
 	othersReach, hangs bool
@@ -101,12 +106,48 @@
 	return x, nil
 }
 
-func (c *cluster) Promote(_ context.Context, _, server, holder string, token uint64) error {
+// lateOrder is a promotion that the platform carries out later, without an answer.
+type lateOrder struct {
+	server, holder string
+	token          uint64
+}
+
+func (c *cluster) Promote(ctx context.Context, _, server, holder string, token uint64) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.refuses {
 		return ErrFenced
 	}
+	if c.unanswered > 0 {
+		c.unanswered--
+		c.late = append(c.late, lateOrder{server, holder, token})
+		c.mu.Unlock()
+		<-ctx.Done()
+		c.mu.Lock()
+		return ctx.Err()
+	}
+	return c.promote(server, holder, token)
+}
+
+// carryOut has the platform carry out the orders that it hasn't answered.
+func (c *cluster) carryOut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.late {
+		_ = c.promote(o.server, o.holder, o.token)
+	}
+	c.late = nil
+}
+
+// promote carries out a promotion. The caller holds the mutex.
+func (c *cluster) promote(server, holder string, token uint64) error {
+	if token < c.token || c.servers[server].gone {
+		return ErrFenced
+	}
+	c.token = token
+	if c.servers[server].primary {
+		return nil
+	}
 	c.note("promote %s by %s with %d at length %d", server, holder, token, c.servers[server].length)
 	for _, s := range c.servers {
 		s.primary = false
@@ -551,7 +592,7 @@
 		c.refuses = true
 		p := promoterOf(c, "h1")
 		began := time.Now()
-		p.promote(t.Context(), declarer.Server{ID: "b", Group: "db"}, Claim{Token: 3}, quiet)
+		p.promote(t.Context(), order{heir: declarer.Server{ID: "b", Group: "db"}, claim: Claim{Token: 3}}, quiet)
 		if time.Since(began) > 0 {
 			t.Errorf("retried for %s", time.Since(began))
 		}
--- a/internal/proxy/promoter/questions.go
+++ b/internal/proxy/promoter/questions.go
@@ -39,6 +39,19 @@
 	return collect(r, len(l))
 }
 
+// confirmPrimary queries the server that this host assumes to be the primary, and reports whether it is.
+func (p *Promoter) confirmPrimary(ctx context.Context) (successor.Candidate, bool) {
+	s := p.view().Primary
+	if s == nil {
+		return successor.Candidate{}, false
+	}
+	l := p.queryStatus(ctx, []*grouptracker.Server{s})
+	if len(l) == 0 || !l[0].Status.Primary {
+		return successor.Candidate{}, false
+	}
+	return l[0], true
+}
+
 // reply is the result of a status query.
 type reply struct {
 	candidate successor.Candidate
