fix(promoter): other hosts confirm that a primary refuses connections

Cause: a refused connection was taken for an answer of the server's machine, after 0.3 s and without a question to other hosts. It may come from the way between. What the old primary and the other replica held of the commits until the replica led was rolled back.

Ruled out: the choice of the replica, whose log was the longest at that time; views of other hosts, none of which had found a reason.

Change: the reason "primary-absent" needs another host's word, as "primary-silent" does; after DownAfter it becomes "primary-unheard". A host that is asked counts answers of the last 0.25 s or tries to connect; an answer of the last 0.5 s counts only if the connection fails in another way than by a refusal. The asking host has waited 0.3 s, so that a crashed primary doesn't count as alive.

--- a/internal/proxy/promoter/promoter_test.go
+++ b/internal/proxy/promoter/promoter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +58,10 @@
 	// othersReach is set if other hosts reach the servers that this host doesn't reach, and hangs
 	// if these servers accept connections there but don't answer.
 	othersReach, hangs bool
+	// alone is set if no other host answers, and cause is why a server that is gone is not reached,
+	// connpooler.ErrNoRoute if nil.
+	alone bool
+	cause error
 	// calls are the demotions and promotions, in order.
 	calls []string
 	// phases are the durations of promotions by phase.
@@ -161,7 +166,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.servers[s.ID].gone {
-		return nil, marker.Mark{}, connpooler.ErrNoRoute
+		return nil, marker.Mark{}, c.failure()
 	}
 	if f := c.servers[s.ID].full; errors.Is(f, connpooler.ErrTooManyConnections) {
 		return nil, marker.Mark{}, f
@@ -169,6 +174,14 @@
 	return &connection{cluster: c, id: s.ID}, marker.Mark{}, nil
 }
 
+// failure returns the error of a connection to a server that is gone.
+func (c *cluster) failure() error {
+	if c.cause == nil {
+		return connpooler.ErrNoRoute
+	}
+	return errors.WithType(c.cause, connpooler.ErrNoRoute)
+}
+
 func (c *cluster) DialVia(ctx context.Context, _ string, s declarer.Server, _ string) (connpooler.Connection, marker.Mark, error) {
 	return c.Dial(ctx, s, "")
 }
@@ -177,6 +190,9 @@
 func (c *cluster) CheckServer(_ context.Context, _ string, s declarer.Server, q relaydialer.Check) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.alone {
+		return errors.New("no answer")
+	}
 	x := c.servers[s.ID]
 	if (x.gone || x.full != nil) && (!c.othersReach || c.hangs && q == relaydialer.CheckResponding) {
 		return connpooler.ErrNoRouteAnywhere
@@ -344,6 +360,44 @@
 	})
 }
 
+// Guards against the replacement of a sound primary by one host whose connections are refused on the way:
+// what other hosts write until the promotion takes effect would be dropped.
+func TestRefusedConnectionsOfOneHostReplaceNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.servers["a"].gone, c.othersReach = true, true
+		p := promoterOf(c, "h1")
+		c.cause = syscall.ECONNREFUSED
+		p.Board.RecordConnectionFailure("db", "a", p.Board.Time(), c.cause)
+		runFor(p, 12*time.Second)
+		if len(c.calls) > 0 || len(c.claims) > 0 {
+			t.Errorf("calls %q, claims %+v", c.calls, c.claims)
+		}
+	})
+}
+
+// Guards against a group that waits longer than needed for a primary whose process has ended: other hosts
+// confirm that it refuses connections, or none of them can be asked.
+func TestPrimaryThatRefusesConnectionsIsReplaced(t *testing.T) {
+	for name, x := range map[string]struct {
+		alone bool
+		limit time.Duration
+	}{"confirmed": {false, 600 * time.Millisecond}, "alone": {true, successor.DownAfter + time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster()
+				c.servers["a"].gone, c.alone, c.cause = true, x.alone, syscall.ECONNREFUSED
+				p := promoterOf(c, "h1")
+				p.Board.RecordConnectionFailure("db", "a", p.Board.Time(), c.cause)
+				runFor(p, x.limit)
+				if !c.leads("b") {
+					t.Errorf("calls %q within %s", c.calls, x.limit)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a group that stays without a working primary: the process hangs, but its host
 // still accepts connections, so that other hosts reach the primary without getting an answer.
 func TestHungPrimaryIsReplaced(t *testing.T) {
--- a/internal/proxy/promoter/questions.go
+++ b/internal/proxy/promoter/questions.go
@@ -141,7 +141,7 @@
 func (p *Promoter) startPeerQuery(ctx context.Context, s successor.View, r successor.Reason) *peerQuery {
 	x := &peerQuery{dialer: p.Dialer, done: make(chan relaydialer.Verdict, 1)}
 	switch r {
-	case successor.ReasonUnresponsive:
+	case successor.ReasonNotListening, successor.ReasonUnresponsive:
 		x.server, x.question = s.Primary.Server, relaydialer.CheckReachable
 	case successor.ReasonDown:
 		x.server, x.question = s.Primary.Server, relaydialer.CheckResponding
@@ -154,8 +154,9 @@
 }
 
 // confirmsLoss reports whether the answer of the other hosts allows to replace the primary. For
-// an unresponsive primary, other hosts must report that they can't reach it either. For one that
-// is down, it is enough that none reports an answer from it, even if none can be asked.
+// one that refuses connections or is unresponsive, other hosts must report that they can't reach it
+// either. For one that is down, it is enough that none reports an answer from it, even if none can be
+// asked.
 func confirmsLoss(r successor.Reason, w relaydialer.Verdict) bool {
 	if r == successor.ReasonDown {
 		return w != relaydialer.VerdictAlive
--- a/internal/proxy/relayer/relayer.go
+++ b/internal/proxy/relayer/relayer.go
@@ -4,12 +4,14 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 )
 
 const (
@@ -19,6 +21,11 @@
 	dialTimeout    = 200 * time.Millisecond
 	// maximumConnections bounds the connections served at a time. Each takes two file descriptors.
 	maximumConnections = 1024
+	// recentWindow is how recent an answer of a server must be to count although it now refuses
+	// connections. Another host that asks has been refused for longer than this.
+	recentWindow = 250 * time.Millisecond
+	// aliveWindow is the same if a connection to the server fails in another way.
+	aliveWindow = 500 * time.Millisecond
 )
 
 // RequestKind is what another host requests on a connection.
@@ -58,10 +65,8 @@
 	Find func(id string) (declarer.Server, bool)
 	// Dial connects to an address within the timeout.
 	Dial func(address string, t time.Duration) (net.Conn, error)
-	// Alive reports whether the server has recently answered this host.
-	Alive func(s declarer.Server) bool
-	// Responding reports whether the server itself has answered within the last seconds.
-	Responding func(s declarer.Server) bool
+	// AnsweredWithin reports whether the server itself has answered this host within d.
+	AnsweredWithin func(s declarer.Server, d time.Duration) bool
 	// Reply answers a check, or refuses to relay because this host has no route to the server. It
 	// tells whether the server is alive.
 	Reply func(c net.Conn, id string, alive bool)
@@ -126,25 +131,20 @@
 		r.Lend(x.from, id)
 		return
 	}
-	if kind == RequestResponding {
-		r.Reply(x.from, id, r.Responding(s))
+	switch kind {
+	case RequestReachable:
+		r.Reply(x.from, id, r.reaches(s))
 		return
-	}
-	checkOnly := kind == RequestReachable
-	if checkOnly && r.Alive(s) {
-		r.Reply(x.from, id, true)
+	case RequestResponding:
+		r.Reply(x.from, id, r.AnsweredWithin(s, successor.DownAfter))
 		return
 	}
 	to, err := r.Dial(s.Address, dialTimeout)
 	if err != nil {
-		r.Reply(x.from, id, r.Alive(s))
+		r.Reply(x.from, id, r.AnsweredWithin(s, aliveWindow))
 		return
 	}
 	defer to.Close()
-	if checkOnly {
-		r.Reply(x.from, id, true)
-		return
-	}
 	response := &stream{from: to, to: x.from, done: make(chan struct{})}
 	go response.run()
 	_, _ = io.Copy(to, x.from)
@@ -152,6 +152,20 @@
 	<-response.done
 }
 
+// reaches reports whether this host can connect to the server, or whether the server has recently answered
+// it. An answer from before its process may have ended doesn't count once connections are refused.
+func (r *Relayer) reaches(s declarer.Server) bool {
+	if r.AnsweredWithin(s, recentWindow) {
+		return true
+	}
+	c, err := r.Dial(s.Address, dialTimeout)
+	if err == nil {
+		c.Close()
+		return true
+	}
+	return !errors.Is(err, syscall.ECONNREFUSED) && r.AnsweredWithin(s, aliveWindow)
+}
+
 // stream copies bytes in one direction. When either side closes, both connections are closed:
 // data sent over a connection that is half closed would be lost without an error.
 type stream struct {
--- a/internal/proxy/relayer/relayer_test.go
+++ b/internal/proxy/relayer/relayer_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,8 +15,14 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
-// startRelayer starts a relayer that lists one server, "i-1", and connects to it.
+// startRelayer starts a relayer that lists one server, "i-1", which has never answered, and connects to it.
 func startRelayer(t *testing.T, dial func(string, time.Duration) (net.Conn, error)) net.Conn {
+	t.Helper()
+	return startRelayerOf(t, dial, time.Hour)
+}
+
+// startRelayerOf starts a relayer whose server has answered it age ago.
+func startRelayerOf(t *testing.T, dial func(string, time.Duration) (net.Conn, error), age time.Duration) net.Conn {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -29,12 +36,12 @@
 			_, err := c.Read(b)
 			return string(b[:3]), map[byte]RequestKind{'?': RequestReachable, '+': RequestLink}[b[3]], err
 		},
-		Lend:  func(c net.Conn, id string) { _, _ = fmt.Fprintf(c, "lends of %s\n", id) },
-		Find:  func(id string) (declarer.Server, bool) { return declarer.Server{ID: id, Address: "there"}, id == "i-1" },
-		Dial:  dial,
-		Alive: func(declarer.Server) bool { return false },
-		Reply: func(c net.Conn, id string, alive bool) { _, _ = fmt.Fprintf(c, "no route %s, alive %t\n", id, alive) },
-		Log:   &log.Logger{Handler: discard.New()},
+		Lend:           func(c net.Conn, id string) { _, _ = fmt.Fprintf(c, "lends of %s\n", id) },
+		Find:           func(id string) (declarer.Server, bool) { return declarer.Server{ID: id, Address: "there"}, id == "i-1" },
+		Dial:           dial,
+		AnsweredWithin: func(_ declarer.Server, d time.Duration) bool { return age < d },
+		Reply:          func(c net.Conn, id string, alive bool) { _, _ = fmt.Fprintf(c, "no route %s, alive %t\n", id, alive) },
+		Log:            &log.Logger{Handler: discard.New()},
 	}
 	go r.Run()
 	c, err := net.Dial("tcp4", l.Addr().String())
@@ -93,16 +100,22 @@
 // they reach it. If a reachable server were reported as lost, a primary that other hosts write to
 // would be replaced.
 func TestReportsWhetherServerIsReachable(t *testing.T) {
+	const never, before, just = time.Hour, 300 * time.Millisecond, 100 * time.Millisecond
 	for name, c := range map[string]struct {
 		err  error
+		age  time.Duration
 		want string
 	}{
-		"accepts a connection": {nil, "no route i-1, alive true\n"},
-		"accepts none":         {errors.New("timeout"), "no route i-1, alive false\n"},
+		"accepts a connection":              {nil, never, "no route i-1, alive true\n"},
+		"accepts none":                      {errors.New("timeout"), never, "no route i-1, alive false\n"},
+		"accepts none, answered before":     {errors.New("timeout"), before, "no route i-1, alive true\n"},
+		"refuses connections":               {syscall.ECONNREFUSED, never, "no route i-1, alive false\n"},
+		"refuses them, answered before":     {syscall.ECONNREFUSED, before, "no route i-1, alive false\n"},
+		"refuses them, answered since then": {syscall.ECONNREFUSED, just, "no route i-1, alive true\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, far := net.Pipe()
-			x := startRelayer(t, func(string, time.Duration) (net.Conn, error) { return far, c.err })
+			x := startRelayerOf(t, func(string, time.Duration) (net.Conn, error) { return far, c.err }, c.age)
 			_, _ = x.Write([]byte("i-1?"))
 			if l, _ := bufio.NewReader(x).ReadString('\n'); l != c.want {
 				t.Errorf("host reads %q, want %q", l, c.want)
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -67,7 +67,7 @@
 	ReachHost func(ctx context.Context, address string) error
 	Transport relaydialer.Transport
 	// Relayer serves connections of other hosts. Run sets its listener and its functions Find,
-	// Alive, Answered and Lend.
+	// AnsweredWithin and Lend.
 	Relayer *relayer.Relayer
 	// DialLink opens a link to the host that owns the connections to a server. owner is that
 	// host's address.
@@ -230,8 +230,7 @@
 	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Second}
 	h.follow(ctx)
 	h.Relayer.Find = h.pools.find
-	h.Relayer.Alive = h.alive
-	h.Relayer.Responding = h.answered
+	h.Relayer.AnsweredWithin = h.answeredWithin
 	h.Relayer.Lend = h.lend
 	h.Relayer.Quota = func(c net.Conn) { h.ServeQuota(c, &h.quotas) }
 	go h.Relayer.Run()
--- a/internal/proxy/runner/lending.go
+++ b/internal/proxy/runner/lending.go
@@ -9,7 +9,6 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
-	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 )
 
 // lend serves another host that borrows this host's connections to a server, until the link ends.
@@ -83,16 +82,7 @@
 	return age, known
 }
 
-// aliveWindow is how long a server counts as alive after its last answer.
-const aliveWindow = 500 * time.Millisecond
-
-// alive reports whether the server has answered this host within aliveWindow.
-func (h *Host) alive(s declarer.Server) bool { return h.answeredWithin(s, aliveWindow) }
-
-// answered reports whether the server has answered this host within successor.DownAfter, the time
-// after which another host that has received no answer may replace it.
-func (h *Host) answered(s declarer.Server) bool { return h.answeredWithin(s, successor.DownAfter) }
-
+// answeredWithin reports whether the server has answered this host within d.
 func (h *Host) answeredWithin(s declarer.Server, d time.Duration) bool {
 	alive := false
 	h.Board.Do(s.Group, func(g *grouptracker.Group) {
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -13,7 +13,8 @@
 
 const (
 	// notListeningAfter is how long connections to the primary must have been refused before
-	// it counts as lost. A process that has ended needs longer than this to restart.
+	// it counts as lost, provided that other hosts report the same. A process that has ended needs
+	// longer than this to restart.
 	notListeningAfter = 300 * time.Millisecond
 	// unresponsiveAfter is how long the primary must have been unresponsive to this host before
 	// it counts as lost, provided that other hosts report the same: otherwise the fault may be
@@ -41,7 +42,9 @@
 const (
 	// ReasonNone means that the group needs no other primary.
 	ReasonNone Reason = ""
-	// ReasonNotListening means that no process listens at the primary's address.
+	// ReasonNotListening means that the primary refuses this host's connections. Other hosts must
+	// confirm that they can't reach it either: a firewall between this host and a sound primary
+	// refuses connections too.
 	ReasonNotListening Reason = "primary-absent"
 	// ReasonUnresponsive means that the primary doesn't answer this host. Other hosts must
 	// confirm that they can't reach it either.
@@ -112,12 +115,12 @@
 	failing := p.FailingSince != 0
 	unresponsive := failing && s.Now-max(p.FailingSince, p.AnsweredAt) > unresponsiveAfter
 	switch {
+	case unresponsive && s.Now-p.FailingSince > DownAfter:
+		return ReasonDown
 	case failing && p.ConnectionRefusedSince != 0 && s.Now-p.ConnectionRefusedSince > notListeningAfter:
 		return ReasonNotListening
-	case unresponsive && s.Now-p.FailingSince <= DownAfter:
-		return ReasonUnresponsive
 	case unresponsive:
-		return ReasonDown
+		return ReasonUnresponsive
 	case p.Draining:
 		return ReasonDraining
 	}
--- a/internal/proxy/successor/successor_test.go
+++ b/internal/proxy/successor/successor_test.go
@@ -38,6 +38,9 @@
 		"no process listens": {change: func(p *grouptracker.Server) {
 			p.FailingSince, p.ConnectionRefusedSince = now-time.Second, now-time.Second
 		}, want: ReasonNotListening},
+		"no process listens for long": {change: func(p *grouptracker.Server) {
+			p.FailingSince, p.AnsweredAt, p.ConnectionRefusedSince = now-long, now-long, now-long
+		}, want: ReasonDown},
 		"no process listens for a moment": {change: func(p *grouptracker.Server) {
 			p.FailingSince, p.ConnectionRefusedSince = now-100*time.Millisecond, now-100*time.Millisecond
 		}},
