fix(relaydialer): a server that refuses one host is reached through others

Cause: a refused connection ended the search for a route, as "another route leads to the same result". That holds if the server's process has ended, and doesn't if connections of this host are refused on the way.

Change: after 0.3 s of refusals other routes are tried as well, once in 0.5 s as long as they fail too, so that a crashed server adds little load. The direct route is still tried first.

--- a/internal/proxy/relaydialer/relaydialer.go
+++ b/internal/proxy/relaydialer/relaydialer.go
@@ -19,6 +19,11 @@
 const (
 	// directRetryDelay is how long the direct route to a server is not tried after it failed.
 	directRetryDelay = 2 * time.Second
+	// refusalGrace is how long a server must have refused direct connections before other routes are
+	// tried: a process that is started again refuses them for a moment. refusalRetryDelay is how
+	// long other routes to such a server aren't tried after they have failed too.
+	refusalGrace      = 300 * time.Millisecond
+	refusalRetryDelay = 500 * time.Millisecond
 	// hostRetryDelay is how long a host is not used as a relay after it failed.
 	hostRetryDelay = 2 * time.Second
 	// maximumRelays is how many hosts are tried as relays at the same time: one of them may be
@@ -78,27 +83,63 @@
 	// not tried.
 	blockedUntil      map[string]time.Time
 	unresponsiveUntil map[string]time.Time
+	// refusedSince is since when a server, by id, has refused direct connections, and
+	// refusedEverywhereUntil until when other routes to it are not tried.
+	refusedSince           map[string]time.Time
+	refusedEverywhereUntil map[string]time.Time
 }
 
-// Dial opens a connection to the server. An answer of the server, or a refusal because no
-// process listens on its host, ends the search: another route leads to the same result.
+// Dial opens a connection to the server. An answer of the server ends the search, as does a refusal at
+// first: most often no process listens on its host, and another route leads to the same result.
 func (d *Dialer) Dial(ctx context.Context, s declarer.Server, customer string) (connpooler.Connection, marker.Mark, error) {
 	var cause error = connpooler.ErrNoRoute
 	if !d.isSuspended(d.blockedUntil, s.ID) {
 		c, m, err := d.Transport.Dial(ctx, s, customer)
-		if err == nil || !errors.Is(err, connpooler.ErrNoRoute) || errors.Is(err, syscall.ECONNREFUSED) {
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		if err == nil || !errors.Is(err, connpooler.ErrNoRoute) || refused && !d.refusesForLong(s.ID) {
+			d.recordDirect(s.ID, refused)
 			return c, m, err
 		}
 		cause = err
-		d.suspend(&d.blockedUntil, s.ID, directRetryDelay)
+		if !refused {
+			d.suspend(&d.blockedUntil, s.ID, directRetryDelay)
+		}
 	}
 	c, m, err := d.dialRelays(ctx, s, customer)
 	if errors.Is(err, connpooler.ErrNoRoute) {
+		if errors.Is(cause, syscall.ECONNREFUSED) {
+			d.suspend(&d.refusedEverywhereUntil, s.ID, refusalRetryDelay)
+		}
 		return nil, m, cause
 	}
 	return c, m, err
 }
 
+// recordDirect records whether the server has refused a direct connection.
+func (d *Dialer) recordDirect(id string, refused bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, known := d.refusedSince[id]
+	switch {
+	case !refused:
+		delete(d.refusedSince, id)
+	case !known:
+		if d.refusedSince == nil {
+			d.refusedSince = make(map[string]time.Time)
+		}
+		d.refusedSince[id] = time.Now()
+	}
+}
+
+// refusesForLong reports whether the server has refused direct connections for refusalGrace, so that other
+// routes are to be tried.
+func (d *Dialer) refusesForLong(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	since, known := d.refusedSince[id]
+	return known && time.Since(since) >= refusalGrace && !time.Now().Before(d.refusedEverywhereUntil[id])
+}
+
 // dialRelays tries several hosts at the same time and returns the first connection or the first
 // answer of the server.
 func (d *Dialer) dialRelays(ctx context.Context, s declarer.Server, customer string) (connpooler.Connection, marker.Mark, error) {
--- a/internal/proxy/relaydialer/relaydialer_test.go
+++ b/internal/proxy/relaydialer/relaydialer_test.go
@@ -182,3 +182,38 @@
 		}
 	})
 }
+
+// Guards against callers that are refused because connections of this host alone are refused on the way:
+// other hosts reach the server.
+func TestServerThatRefusesOneHostIsReachedThroughOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refused := errors.WithType(syscall.ECONNREFUSED, connpooler.ErrNoRoute)
+		w := &fakeTransport{direct: refused, via: map[string]error{"h1": connpooler.ErrNoRouteAnywhere}}
+		d := &Dialer{Transport: w, Hosts: hosts("h1")}
+		dial := func() error {
+			_, _, err := d.Dial(t.Context(), declarer.Server{ID: "i-1"}, "")
+			return err
+		}
+		if err := dial(); !errors.Is(err, syscall.ECONNREFUSED) || len(w.asked) != 1 {
+			t.Errorf("error %v, routes %q: a server that is started again refuses connections for a moment", err, w.asked)
+		}
+		time.Sleep(refusalGrace)
+		for range 2 {
+			if err := dial(); !errors.Is(err, syscall.ECONNREFUSED) {
+				t.Errorf("error %v, want that of the direct route", err)
+			}
+		}
+		if len(w.asked) != 4 {
+			t.Errorf("routes %q: the other host is asked once in %s", w.asked, refusalRetryDelay)
+		}
+		time.Sleep(refusalRetryDelay)
+		w.via = nil
+		if err := dial(); err != nil {
+			t.Errorf("error %v though another host reaches the server", err)
+		}
+		w.direct = nil
+		if err := dial(); err != nil || w.asked[len(w.asked)-1] != "direct" {
+			t.Errorf("error %v, routes %q: the direct route is tried first", err, w.asked)
+		}
+	})
+}
