fix(successor): only logs of the newest history are promoted

Cause: two of three servers that had received nothing of the newest term were a majority, and the longer log among them was promoted. It dropped the newest term's commits and restored those that the promotion to that term had rolled back. Neither the newest term that a host had seen nor that of the claim was compared with the answers.

Ruled out: the majority rule, which was met without any partition.

Change: a candidate must have entries of the newest term in which a server is known to have led, or end before anything that the last promotion rolled back. The claim keeps that term ("led") and the end of the promoted server's log at the order ("base"). Weighed: waiting for the newest term only, which leaves the group without a primary until its server is back, though the third server's log is safe.

TestChooseKeepsNewestHistory and TestServerOfOlderTermIsNotPromoted (2 cases) fail before.

--- a/internal/proxy/promoter/claims.go
+++ b/internal/proxy/promoter/claims.go
@@ -23,6 +23,11 @@
 	// AboveTerm is the newest term that the holder found in the group. A promotion under this
 	// claim leads to a newer one.
 	AboveTerm marker.Term
+	// LedTerm is the newest term in which the holder knows that a server has led.
+	LedTerm marker.Term
+	// Base is the end of the chosen server's log when the last promotion was ordered. Logs of the
+	// same term that are longer may have entries which that promotion has rolled back.
+	Base marker.Mark
 	// Token is the fencing token, which each change of the claim increases.
 	Token uint64
 }
@@ -54,18 +59,19 @@
 	p.suspected = c.Server != ""
 }
 
-// acquireClaim replaces the present claim by one to promote the server, and reports whether this
-// host may promote it. The error is that of reading the present claim.
-func (p *Promoter) acquireClaim(ctx context.Context, present Claim, err error, server string, above marker.Term) (Claim, bool) {
+// acquireClaim replaces the present claim by x, whose holder and token it sets, and reports whether this
+// host may promote the server of x. The error is that of reading the present claim.
+func (p *Promoter) acquireClaim(ctx context.Context, present Claim, err error, x Claim) (Claim, bool) {
 	switch {
 	case errors.Is(err, ErrNoClaim):
 	case err != nil:
-		return p.reuseHeldClaim(server, above)
-	case p.defersTo(ctx, present, server):
+		return p.reuseHeldClaim(x)
+	case p.defersTo(ctx, present, x.Server):
 		return Claim{}, false
 	}
 	p.unsettled = p.unsettled || present.Server != ""
-	c, failure := p.putClaim(ctx, Claim{Holder: p.Host, Server: server, AboveTerm: above, Token: present.Token})
+	x.Holder, x.Token = p.Host, present.Token
+	c, failure := p.putClaim(ctx, x)
 	return c, failure == nil
 }
 
@@ -88,11 +94,12 @@
 // reuseHeldClaim returns the last claim that this host made, for use while the store is
 // unavailable. If another host has made one since, the platform refuses the promotion. The claim
 // is valid for one server only: a late request for another server would have the same token.
-func (p *Promoter) reuseHeldClaim(server string, above marker.Term) (Claim, bool) {
-	if p.heldClaim.Token == 0 || p.heldClaim.Server != "" && p.heldClaim.Server != server {
+func (p *Promoter) reuseHeldClaim(x Claim) (Claim, bool) {
+	if p.heldClaim.Token == 0 || p.heldClaim.Server != "" && p.heldClaim.Server != x.Server {
 		return Claim{}, false
 	}
-	p.heldClaim.Server, p.heldClaim.AboveTerm = server, above
+	x.Holder, x.Token = p.heldClaim.Holder, p.heldClaim.Token
+	p.heldClaim = x
 	return p.heldClaim, true
 }
 
@@ -105,7 +112,7 @@
 	}
 	p.renewedAt = time.Now()
 	x := p.heldClaim
-	x.Server = ""
+	x.Server, x.LedTerm = "", max(x.LedTerm, p.ledTerm())
 	c, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	n, err := p.Platform.PutClaim(c, p.Group, x)
--- a/internal/proxy/promoter/orders.go
+++ b/internal/proxy/promoter/orders.go
@@ -168,7 +168,10 @@
 	if !ok || p.defersTo(ctx, present, leader.Server.ID) {
 		return
 	}
-	x, err := p.putClaim(ctx, Claim{Holder: p.Host, Server: leader.Server.ID, AboveTerm: leader.Status.Term, Token: present.Token})
+	x := present
+	x.Holder, x.Server = p.Host, leader.Server.ID
+	x.AboveTerm, x.LedTerm = leader.Status.Term, max(present.LedTerm, leader.Status.Received.Term)
+	x, err = p.putClaim(ctx, x)
 	if err != nil {
 		return
 	}
--- a/internal/proxy/promoter/promoter.go
+++ b/internal/proxy/promoter/promoter.go
@@ -222,11 +222,12 @@
 			return // it is the primary, which queryStatus has recorded
 		}
 	}
-	zone := ""
-	if s.Primary != nil {
-		zone = s.Primary.AvailabilityZone
+	known := present
+	if err != nil {
+		known = p.heldClaim
 	}
-	candidate, ok := successor.Choose(c, len(s.Servers), p.synchronous(), zone)
+	q := p.requirement(s, known, c)
+	candidate, ok := successor.Choose(c, q)
 	if !ok {
 		if !p.warnedNoCandidate {
 			p.warnedNoCandidate = true
@@ -234,7 +235,9 @@
 		}
 		return
 	}
-	claim, ok := p.acquireClaim(ctx, present, err, candidate.Server.ID, successor.NewestTerm(c))
+	claim, ok := p.acquireClaim(ctx, present, err, Claim{
+		Server: candidate.Server.ID, AboveTerm: max(successor.NewestTerm(c), q.Term), LedTerm: q.Term, Base: candidate.Status.Received,
+	})
 	if !ok {
 		return
 	}
@@ -254,6 +257,30 @@
 	p.Counter.Promotion(string(r), p.promote(ctx, o, l))
 }
 
+// requirement returns what the group requires of the server to promote, given the newest known claim and
+// the servers that have answered.
+func (p *Promoter) requirement(s successor.View, known Claim, l []successor.Candidate) successor.Requirement {
+	q := successor.Requirement{
+		Servers: len(s.Servers), Synchronous: p.synchronous(),
+		Term: max(known.LedTerm, p.ledTerm(), successor.NewestLog(l)), Base: known.Base,
+	}
+	if s.Primary != nil {
+		q.Zone = s.Primary.AvailabilityZone
+	}
+	return q
+}
+
+// ledTerm returns the newest term in which this host has seen a server of the group lead.
+func (p *Promoter) ledTerm() marker.Term {
+	var t marker.Term
+	p.Board.Do(p.Group, func(g *grouptracker.Group) {
+		if o, ok := g.LatestConfirmation(); ok {
+			t = o.Mark.Term
+		}
+	})
+	return t
+}
+
 // without returns the servers other than the one with the id.
 func without(l []*grouptracker.Server, id string) []*grouptracker.Server {
 	return slices.DeleteFunc(slices.Clone(l), func(s *grouptracker.Server) bool { return s.ID == id })
--- a/internal/proxy/promoter/promoter_test.go
+++ b/internal/proxy/promoter/promoter_test.go
@@ -290,7 +290,7 @@
 // acquireClaim reads the present claim and tries to replace it by one of the host.
 func acquireClaim(p *Promoter, server string) (Claim, bool) {
 	c, err := p.readClaim(context.Background())
-	return p.acquireClaim(context.Background(), c, err, server, 1)
+	return p.acquireClaim(context.Background(), c, err, Claim{Server: server, AboveTerm: 1})
 }
 
 // runFor runs the checks of the promoter for d.
@@ -461,7 +461,7 @@
 		if _, err := c.PutClaim(t.Context(), "db", Claim{Holder: "h7", Server: "c"}); err != nil {
 			t.Fatal(err)
 		}
-		if y, ok := p.acquireClaim(t.Context(), x, err, "b", 1); ok {
+		if y, ok := p.acquireClaim(t.Context(), x, err, Claim{Server: "b", AboveTerm: 1}); ok {
 			t.Errorf("claim %+v made with outdated answers", y)
 		}
 	})
@@ -638,6 +638,31 @@
 	})
 }
 
+// Guards against two replicas of an older term that are a majority while the newest primary is lost: the
+// longer one has entries that the last promotion rolled back. A host that was started since knows the newest
+// term from the claim only.
+func TestServerOfOlderTermIsNotPromoted(t *testing.T) {
+	for name, x := range map[string]struct {
+		base marker.Position
+		want string
+	}{"no safe candidate": {5, ""}, "one was not rolled back": {7, "c"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster()
+				c.servers["a"].term, c.servers["a"].gone = 2, true
+				c.servers["b"].stalled, c.servers["c"].stalled = true, true
+				c.claim = &Claim{Holder: "h7", LedTerm: 2, Base: marker.Mark{Term: 1, Position: x.base}, Token: 30}
+				p := promoterOf(c, "h1")
+				p.Board.RecordConnectionFailure("db", "a", p.Board.Time(), connpooler.ErrNoRoute)
+				runFor(p, 5*time.Second)
+				if c.leads("b") || x.want != "" && !c.leads(x.want) || x.want == "" && len(c.calls) > 0 {
+					t.Errorf("calls %q", c.calls)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the repetition of a promotion that was refused as fenced: a request with the same
 // token would be refused again, and counts as an unfulfilled duty.
 func TestFencedPromotionIsNotRepeated(t *testing.T) {
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -152,33 +152,63 @@
 	Status declarer.Status
 }
 
+// Requirement is what a group requires of the server to promote.
+type Requirement struct {
+	// Servers is the number of servers that the platform lists.
+	Servers int
+	// Synchronous is how many replicas must have a commit before it is acknowledged.
+	Synchronous int
+	// Term is the newest term in which a server of the group is known to have led.
+	Term marker.Term
+	// Base is the end of the log of the last server whose promotion was ordered, when it was ordered.
+	Base marker.Mark
+	// Zone is the availability zone of the lost primary.
+	Zone string
+}
+
+// admits reports whether the log that ends at m is part of the group's newest history: it has entries of
+// the newest term, or none that the last promotion may have rolled back.
+func (q Requirement) admits(m marker.Mark) bool {
+	return m.Term >= q.Term || m.Term == q.Base.Term && m.Position <= q.Base.Position
+}
+
 // Choose returns the candidate to promote: the one with the longest log. Among equals it
-// prefers a server that isn't draining, then one in the given availability zone, which is the
-// old primary's, then the lowest ID. It returns false if no candidate may be promoted. Commits
+// prefers a server that isn't draining, then one in the old primary's availability zone, then the
+// lowest ID. It returns false if no candidate may be promoted. Commits
 // that the chosen server lacks are lost; with asynchronous replication these may be the last
 // commits of a lost primary.
 //
 // No candidate may be promoted unless a majority of the listed servers has answered. If a
 // network partition leaves this host with the old primary alone, another host may have promoted
 // a server on the other side of it. Promoting the old primary again would drop all that was
-// written there since, and restore what had been dropped before.
+// written there since, and restore what had been dropped before. A majority may consist of servers
+// that received nothing of the newest term, of which the longest log is the one with the
+// most entries to restore. A candidate must thus be part of the newest history, unless all servers have
+// answered and none is.
 //
 // If synchronous isn't zero, a commit is acknowledged once that many replicas have it. Each
 // acknowledged commit must then be on at least one of the servers that have answered. As it is
 // on that many replicas and on the primary, at most that many servers may be missing. In this
 // mode a draining server may be promoted too, and is the primary until it stops, if no other
 // candidate has a log as long.
-func Choose(l []Candidate, listed, synchronous int, zone string) (Candidate, bool) {
-	var best Candidate
-	found := false
-	if 2*len(l) <= listed || synchronous > 0 && len(l) < listed-synchronous {
-		return best, false
+func Choose(l []Candidate, q Requirement) (Candidate, bool) {
+	if 2*len(l) <= q.Servers || q.Synchronous > 0 && len(l) < q.Servers-q.Synchronous {
+		return Candidate{}, false
 	}
+	q.Term = max(q.Term, NewestLog(l))
+	if c, ok := longest(l, q, q.admits); ok || len(l) < q.Servers {
+		return c, ok
+	}
+	return longest(l, q, func(marker.Mark) bool { return true })
+}
+
+// longest returns the best of the candidates whose logs are admitted.
+func longest(l []Candidate, q Requirement, admits func(marker.Mark) bool) (best Candidate, found bool) {
 	for _, c := range l {
-		if c.Status.Primary || c.Server.Draining && synchronous == 0 {
+		if c.Status.Primary || c.Server.Draining && q.Synchronous == 0 || !admits(c.Status.Received) {
 			continue
 		}
-		if !found || better(c, best, zone) {
+		if !found || better(c, best, q.Zone) {
 			best, found = c, true
 		}
 	}
@@ -207,3 +237,12 @@
 	}
 	return t
 }
+
+// NewestLog returns the newest term in which any of the candidates has an entry.
+func NewestLog(l []Candidate) marker.Term {
+	var t marker.Term
+	for _, c := range l {
+		t = max(t, c.Status.Received.Term)
+	}
+	return t
+}
--- a/internal/proxy/successor/successor_test.go
+++ b/internal/proxy/successor/successor_test.go
@@ -115,7 +115,39 @@
 		"another has a log as long":    {[]Candidate{longest, at("z", "y", 9)}, 3, "z", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, ok := Choose(c.l, c.listed, c.synchronous, "z")
+			got, ok := Choose(c.l, Requirement{Servers: c.listed, Synchronous: c.synchronous, Zone: "z"})
+			if got.Server.ID != c.want || ok != (c.want != "") {
+				t.Errorf("chose %q %t, want %q", got.Server.ID, ok, c.want)
+			}
+		})
+	}
+}
+
+// Guards against the promotion of a server whose log isn't part of the group's newest history: it would
+// drop the commits of the newest term and restore those that the last promotion has rolled back.
+func TestChooseKeepsNewestHistory(t *testing.T) {
+	at := func(id string, t marker.Term, p marker.Position) Candidate {
+		return Candidate{Server: declarer.Server{ID: id}, Status: declarer.Status{Term: t, Received: marker.Mark{Term: t, Position: p}}}
+	}
+	base := marker.Mark{Term: 1, Position: 30}
+	empty := Candidate{Server: declarer.Server{ID: "n"}}
+	draining := at("b", 2, 40)
+	draining.Server.Draining = true
+	for name, c := range map[string]struct {
+		l    []Candidate
+		term marker.Term
+		want string
+	}{
+		"newest term wins over a longer log":       {[]Candidate{at("a", 1, 90), at("b", 2, 40)}, 2, "b"},
+		"longer log of an older term":              {[]Candidate{at("a", 1, 90), at("b", 1, 80)}, 2, ""},
+		"nothing that was rolled back":             {[]Candidate{at("a", 1, 90), at("b", 1, 30)}, 2, "b"},
+		"newest term known from an answer only":    {[]Candidate{at("a", 1, 90), draining}, 0, ""},
+		"empty server":                             {[]Candidate{empty, at("a", 1, 90)}, 2, ""},
+		"all have answered, and none is newer":     {[]Candidate{at("a", 1, 90), at("b", 1, 80), empty}, 2, "a"},
+		"all have answered, one isn't rolled back": {[]Candidate{at("a", 1, 90), at("b", 1, 20), empty}, 2, "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, ok := Choose(c.l, Requirement{Servers: 3, Term: c.term, Base: base})
 			if got.Server.ID != c.want || ok != (c.want != "") {
 				t.Errorf("chose %q %t, want %q", got.Server.ID, ok, c.want)
 			}
