fix(grouptracker): servers whose entries have lapsed still count

Cause: the number of answers that a promotion needs was taken from the list alone, and a lapsed entry lowers it. A server with an empty log also counted as an answer.

Change: a group remembers servers that vanish from the list without having been draining, until enough listed replicas have reached a position that the primary had afterwards. With asynchronous replication they count for 30 s, and only towards the rule that the newest history is given up when all servers have answered without it. Empty logs don't count as answers once anything was written.

Weighed: a fixed time for groups with synchronous replicas too, after which acknowledged commits could be dropped; the number of servers in the claim, which goes stale when servers are replaced.

TestLastListedServerIsNotPromoted fails before (c is promoted after a few seconds) and passes after.

--- /dev/null
+++ b/internal/proxy/grouptracker/absence.go
@@ -0,0 +1,81 @@
+package grouptracker
+
+import (
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+)
+
+// forgetAfter is how long a server whose entry has lapsed counts as a server of a group that replicates
+// asynchronously. Such a group may go on without the server's commits.
+const forgetAfter = 30 * time.Second
+
+// absence is a server that isn't listed any more though it wasn't draining. It may still hold commits that
+// no listed replica has.
+type absence struct {
+	since time.Duration
+	// end is the first position of the primary that was observed after since, zero for none. All
+	// commits that the server holds are before it.
+	end marker.Mark
+	// coveredBy holds the replicas that have reached end.
+	coveredBy map[string]bool
+}
+
+// recordAbsences records which of the servers so far are missing from the new list.
+func (g *Group) recordAbsences(listed []*Server, now time.Duration) {
+	for _, s := range listed {
+		delete(g.absences, s.ID)
+	}
+	for _, o := range g.servers {
+		if o.Draining || contains(listed, o.ID) {
+			continue
+		}
+		if g.absences == nil {
+			g.absences = make(map[string]*absence)
+		}
+		g.absences[o.ID] = &absence{since: now, coveredBy: make(map[string]bool)}
+	}
+}
+
+func contains(l []*Server, id string) bool {
+	for _, s := range l {
+		if s.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// observeAbsences records a position of the primary after asked.
+func (g *Group) observeAbsences(asked time.Duration, m marker.Mark) {
+	for _, a := range g.absences {
+		if a.end.IsZero() && asked > a.since {
+			a.end = m
+		}
+	}
+}
+
+// coverAbsences records that the replica's log ends at m.
+func (g *Group) coverAbsences(id string, m marker.Mark) {
+	if id == g.primary || m.IsZero() {
+		return
+	}
+	for _, a := range g.absences {
+		if !a.end.IsZero() && m.Covers(a.end) {
+			a.coveredBy[id] = true
+		}
+	}
+}
+
+// Absent returns how many servers that aren't listed may hold commits that are to survive. A commit is
+// acknowledged once as many replicas have it as synchronous says. A server no longer counts once so many
+// listed replicas have all of its commits, or after forgetAfter if replication is asynchronous.
+func (g *Group) Absent(synchronous int, now time.Duration) int {
+	n := 0
+	for _, a := range g.absences {
+		if synchronous > 0 && len(a.coveredBy) < synchronous || synchronous == 0 && now-a.since < forgetAfter {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/proxy/grouptracker/absence_test.go
@@ -0,0 +1,69 @@
+package grouptracker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+// Guards against a group that forgets a server whose entry has lapsed: it may be the only one besides the
+// primary with the last commits.
+func TestAbsentServerCounts(t *testing.T) {
+	a, b, c := declarer.Server{ID: "a", Primary: true}, declarer.Server{ID: "b"}, declarer.Server{ID: "c"}
+	draining := c
+	draining.Draining = true
+	at := func(p marker.Position) marker.Mark { return marker.Mark{Term: 1, Position: p} }
+	const second = time.Second
+	for name, x := range map[string]struct {
+		do          func(g *Group)
+		synchronous int
+		now         time.Duration
+		want        int
+	}{
+		"lapsed":                        {func(*Group) {}, 1, second, 1},
+		"lapsed, asynchronous":          {func(*Group) {}, 0, second, 1},
+		"lapsed long ago":               {func(*Group) {}, 1, time.Hour, 1},
+		"lapsed long ago, asynchronous": {func(*Group) {}, 0, time.Hour, 0},
+		"listed again":                  {func(g *Group) { g.SetServers([]declarer.Server{a, b, c}, 2*second) }, 1, 3 * second, 0},
+		"other replica has its commits": {func(g *Group) {
+			g.ConfirmLeadership("a", 2*second, at(9))
+			g.RecordAnswer("b", 3*second, 0, at(9))
+		}, 1, 4 * second, 0},
+		"other replica lacks some": {func(g *Group) {
+			g.ConfirmLeadership("a", 2*second, at(9))
+			g.RecordAnswer("b", 3*second, 0, at(8))
+		}, 1, 4 * second, 1},
+		"only the primary has them": {func(g *Group) {
+			g.ConfirmLeadership("a", 2*second, at(9))
+			g.RecordAnswer("a", 3*second, 0, at(9))
+		}, 1, 4 * second, 1},
+		"position from before the lapse": {func(g *Group) {
+			g.ConfirmLeadership("a", second/2, at(9))
+			g.RecordAnswer("b", 3*second, 0, at(9))
+		}, 1, 4 * second, 1},
+		"one of two replicas that are needed": {func(g *Group) {
+			g.ConfirmLeadership("a", 2*second, at(9))
+			g.RecordAnswer("b", 3*second, 0, at(9))
+		}, 2, 4 * second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &Group{Name: "db"}
+			g.SetServers([]declarer.Server{a, b, c}, 0)
+			g.SetServers([]declarer.Server{a, b}, second)
+			x.do(g)
+			if n := g.Absent(x.synchronous, x.now); n != x.want {
+				t.Errorf("%d absent, want %d", n, x.want)
+			}
+		})
+	}
+	t.Run("left after draining", func(t *testing.T) {
+		g := &Group{Name: "db"}
+		g.SetServers([]declarer.Server{a, b, draining}, 0)
+		g.SetServers([]declarer.Server{a, b}, second)
+		if n := g.Absent(1, second); n != 0 {
+			t.Errorf("%d absent", n)
+		}
+	})
+}
--- a/internal/proxy/grouptracker/grouptracker.go
+++ b/internal/proxy/grouptracker/grouptracker.go
@@ -87,6 +87,8 @@
 	// confirmedRevision is the newest revision of a server's report that was listed when the
 	// primary's leadership was last confirmed. Reports up to it don't replace the primary.
 	confirmedRevision uint64
+	// absences holds by id the servers whose entries have lapsed.
+	absences map[string]*absence
 }
 
 // SetServers replaces the server list by the platform's current one.
@@ -96,6 +98,7 @@
 		s = append(s, g.mergeServer(d, now))
 	}
 	slices.SortFunc(s, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	g.recordAbsences(s, now)
 	g.servers = s
 	g.updatePrimary()
 }
@@ -167,6 +170,7 @@
 	}
 	s.NotLeading = false
 	g.primary = id
+	g.observeAbsences(asked, m)
 	for _, o := range g.servers {
 		g.confirmedRevision = max(g.confirmedRevision, o.Revision)
 	}
@@ -195,6 +199,7 @@
 	if !m.IsZero() && (m.Term != s.LastPosition.Term || m.Covers(s.LastPosition)) {
 		s.LastPosition = m
 	}
+	g.coverAbsences(id, m)
 }
 
 // RecordCaughtUp records that the server had the position that a read with bounded staleness
--- a/internal/proxy/promoter/promoter.go
+++ b/internal/proxy/promoter/promoter.go
@@ -189,6 +189,7 @@
 // view returns a copy of what the board holds of the group.
 func (p *Promoter) view() successor.View {
 	s := successor.View{Now: p.Board.Time()}
+	n := p.synchronous()
 	p.Board.Do(p.Group, func(g *grouptracker.Group) {
 		if x := g.Primary(); x != nil {
 			c := *x
@@ -198,6 +199,7 @@
 			c := *x
 			s.Servers = append(s.Servers, &c)
 		}
+		s.Absent = g.Absent(n, s.Now)
 	})
 	return s
 }
@@ -231,7 +233,7 @@
 	if !ok {
 		if !p.warnedNoCandidate {
 			p.warnedNoCandidate = true
-			l.WithField("answers", len(c)).WithField("servers", len(s.Servers)).Warn("no server can take over")
+			l.WithField("answers", len(c)).WithField("servers", len(s.Servers)).WithField("absent", s.Absent).Warn("no server can take over")
 		}
 		return
 	}
@@ -261,7 +263,7 @@
 // the servers that have answered.
 func (p *Promoter) requirement(s successor.View, known Claim, l []successor.Candidate) successor.Requirement {
 	q := successor.Requirement{
-		Servers: len(s.Servers), Synchronous: p.synchronous(),
+		Servers: len(s.Servers), Absent: s.Absent, Synchronous: p.synchronous(),
 		Term: max(known.LedTerm, p.ledTerm(), successor.NewestLog(l)), Base: known.Base,
 	}
 	if s.Primary != nil {
--- a/internal/proxy/promoter/promoter_test.go
+++ b/internal/proxy/promoter/promoter_test.go
@@ -663,6 +663,28 @@
 	}
 }
 
+// Guards against the loss of acknowledged commits when a primary and a replica crash at once and their
+// entries lapse: the replica that is left is all that is listed, and lacks what the other two hold.
+func TestLastListedServerIsNotPromoted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.servers["a"].gone, c.servers["b"].gone, c.servers["c"].stalled = true, true, true
+		p := promoterOf(c, "h1")
+		p.Board.Configure(&declarer.Configuration{Version: 1, Groups: map[string]declarer.Group{"db": {Name: "db", SynchronousReplicas: 1}}})
+		p.Board.ReplaceServers([]declarer.Server{{ID: "c", Group: "db"}})
+		runFor(p, time.Minute)
+		if len(c.calls) > 0 {
+			t.Errorf("calls %q", c.calls)
+		}
+		c.setGone("b", false)
+		p.Board.ReplaceServers([]declarer.Server{{ID: "b", Group: "db"}, {ID: "c", Group: "db"}})
+		runFor(p, 5*time.Second)
+		if !c.leads("b") {
+			t.Errorf("calls %q once a server with all commits is back", c.calls)
+		}
+	})
+}
+
 // Guards against the repetition of a promotion that was refused as fenced: a request with the same
 // token would be refused again, and counts as an unfulfilled duty.
 func TestFencedPromotionIsNotRepeated(t *testing.T) {
--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -77,6 +77,8 @@
 	// Primary is the server that this host assumes to be the primary, nil for none.
 	Primary *grouptracker.Server
 	Servers []*grouptracker.Server
+	// Absent is the number of servers that aren't listed any more and may hold commits.
+	Absent int
 }
 
 // ShouldProbe reports whether the primary should be probed on a new connection now.
@@ -154,8 +156,9 @@
 
 // Requirement is what a group requires of the server to promote.
 type Requirement struct {
-	// Servers is the number of servers that the platform lists.
-	Servers int
+	// Servers is the number of servers that the platform lists, and Absent that of the servers whose
+	// entries have lapsed and which may hold commits.
+	Servers, Absent int
 	// Synchronous is how many replicas must have a commit before it is acknowledged.
 	Synchronous int
 	// Term is the newest term in which a server of the group is known to have led.
@@ -184,24 +187,37 @@
 // written there since, and restore what had been dropped before. A majority may consist of servers
 // that received nothing of the newest term, of which the longest log is the one with the
 // most entries to restore. A candidate must thus be part of the newest history, unless all servers have
-// answered and none is.
+// answered, those that are absent included, and none is.
 //
 // If synchronous isn't zero, a commit is acknowledged once that many replicas have it. Each
 // acknowledged commit must then be on at least one of the servers that have answered. As it is
-// on that many replicas and on the primary, at most that many servers may be missing. In this
+// on that many replicas and on the primary, at most that many servers may be missing, absent ones
+// included. A server with an empty log counts as missing: it may have lost what it held. In this
 // mode a draining server may be promoted too, and is the primary until it stops, if no other
 // candidate has a log as long.
 func Choose(l []Candidate, q Requirement) (Candidate, bool) {
-	if 2*len(l) <= q.Servers || q.Synchronous > 0 && len(l) < q.Servers-q.Synchronous {
+	q.Term = max(q.Term, NewestLog(l))
+	known := q.Servers + q.Absent
+	if 2*len(l) <= q.Servers || q.Synchronous > 0 && witnesses(l, q.Term) < known-q.Synchronous {
 		return Candidate{}, false
 	}
-	q.Term = max(q.Term, NewestLog(l))
-	if c, ok := longest(l, q, q.admits); ok || len(l) < q.Servers {
+	if c, ok := longest(l, q, q.admits); ok || len(l) < known {
 		return c, ok
 	}
 	return longest(l, q, func(marker.Mark) bool { return true })
 }
 
+// witnesses returns how many of the servers have a log, or all of them if nothing was written in the group.
+func witnesses(l []Candidate, newest marker.Term) int {
+	n := 0
+	for _, c := range l {
+		if newest == 0 || !c.Status.Received.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // longest returns the best of the candidates whose logs are admitted.
 func longest(l []Candidate, q Requirement, admits func(marker.Mark) bool) (best Candidate, found bool) {
 	for _, c := range l {
--- a/internal/proxy/successor/successor_test.go
+++ b/internal/proxy/successor/successor_test.go
@@ -154,3 +154,41 @@
 		})
 	}
 }
+
+// Guards against a promotion without the commits of servers whose entries have lapsed: with two of three
+// servers crashed, the one that is left is the only one listed.
+func TestChooseCountsAbsentServers(t *testing.T) {
+	at := func(id string, p marker.Position) Candidate {
+		return Candidate{Server: declarer.Server{ID: id}, Status: declarer.Status{Received: marker.Mark{Term: 1, Position: p}}}
+	}
+	for name, c := range map[string]struct {
+		l    []Candidate
+		q    Requirement
+		want string
+	}{
+		"two of three absent":                  {[]Candidate{at("a", 5)}, Requirement{Servers: 1, Absent: 2, Synchronous: 1}, ""},
+		"one of three absent":                  {[]Candidate{at("a", 5), at("b", 6)}, Requirement{Servers: 2, Absent: 1, Synchronous: 1}, "b"},
+		"two of three absent, asynchronous":    {[]Candidate{at("a", 5)}, Requirement{Servers: 1, Absent: 2}, "a"},
+		"newest history absent, asynchronous":  {[]Candidate{at("a", 5)}, Requirement{Servers: 1, Absent: 2, Term: 2}, ""},
+		"newest history is gone, asynchronous": {[]Candidate{at("a", 5)}, Requirement{Servers: 1, Term: 2}, "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, ok := Choose(c.l, c.q)
+			if got.Server.ID != c.want || ok != (c.want != "") {
+				t.Errorf("chose %q %t, want %q", got.Server.ID, ok, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a new, empty server that counts as an answer: it may have taken the place of the only replica
+// that had the last commits.
+func TestChooseDoesNotCountEmptyServers(t *testing.T) {
+	l := []Candidate{
+		{Server: declarer.Server{ID: "a"}, Status: declarer.Status{Received: marker.Mark{Term: 1, Position: 5}}},
+		{Server: declarer.Server{ID: "n"}},
+	}
+	if c, ok := Choose(l, Requirement{Servers: 3, Synchronous: 1}); ok {
+		t.Errorf("chose %q", c.Server.ID)
+	}
+}
