fix(promoter): replicas are paused before a promotion is ordered

Found by the new model TestPromotionsKeepAcknowledgedCommits, not seen by callers: with sync_replicas 1, a primary that crashes for 0.42 s and is back before an accepted order takes effect acknowledges commits that the heir lacks.

Cause: the heir's log is final when it leads, 0.6 s after the order, and nothing kept the old primary from acknowledging in between. The same held for every way in which the primary is sound after all: refused connections of one host, a lapsed entry, a host that nobody else can contradict.

Ruled out: the choice of the heir, which had everything when it was chosen; the token, which was the newest.

Change: in groups with synchronous replicas, all replicas are paused with a term above the newest, and the heir is chosen among those that are. Once all but sync_replicas servers are paused, no commit can be acknowledged. The platform ends the pause with the promotion. After an order that was closed, its holder resumes the replicas 1.5 s later, as the platform may have accepted the order just before. Hosts that may claim a group look for paused replicas every 2 s and do the same if the holder has failed. Until the heir leads, the lost primary is demoted if it is back, and replicas that were started again are paused again. Servers that don't know PAUSE are promoted only if another host has confirmed the loss.

--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -156,6 +156,9 @@
 	VerbReset
 	VerbStatus
 	VerbDemote
+	// VerbPause stops a replica from receiving until VerbResume or a promotion.
+	VerbPause
+	VerbResume
 	// VerbPosition asks the host that owns the server's connections for a position that the primary
 	// had. It is never sent to a server.
 	VerbPosition
@@ -238,7 +241,7 @@
 	Verb           Verb
 	Name, Argument string
 	Writes         bool
-	// Term is the argument of VerbDemote.
+	// Term is the argument of VerbDemote and VerbPause.
 	Term marker.Term
 	// MaximumAge is the argument of VerbPosition: how long ago the primary may have had the position.
 	MaximumAge time.Duration
--- a/internal/proxy/promoter/claims.go
+++ b/internal/proxy/promoter/claims.go
@@ -79,13 +79,18 @@
 // time starts again with each change of the claim. A holder that doesn't answer is not waited
 // for, as it won't act.
 func (p *Promoter) defersTo(ctx context.Context, c Claim, server string) bool {
+	return p.defersFor(ctx, max(holderGracePeriod, p.Lease()+leaseSlack), c, server)
+}
+
+// defersFor is defersTo for the given time.
+func (p *Promoter) defersFor(ctx context.Context, d time.Duration, c Claim, server string) bool {
 	if c.Holder == p.Host {
 		return false
 	}
 	if p.otherClaimAt.IsZero() || c.Token != p.otherToken {
 		p.otherToken, p.otherClaimAt = c.Token, time.Now()
 	}
-	if time.Since(p.otherClaimAt) >= max(holderGracePeriod, p.Lease()+leaseSlack) {
+	if time.Since(p.otherClaimAt) >= d {
 		return false
 	}
 	return p.Dialer.HostResponds(ctx, c.Holder, declarer.Server{ID: server})
--- a/internal/proxy/promoter/orders.go
+++ b/internal/proxy/promoter/orders.go
@@ -11,6 +11,7 @@
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
+	"github.com/cuminwick/cuminwick/internal/proxy/successor"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// long after the end of a loss a host leaves that to the one that has sent the order.
 	settleInterval = 250 * time.Millisecond
 	settleDelay    = time.Second
+	// settlePatience is how long a host leaves paused replicas to a holder that answers and has closed
+	// its order. It exceeds the time for which the holder waits before it resumes them.
+	settlePatience = 2 * takeoverTime
 )
 
 // Results of a promotion.
@@ -40,6 +44,8 @@
 // later, unless it has received a newer token for the group by then.
 type order struct {
 	heir declarer.Server
+	// old is the lost primary, nil if it isn't known or draining.
+	old *grouptracker.Server
 	// rivals are the other servers that may lead before the order is carried out. A draining primary
 	// isn't among them: it leads until then.
 	rivals []*grouptracker.Server
@@ -51,12 +57,16 @@
 func (p *Promoter) promote(ctx context.Context, o order, l log.Interface) string {
 	began := time.Now()
 	l.Info("promotion ordered")
+	p.orderedToken, p.closedToken = o.claim.Token, 0
 	heir := p.watchLeader(ctx, []*grouptracker.Server{{Server: o.heir}}, promotionPollInterval)
 	defer heir.stop()
 	rival := p.watchLeader(heir.context, o.rivals, rivalPollInterval)
 	defer rival.stop()
 	err := p.requestUntilAnswered(rival.context, o, began, l)
 	rival.stop()
+	if err == nil {
+		p.suppress(heir.context, o)
+	}
 	switch {
 	case errors.Is(err, ErrFenced):
 		l.WithError(err).Warn("promotion refused")
@@ -70,7 +80,10 @@
 		l.Warn("promoted server does not lead")
 		return resultUnconfirmed
 	}
-	p.needed, p.unsettled, p.suspected = false, err != nil, false
+	p.needed = false
+	if p.settled(); err != nil {
+		p.unsettled = true
+	}
 	p.Counter.Phase(phaseLead, time.Since(began))
 	l.WithField("took", time.Since(began).String()).Info("promotion done")
 	return resultDone
@@ -146,41 +159,82 @@
 	}
 }
 
-// settle closes an order that may still be carried out although the group has a primary. The platform
-// refuses the order once it has received a newer token, with a request that names the present primary
-// and thus changes nothing. The order of another host is left to that host while it may act.
+// settle closes an order that may still be carried out although the group has a primary, and resumes the
+// replicas that were paused for it. The order of another host is left to that host while it may act.
 func (p *Promoter) settle(ctx context.Context) {
 	if !p.unsettled && !p.suspected || time.Now().Before(p.settleAt) {
 		return
 	}
 	p.settleAt = time.Now().Add(settleInterval)
 	// The claim is read before the primary is queried: if another host orders a promotion in between,
-	// the claim below fails.
+	// the claim made below fails.
 	present, err := p.readClaim(ctx)
 	switch {
-	case errors.Is(err, ErrNoClaim), err == nil && present.Server == "":
-		p.unsettled, p.suspected = false, false
+	case errors.Is(err, ErrNoClaim), err == nil && p.isSettled(ctx, present):
+		p.settled()
 		return
 	case err != nil:
 		return
 	}
 	leader, ok := p.confirmPrimary(ctx)
-	if !ok || p.defersTo(ctx, present, leader.Server.ID) {
+	if !ok || p.leavesToHolder(ctx, present, leader.Server.ID) {
+		return
+	}
+	if (present.Token != p.closedToken || p.closedToken == 0) && !p.closeOrders(ctx, present, leader) {
+		return
+	}
+	if p.synchronous() == 0 {
+		p.settled()
 		return
 	}
+	if !time.Now().Before(p.resumeAt) && p.resumeReplicas(ctx, leader.Server.ID) {
+		p.settled()
+	}
+}
+
+// leavesToHolder reports whether the holder of the claim is left to close its order, or to resume replicas
+// once it has closed it with a claim for the leader.
+func (p *Promoter) leavesToHolder(ctx context.Context, present Claim, leader string) bool {
+	if present.Server == leader && p.synchronous() > 0 {
+		return p.defersFor(ctx, settlePatience, present, leader)
+	}
+	return p.defersTo(ctx, present, leader)
+}
+
+// isSettled reports whether the present claim shows that no order can be carried out and no replica is paused.
+// The claim of this host doesn't show an order that was sent while the store was unavailable.
+func (p *Promoter) isSettled(ctx context.Context, present Claim) bool {
+	if present.Server != "" || p.unsettled && present.Holder == p.Host {
+		return false
+	}
+	if !p.replicasPaused {
+		return true
+	}
+	complete := true
+	return len(p.pausedReplicas(ctx, "", &complete)) == 0
+}
+
+// settled records that no order can be carried out any more.
+func (p *Promoter) settled() { p.unsettled, p.suspected, p.replicasPaused = false, false, false }
+
+// closeOrders has the platform refuse all orders so far, and reports whether it does. The platform refuses an
+// order once it has received a newer token, with a request that names the present primary and thus changes
+// nothing.
+func (p *Promoter) closeOrders(ctx context.Context, present Claim, leader successor.Candidate) bool {
 	x := present
 	x.Holder, x.Server = p.Host, leader.Server.ID
 	x.AboveTerm, x.LedTerm = leader.Status.Term, max(present.LedTerm, leader.Status.Received.Term)
-	x, err = p.putClaim(ctx, x)
+	x, err := p.putClaim(ctx, x)
 	if err != nil {
-		return
+		return false
 	}
 	err = p.requestPromotion(ctx, leader.Server.ID, x.Token)
 	l := p.Log.WithFields(log.Fields{"database-group": p.Group, "primary": leader.Server.ID, "token": x.Token, "closed": present.Token})
 	if err != nil {
 		l.WithError(err).Warn("promotion order not closed")
-		return
+		return false
 	}
-	p.unsettled, p.suspected = false, false
+	p.closedToken, p.resumeAt = x.Token, time.Now().Add(takeoverTime)
 	l.Info("promotion order closed")
+	return true
 }
--- a/internal/proxy/promoter/prober.go
+++ b/internal/proxy/promoter/prober.go
@@ -11,8 +11,13 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
-// ErrCommandRefused is returned if a server answers a command with an error.
-const ErrCommandRefused = errors.ConstError("command refused")
+// Errors of commands.
+const (
+	// ErrCommandRefused is returned if a server answers a command with an error.
+	ErrCommandRefused = errors.ConstError("command refused")
+	// ErrCommandUnsupported is returned if a server doesn't know a command.
+	ErrCommandUnsupported = errors.ConstError("command not supported")
+)
 
 // Prober sends commands to servers on new connections: an existing connection may be
 // unresponsive although the server works.
@@ -51,8 +56,12 @@
 	if err := c.Receive(&a, end); err != nil {
 		return declarer.Status{}, err
 	}
-	if a.Code != declarer.CodeNone {
+	switch a.Code {
+	case declarer.CodeNone:
+		return p.Parse(a.Row)
+	case declarer.CodeMalformed:
+		return declarer.Status{}, errors.Annotatef(ErrCommandUnsupported, "server %s: %s", s.ID, a.Body)
+	default:
 		return declarer.Status{}, errors.Annotatef(ErrCommandRefused, "server %s: %s", s.ID, a.Body)
 	}
-	return p.Parse(a.Row)
 }
--- a/internal/proxy/promoter/promoter.go
+++ b/internal/proxy/promoter/promoter.go
@@ -135,6 +135,16 @@
 	suspected bool
 	// settleAt is when this host next tries to close such an order.
 	settleAt time.Time
+	// closedToken is the token with which this host has closed all orders so far, zero if it hasn't
+	// since the last one, and resumeAt is when replicas that were paused for them may be resumed.
+	closedToken uint64
+	resumeAt    time.Time
+	// orderedToken is the token of this host's last order.
+	orderedToken uint64
+	// replicasPaused is set once replicas were found paused, pauseCheckedAt is when that was last
+	// checked.
+	replicasPaused bool
+	pauseCheckedAt time.Time
 }
 
 // Run checks the group at intervals until ctx ends.
@@ -169,6 +179,7 @@
 			p.needed = false
 			p.suspectOrder()
 		}
+		p.checkPauses(ctx)
 		p.settle(ctx)
 		p.renewClaim(ctx)
 		return
@@ -216,47 +227,57 @@
 		l.WithError(err).Warn("claim not read")
 	}
 	c := p.queryStatus(ctx, worthProbing(s))
-	if !confirmsLoss(r, <-others.done) {
-		return
-	}
-	for _, x := range c {
-		if x.Status.Primary && r != successor.ReasonDraining {
-			return // it is the primary, which queryStatus has recorded
-		}
+	verdict := <-others.done
+	if !confirmsLoss(r, verdict) || reportsPrimary(c) && r != successor.ReasonDraining {
+		return // if a server is the primary, queryStatus has recorded that
 	}
 	known := present
 	if err != nil {
 		known = p.heldClaim
 	}
-	q := p.requirement(s, known, c)
-	candidate, ok := successor.Choose(c, q)
-	if !ok {
+	x := promotion{view: s, reason: r, verdict: verdict, required: p.requirement(s, known, c)}
+	var ok bool
+	if x.heir, ok = successor.Choose(c, x.required); !ok {
 		if !p.warnedNoCandidate {
 			p.warnedNoCandidate = true
 			l.WithField("answers", len(c)).WithField("servers", len(s.Servers)).WithField("absent", s.Absent).Warn("no server can take over")
 		}
 		return
 	}
-	claim, ok := p.acquireClaim(ctx, present, err, Claim{
-		Server: candidate.Server.ID, AboveTerm: max(successor.NewestTerm(c), q.Term), LedTerm: q.Term, Base: candidate.Status.Received,
+	x.claim, ok = p.acquireClaim(ctx, present, err, Claim{
+		Server: x.heir.Server.ID, AboveTerm: max(successor.NewestTerm(c), x.required.Term), LedTerm: x.required.Term, Base: x.heir.Status.Received,
 	})
-	if !ok {
-		return
-	}
-	l = l.WithFields(log.Fields{"heir": candidate.Server.ID, "position": candidate.Status.Received.String(), "token": claim.Token, "above": claim.AboveTerm})
-	p.Counter.Phase(phaseDecide, time.Since(p.neededAt))
-	if r == successor.ReasonDraining && !p.stepDown(ctx, s.Primary.Server, candidate, claim.AboveTerm, l) && p.synchronous() > 0 {
-		// Another replica may have an acknowledged commit that the candidate lacks. Once the
-		// group is without a primary, the server with the longest log is chosen again.
-		p.switchoverFailedAt = time.Now()
-		p.Board.Do(p.Group, func(g *grouptracker.Group) { g.RecordNotLeading(s.Primary.ID) })
-		return
+	if ok {
+		p.carryOut(ctx, &x, l)
 	}
-	o := order{heir: candidate.Server, claim: claim}
-	if r != successor.ReasonDraining {
-		o.rivals = without(s.Servers, candidate.Server.ID)
+}
+
+// carryOut has the server of x promoted once the old primary can acknowledge nothing more.
+func (p *Promoter) carryOut(ctx context.Context, x *promotion, l log.Interface) {
+	o := order{}
+	if x.reason == successor.ReasonDraining {
+		l := l.WithFields(x.fields())
+		if !p.stepDown(ctx, x.view.Primary.Server, x.heir, x.claim.AboveTerm, l) && x.required.Synchronous > 0 {
+			// Another replica may have an acknowledged commit that the candidate lacks. Once the
+			// group is without a primary, the server with the longest log is chosen again.
+			p.switchoverFailedAt = time.Now()
+			p.Board.Do(p.Group, func(g *grouptracker.Group) { g.RecordNotLeading(x.view.Primary.ID) })
+			return
+		}
+	} else {
+		if !p.fence(ctx, x, l) {
+			return
+		}
+		o.old, o.rivals = x.view.Primary, without(x.view.Servers, x.heir.Server.ID)
 	}
-	p.Counter.Promotion(string(r), p.promote(ctx, o, l))
+	o.heir, o.claim = x.heir.Server, x.claim
+	p.Counter.Phase(phaseDecide, time.Since(p.neededAt))
+	p.Counter.Promotion(string(x.reason), p.promote(ctx, o, l.WithFields(x.fields())))
+}
+
+// fields returns the promotion's fields for log lines.
+func (x *promotion) fields() log.Fields {
+	return log.Fields{"heir": x.heir.Server.ID, "position": x.heir.Status.Received.String(), "token": x.claim.Token, "above": x.claim.AboveTerm}
 }
 
 // requirement returns what the group requires of the server to promote, given the newest known claim and
--- a/internal/proxy/promoter/questions.go
+++ b/internal/proxy/promoter/questions.go
@@ -33,7 +33,7 @@
 	g := &sync.WaitGroup{}
 	for _, s := range l {
 		g.Add(1)
-		go (&statusQuery{promoter: p, server: s.Server, replies: r}).run(c, g)
+		go (&statusQuery{promoter: p, server: s.Server, command: declarer.Request{Verb: declarer.VerbStatus}, replies: r}).run(c, g)
 	}
 	go (&cleanup{wait: g, cancel: cancel}).run()
 	return collect(r, len(l))
@@ -91,10 +91,11 @@
 	x.cancel()
 }
 
-// statusQuery queries the status of one server.
+// statusQuery sends one server a command that it answers with its status.
 type statusQuery struct {
 	promoter *Promoter
 	server   declarer.Server
+	command  declarer.Request
 	replies  chan<- reply
 }
 
@@ -102,7 +103,7 @@
 	defer g.Done()
 	b := q.promoter.Board
 	asked := b.Time()
-	s, err := q.promoter.Prober.Status(ctx, q.server)
+	s, err := q.promoter.Prober.command(ctx, q.server, q.command)
 	q.record(asked, s, err)
 	q.replies <- reply{candidate: successor.Candidate{Server: q.server, Status: s}, err: err}
 }
@@ -111,7 +112,7 @@
 func (q *statusQuery) record(asked time.Duration, s declarer.Status, err error) {
 	b := q.promoter.Board
 	switch {
-	case errors.Is(err, ErrCommandRefused), errors.Is(err, connpooler.ErrTooManyConnections):
+	case errors.Is(err, ErrCommandRefused), errors.Is(err, ErrCommandUnsupported), errors.Is(err, connpooler.ErrTooManyConnections):
 		// The server has no free slot for the query, but it works.
 		b.Do(q.server.Group, func(g *grouptracker.Group) { g.RecordAnswer(q.server.ID, b.Time(), 0, marker.Mark{}) })
 		return
--- /dev/null
+++ b/internal/proxy/promoter/world_test.go
@@ -0,0 +1,474 @@
+package promoter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
+	"github.com/cuminwick/cuminwick/internal/proxy/relaydialer"
+)
+
+const (
+	worldServers = 3
+	worldHosts   = 3
+	worldTick    = 10 * time.Millisecond
+	// worldPromoteTime is how long a promotion takes, worldEntryTTL how long the entry of a server that
+	// is down stays listed.
+	worldPromoteTime = 600 * time.Millisecond
+	worldEntryTTL    = 3600 * time.Millisecond
+)
+
+// world simulates a group with one synchronous replica, the platform, and entry hosts that run promoters and
+// commit through the primary that each of them knows.
+type world struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	servers []*worldServer
+	hosts   []*worldHost
+	term    marker.Term
+	claim   *Claim
+	token   uint64
+	// storeDown makes calls about claims fail, lateOrders leaves orders without an answer; they are
+	// carried out 2 to 12 s later.
+	storeDown, lateOrders bool
+	// cannotPause makes servers refuse to be paused as they don't know the command.
+	cannotPause bool
+	// next is the id of the next commit, pending are those that aren't acknowledged.
+	next    int
+	pending []worldCommit
+	// acked holds the acknowledged commits, by id, with their indices in the log.
+	acked      map[int]int
+	ackedAt    time.Time
+	violations []string
+	promotions int
+}
+
+type worldServer struct {
+	id     string
+	term   marker.Term
+	log    []int
+	up     bool
+	leads  bool
+	paused marker.Term
+	// sent is how much of the primary's log is on its way to the server, downSince when it crashed.
+	sent      int
+	downSince time.Time
+}
+
+func (s *worldServer) position() marker.Mark {
+	return marker.Mark{Term: s.term, Position: marker.Position(len(s.log) + 1)}
+}
+
+// holds reports whether the server's log has the commit at the index.
+func (s *worldServer) holds(id, index int) bool { return index < len(s.log) && s.log[index] == id }
+
+// worldCommit is a commit that waits for a replica.
+type worldCommit struct {
+	id     int
+	index  int
+	host   *worldHost
+	server *worldServer
+	term   marker.Term
+}
+
+// worldHost is an entry host. It implements Platform, Roles and relaydialer.Transport.
+type worldHost struct {
+	world *world
+	name  string
+	board *blackboard.Board
+	// cuts holds by server why connections fail, alone is set if no other host answers.
+	cuts   map[string]error
+	alone  bool
+	cancel context.CancelFunc
+	// answered is when each server last answered.
+	answered map[string]time.Time
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 0)), term: 1, acked: make(map[int]int)}
+	for i := range worldServers {
+		w.servers = append(w.servers, &worldServer{id: string(rune('a' + i)), term: 1, up: true, leads: i == 0})
+	}
+	for i := range worldHosts {
+		w.hosts = append(w.hosts, &worldHost{world: w, name: fmt.Sprintf("h%d", i), cuts: make(map[string]error)})
+	}
+	return w
+}
+
+// start starts the process of a host.
+func (h *worldHost) start(ctx context.Context) {
+	w := h.world
+	began := time.Now()
+	b := &blackboard.Board{Now: func() time.Duration { return time.Since(began) + time.Hour }}
+	b.Configure(&declarer.Configuration{Version: 1, Groups: map[string]declarer.Group{"db": {Name: "db", SynchronousReplicas: 1}}})
+	c, cancel := context.WithCancel(ctx)
+	w.mu.Lock()
+	h.board, h.cancel, h.answered = b, cancel, make(map[string]time.Time)
+	w.mu.Unlock()
+	p := &Promoter{
+		Host: h.name, Group: "db", Board: b, Roles: allRoles{}, Platform: h, Counter: newCluster(), Log: quiet,
+		Dialer: &relaydialer.Dialer{Transport: h, Hosts: h.others}, Prober: &Prober{Dialer: h, Parse: parseWorldStatus},
+		Lease: func() time.Duration { return 0 },
+	}
+	w.list(h)
+	go p.Run(c)
+}
+
+// kill ends the process of a host.
+func (h *worldHost) kill() {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	if h.cancel != nil {
+		h.cancel()
+		h.cancel, h.board = nil, nil
+	}
+}
+
+func (h *worldHost) others() []declarer.Host {
+	var l []declarer.Host
+	for _, o := range h.world.hosts {
+		if o != h {
+			l = append(l, declarer.Host{Name: o.name, Address: o.name})
+		}
+	}
+	return l
+}
+
+// list gives a host the platform's list of servers.
+func (w *world) list(h *worldHost) {
+	w.mu.Lock()
+	var l []declarer.Server
+	for i, s := range w.servers {
+		if s.up || time.Since(s.downSince) < worldEntryTTL {
+			l = append(l, declarer.Server{ID: s.id, Group: "db", Primary: s.leads, Revision: uint64(w.term)*10 + uint64(i)})
+		}
+	}
+	b := h.board
+	w.mu.Unlock()
+	if b != nil {
+		b.ReplaceServers(l)
+	}
+}
+
+// run advances the world until ctx ends.
+func (w *world) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		w.mu.Lock()
+		w.replicate()
+		w.acknowledge()
+		w.mu.Unlock()
+		for _, h := range w.hosts {
+			if n%10 == 0 && !w.isStoreDown() {
+				w.list(h)
+			}
+			h.commit()
+		}
+		time.Sleep(worldTick)
+	}
+}
+
+func (w *world) isStoreDown() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.storeDown
+}
+
+func (w *world) server(id string) *worldServer {
+	return w.servers[slices.IndexFunc(w.servers, func(s *worldServer) bool { return s.id == id })]
+}
+
+func (w *world) leader() *worldServer {
+	if i := slices.IndexFunc(w.servers, func(s *worldServer) bool { return s.leads }); i >= 0 {
+		return w.servers[i]
+	}
+	return nil
+}
+
+// replicate delivers the primary's log to the replicas, to each after a while of its own.
+func (w *world) replicate() {
+	p := w.leader()
+	if p == nil || !p.up {
+		return
+	}
+	for _, r := range w.servers {
+		if r == p || !r.up || r.paused > 0 || w.random.IntN(4) > 0 {
+			continue
+		}
+		if n := min(r.sent, len(p.log)); n > len(r.log) || r.term < p.term {
+			n = max(n, len(r.log))
+			r.log, r.term = p.log[:n:n], p.term
+		}
+		r.sent = len(p.log)
+	}
+}
+
+// acknowledge acknowledges the commits that a replica has and whose answer reaches the host.
+func (w *world) acknowledge() {
+	w.pending = slices.DeleteFunc(w.pending, func(c worldCommit) bool {
+		if !c.server.leads || !c.server.up || w.term != c.term || c.host.cuts[c.server.id] != nil {
+			return true
+		}
+		for _, r := range w.servers {
+			if r != c.server && r.holds(c.id, c.index) {
+				w.acked[c.id], w.ackedAt = c.index, time.Now()
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// commit commits through the primary that the host knows, and records what it learns from the attempt.
+func (h *worldHost) commit() {
+	w := h.world
+	w.mu.Lock()
+	b := h.board
+	w.mu.Unlock()
+	if b == nil {
+		return
+	}
+	var id string
+	b.Do("db", func(g *grouptracker.Group) {
+		if p := g.Primary(); p != nil {
+			id = p.ID
+		}
+	})
+	if id == "" {
+		return
+	}
+	asked := b.Time()
+	w.mu.Lock()
+	s := w.server(id)
+	err := h.reach(s)
+	leads, m := s.leads, s.position()
+	if err == nil && leads {
+		w.next++
+		s.log = append(s.log, w.next)
+		w.pending = append(w.pending, worldCommit{id: w.next, index: len(s.log) - 1, host: h, server: s, term: w.term})
+	}
+	w.mu.Unlock()
+	switch {
+	case err != nil:
+		b.RecordConnectionFailure("db", id, asked, err)
+	case leads:
+		b.Do("db", func(g *grouptracker.Group) { g.RecordAnswer(id, b.Time(), 0, m) })
+		b.RecordLeadership("db", id, asked, m)
+	default:
+		b.Do("db", func(g *grouptracker.Group) { g.RecordNotLeading(id) })
+	}
+}
+
+// reach returns why the host doesn't reach the server. The caller holds the mutex.
+func (h *worldHost) reach(s *worldServer) error {
+	if err := h.cuts[s.id]; err != nil {
+		return err
+	}
+	if !s.up {
+		return errors.WithType(syscall.ECONNREFUSED, connpooler.ErrNoRoute)
+	}
+	h.answered[s.id] = time.Now()
+	return nil
+}
+
+func (h *worldHost) Dial(_ context.Context, s declarer.Server, _ string) (connpooler.Connection, marker.Mark, error) {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	if h.board == nil {
+		return nil, marker.Mark{}, connpooler.ErrNoRoute
+	}
+	if err := h.reach(h.world.server(s.ID)); err != nil {
+		return nil, marker.Mark{}, err
+	}
+	return &worldConnection{host: h, id: s.ID}, marker.Mark{}, nil
+}
+
+func (h *worldHost) DialVia(context.Context, string, declarer.Server, string) (connpooler.Connection, marker.Mark, error) {
+	return nil, marker.Mark{}, connpooler.ErrNoRoute
+}
+
+// CheckServer asks another host about the server.
+func (h *worldHost) CheckServer(_ context.Context, host string, s declarer.Server, q relaydialer.Check) error {
+	w := h.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.hosts[slices.IndexFunc(w.hosts, func(o *worldHost) bool { return o.name == host })]
+	if h.alone || o.alone || o.board == nil {
+		return errors.New("no answer")
+	}
+	window := 250 * time.Millisecond
+	if q == relaydialer.CheckResponding {
+		window = 4 * time.Second
+	}
+	answered := time.Since(o.answered[s.ID]) < window
+	if answered || q == relaydialer.CheckReachable && o.reach(w.server(s.ID)) == nil {
+		return connpooler.ErrServerAlive
+	}
+	return connpooler.ErrNoRouteAnywhere
+}
+
+// worldConnection carries one command of the proxy.
+type worldConnection struct {
+	connpooler.Connection
+	host    *worldHost
+	id      string
+	request declarer.Request
+}
+
+func (c *worldConnection) Close() {}
+
+func (c *worldConnection) Send(r []declarer.Request, _ time.Time) error {
+	c.request = r[0]
+	return nil
+}
+
+func (c *worldConnection) Receive(a *declarer.Answer, _ time.Time) error {
+	time.Sleep(5 * time.Millisecond)
+	w := c.host.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.server(c.id)
+	if err := c.host.reach(s); err != nil {
+		return err
+	}
+	switch c.request.Verb {
+	case declarer.VerbPause:
+		if w.cannotPause {
+			a.Code = declarer.CodeMalformed
+			return nil
+		}
+		if c.request.Term > w.term && !s.leads {
+			s.paused = c.request.Term
+		}
+	case declarer.VerbResume:
+		s.paused = 0
+	case declarer.VerbDemote:
+		if c.request.Term > w.term {
+			s.leads = false
+		}
+	}
+	a.Row = fmt.Sprintf("%t %d %d %d %d", s.leads, s.term, s.position().Term, s.position().Position, s.paused)
+	return nil
+}
+
+func parseWorldStatus(row string) (declarer.Status, error) {
+	var s declarer.Status
+	_, err := fmt.Sscanf(row, "%t %d %d %d %d", &s.Primary, &s.Term, &s.Received.Term, &s.Received.Position, &s.PauseTerm)
+	return s, err
+}
+
+func (h *worldHost) Claim(context.Context, string) (Claim, error) {
+	w := h.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.storeDown:
+		return Claim{}, errors.New("away")
+	case w.claim == nil:
+		return Claim{}, ErrNoClaim
+	}
+	return *w.claim, nil
+}
+
+func (h *worldHost) PutClaim(_ context.Context, _ string, x Claim) (Claim, error) {
+	w := h.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	present := uint64(0)
+	if w.claim != nil {
+		present = w.claim.Token
+	}
+	switch {
+	case w.storeDown:
+		return x, errors.New("away")
+	case x.Token != present:
+		return x, ErrClaimChanged
+	}
+	x.Token = present + 3
+	w.claim = &x
+	return x, nil
+}
+
+func (h *worldHost) Promote(ctx context.Context, _, server, _ string, token uint64) error {
+	w := h.world
+	w.mu.Lock()
+	if w.lateOrders && w.random.IntN(2) == 0 {
+		d := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
+		w.mu.Unlock()
+		time.AfterFunc(d, func() { _ = w.order(server, token) })
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	w.mu.Unlock()
+	return w.order(server, token)
+}
+
+// order has the platform carry out an order.
+func (w *world) order(server string, token uint64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.server(server)
+	if token < w.token || !s.up {
+		return ErrFenced
+	}
+	w.token = token
+	if !s.leads {
+		time.AfterFunc(worldPromoteTime, func() { w.takeOver(s) })
+	}
+	return nil
+}
+
+// takeOver makes s the primary of the next term, and records a violation if it lacks acknowledged commits.
+func (w *world) takeOver(s *worldServer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !s.up || s.leads {
+		return
+	}
+	lost := 0
+	for id, i := range w.acked {
+		if !s.holds(id, i) {
+			lost++
+			delete(w.acked, id)
+		}
+	}
+	if lost > 0 {
+		w.violations = append(w.violations, fmt.Sprintf("%s leads term %d without %d acknowledged commits", s.id, w.term+1, lost))
+	}
+	w.term++
+	w.promotions++
+	for _, o := range w.servers {
+		o.leads, o.paused = o == s, 0
+		n := 0
+		for n < min(len(o.log), len(s.log)) && o.log[n] == s.log[n] {
+			n++
+		}
+		o.log, o.sent = o.log[:n:n], n
+	}
+	s.term = w.term
+}
+
+// crash ends the process of a server for d. It keeps its log.
+func (w *world) crash(s *worldServer, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !s.up {
+		return
+	}
+	s.up, s.downSince, s.paused = false, time.Now(), 0
+	time.AfterFunc(d, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		s.up, s.sent = true, len(s.log)
+	})
+}
