fix(promoter): a host with an outdated list checks that the heir doesn't drain

Cause: two hosts that had been cut off from the store could write to it again before their lists of servers were up to date. They saw no primary, claimed the group and had a server promoted that had drained for four seconds.

Ruled out: the order of claims; the choice, which passes over servers that are listed as draining.

Change: if the list was last confirmed over a second ago and the store can be read, the host reads the entry of the server that it has chosen.

TestOutdatedListPromotesNoDrainingServer fails without the change.

--- a/internal/proxy/promoter/claims.go
+++ b/internal/proxy/promoter/claims.go
@@ -40,6 +40,9 @@
 	// zero, and returns it with its new token. It returns ErrClaimChanged if the present claim
 	// has another token.
 	PutClaim(ctx context.Context, group string, c Claim) (Claim, error)
+	// Draining reports whether the server's present entry says that it drains. It returns an error if the
+	// entry can't be read or there is none.
+	Draining(ctx context.Context, server string) (bool, error)
 	// Promote requests that the server becomes the primary of the group, under the claim with
 	// the given holder and token. It returns ErrFenced if the platform refuses.
 	Promote(ctx context.Context, group, server, holder string, token uint64) error
--- a/internal/proxy/promoter/promoter.go
+++ b/internal/proxy/promoter/promoter.go
@@ -60,6 +60,8 @@
 	leaseSlack = 200 * time.Millisecond
 	// claimReadInterval is the least time between two reads of the claim.
 	claimReadInterval = 200 * time.Millisecond
+	// listStaleAfter is how long after its last confirmation the list of servers may be outdated.
+	listStaleAfter = time.Second
 	// switchoverRetryInterval is the least time between an abandoned planned switchover and the
 	// next one, as each leaves the group without a primary for about a second.
 	switchoverRetryInterval = 3 * time.Second
@@ -237,7 +239,7 @@
 	}
 	x := promotion{view: s, reason: r, verdict: verdict, required: p.requirement(s, known, c)}
 	var ok bool
-	if x.heir, ok = successor.Choose(c, x.required); !ok {
+	if x.heir, ok = p.choose(ctx, c, x.required, err == nil || errors.Is(err, ErrNoClaim)); !ok {
 		if !p.warnedNoCandidate {
 			p.warnedNoCandidate = true
 			l.WithField("answers", len(c)).WithField("servers", len(s.Servers)).WithField("absent", s.Absent).Warn("no server can take over")
@@ -252,6 +254,31 @@
 	}
 }
 
+// choose chooses the server to promote. A host whose list of servers may be outdated, for instance as it was cut
+// off from the store, reads the entry of the server that it has chosen: a server that drains by now would
+// be the primary until it stops.
+func (p *Promoter) choose(ctx context.Context, l []successor.Candidate, q successor.Requirement, readable bool) (successor.Candidate, bool) {
+	for {
+		c, ok := successor.Choose(l, q)
+		if !ok || c.Server.Draining || !readable || p.Board.Age(blackboard.SectionServers) < listStaleAfter {
+			return c, ok
+		}
+		if d, err := p.drains(ctx, c.Server.ID); err != nil || !d {
+			return c, ok
+		}
+		for i := range l {
+			l[i].Server.Draining = l[i].Server.Draining || l[i].Server.ID == c.Server.ID
+		}
+	}
+}
+
+// drains reads from the platform whether a server drains.
+func (p *Promoter) drains(ctx context.Context, server string) (bool, error) {
+	c, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return p.Platform.Draining(c, server)
+}
+
 // carryOut has the server of x promoted once the old primary can acknowledge nothing more.
 func (p *Promoter) carryOut(ctx context.Context, x *promotion, l log.Interface) {
 	o := order{}
--- a/internal/proxy/promoter/promoter_test.go
+++ b/internal/proxy/promoter/promoter_test.go
@@ -31,6 +31,8 @@
 	term    marker.Term
 	length  marker.Position
 	gone    bool
+	// draining is set if the platform's entry says that the server drains.
+	draining bool
 	// stalled is set if the server receives nothing of the primary's log.
 	stalled bool
 	// full is the error with which it rejects connections or queries for lack of capacity, nil if
@@ -111,6 +113,12 @@
 	return x, nil
 }
 
+func (c *cluster) Draining(_ context.Context, server string) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[server].draining, nil
+}
+
 // lateOrder is a promotion that the platform carries out later, without an answer.
 type lateOrder struct {
 	server, holder string
@@ -685,6 +693,21 @@
 	})
 }
 
+// Guards against the promotion of a server that will stop soon by a host that was cut off from the store and
+// doesn't know that the server drains.
+func TestOutdatedListPromotesNoDrainingServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.servers["a"].gone, c.servers["b"].draining = true, true
+		p := promoterOf(c, "h1")
+		p.Board.RecordConnectionFailure("db", "a", p.Board.Time(), connpooler.ErrNoRoute)
+		runFor(p, 3*time.Second)
+		if !c.leads("c") {
+			t.Errorf("calls %q", c.calls)
+		}
+	})
+}
+
 // Guards against the repetition of a promotion that was refused as fenced: a request with the same
 // token would be refused again, and counts as an unfulfilled duty.
 func TestFencedPromotionIsNotRepeated(t *testing.T) {
--- a/internal/proxy/promoter/world_test.go
+++ b/internal/proxy/promoter/world_test.go
@@ -399,6 +399,10 @@
 	return x, nil
 }
 
+func (h *worldHost) Draining(context.Context, string) (bool, error) {
+	return false, nil
+}
+
 func (h *worldHost) Promote(ctx context.Context, _, server, _ string, token uint64) error {
 	w := h.world
 	w.mu.Lock()
