fix(promoter): replicas are resumed though the primary has no free connection

Cause: the host that had closed an order was killed while the replicas were paused. Commits that waited for them took all connections to the primary, and every host asked the primary for its status before it went on.

Ruled out: the restarted holder, which read its claim; the other hosts, which had found the paused replicas. All of them failed at the same question.

Change: the host that has closed the orders resumes replicas without asking the primary. A primary that refuses a status for lack of a connection or slot counts as leading if all other servers answer that they don't and none has a newer term. If it doesn't lead in fact, no server does and its log is the longest, so that the closing request, which names it, does no harm.

TestReplicasLeftPausedAreResumed (3 cases) fails without the change, now that its primary is full with 24 waiting commits.

--- a/internal/proxy/promoter/fence_test.go
+++ b/internal/proxy/promoter/fence_test.go
@@ -38,7 +38,7 @@
 }
 
 // Guards against replicas that stay paused after the host that has paused them has failed: the group
-// acknowledges no commits.
+// acknowledges no commits. Those that wait leave the primary without a free connection.
 func TestReplicasLeftPausedAreResumed(t *testing.T) {
 	for name, c := range map[string]Claim{
 		"before the order":     {Holder: "h9", Server: "b", AboveTerm: 1, LedTerm: 1, Token: 30},
--- a/internal/proxy/promoter/orders.go
+++ b/internal/proxy/promoter/orders.go
@@ -176,18 +176,20 @@
 	case err != nil:
 		return
 	}
-	leader, ok := p.confirmPrimary(ctx)
-	if !ok || p.leavesToHolder(ctx, present, leader.Server.ID) {
-		return
-	}
-	if (present.Token != p.closedToken || p.closedToken == 0) && !p.closeOrders(ctx, present, leader) {
+	if p.closedToken != 0 && present.Token == p.closedToken {
+		p.resume(ctx, present.Server)
 		return
 	}
-	if p.synchronous() == 0 {
-		p.settled()
+	leader, ok := p.confirmPrimary(ctx)
+	if !ok || p.leavesToHolder(ctx, present, leader.Server.ID) || !p.closeOrders(ctx, present, leader) {
 		return
 	}
-	if !time.Now().Before(p.resumeAt) && p.resumeReplicas(ctx, leader.Server.ID) {
+	p.resume(ctx, leader.Server.ID)
+}
+
+// resume resumes the replicas once no order can be carried out any more.
+func (p *Promoter) resume(ctx context.Context, leader string) {
+	if p.synchronous() == 0 || !time.Now().Before(p.resumeAt) && p.resumeReplicas(ctx, leader) {
 		p.settled()
 	}
 }
--- a/internal/proxy/promoter/questions.go
+++ b/internal/proxy/promoter/questions.go
@@ -39,17 +39,34 @@
 	return collect(r, len(l))
 }
 
-// confirmPrimary queries the server that this host assumes to be the primary, and reports whether it is.
+// confirmPrimary queries the server that this host assumes to be the primary, and reports whether it is. A
+// server without a free connection or slot, as commits wait for paused replicas, counts as the primary if all
+// others answer that they aren't and none has a newer term. If it doesn't lead, no server does, and its log is the
+// longest.
 func (p *Promoter) confirmPrimary(ctx context.Context) (successor.Candidate, bool) {
-	s := p.view().Primary
-	if s == nil {
+	s := p.view()
+	if s.Primary == nil {
 		return successor.Candidate{}, false
 	}
-	l := p.queryStatus(ctx, []*grouptracker.Server{s})
-	if len(l) == 0 || !l[0].Status.Primary {
+	x := p.commandAll(ctx, []*grouptracker.Server{s.Primary}, declarer.Request{Verb: declarer.VerbStatus})[0]
+	if x.err == nil {
+		return x.candidate, x.candidate.Status.Primary
+	}
+	if !isFull(x.err) {
 		return successor.Candidate{}, false
 	}
-	return l[0], true
+	term := p.ledTerm()
+	for _, o := range p.commandAll(ctx, without(s.Servers, s.Primary.ID), declarer.Request{Verb: declarer.VerbStatus}) {
+		if o.err != nil || o.candidate.Status.Primary || o.candidate.Status.Received.Term > term {
+			return successor.Candidate{}, false
+		}
+	}
+	return successor.Candidate{Server: s.Primary.Server, Status: declarer.Status{Term: term, Received: marker.Mark{Term: term}}}, true
+}
+
+// isFull reports whether a server has refused a command for lack of a connection or a slot.
+func isFull(err error) bool {
+	return errors.Is(err, ErrCommandRefused) || errors.Is(err, connpooler.ErrTooManyConnections)
 }
 
 // reply is the result of a status query.
@@ -112,8 +129,8 @@
 func (q *statusQuery) record(asked time.Duration, s declarer.Status, err error) {
 	b := q.promoter.Board
 	switch {
-	case errors.Is(err, ErrCommandRefused), errors.Is(err, ErrCommandUnsupported), errors.Is(err, connpooler.ErrTooManyConnections):
-		// The server has no free slot for the query, but it works.
+	case isFull(err), errors.Is(err, ErrCommandUnsupported):
+		// The server has no free slot for the query, or doesn't know the command, but it works.
 		b.Do(q.server.Group, func(g *grouptracker.Group) { g.RecordAnswer(q.server.ID, b.Time(), 0, marker.Mark{}) })
 		return
 	case err != nil:
--- a/internal/proxy/promoter/world_test.go
+++ b/internal/proxy/promoter/world_test.go
@@ -42,6 +42,8 @@
 	// storeDown makes calls about claims fail, lateOrders leaves orders without an answer; they are
 	// carried out 2 to 12 s later.
 	storeDown, lateOrders bool
+	// fullAt is how many unacknowledged commits leave the primary without a free connection.
+	fullAt int
 	// cannotPause makes servers refuse to be paused as they don't know the command.
 	cannotPause bool
 	// next is the id of the next commit, pending are those that aren't acknowledged.
@@ -96,7 +98,7 @@
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 0)), term: 1, acked: make(map[int]int)}
+	w := &world{random: rand.New(rand.NewPCG(seed, 0)), term: 1, fullAt: 24, acked: make(map[int]int)}
 	for i := range worldServers {
 		w.servers = append(w.servers, &worldServer{id: string(rune('a' + i)), term: 1, up: true, leads: i == 0})
 	}
@@ -290,6 +292,9 @@
 	if err := h.reach(h.world.server(s.ID)); err != nil {
 		return nil, marker.Mark{}, err
 	}
+	if w := h.world; len(w.pending) >= w.fullAt && w.server(s.ID).leads {
+		return nil, marker.Mark{}, connpooler.ErrTooManyConnections
+	}
 	return &worldConnection{host: h, id: s.ID}, marker.Mark{}, nil
 }
 
