test(soak): groups with synchronous replicas, faults around promotions

Every second seed of the soak, those without customers, now has groups with one synchronous replica, replicas that receive at different times, promotions of 0.6 s that are answered at once, and faults around them: partial cuts with refused or silent connections, orders carried out late, holders that are killed, primaries that are back before and after, two of three servers down at once. Checked: what the servers acknowledged, and what callers were told, is never rolled back. The stand-in carries out DEMOTE, PAUSE and RESUME.

The other seeds keep their plans. The recovery time and all checks stay.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -145,7 +145,7 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, a...))
 }
 
-// writes reports acknowledged writes that were lost, and writes that took effect although they
+// writes reports acknowledged writes that were lost, with synchronous replicas also by a promotion, and writes that took effect although they
 // were answered as not run.
 func (c *check) writes() {
 	present := make(map[string]bool)
@@ -154,7 +154,7 @@
 	}
 	for _, w := range c.history.Writes {
 		switch {
-		case w.Outcome == OutcomeRan && !present[w.ID] && !c.truth.Dropped[w.ID]:
+		case w.Outcome == OutcomeRan && !present[w.ID] && (c.truth.Synchronous || !c.truth.Dropped[w.ID]):
 			c.report("lost: %s was acknowledged and isn't there", w.ID)
 		case w.Outcome == OutcomeNotRun && c.truth.Commits[w.ID] > 0:
 			c.report("false not-run: %s took effect", w.ID)
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -51,10 +51,29 @@
 	kindCount
 )
 
+// Kinds of fault around promotions, see Promotions.
+const (
+	// KindServerRefuses refuses and resets an entry host's connections to a primary that works.
+	KindServerRefuses Kind = iota + kindCount
+	// KindServerUnheard stops all traffic between an entry host and a primary that works.
+	KindServerUnheard
+	// KindOrdersLate leaves every other order for a promotion without an answer; it is carried out seconds
+	// later.
+	KindOrdersLate
+	// KindHolderKill kills the entry host that sends the next order. It is started again.
+	KindHolderKill
+	// KindPrimaryBlink crashes a primary for less than a promotion takes.
+	KindPrimaryBlink
+	// KindTwoCrash crashes a primary and a replica at once.
+	KindTwoCrash
+	kindEnd
+)
+
 // names holds the name of each Kind, in the order of the constants.
 var names = [...]string{
 	"kill", "pause", "stop", "isolate", "silence", "store-silent", "store-busy", "store-reset", "store-slow",
 	"store-loses", "store-forgets", "store-watches-silent", "primary-crash", "server-mute", "server-silence", "replica-deaf",
+	"server-refuses", "server-unheard", "orders-late", "holder-kill", "primary-blink", "two-crash",
 }
 
 // String returns the kind's name in kebab case.
@@ -109,3 +128,23 @@
 func randomDuration(r *rand.Rand, d time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(d))).Truncate(time.Millisecond)
 }
+
+// Promotions returns faults around promotions, in order of time, for groups with synchronous replicas. Each step
+// is one to three faults within half a second.
+func Promotions(seed uint64, length time.Duration) []Fault {
+	const together, perStep = 500 * time.Millisecond, 3
+	r := rand.New(rand.NewPCG(seed, 2))
+	var l []Fault
+	for at := firstFault; at < length; at += minimumInterval + randomDuration(r, minimumInterval) {
+		for range 1 + r.IntN(perStep) {
+			f := randomFault(r, at+randomDuration(r, together))
+			f.Kind = KindServerRefuses + Kind(r.IntN(int(kindEnd-KindServerRefuses)))
+			if f.Kind == KindPrimaryBlink {
+				f.Duration = minimumDuration + randomDuration(r, together)
+			}
+			l = append(l, f)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b Fault) int { return int(a.At - b.At) })
+	return l
+}
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -29,3 +29,22 @@
 		t.Errorf("%d of %d kinds of fault in 50 seeds", len(seen), kindCount)
 	}
 }
+
+func TestPromotions(t *testing.T) {
+	seen := make(map[Kind]bool)
+	for seed := range uint64(50) {
+		p := Promotions(seed, 10*time.Second)
+		if !slices.Equal(p, Promotions(seed, 10*time.Second)) {
+			t.Fatalf("seed %d gives different plans", seed)
+		}
+		for _, f := range p {
+			seen[f.Kind] = true
+			if f.Kind < KindServerRefuses || f.At < firstFault || f.Duration < minimumDuration || f.Duration > maximumDuration {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+	}
+	if n := int(kindEnd - KindServerRefuses); len(seen) != n {
+		t.Errorf("%d of %d kinds of fault in 50 seeds", len(seen), n)
+	}
+}
--- a/internal/soak/replicator/replicator.go
+++ b/internal/soak/replicator/replicator.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -31,6 +32,8 @@
 	address string
 	term    uint64
 	log     []Record
+	// paused is the term of the server's pause, zero if it receives.
+	paused uint64
 	// down, mute and deaf are the current faults, see ServerFault.
 	down, mute, deaf bool
 }
@@ -42,6 +45,9 @@
 	Lag time.Duration
 	// PromoteTime is how long a promotion takes.
 	PromoteTime time.Duration
+	// Synchronous is how many replicas must have a write before it is acknowledged. If it isn't zero, each
+	// replica receives after a while of its own.
+	Synchronous int
 	// Customer returns the customer of a session, whose name its connections must have. It is nil if
 	// callers are not identified.
 	Customer func(session string) string
@@ -49,6 +55,12 @@
 	mu      sync.Mutex
 	servers []*Server
 	primary *Server
+	// demoted is set if the primary has lost the lead and no other server has it yet.
+	demoted bool
+	// changed wakes writes that wait for replicas.
+	changed *sync.Cond
+	// acknowledged holds the ids of the writes that were acknowledged with synchronous replicas.
+	acknowledged map[string]bool
 	// token is the highest fencing token of the promotions so far; lower ones are refused.
 	token uint64
 	// commits counts by id how often each write took effect.
@@ -72,7 +84,8 @@
 	s := &Server{ID: id, Zone: zone, term: 1}
 	if g.primary == nil {
 		g.primary = s
-		g.commits, g.dropped = make(map[string]int), make(map[string]bool)
+		g.commits, g.dropped, g.acknowledged = make(map[string]int), make(map[string]bool), make(map[string]bool)
+		g.changed = sync.NewCond(&g.mu)
 	}
 	g.servers = append(g.servers, s)
 	return s
@@ -85,7 +98,8 @@
 	return slices.Clone(g.servers)
 }
 
-func (g *Group) address(s *Server) string {
+// Address returns the server's address, empty before its responder has listened.
+func (g *Group) Address(s *Server) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return s.address
@@ -115,47 +129,72 @@
 func (g *Group) SetFault(s *Server, x ServerFault) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if x.Down {
+		s.paused = 0
+	}
 	s.down, s.mute, s.deaf = x.Down, x.Mute, x.Deaf
+	g.changed.Broadcast()
 }
 
+// leads reports whether the server is the primary. The caller holds the mutex.
+func (g *Group) leads(s *Server) bool { return g.primary == s && !g.demoted }
+
 // Promote makes the server the primary of the next term, with the log that it has after PromoteTime.
 // It does nothing if the server is the primary already. It returns ErrPromotionRefused if the server is
 // unknown or down, or if a higher token was used before.
 func (g *Group) Promote(id string, token uint64) error {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	i := slices.IndexFunc(g.servers, func(s *Server) bool { return s.ID == id })
 	if i < 0 || g.servers[i].down || token < g.token {
-		g.mu.Unlock()
 		return errors.Annotatef(ErrPromotionRefused, "%s with token %d after %d", id, token, g.token)
 	}
 	g.token = token
-	s := g.servers[i]
-	same := s == g.primary
-	g.mu.Unlock()
-	if same {
-		return nil
+	if !g.leads(g.servers[i]) {
+		time.AfterFunc(g.PromoteTime, (&takeover{group: g, server: g.servers[i]}).run)
 	}
-	time.Sleep(g.PromoteTime)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.setPrimary(s)
 	return nil
 }
 
+// takeover is a promotion that has been accepted.
+type takeover struct {
+	group  *Group
+	server *Server
+}
+
+func (t *takeover) run() {
+	t.group.mu.Lock()
+	defer t.group.mu.Unlock()
+	if !t.server.down && !t.group.leads(t.server) {
+		t.group.setPrimary(t.server)
+	}
+}
+
 // setPrimary makes s the primary. Writes that s does not have are rolled back on all servers. The
 // caller holds the mutex.
 func (g *Group) setPrimary(s *Server) {
 	term := g.primary.term + 1
+	has := make(map[string]bool, len(s.log))
+	for _, r := range s.log {
+		has[r.ID] = true
+	}
 	for _, o := range g.servers {
 		for _, r := range o.log {
-			if !slices.Contains(s.log, r) {
+			if !has[r.ID] {
 				g.dropped[r.ID] = true
 			}
 		}
-		o.log = commonPrefix(o.log, s.log)
+		o.log, o.paused = commonPrefix(o.log, s.log), 0
+	}
+	for id := range g.acknowledged {
+		if !has[id] {
+			g.recordViolation("lost: %s leads term %d without %s, which was acknowledged", s.ID, term, id)
+			delete(g.acknowledged, id)
+		}
 	}
 	s.term = term
-	g.primary = s
+	g.primary, g.demoted = s, false
+	g.changed.Broadcast()
 }
 
 // commonPrefix returns the longest prefix of l that is also a prefix of k.
@@ -171,6 +210,7 @@
 func (g *Group) Replicate(done <-chan struct{}) {
 	t := time.NewTicker(g.Lag)
 	defer t.Stop()
+	r := rand.New(rand.NewPCG(uint64(len(g.servers)), 0))
 	for {
 		g.mu.Lock()
 		term, n, l := g.primary.term, len(g.primary.log), g.primary
@@ -183,15 +223,36 @@
 		g.mu.Lock()
 		if l == g.primary && term == l.term && !l.down {
 			for _, s := range g.servers {
-				if s != l && !s.down && !s.deaf {
+				if s != l && !s.down && !s.deaf && s.paused == 0 && (g.Synchronous == 0 || r.IntN(3) == 0) {
 					s.term, s.log = term, slices.Clone(l.log[:min(n, len(l.log))])
 				}
 			}
+			g.changed.Broadcast()
 		}
 		g.mu.Unlock()
 	}
 }
 
+// awaitReplicas waits until enough replicas have the primary's log of length n, and returns false if the
+// server crashes or loses the lead before. The caller holds the mutex.
+func (g *Group) awaitReplicas(s *Server, n int) bool {
+	for term := s.term; g.Synchronous > 0; g.changed.Wait() {
+		if s.down || !g.leads(s) || s.term != term {
+			return false
+		}
+		have := 0
+		for _, o := range g.servers {
+			if o != s && o.term == term && len(o.log) >= n {
+				have++
+			}
+		}
+		if have >= g.Synchronous {
+			return true
+		}
+	}
+	return true
+}
+
 // recordViolation records a guarantee that was violated at a server. The caller holds the mutex.
 func (g *Group) recordViolation(format string, a ...any) {
 	g.violations = append(g.violations, fmt.Sprintf(format, a...))
@@ -207,13 +268,15 @@
 	Dropped map[string]bool
 	// Violations describes the guarantees that were violated at a server.
 	Violations []string
+	// Synchronous is set if no acknowledged write may be rolled back.
+	Synchronous bool
 }
 
 // Truth returns a copy of the group's state.
 func (g *Group) Truth() Truth {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := Truth{Log: slices.Clone(g.primary.log), Commits: make(map[string]int), Dropped: make(map[string]bool), Violations: slices.Clone(g.violations)}
+	t := Truth{Log: slices.Clone(g.primary.log), Commits: make(map[string]int), Dropped: make(map[string]bool), Violations: slices.Clone(g.violations), Synchronous: g.Synchronous > 0}
 	for k, v := range g.commits {
 		t.Commits[k] = v
 	}
@@ -239,7 +302,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	role := "replica"
-	if s == g.primary {
+	if g.leads(s) {
 		role = "primary"
 	}
 	return entry{Backend: g.Name, Address: s.address, Zone: s.Zone, Capacity: slots, State: "ready", Role: role, Sequence: 1}, !s.down
--- a/internal/soak/replicator/responder.go
+++ b/internal/soak/replicator/responder.go
@@ -37,7 +37,7 @@
 // Open listens and serves until Close. The first call listens at a free port of ip; further calls
 // listen at the same address again and ignore ip.
 func (r *Responder) Open(ip string) error {
-	a := r.Group.address(r.Server)
+	a := r.Group.Address(r.Server)
 	if a == "" {
 		a = net.JoinHostPort(ip, "0")
 	}
@@ -178,12 +178,15 @@
 	if usesSlot(text) {
 		c.responder.slots <- struct{}{}
 		time.Sleep(statementTime)
-		defer func() { <-c.responder.slots }()
+		<-c.responder.slots
 	}
 	g := c.responder.Group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := c.execute(id, text)
+	if c.responder.Server.down {
+		return "", false
+	}
 	return out + "READY " + c.state() + " " + c.responder.Server.position() + "\r\n", true
 }
 
@@ -265,14 +268,15 @@
 		return done(id, "")
 	case "BEGIN":
 		writable := len(f) == 1
-		if writable && g.primary != s {
+		if writable && !g.leads(s) {
 			return refuse("READONLY")
 		}
 		c.open, c.writable, c.term, c.owner = true, writable, s.term, ""
 		return done(id, "")
 	case "STATUS":
 		return done(id, "ROW "+c.status()+"\r\n")
-	case "DEMOTE":
+	case "DEMOTE", "PAUSE", "RESUME":
+		g.command(s, f)
 		return done(id, "ROW "+c.status()+"\r\n")
 	}
 	begins := !c.open || c.owner == ""
@@ -287,10 +291,29 @@
 // status returns the row with the server's status. The caller holds the group's mutex.
 func (c *connection) status() string {
 	s, role := c.responder.Server, "replica"
-	if c.responder.Group.primary == s {
+	if c.responder.Group.leads(s) {
 		role = "primary"
 	}
-	return fmt.Sprintf("%s %d %s 0 0 0 %d", role, s.term, s.position(), c.responder.count())
+	return fmt.Sprintf("%s %d %s %d 0 0 %d", role, s.term, s.position(), s.paused, c.responder.count())
+}
+
+// command carries out a command about the replication, with a term that must be above the newest one. The
+// caller holds the mutex.
+func (g *Group) command(s *Server, f []string) {
+	var term uint64
+	if len(f) > 1 {
+		_, _ = fmt.Sscan(f[1], &term)
+	}
+	newer := term > g.primary.term
+	switch {
+	case f[0] == "DEMOTE" && newer && g.leads(s):
+		g.demoted = true
+	case f[0] == "PAUSE" && newer && !g.leads(s):
+		s.paused = term
+	case f[0] == "RESUME":
+		s.paused = 0
+	}
+	g.changed.Broadcast()
 }
 
 // checkSession records a violation if the statement runs with the values or in the transaction of
@@ -331,7 +354,7 @@
 		kind, _, _ := strings.Cut(p, " ")
 		f = append([]string{kind}, f[2:]...)
 	}
-	deposed := c.open && c.writable && (g.primary != s || s.term != c.term)
+	deposed := c.open && c.writable && (!g.leads(s) || s.term != c.term)
 	switch f[0] {
 	case "READ":
 		if deposed {
@@ -339,7 +362,7 @@
 		}
 		return done(id, fmt.Sprintf("ROW %d\r\n", s.latest(f[1], c.written)))
 	case "WRITE":
-		if deposed || g.primary != s {
+		if deposed || !g.leads(s) {
 			return c.fail("READONLY")
 		}
 		r := Record{Term: s.term, ID: id, Item: f[1]}
@@ -348,8 +371,7 @@
 			c.written = append(c.written, r)
 			return done(id, "")
 		}
-		g.commit([]Record{r})
-		return done(id, "")
+		return c.commit(id, []Record{r})
 	case "COMMIT":
 		if !c.open {
 			return refuse("MALFORMED")
@@ -358,19 +380,30 @@
 			c.end()
 			return refuse("READONLY")
 		}
-		g.commit(c.written)
+		l := c.written
 		c.end()
-		return done(id, "")
+		return c.commit(id, l)
 	}
 	return c.fail("MALFORMED")
 }
 
-// commit appends the records to the primary's log. The caller holds the mutex.
-func (g *Group) commit(l []Record) {
+// commit appends the records to the primary's log, and acknowledges them once enough replicas have them. The
+// caller holds the group's mutex.
+func (c *connection) commit(id string, l []Record) string {
+	s, g := c.responder.Server, c.responder.Group
 	for _, r := range l {
-		g.primary.log = append(g.primary.log, r)
+		s.log = append(s.log, r)
 		g.commits[r.ID]++
 	}
+	if len(l) > 0 && !g.awaitReplicas(s, len(s.log)) {
+		return c.fail("FAILED")
+	}
+	if g.Synchronous > 0 {
+		for _, r := range l {
+			g.acknowledged[r.ID] = true
+		}
+	}
+	return done(id, "")
 }
 
 // end resets the state of the transaction.
--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/cuminwick/cuminwick/internal/bench/disturber"
 	"github.com/cuminwick/cuminwick/internal/soak/caller"
 	"github.com/cuminwick/cuminwick/internal/soak/checker"
@@ -65,6 +63,12 @@
 	// customers is the number of customers, zero if callers are not identified, and connections how many
 	// connections each server is declared to accept.
 	customers, connections int
+	// synchronous is how many replicas must have a write before it is acknowledged.
+	synchronous int
+	// orders carries out orders for promotions.
+	orders *orders
+	// paths are the first host's ways to the servers, by address, if writes are synchronous.
+	paths map[string]*serverPath
 	// ranked is set if the configuration ranks requests.
 	ranked bool
 	// operated is set if operators hold customers and routes and drain servers and hosts, and uneven if
@@ -93,7 +97,8 @@
 	d.prefix, d.done = loopbackPrefix(), make(chan struct{})
 	d.network = &disturber.Network{Latency: func(disturber.Path) time.Duration { return 0 }}
 	d.network.Open(ctx)
-	d.store = &storekeeper.Store{Promote: d.promote}
+	d.orders = &orders{deployment: d}
+	d.store = &storekeeper.Store{Promote: d.orders.receive}
 	if err := d.addGroups(); err != nil {
 		return err
 	}
@@ -112,7 +117,10 @@
 // addGroups starts the database groups with their servers and replication.
 func (d *deployment) addGroups() error {
 	for i := range groups {
-		g := &replicator.Group{Name: fmt.Sprintf("group-%d", i), Lag: 10 * time.Millisecond, PromoteTime: 200 * time.Millisecond}
+		g := &replicator.Group{Name: fmt.Sprintf("group-%d", i), Lag: 10 * time.Millisecond, PromoteTime: 200 * time.Millisecond, Synchronous: d.synchronous}
+		if d.synchronous > 0 {
+			g.PromoteTime = 600 * time.Millisecond
+		}
 		if d.customers > 0 {
 			g.Customer = d.customerOf
 		}
@@ -127,6 +135,9 @@
 				return err
 			}
 			d.servers = append(d.servers, s)
+			if err := d.addPath(s); err != nil {
+				return err
+			}
 		}
 		go (&replication{group: g, done: d.done}).run()
 	}
@@ -178,16 +189,6 @@
 	}
 }
 
-// promote carries out a promotion that an entry host requested from the store.
-func (d *deployment) promote(group, id string, token uint64) error {
-	for _, g := range d.groups {
-		if g.Name == group {
-			return g.Promote(id, token)
-		}
-	}
-	return errors.NotFoundf("group %s", group)
-}
-
 // route is one route of a configuration, as encoded for the store.
 type route struct {
 	Name      string `json:"name"`
@@ -203,6 +204,7 @@
 type backend struct {
 	Name        string `json:"name"`
 	Connections int    `json:"max_connections"`
+	Synchronous int    `json:"sync_replicas,omitempty"`
 }
 
 // limits holds the limits of a configuration, as encoded for the store.
@@ -237,7 +239,7 @@
 	v := d.version.Load() + 1
 	c := configuration{Version: v, Limits: limits{Idle: 3000}, Customers: d.declaredCustomers(v), Requests: d.requestsOf(v)}
 	for _, g := range d.groups {
-		c.Backends = append(c.Backends, backend{Name: g.Name, Connections: d.connections})
+		c.Backends = append(c.Backends, backend{Name: g.Name, Connections: d.connections, Synchronous: d.synchronous})
 	}
 	for _, x := range d.databases {
 		c.Routes = append(c.Routes, route{Name: x.name, Host: x.name, Kind: routeTypes[x.kind], Timeout: 1500, Backend: d.groups[x.group].Name, Staleness: staleness.Milliseconds(), Priority: d.routePriority(x.kind, v)})
@@ -280,7 +282,7 @@
 		return err
 	}
 	d.network.SetPlace(l.Addr().String(), disturber.Place{AvailabilityZone: "store", Region: "one"})
-	s := &http.Server{Handler: storekeeper.Handler{Store: d.store, RewriteAddress: (&addressRewriter{network: d.network, from: h.place}).rewrite}, ReadHeaderTimeout: time.Minute}
+	s := &http.Server{Handler: storekeeper.Handler{Store: d.store, RewriteAddress: (&addressRewriter{network: d.network, from: h.place, paths: d.pathsOf(i)}).rewrite}, ReadHeaderTimeout: time.Minute}
 	go (&storeService{server: s, listener: l}).run()
 	store, err := d.network.ProxyAddress(h.place, l.Addr().String())
 	if err != nil {
@@ -299,11 +301,17 @@
 type addressRewriter struct {
 	network *disturber.Network
 	from    disturber.Place
+	// paths are the host's ways to servers, by address.
+	paths map[string]*serverPath
 }
 
 // rewrite returns the address of the proxy to another entry host. It returns addresses of backend
-// servers unchanged, as a crashed server must refuse connections itself.
+// servers unchanged, as a crashed server must refuse connections itself, unless the host has a path
+// of its own that does the same.
 func (w *addressRewriter) rewrite(address string) string {
+	if p := w.paths[address]; p != nil {
+		return p.address
+	}
 	if !strings.HasSuffix(address, ":7101") {
 		return address
 	}
@@ -350,5 +358,8 @@
 	for _, s := range d.servers {
 		s.Close()
 	}
+	for _, p := range d.paths {
+		p.block()
+	}
 	return findings
 }
--- a/internal/soak/runner/faults_test.go
+++ b/internal/soak/runner/faults_test.go
@@ -51,12 +51,16 @@
 			defer h.faultLock.Unlock()
 			x.host(h)
 		}
-	case planner.KindPrimaryCrash, planner.KindServerMute, planner.KindServerSilence, planner.KindReplicaDeaf:
-		s := x.targetServer()
-		if s != nil && s.faultLock.TryLock() {
-			defer s.faultLock.Unlock()
-			x.server(s)
-		}
+	case planner.KindPrimaryCrash, planner.KindPrimaryBlink, planner.KindServerMute, planner.KindServerSilence, planner.KindReplicaDeaf:
+		x.lockServer(x.targetServer(), x.server)
+	case planner.KindServerRefuses, planner.KindServerUnheard:
+		x.lockServer(x.targetServer(), x.path)
+	case planner.KindTwoCrash:
+		x.twoCrash()
+	case planner.KindOrdersLate, planner.KindHolderKill:
+		began := time.Now()
+		d.orders.disturb(f, x.injector)
+		x.record(began)
 	default:
 		if d.storeFaultLock.TryLock() {
 			defer d.storeFaultLock.Unlock()
@@ -65,6 +69,14 @@
 	}
 }
 
+// lockServer calls do with the server, unless there is none or another fault of it is active.
+func (x *injection) lockServer(s *server, do func(s *server)) {
+	if s != nil && s.faultLock.TryLock() {
+		defer s.faultLock.Unlock()
+		do(s)
+	}
+}
+
 // record records that the fault was active from began until now.
 func (x *injection) record(began time.Time) {
 	x.injector.mu.Lock()
@@ -138,11 +150,12 @@
 	g := d.groups[x.fault.Target%groups]
 	first := x.fault.Target % groups * serversPerGroup
 	l := d.servers[first : first+serversPerGroup]
-	if x.fault.Kind != planner.KindPrimaryCrash && x.fault.Kind != planner.KindReplicaDeaf {
+	switch x.fault.Kind {
+	case planner.KindServerMute, planner.KindServerSilence:
 		return l[x.fault.Target/groups%serversPerGroup]
 	}
 	for _, s := range l {
-		if (s.Server == g.Primary()) == (x.fault.Kind == planner.KindPrimaryCrash) {
+		if (s.Server == g.Primary()) == (x.fault.Kind != planner.KindReplicaDeaf) {
 			return s
 		}
 	}
@@ -154,14 +167,8 @@
 	defer x.record(time.Now())
 	g := s.Group
 	switch x.fault.Kind {
-	case planner.KindPrimaryCrash:
-		g.SetFault(s.Server, replicator.ServerFault{Down: true})
-		s.Close()
-		time.Sleep(x.fault.Duration)
-		if err := s.Open(""); err != nil {
-			x.injector.fail("start: " + err.Error())
-		}
-		g.SetFault(s.Server, replicator.ServerFault{})
+	case planner.KindPrimaryCrash, planner.KindPrimaryBlink, planner.KindTwoCrash:
+		x.crash(s)
 	case planner.KindServerMute:
 		g.SetFault(s.Server, replicator.ServerFault{Mute: true})
 		time.Sleep(x.fault.Duration)
@@ -175,6 +182,22 @@
 	}
 }
 
+// crash ends a server for a while. It keeps its log.
+func (x *injection) crash(s *server) {
+	p := x.injector.deployment.paths[s.address()]
+	s.Group.SetFault(s.Server, replicator.ServerFault{Down: true})
+	s.Close()
+	p.block()
+	time.Sleep(x.fault.Duration)
+	if err := s.Open(""); err != nil {
+		x.injector.fail("start: " + err.Error())
+	}
+	s.Group.SetFault(s.Server, replicator.ServerFault{})
+	if err := p.unblock(); err != nil {
+		x.injector.fail("path: " + err.Error())
+	}
+}
+
 // store carries out a fault of the store.
 func (x *injection) store() {
 	defer x.record(time.Now())
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -60,7 +60,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := &deployment{directory: directory, ranked: isRanked(seed), operated: isOperated(seed), uneven: isUneven(seed)}
+	d := &deployment{directory: directory, ranked: isRanked(seed), operated: isOperated(seed), uneven: isUneven(seed), synchronous: synchronousReplicas(seed)}
 	d.customers, d.connections = kindOfSoak(seed)
 	err = d.start(ctx)
 	if err != nil {
@@ -73,7 +73,7 @@
 		os.RemoveAll(directory)
 		return
 	}
-	for _, f := range planner.Plan(seed, *length) {
+	for _, f := range planOf(seed) {
 		t.Log(f)
 	}
 	const maximumFindings = 20
@@ -83,6 +83,18 @@
 	t.Logf("%d findings, logs in %s", len(findings), directory)
 }
 
+// synchronousReplicas returns how many replicas must have a write before it is acknowledged: one in every second
+// soak, in which callers are not identified.
+func synchronousReplicas(seed uint64) int { return int(seed % 2) }
+
+// planOf returns the faults of the soak with the seed.
+func planOf(seed uint64) []planner.Fault {
+	if synchronousReplicas(seed) > 0 {
+		return planner.Promotions(seed, *length)
+	}
+	return planner.Plan(seed, *length)
+}
+
 // kindOfSoak returns the number of customers and the connections that each server is declared to accept:
 // every second soak has identified callers, and in half of these one host owns a server's connections.
 func kindOfSoak(seed uint64) (n, connections int) {
@@ -178,7 +190,7 @@
 func (s *soakRun) injectFaults(seed uint64) {
 	began := time.Now()
 	var g sync.WaitGroup
-	for _, f := range planner.Plan(seed, *length) {
+	for _, f := range planOf(seed) {
 		time.Sleep(time.Until(began.Add(f.At)))
 		g.Add(1)
 		go (&injection{injector: s.injector, fault: f}).run(&g)
--- a/internal/soak/storekeeper/handler.go
+++ b/internal/soak/storekeeper/handler.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // maximumBodyBytes is the maximum size of a request body.
@@ -221,9 +223,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if v.Store.Promote(o.Backend, o.ID, token) != nil {
+	switch err := v.Store.Promote(o.Backend, o.ID, r.Header.Get("X-Cuminwick-Lease-Holder"), token); {
+	case errors.Is(err, ErrUnanswered):
+		<-r.Context().Done()
+	case err != nil:
 		w.WriteHeader(http.StatusConflict)
-		return
+	default:
+		w.WriteHeader(http.StatusOK)
 	}
-	w.WriteHeader(http.StatusOK)
 }
--- a/internal/soak/storekeeper/storekeeper.go
+++ b/internal/soak/storekeeper/storekeeper.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Mode is how the store answers requests.
@@ -36,6 +38,9 @@
 	LostAnswersPerMille int
 }
 
+// ErrUnanswered is returned for a promotion that gets no answer.
+const ErrUnanswered = errors.ConstError("promotion not answered")
+
 // entryTTL is the time after which a server's entry that is not renewed expires.
 const entryTTL = 3600 * time.Millisecond
 
@@ -61,8 +66,9 @@
 
 // Store keeps objects by kind and name. Its exported field is set before use.
 type Store struct {
-	// Promote promotes the server of the group with a fencing token; an error refuses the request.
-	Promote func(group, server string, token uint64) error
+	// Promote promotes the server of the group with a fencing token, for the host that holds the claim.
+	// ErrUnanswered leaves the request without an answer; any other error refuses it.
+	Promote func(group, server, holder string, token uint64) error
 
 	mu       sync.Mutex
 	revision uint64
