--- a/internal/proxy/relaydialer/relaydialer.go
+++ b/internal/proxy/relaydialer/relaydialer.go
@@ -116,7 +116,7 @@
 	if !d.isSuspended(d.blockedUntil, s.ID) {
 		c, m, err := d.Transport.Dial(ctx, s, customer)
 		refused := errors.Is(err, syscall.ECONNREFUSED)
-		if err == nil || !errors.Is(err, connpooler.ErrNoRoute) || refused && !(relayRefused && d.refusesForLong(s.ID)) {
+		if err == nil || !errors.Is(err, connpooler.ErrNoRoute) || refused && (!relayRefused || !d.refusesForLong(s.ID)) {
 			d.recordDirect(s.ID, refused)
 			return c, m, err
 		}
