fix(promoter): only a pause that the server reports counts

Found in reading, not seen: a server answers a pause whose term isn't above the newest one with its status and goes on receiving. Such answers counted as paused replicas, so that a host that knows an outdated term could order a promotion without the fence.

Change: an answer counts if it shows the pause. The look for paused replicas leaves out servers that don't answer this host, as waiting for them would hold up the next check of the primary. A holder is left to settle for at least its lease.

TestPauseWithoutEffectAllowsNoPromotion fails without the change (one promotion). Groups without synchronous replicas behave as before.

--- a/internal/proxy/promoter/fence.go
+++ b/internal/proxy/promoter/fence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,17 +29,6 @@
 	pauseCheckInterval = 2 * time.Second
 )
 
-// promotion is a promotion that is about to be ordered.
-type promotion struct {
-	view     successor.View
-	reason   successor.Reason
-	required successor.Requirement
-	heir     successor.Candidate
-	claim    Claim
-	// verdict is what other hosts have reported about the lost primary.
-	verdict relaydialer.Verdict
-}
-
 // fence pauses the replicas of a group that replicates synchronously, and reports whether a server may be
 // promoted. Once so many replicas are paused that the others can't acknowledge a commit, no primary can,
 // whichever hosts reach it and however late the order is carried out. The heir is then chosen
@@ -86,12 +76,12 @@
 	return true
 }
 
-// pause pauses the servers, all at once, and returns the answers of those that are paused. unsupported is set
-// if a server doesn't know the command.
+// pause pauses the servers, all at once, and returns the answers of those that are paused or lead. unsupported
+// is set if a server doesn't know the command.
 func (p *Promoter) pause(ctx context.Context, l []*grouptracker.Server, t marker.Term) (paused []successor.Candidate, unsupported bool) {
 	for _, r := range p.commandAll(ctx, l, declarer.Request{Verb: declarer.VerbPause, Term: t}) {
 		switch {
-		case r.err == nil:
+		case r.err == nil && (r.candidate.Status.PauseTerm > 0 || r.candidate.Status.Primary):
 			paused = append(paused, r.candidate)
 		case errors.Is(r.err, ErrCommandUnsupported):
 			unsupported = true
@@ -151,7 +141,7 @@
 		case err != nil || ctx.Err() != nil:
 		case s.Primary:
 			_, _ = x.command(calls, declarer.VerbDemote)
-		case x.pauses && s.PauseTerm < x.term:
+		case x.pauses && s.PauseTerm == 0:
 			_, err = x.command(calls, declarer.VerbPause)
 			x.pauses = !errors.Is(err, ErrCommandUnsupported)
 		}
@@ -166,45 +156,47 @@
 // resumeReplicas resumes all paused servers but the primary, and reports whether none that is listed is paused
 // any more.
 func (p *Promoter) resumeReplicas(ctx context.Context, primary string) bool {
-	done := true
-	for _, s := range p.pausedReplicas(ctx, primary, &done) {
-		for _, r := range p.commandAll(ctx, []*grouptracker.Server{s}, declarer.Request{Verb: declarer.VerbResume}) {
-			l := p.Log.WithFields(log.Fields{"database-group": p.Group, "server": s.ID})
-			if r.err != nil {
-				done = false
-				l.WithError(r.err).Warn("replica not resumed")
-				continue
-			}
-			l.Info("replica resumed")
+	paused, done := p.paused(ctx, without(p.view().Servers, primary))
+	for _, r := range p.commandAll(ctx, paused, declarer.Request{Verb: declarer.VerbResume}) {
+		l := p.Log.WithFields(log.Fields{"database-group": p.Group, "server": r.candidate.Server.ID})
+		if r.err != nil {
+			done = false
+			l.WithError(r.err).Warn("replica not resumed")
+			continue
 		}
+		l.Info("replica resumed")
 	}
 	return done
 }
 
-// pausedReplicas returns the servers but the primary that report to be paused. It clears complete if a server
-// doesn't answer.
-func (p *Promoter) pausedReplicas(ctx context.Context, primary string, complete *bool) []*grouptracker.Server {
-	var l []*grouptracker.Server
-	for _, r := range p.commandAll(ctx, without(p.view().Servers, primary), declarer.Request{Verb: declarer.VerbStatus}) {
+// paused returns which of the servers report to be paused, and whether all have answered.
+func (p *Promoter) paused(ctx context.Context, l []*grouptracker.Server) (paused []*grouptracker.Server, complete bool) {
+	complete = true
+	for _, r := range p.commandAll(ctx, l, declarer.Request{Verb: declarer.VerbStatus}) {
 		switch {
 		case r.err != nil:
-			*complete = false
+			complete = false
 		case r.candidate.Status.PauseTerm > 0:
-			l = append(l, &grouptracker.Server{Server: r.candidate.Server})
+			paused = append(paused, &grouptracker.Server{Server: r.candidate.Server})
 		}
 	}
-	return l
+	return paused, complete
 }
 
 // checkPauses looks for replicas that were left paused, for instance by a host that has failed: they
-// acknowledge no commits.
+// acknowledge no commits. Servers that don't answer this host are left out, as waiting for them would hold up
+// the next check of the primary.
 func (p *Promoter) checkPauses(ctx context.Context) {
 	if p.synchronous() == 0 || p.unsettled || !p.Roles.MayClaim(p.Group) || time.Since(p.pauseCheckedAt) < pauseCheckInterval {
 		return
 	}
 	p.pauseCheckedAt = time.Now()
-	complete := true
-	if s := p.view().Primary; s != nil && len(p.pausedReplicas(ctx, s.ID, &complete)) > 0 && !p.replicasPaused {
+	s := p.view()
+	if s.Primary == nil || p.replicasPaused {
+		return
+	}
+	l := slices.DeleteFunc(without(s.Servers, s.Primary.ID), func(x *grouptracker.Server) bool { return x.FailingSince != 0 })
+	if paused, _ := p.paused(ctx, l); len(paused) > 0 {
 		p.replicasPaused, p.suspected, p.settleAt = true, true, time.Now().Add(settleDelay)
 	}
 }
--- a/internal/proxy/promoter/fence_test.go
+++ b/internal/proxy/promoter/fence_test.go
@@ -84,3 +84,15 @@
 		})
 	}
 }
+
+// Guards against a promotion after a pause that had no effect, as its term isn't above the newest one.
+func TestPauseWithoutEffectAllowsNoPromotion(t *testing.T) {
+	runWorld(t, func(w *world) {
+		w.ignoresPause = true
+		time.AfterFunc(4*time.Second, func() { w.crash(w.servers[0], 3*time.Second) })
+	}, 12*time.Second, func(w *world) {
+		if w.promotions > 0 || time.Since(w.ackedAt) > time.Second {
+			t.Errorf("%d promotions, last commit acknowledged at %s", w.promotions, w.ackedAt)
+		}
+	})
+}
--- a/internal/proxy/promoter/orders.go
+++ b/internal/proxy/promoter/orders.go
@@ -81,9 +81,8 @@
 		return resultUnconfirmed
 	}
 	p.needed = false
-	if p.settled(); err != nil {
-		p.unsettled = true
-	}
+	p.settled()
+	p.unsettled = err != nil
 	p.Counter.Phase(phaseLead, time.Since(began))
 	l.WithField("took", time.Since(began).String()).Info("promotion done")
 	return resultDone
@@ -198,7 +197,7 @@
 // once it has closed it with a claim for the leader.
 func (p *Promoter) leavesToHolder(ctx context.Context, present Claim, leader string) bool {
 	if present.Server == leader && p.synchronous() > 0 {
-		return p.defersFor(ctx, settlePatience, present, leader)
+		return p.defersFor(ctx, max(settlePatience, p.Lease()+leaseSlack), present, leader)
 	}
 	return p.defersTo(ctx, present, leader)
 }
@@ -212,8 +211,8 @@
 	if !p.replicasPaused {
 		return true
 	}
-	complete := true
-	return len(p.pausedReplicas(ctx, "", &complete)) == 0
+	l, _ := p.paused(ctx, p.view().Servers)
+	return len(l) == 0
 }
 
 // settled records that no order can be carried out any more.
