--- a/internal/proxy/promoter/promoter_test.go
+++ b/internal/proxy/promoter/promoter_test.go
@@ -95,18 +95,13 @@
 func (c *cluster) PutClaim(_ context.Context, _ string, x Claim) (Claim, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	present := uint64(0)
-	if c.claim != nil {
-		present = c.claim.Token
-	}
-	switch {
-	case c.unavailable:
+	if c.unavailable {
 		return x, errors.New("away")
-	case x.Token != present:
-		return x, ErrClaimChanged
 	}
-	x.Token = present + 3
-	c.claim = &x
+	x, err := replaceClaim(&c.claim, x)
+	if err != nil {
+		return x, err
+	}
 	c.claims = append(c.claims, x)
 	if c.loseAnswer {
 		c.loseAnswer = false
@@ -121,6 +116,20 @@
 	return c.servers[server].draining, nil
 }
 
+// replaceClaim replaces the present claim as the platform's store does.
+func replaceClaim(present **Claim, x Claim) (Claim, error) {
+	token := uint64(0)
+	if *present != nil {
+		token = (*present).Token
+	}
+	if x.Token != token {
+		return x, ErrClaimChanged
+	}
+	x.Token = token + 3
+	*present = &x
+	return x, nil
+}
+
 // lateOrder is a promotion that the platform carries out later, without an answer.
 type lateOrder struct {
 	server, holder string
--- a/internal/proxy/promoter/world_test.go
+++ b/internal/proxy/promoter/world_test.go
@@ -390,19 +390,10 @@
 	w := h.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	present := uint64(0)
-	if w.claim != nil {
-		present = w.claim.Token
-	}
-	switch {
-	case w.storeDown:
+	if w.storeDown {
 		return x, errors.New("away")
-	case x.Token != present:
-		return x, ErrClaimChanged
 	}
-	x.Token = present + 3
-	w.claim = &x
-	return x, nil
+	return replaceClaim(&w.claim, x)
 }
 
 func (h *worldHost) Draining(context.Context, string) (bool, error) {
--- a/internal/soak/replicator/responder.go
+++ b/internal/soak/replicator/responder.go
@@ -297,25 +297,6 @@
 	return fmt.Sprintf("%s %d %s %d 0 0 %d", role, s.term, s.position(), s.paused, c.responder.count())
 }
 
-// command carries out a command about the replication, with a term that must be above the newest one. The
-// caller holds the mutex.
-func (g *Group) command(s *Server, f []string) {
-	var term uint64
-	if len(f) > 1 {
-		_, _ = fmt.Sscan(f[1], &term)
-	}
-	newer := term > g.primary.term
-	switch {
-	case f[0] == "DEMOTE" && newer && g.leads(s):
-		g.demoted = true
-	case f[0] == "PAUSE" && newer && !g.leads(s):
-		s.paused = term
-	case f[0] == "RESUME":
-		s.paused = 0
-	}
-	g.changed.Broadcast()
-}
-
 // checkSession records a violation if the statement runs with the values or in the transaction of
 // another session. The caller holds the group's mutex.
 func (c *connection) checkSession(id string) {
