fix(promoter): a group without requests forgets a server that is gone

Change: the hosts that look for paused replicas also query the primary while a server is absent.

TestIdleGroupForgetsServerThatIsGone fails without the change (no promotion). Groups without synchronous replicas behave as before.

--- a/internal/proxy/promoter/fence.go
+++ b/internal/proxy/promoter/fence.go
@@ -195,6 +195,11 @@
 	if s.Primary == nil || p.replicasPaused {
 		return
 	}
+	if s.Absent > 0 {
+		// In a group without requests, nothing else shows that others have the commits of a server whose
+		// entry has lapsed.
+		p.queryStatus(ctx, []*grouptracker.Server{s.Primary})
+	}
 	l := slices.DeleteFunc(without(s.Servers, s.Primary.ID), func(x *grouptracker.Server) bool { return x.FailingSince != 0 })
 	if paused, _ := p.paused(ctx, l); len(paused) > 0 {
 		p.replicasPaused, p.suspected, p.settleAt = true, true, time.Now().Add(settleDelay)
--- a/internal/proxy/promoter/fence_test.go
+++ b/internal/proxy/promoter/fence_test.go
@@ -96,3 +96,22 @@
 		}
 	})
 }
+
+// Guards against a group without requests that never forgets a server that is gone for good, though the other
+// replica has all of its commits: when the primary is lost too, it would get no other one.
+func TestIdleGroupForgetsServerThatIsGone(t *testing.T) {
+	runWorld(t, func(w *world) {
+		w.idle = true
+		w.crash(w.servers[2], time.Hour)
+		time.AfterFunc(12*time.Second, func() {
+			w.crash(w.servers[0], time.Hour)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.idle = false
+		})
+	}, 18*time.Second, func(w *world) {
+		if !w.servers[1].leads {
+			t.Errorf("%d promotions, claim %+v", w.promotions, *w.claim)
+		}
+	})
+}
--- a/internal/proxy/promoter/world_test.go
+++ b/internal/proxy/promoter/world_test.go
@@ -42,6 +42,8 @@
 	// storeDown makes calls about claims fail, lateOrders leaves orders without an answer; they are
 	// carried out 2 to 12 s later.
 	storeDown, lateOrders bool
+	// idle is set while no host commits.
+	idle bool
 	// fullAt is how many unacknowledged commits leave the primary without a free connection.
 	fullAt int
 	// cannotPause makes servers refuse to be paused as they don't know the command, ignoresPause makes
@@ -236,9 +238,9 @@
 func (h *worldHost) commit() {
 	w := h.world
 	w.mu.Lock()
-	b := h.board
+	b, idle := h.board, w.idle
 	w.mu.Unlock()
-	if b == nil {
+	if b == nil || idle {
 		return
 	}
 	var id string
