fix(successor): with synchronous replicas only the newest term's log is promoted

Found in reading, not seen: the rule of admits a log of an older term that ends before anything that was rolled back, and any log if all listed servers have answered. With synchronous replicas such a log lacks what the newest term's primary has acknowledged, if a host that was started after entries have lapsed counts too few servers.

Change: both exceptions hold for asynchronous replication only.

TestChooseCountsAbsentServers, "newest history isn't listed", fails before. Groups without synchronous replicas behave as before.

--- a/internal/proxy/successor/successor.go
+++ b/internal/proxy/successor/successor.go
@@ -170,9 +170,10 @@
 }
 
 // admits reports whether the log that ends at m is part of the group's newest history: it has entries of
-// the newest term, or none that the last promotion may have rolled back.
+// the newest term or, with asynchronous replication, none that the last promotion may have rolled back. With
+// synchronous replication the latter log lacks acknowledged commits if there are any of the newest term.
 func (q Requirement) admits(m marker.Mark) bool {
-	return m.Term >= q.Term || m.Term == q.Base.Term && m.Position <= q.Base.Position
+	return m.Term >= q.Term || q.Synchronous == 0 && m.Term == q.Base.Term && m.Position <= q.Base.Position
 }
 
 // Choose returns the candidate to promote: the one with the longest log. Among equals it
@@ -186,8 +187,8 @@
 // a server on the other side of it. Promoting the old primary again would drop all that was
 // written there since, and restore what had been dropped before. A majority may consist of servers
 // that received nothing of the newest term, of which the longest log is the one with the
-// most entries to restore. A candidate must thus be part of the newest history, unless all servers have
-// answered, those that are absent included, and none is.
+// most entries to restore. A candidate must thus be part of the newest history. With asynchronous replication
+// the longest log will do if all servers have answered, those that are absent included, and none is.
 //
 // If synchronous isn't zero, a commit is acknowledged once that many replicas have it. Each
 // acknowledged commit must then be on at least one of the servers that have answered. As it is
@@ -201,7 +202,7 @@
 	if 2*len(l) <= q.Servers || q.Synchronous > 0 && witnesses(l, q.Term) < known-q.Synchronous {
 		return Candidate{}, false
 	}
-	if c, ok := longest(l, q, q.admits); ok || len(l) < known {
+	if c, ok := longest(l, q, q.admits); ok || len(l) < known || q.Synchronous > 0 {
 		return c, ok
 	}
 	return longest(l, q, func(marker.Mark) bool { return true })
--- a/internal/proxy/successor/successor_test.go
+++ b/internal/proxy/successor/successor_test.go
@@ -170,6 +170,7 @@
 		"one of three absent":                  {[]Candidate{at("a", 5), at("b", 6)}, Requirement{Servers: 2, Absent: 1, Synchronous: 1}, "b"},
 		"two of three absent, asynchronous":    {[]Candidate{at("a", 5)}, Requirement{Servers: 1, Absent: 2}, "a"},
 		"newest history absent, asynchronous":  {[]Candidate{at("a", 5)}, Requirement{Servers: 1, Absent: 2, Term: 2}, ""},
+		"newest history isn't listed":          {[]Candidate{at("a", 5)}, Requirement{Servers: 1, Synchronous: 1, Term: 2, Base: marker.Mark{Term: 1, Position: 9}}, ""},
 		"newest history is gone, asynchronous": {[]Candidate{at("a", 5)}, Requirement{Servers: 1, Term: 2}, "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
