test(promoter): each guard of a promotion is missed when it is taken out

A missing pause before the order and replicas that are resumed at once were found by no test of the promise.

Two tests for these: the primary is back in the moment of the order, and the late order is accepted right before the closing request.

--- a/internal/proxy/promoter/fence_test.go
+++ b/internal/proxy/promoter/fence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,6 +38,47 @@
 	}
 }
 
+// Guards against commits that a primary acknowledges when it is back in the moment in which an order is accepted,
+// before the ordering host can demote it.
+func TestPrimaryBackWithTheOrderAcknowledgesNothing(t *testing.T) {
+	for seed := range uint64(60) {
+		runWorld(t, func(w *world) {
+			w.random = rand.New(rand.NewPCG(seed, 0))
+			w.intercept = func(string, uint64) bool { w.restart(w.servers[0]); return true }
+			time.AfterFunc(4*time.Second, func() { w.crash(w.servers[0], time.Hour) })
+		}, 8*time.Second, func(w *world) {
+			if len(w.violations) > 0 || w.promotions != 1 {
+				t.Errorf("seed %d: %d promotions, %v", seed, w.promotions, w.violations)
+			}
+		})
+	}
+}
+
+// Guards against replicas that are resumed while an order that the platform has accepted right before the closing
+// request is still to take effect.
+func TestReplicasStayPausedUntilAcceptedOrderHasTakenEffect(t *testing.T) {
+	for seed := range uint64(10) {
+		runWorld(t, func(w *world) {
+			w.random = rand.New(rand.NewPCG(seed, 0))
+			var late func()
+			w.intercept = func(server string, token uint64) bool {
+				if server != "a" { // the order gets no answer, and the primary is back
+					late = func() { _ = w.order(server, token) }
+					w.restart(w.servers[0])
+					return false
+				}
+				late()
+				return true
+			}
+			time.AfterFunc(4*time.Second, func() { w.crash(w.servers[0], time.Hour) })
+		}, 10*time.Second, func(w *world) {
+			if len(w.violations) > 0 || w.promotions != 1 || time.Since(w.ackedAt) > time.Second {
+				t.Errorf("seed %d: %d promotions, last commit acknowledged at %s, %v", seed, w.promotions, w.ackedAt, w.violations)
+			}
+		})
+	}
+}
+
 // Guards against replicas that stay paused after the host that has paused them has failed: the group
 // acknowledges no commits. Those that wait leave the primary without a free connection.
 func TestReplicasLeftPausedAreResumed(t *testing.T) {
--- a/internal/proxy/promoter/world_test.go
+++ b/internal/proxy/promoter/world_test.go
@@ -49,6 +49,9 @@
 	// cannotPause makes servers refuse to be paused as they don't know the command, ignoresPause makes
 	// them answer and go on receiving.
 	cannotPause, ignoresPause bool
+	// intercept, if not nil, is called with each order first, and reports whether the order is answered and
+	// carried out.
+	intercept func(server string, token uint64) bool
 	// next is the id of the next commit, pending are those that aren't acknowledged.
 	next    int
 	pending []worldCommit
@@ -412,7 +415,12 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	f := w.intercept
 	w.mu.Unlock()
+	if f != nil && !f(server, token) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	return w.order(server, token)
 }
 
@@ -469,9 +477,12 @@
 		return
 	}
 	s.up, s.downSince, s.paused = false, time.Now(), 0
-	time.AfterFunc(d, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		s.up, s.sent = true, len(s.log)
-	})
+	time.AfterFunc(d, func() { w.restart(s) })
+}
+
+// restart starts the process of a server again.
+func (w *world) restart(s *worldServer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.up, s.sent = true, len(s.log)
 }
