feat(runner): the lines of a stop tell what is in progress

Whether a host ends with sessions that it still serves, or takes callers after its drain, couldn't be told from its log: "drained" had the number of sessions, "stopped" nothing. Both, and "draining", now have the sessions, those that run a statement or a transaction, the connections that are lent, and the callers accepted since the drain began.

--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -162,6 +162,13 @@
 	}
 }
 
+// Idle reports whether the session waits for its caller outside of a transaction.
+func (s *Session) Idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.idle
+}
+
 // Terminate ends the session the next time it waits for its caller, even in a transaction.
 func (s *Session) Terminate() {
 	s.stopping.Store(true)
--- a/internal/proxy/runner/callers.go
+++ b/internal/proxy/runner/callers.go
@@ -39,6 +39,9 @@
 	h.mu.Lock()
 	h.sessions[s] = struct{}{}
 	h.mu.Unlock()
+	if h.draining.Load() {
+		h.acceptedWhileDraining.Add(1)
+	}
 	go (&sessionServer{host: h, session: s}).run()
 }
 
@@ -66,6 +69,17 @@
 	return len(h.sessions)
 }
 
+// busySessionCount returns the number of sessions that run a statement or have an open transaction.
+func (h *Host) busySessionCount() int {
+	n := 0
+	h.forEachSession(func(s *executor.Session) {
+		if !s.Idle() {
+			n++
+		}
+	})
+	return n
+}
+
 // forEachSession calls f with each session, without holding the mutex.
 func (h *Host) forEachSession(f func(*executor.Session)) {
 	h.mu.Lock()
--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 )
@@ -24,7 +26,7 @@
 func (h *Host) drain(ctx context.Context) {
 	began, grace := time.Now(), h.bounds().Grace
 	h.draining.Store(true)
-	h.Log.WithField("sessions", h.SessionCount()).Info("draining")
+	h.logWork("draining")
 	// Without its entry, other hosts borrow from the next owner. Leases that are out may end.
 	h.quotas.Leave()
 	h.deregister()
@@ -40,5 +42,13 @@
 			return
 		}
 	}
-	h.Log.WithField("sessions", h.SessionCount()).WithField("lent", h.activeLeases.Load()).Info("drained")
+	h.logWork("drained")
+}
+
+// logWork logs a step of a planned stop with the work that is in progress.
+func (h *Host) logWork(step string) {
+	h.Log.WithFields(log.Fields{
+		"sessions": h.SessionCount(), "busy-sessions": h.busySessionCount(), "lent": h.activeLeases.Load(),
+		"accepted-while-draining": h.acceptedWhileDraining.Load(),
+	}).Info(step)
 }
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -120,6 +120,8 @@
 	registered chan struct{}
 	// activeLeases counts the connections that other hosts currently borrow.
 	activeLeases atomic.Int64
+	// acceptedWhileDraining counts the callers accepted since the drain began.
+	acceptedWhileDraining atomic.Int64
 
 	mu       sync.Mutex
 	sessions map[*executor.Session]struct{}
@@ -163,7 +165,7 @@
 		h.drain(x)
 	case <-ctx.Done():
 	}
-	h.Log.Info("stopped")
+	h.logWork("stopped")
 	return nil
 }
 
