test(soak): planned stops in series; statements that ran must be answered

Callers keep their sessions, and half of 48 open new ones at a host that is stopping until its process has ended, as a balancer does with fewer than half of a zone's hosts in rotation. One to three of six hosts are stopped within half a second, again and again, beside SIGHUPs and changes of the configuration.

The soak before couldn't see it: its callers avoided a host 2 s after SIGTERM, it stopped one host alone, it counted no statement that broke off as the process ended, and it didn't compare with what servers ran.

In one stop a session was accepted between the lines "drained" and "stopped", which had none before.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -50,6 +50,8 @@
 	Recorder *Recorder
 	// Random decides the operations, pauses and disconnects.
 	Random *rand.Rand
+	// MaximumPause is the maximum pause between two operations, zero for none.
+	MaximumPause time.Duration
 
 	conn  net.Conn
 	lines *bufio.Reader
@@ -114,7 +116,9 @@
 // operation breaks the session.
 func (s *Session) Run(operations int) {
 	defer s.Close()
+	sent := time.Now()
 	if ok, err := s.Open(); err != nil || !ok {
+		s.recordServed(checker.ServiceNotOpened, sent)
 		return
 	}
 	if a, err := s.ask("SET who " + s.Name); err != nil || a.code != "" {
@@ -128,6 +132,9 @@
 			s.recordWrites(checker.OutcomeNotRun) // no COMMIT was sent
 			return
 		}
+		if s.MaximumPause > 0 {
+			time.Sleep(rand.N(s.MaximumPause))
+		}
 	}
 	_, _ = fmt.Fprint(s.conn, "BYE\r\n")
 }
@@ -206,17 +213,29 @@
 	}
 	a, err := s.await(id, text, sent)
 	if err != nil {
+		x := checker.Disconnect{Host: s.Host.Name, ID: id, Sent: sent, StatementSent: sent, Ended: time.Now()}
 		if s.tx.open {
-			sent = s.tx.began // the whole transaction was broken off
+			x.Sent = s.tx.began // the whole transaction was broken off
 		}
-		s.Recorder.Update(func(h *checker.History) {
-			h.Disconnects = append(h.Disconnects, checker.Disconnect{Host: s.Host.Name, ID: id, Sent: sent, Ended: time.Now()})
-		})
+		s.Recorder.Update(func(h *checker.History) { h.Disconnects = append(h.Disconnects, x) })
+		s.recordServed(checker.ServiceBrokenOff, sent)
 		return a, errConnectionBroken
 	}
+	switch outcome(a, nil) {
+	case checker.OutcomeRan:
+		s.recordServed(checker.ServiceAnswered, sent)
+	case checker.OutcomeNotRun:
+		s.recordServed(checker.ServiceRefused, sent)
+	}
 	return a, nil
 }
 
+// recordServed records how a statement, or the opening of the session, was served.
+func (s *Session) recordServed(x checker.Service, sent time.Time) {
+	r := checker.Served{Host: s.Host.Name, Service: x, Sent: sent, Ended: time.Now()}
+	s.Recorder.Update(func(h *checker.History) { h.Served = append(h.Served, r) })
+}
+
 // disconnect closes the connection after a short pause and returns true. It returns false and keeps
 // the connection for the first two statements, which set up the session, and for BEGIN.
 func (s *Session) disconnect(text string) bool {
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/soak/replicator"
@@ -79,6 +80,30 @@
 	// Sent is when the statement, or the BEGIN of its transaction, was sent, Ended when the
 	// connection broke.
 	Sent, Ended time.Time
+	// StatementSent is when the statement itself was sent.
+	StatementSent time.Time
+}
+
+// Service is how a statement, or the opening of a session, was served.
+type Service uint8
+
+// Kinds of service.
+const (
+	// ServiceAnswered is a statement with an answer of a server, or an opened session.
+	ServiceAnswered Service = iota
+	// ServiceRefused is an answer that says that nothing has run.
+	ServiceRefused
+	// ServiceBrokenOff is a statement without a whole answer.
+	ServiceBrokenOff
+	// ServiceNotOpened is a session that wasn't opened.
+	ServiceNotOpened
+)
+
+// Served is one statement, or the opening of a session, at a host.
+type Served struct {
+	Host        string
+	Service     Service
+	Sent, Ended time.Time
 }
 
 // HeldAnswer is an answer that refuses a statement as held by the operators.
@@ -96,19 +121,29 @@
 	At time.Time
 	// Grace is the time from the request to the end of the process.
 	Grace time.Duration
+	// Allowed is the declared maximum of Grace.
+	Allowed time.Duration
 	// Undisturbed reports that no other fault was active shortly before the stop or during it.
 	Undisturbed bool
 }
 
+// Covers reports whether the statement was sent to the host between the request to stop and the end of its process.
+func (s Stop) Covers(x Served) bool {
+	return x.Host == s.Host && x.Sent.After(s.At) && x.Sent.Before(s.At.Add(s.Grace))
+}
+
 // History is everything that the callers of one group observed, and the planned stops of the entry
 // hosts.
 type History struct {
 	// Staleness is the maximum staleness of the routes with bounded staleness.
-	Staleness           time.Duration
+	Staleness time.Duration
+	// Timeout is the routes' maximum time for a statement, zero for no maximum.
+	Timeout             time.Duration
 	Writes              []Write
 	Reads               []Read
 	ConfigurationProbes []ConfigurationProbe
 	Disconnects         []Disconnect
+	Served              []Served
 	Stops               []Stop
 	Held                []HeldAnswer
 	// UnexpectedAnswers describes answers that do not match their request.
@@ -130,6 +165,8 @@
 	}
 	c.configurationProbes()
 	c.stops()
+	slices.Sort(c.violations)
+	slices.Reverse(c.violations)
 	return c.violations
 }
 
@@ -225,6 +262,31 @@
 			if x.Host == s.Host && within && x.Ended.Sub(x.Sent) > disconnectTolerance {
 				c.report("cut off: %s waited %v at %s, which was stopped as planned", x.ID, x.Ended.Sub(x.Sent), x.Host)
 			}
+			if x.Host == s.Host {
+				c.ranUnanswered(s, x)
+			}
 		}
 	}
 }
+
+const (
+	// noticeTime is the time after the end of a process within which its callers notice it.
+	noticeTime = time.Second
+	// lateSending is the time after the request to stop until which a statement may be sent that is broken off
+	// if its server still works on it in the last sixth of the time that is allowed.
+	lateSending = 3 * time.Second
+)
+
+// ranUnanswered reports a statement that a server ran and whose caller got no whole answer from a host that
+// was stopped as planned.
+func (c *check) ranUnanswered(s Stop, x Disconnect) {
+	run, ran := c.truth.Runs[x.ID]
+	within := x.Ended.After(s.At) && x.StatementSent.Before(s.At.Add(s.Grace)) && x.Ended.Before(s.At.Add(s.Grace+noticeTime))
+	if !ran || !within || c.history.Timeout > 0 && x.Ended.Sub(x.StatementSent) >= c.history.Timeout {
+		return
+	}
+	if x.StatementSent.Before(s.At.Add(lateSending)) && run.Ended.After(s.At.Add(s.Allowed*5/6)) {
+		return
+	}
+	c.report("unanswered: %s ran at %v after the request to stop %s, was sent at %v, and broke off at %v, %v before the process ended", x.ID, run.Ended.Sub(s.At), x.Host, x.StatementSent.Sub(s.At), x.Ended.Sub(s.At), s.At.Add(s.Grace).Sub(x.Ended))
+}
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -28,6 +28,21 @@
 	return t
 }
 
+// unanswered returns the history of a statement that was sent and broke off at the given milliseconds after a
+// request to stop its host.
+func unanswered(sent, ended int) History {
+	s := Stop{Host: "h", At: at(0), Grace: time.Second, Allowed: time.Second, Undisturbed: true}
+	x := Disconnect{Host: "h", ID: "q", Sent: at(sent), StatementSent: at(sent), Ended: at(ended)}
+	return History{Timeout: 100 * time.Millisecond, Stops: []Stop{s}, Disconnects: []Disconnect{x}}
+}
+
+// ranAt returns the state of a group that ran one statement until the given millisecond.
+func ranAt(id string, ms int) replicator.Truth {
+	t := committed()
+	t.Runs = map[string]replicator.Run{id: {Began: at(ms - 5), Ended: at(ms)}}
+	return t
+}
+
 // Each history violates one guarantee, or comes close to it and violates none. Guards against a
 // checker that accepts every history, with which any soak would pass.
 func TestCheck(t *testing.T) {
@@ -68,6 +83,10 @@
 		"configuration is reverted":                          {history: History{ConfigurationProbes: []ConfigurationProbe{{Host: "h", Version: 2, Found: true, Sent: at(0), Answered: at(1)}, {Host: "h", Version: 2, Sent: at(2), Answered: at(3)}}}, truth: committed(), want: "reverted: h"},
 		"new process lacks the configuration":                {history: History{ConfigurationProbes: []ConfigurationProbe{{Host: "h", Version: 2, Found: true, Sent: at(0), Answered: at(1)}, {Host: "h", Incarnation: 1, Version: 2, Sent: at(2), Answered: at(3)}}}, truth: committed()},
 		"broken off by a planned stop":                       {history: History{Stops: []Stop{{Host: "h", At: at(0), Grace: time.Second, Undisturbed: true}}, Disconnects: []Disconnect{{Host: "h", ID: "q", Sent: at(-10), Ended: at(300)}}}, truth: committed(), want: "cut off: q"},
+		"ran and unanswered at a planned stop":               {history: unanswered(290, 310), truth: ranAt("q", 300), want: "unanswered: q"},
+		"not run and unanswered at a planned stop":           {history: unanswered(290, 310), truth: committed()},
+		"ran and unanswered after the route's timeout":       {history: unanswered(200, 310), truth: ranAt("q", 300)},
+		"ran in the last sixth, sent early":                  {history: unanswered(890, 910), truth: ranAt("q", 900)},
 		"sent just before the process ended":                 {history: History{Stops: []Stop{{Host: "h", At: at(0), Grace: time.Second, Undisturbed: true}}, Disconnects: []Disconnect{{Host: "h", ID: "q", Sent: at(290), Ended: at(300)}}}, truth: committed()},
 		"broken off during another fault":                    {history: History{Stops: []Stop{{Host: "h", At: at(0), Grace: time.Second}}, Disconnects: []Disconnect{{Host: "h", ID: "q", Sent: at(-10), Ended: at(300)}}}, truth: committed()},
 	} {
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -69,11 +69,14 @@
 	kindEnd
 )
 
+// KindReload tells an entry host to read its settings again (SIGHUP), see Stops.
+const KindReload = kindEnd
+
 // names holds the name of each Kind, in the order of the constants.
 var names = [...]string{
 	"kill", "pause", "stop", "isolate", "silence", "store-silent", "store-busy", "store-reset", "store-slow",
 	"store-loses", "store-forgets", "store-watches-silent", "primary-crash", "server-mute", "server-silence", "replica-deaf",
-	"server-refuses", "server-unheard", "orders-late", "holder-kill", "primary-blink", "two-crash",
+	"server-refuses", "server-unheard", "orders-late", "holder-kill", "primary-blink", "two-crash", "reload",
 }
 
 // String returns the kind's name in kebab case.
@@ -148,3 +151,22 @@
 	slices.SortStableFunc(l, func(a, b Fault) int { return int(a.At - b.At) })
 	return l
 }
+
+// Stops returns planned stops of entry hosts in series, in order of time. Each step stops one to three hosts
+// within half a second, beside reloads of settings.
+func Stops(seed uint64, length time.Duration) []Fault {
+	const together, perStep = 500 * time.Millisecond, 3
+	r := rand.New(rand.NewPCG(seed, 3))
+	var l []Fault
+	for at := firstFault; at < length; at += minimumInterval + randomDuration(r, minimumInterval) {
+		for range 1 + r.IntN(perStep) {
+			f := randomFault(r, at+randomDuration(r, together))
+			f.Kind = KindStop
+			l = append(l, f)
+			f.Kind, f.At = KindReload, f.At+randomDuration(r, maximumDuration)
+			l = append(l, f)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b Fault) int { return int(a.At - b.At) })
+	return l
+}
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -48,3 +48,32 @@
 		t.Errorf("%d of %d kinds of fault in 50 seeds", len(seen), n)
 	}
 }
+
+// Hosts must be stopped in series and several at once, or the soak of stops would not cover it.
+func TestStops(t *testing.T) {
+	atOnce := 0
+	for seed := range uint64(50) {
+		p := Stops(seed, 10*time.Second)
+		if !slices.Equal(p, Stops(seed, 10*time.Second)) {
+			t.Fatalf("seed %d gives different plans", seed)
+		}
+		var last time.Duration
+		stops := 0
+		for _, f := range p {
+			if f.Kind != KindStop {
+				continue
+			}
+			stops++
+			if last > 0 && f.At-last < 500*time.Millisecond {
+				atOnce++
+			}
+			last = f.At
+		}
+		if stops < 4 || stops != len(p)/2 {
+			t.Errorf("seed %d has %d stops of %d faults", seed, stops, len(p))
+		}
+	}
+	if atOnce < 50 {
+		t.Errorf("%d stops at once in 50 seeds", atOnce)
+	}
+}
--- a/internal/soak/replicator/replicator.go
+++ b/internal/soak/replicator/replicator.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -44,6 +45,8 @@
 	Lag time.Duration
 	// PromoteTime is how long a promotion takes.
 	PromoteTime time.Duration
+	// StatementTime is the run time of a statement.
+	StatementTime time.Duration
 	// Synchronous is how many replicas must have a write before it is acknowledged. If it isn't zero, each
 	// replica receives after a while of its own.
 	Synchronous int
@@ -67,6 +70,8 @@
 	// dropped holds the ids of the writes that a promotion rolled back.
 	dropped    map[string]bool
 	violations []string
+	// runs holds by id when each caller's statement ran.
+	runs map[string]Run
 	// operations holds by customer when each operation ran: a statement outside a transaction, or the
 	// first one of a transaction.
 	operations map[string][]time.Time
@@ -84,6 +89,7 @@
 	if g.primary == nil {
 		g.primary = s
 		g.commits, g.dropped, g.acknowledged = make(map[string]int), make(map[string]bool), make(map[string]bool)
+		g.runs = make(map[string]Run)
 		g.changed = sync.NewCond(&g.mu)
 	}
 	g.servers = append(g.servers, s)
@@ -220,15 +226,22 @@
 	Dropped map[string]bool
 	// Violations describes the guarantees that were violated at a server.
 	Violations []string
+	// Runs holds by id when each caller's statement last ran.
+	Runs map[string]Run
 	// Synchronous is set if no acknowledged write may be rolled back.
 	Synchronous bool
 }
 
+// Run is the time between a server's receipt of a statement and its answer.
+type Run struct {
+	Began, Ended time.Time
+}
+
 // Truth returns a copy of the group's state.
 func (g *Group) Truth() Truth {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := Truth{Log: slices.Clone(g.primary.log), Commits: make(map[string]int), Dropped: make(map[string]bool), Violations: slices.Clone(g.violations), Synchronous: g.Synchronous > 0}
+	t := Truth{Log: slices.Clone(g.primary.log), Commits: make(map[string]int), Dropped: make(map[string]bool), Violations: slices.Clone(g.violations), Synchronous: g.Synchronous > 0, Runs: maps.Clone(g.runs)}
 	for k, v := range g.commits {
 		t.Commits[k] = v
 	}
--- a/internal/soak/replicator/responder.go
+++ b/internal/soak/replicator/responder.go
@@ -17,8 +17,8 @@
 	slots = 4
 	// maximumConnections is the number of connections that a server accepts.
 	maximumConnections = 24
-	// statementTime is the run time of a statement.
-	statementTime = 3 * time.Millisecond
+	// proxyID is the id of the statements that entry hosts issue themselves.
+	proxyID = "-"
 )
 
 // Responder accepts and serves the connections of one server. Its exported fields are set before Open.
@@ -175,15 +175,19 @@
 		return "", false
 	}
 	id, text := f[1], f[2]
+	began := time.Now()
 	if usesSlot(text) {
 		c.responder.slots <- struct{}{}
-		time.Sleep(statementTime)
+		time.Sleep(c.responder.Group.StatementTime)
 		<-c.responder.slots
 	}
 	g := c.responder.Group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := c.execute(id, text)
+	if id != proxyID && !strings.HasPrefix(out, "ERR") {
+		g.runs[id] = Run{Began: began, Ended: time.Now()}
+	}
 	if c.responder.Server.down {
 		return "", false
 	}
--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -29,6 +29,8 @@
 	staleness = time.Second
 	// grace is the time that an entry host has for a planned stop.
 	grace = 6 * time.Second
+	// routeTimeout is the routes' maximum time for a statement.
+	routeTimeout = 1500 * time.Millisecond
 	// renewalInterval is the time between two renewals of a server's entry in the store.
 	renewalInterval = 400 * time.Millisecond
 )
@@ -51,6 +53,10 @@
 // deployment holds all parts of one soak: the stand-ins, the network and the entry hosts' processes.
 type deployment struct {
 	directory string
+	// hostCount is the number of entry hosts.
+	hostCount int
+	// statementTime is the run time of a statement.
+	statementTime time.Duration
 	// prefix is the first three octets of the entry hosts' addresses, with the last dot.
 	prefix    string
 	network   *disturber.Network
@@ -105,7 +111,7 @@
 	if err := d.configure(); err != nil {
 		return err
 	}
-	for i := range *hosts {
+	for i := range d.hostCount {
 		if err := d.addHost(i); err != nil {
 			return err
 		}
@@ -117,7 +123,7 @@
 // addGroups starts the database groups with their servers and replication.
 func (d *deployment) addGroups() error {
 	for i := range groups {
-		g := &replicator.Group{Name: fmt.Sprintf("group-%d", i), Lag: 10 * time.Millisecond, PromoteTime: 200 * time.Millisecond, Synchronous: d.synchronous}
+		g := &replicator.Group{Name: fmt.Sprintf("group-%d", i), Lag: 10 * time.Millisecond, PromoteTime: 200 * time.Millisecond, StatementTime: d.statementTime, Synchronous: d.synchronous}
 		if d.synchronous > 0 {
 			g.PromoteTime = 600 * time.Millisecond
 		}
@@ -242,14 +248,14 @@
 		c.Backends = append(c.Backends, backend{Name: g.Name, Connections: d.connections, Synchronous: d.synchronous})
 	}
 	for _, x := range d.databases {
-		c.Routes = append(c.Routes, route{Name: x.name, Host: x.name, Kind: routeTypes[x.kind], Timeout: 1500, Backend: d.groups[x.group].Name, Staleness: staleness.Milliseconds(), Priority: d.routePriority(x.kind, v)})
+		c.Routes = append(c.Routes, route{Name: x.name, Host: x.name, Kind: routeTypes[x.kind], Timeout: routeTimeout.Milliseconds(), Backend: d.groups[x.group].Name, Staleness: staleness.Milliseconds(), Priority: d.routePriority(x.kind, v)})
 	}
 	for i := int64(1); i <= v; i++ {
-		c.Routes = append(c.Routes, route{Name: extra(i), Host: extra(i), Kind: routeTypes["every"], Timeout: 1500, Backend: d.groups[0].Name})
+		c.Routes = append(c.Routes, route{Name: extra(i), Host: extra(i), Kind: routeTypes["every"], Timeout: routeTimeout.Milliseconds(), Backend: d.groups[0].Name})
 	}
 	for i := range min(v/4*bulkDatabases, maximumBulkDatabases) {
 		n := fmt.Sprintf("bulk-%d", i)
-		c.Routes = append(c.Routes, route{Name: n, Host: n, Kind: routeTypes["every"], Timeout: 1500, Backend: d.groups[0].Name})
+		c.Routes = append(c.Routes, route{Name: n, Host: n, Kind: routeTypes["every"], Timeout: routeTimeout.Milliseconds(), Backend: d.groups[0].Name})
 	}
 	if _, err := d.store.Put("config", "main", c); err != nil {
 		return err
@@ -271,7 +277,7 @@
 // addHost starts entry host i with a store endpoint of its own, which it reaches through a proxy of the
 // network, so that faults can affect each host alone.
 func (d *deployment) addHost(i int) error {
-	h := &host{directory: d.directory}
+	h := &host{directory: d.directory, zone: zone(i)}
 	h.Name = fmt.Sprintf("entry-%d", i)
 	ip := d.prefix + fmt.Sprint(i+1)
 	h.Address, h.readiness, h.peers = ip+":7001", ip+":7002", ip+":7101"
--- a/internal/soak/runner/faults_test.go
+++ b/internal/soak/runner/faults_test.go
@@ -45,6 +45,8 @@
 	defer g.Done()
 	d, f := x.injector.deployment, x.fault
 	switch f.Kind {
+	case planner.KindReload:
+		d.hosts[f.Target%len(d.hosts)].signal(syscall.SIGHUP)
 	case planner.KindKill, planner.KindPause, planner.KindStop, planner.KindIsolate, planner.KindSilence:
 		h := d.hosts[f.Target%len(d.hosts)]
 		if h.faultLock.TryLock() {
@@ -126,7 +128,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stops = append(t.stops, checker.Stop{Host: h.Name, At: at, Grace: time.Since(at)})
+	t.stops = append(t.stops, checker.Stop{Host: h.Name, At: at, Grace: time.Since(at), Allowed: grace})
 }
 
 // restart starts the host's process again.
@@ -228,8 +230,7 @@
 	for i, s := range l {
 		l[i].Undisturbed = true
 		for _, x := range t.injected {
-			same := x.fault.Kind == planner.KindStop && x.began.Equal(s.At)
-			if !same && x.began.Before(s.At.Add(s.Grace)) && x.end.After(s.At.Add(-settleTime)) {
+			if x.fault.Kind != planner.KindStop && x.began.Before(s.At.Add(s.Grace)) && x.end.After(s.At.Add(-settleTime)) {
 				l[i].Undisturbed = false
 			}
 		}
--- a/internal/soak/runner/process_test.go
+++ b/internal/soak/runner/process_test.go
@@ -38,6 +38,7 @@
 	// readiness is the address of the readiness check, peers that for other entry hosts.
 	readiness string
 	peers     string
+	zone      string
 	// directory holds the log, settings is the path of the settings file.
 	directory string
 	settings  string
@@ -122,6 +123,50 @@
 	return h.stopRequested.IsZero() || time.Since(h.stopRequested) < deregistrationDelay
 }
 
+// takesCallers reports whether the load balancer sends callers to the host. If fewer than half of a zone's hosts are
+// in rotation, it sends them to all of that zone.
+func (d *deployment) takesCallers(h *host) bool {
+	if h.inRotation() {
+		return true
+	}
+	all, ready := 0, 0
+	for i, o := range d.hosts {
+		if zone(i) != h.zone {
+			continue
+		}
+		all++
+		if o.inRotation() {
+			ready++
+		}
+	}
+	return 2*ready < all
+}
+
+// stoppingHost returns a host that is stopping, h if there is none.
+func (d *deployment) stoppingHost(h *host) *host {
+	for _, o := range d.hosts {
+		if o.isStopping() {
+			return o
+		}
+	}
+	return h
+}
+
+// isStopping reports whether the host was requested to stop and its process still runs.
+func (h *host) isStopping() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopRequested.IsZero() {
+		return false
+	}
+	select {
+	case <-h.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // await waits until the process has ended, for at most d, and reports whether it has.
 func (h *host) await(d time.Duration) bool {
 	h.mu.Lock()
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -60,20 +60,28 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := &deployment{directory: directory, ranked: isRanked(seed), operated: isOperated(seed), uneven: isUneven(seed), synchronous: synchronousReplicas(seed)}
+	d := &deployment{directory: directory, hostCount: *hosts, statementTime: 3 * time.Millisecond, ranked: isRanked(seed), operated: isOperated(seed), uneven: isUneven(seed), synchronous: synchronousReplicas(seed)}
 	d.customers, d.connections = kindOfSoak(seed)
-	err = d.start(ctx)
-	if err != nil {
+	s := &soakRun{deployment: d, random: rand.New(rand.NewPCG(seed, 1)), injector: &injector{deployment: d}, plan: planOf(seed)}
+	s.test(ctx, t, seed)
+}
+
+// test starts the deployment, runs the soak and reports its findings.
+func (s *soakRun) test(ctx context.Context, t *testing.T, seed uint64) {
+	directory := s.deployment.directory
+	if err := s.deployment.start(ctx); err != nil {
 		t.Fatal(err)
 	}
-	s := &soakRun{deployment: d, random: rand.New(rand.NewPCG(seed, 1)), injector: &injector{deployment: d}}
 	findings := s.run(seed)
 	t.Log(s.summary())
+	if s.staying {
+		t.Log(s.stopSummary())
+	}
 	if len(findings) == 0 {
 		os.RemoveAll(directory)
 		return
 	}
-	for _, f := range planOf(seed) {
+	for _, f := range s.plan {
 		t.Log(f)
 	}
 	const maximumFindings = 20
@@ -113,6 +121,9 @@
 	deployment *deployment
 	random     *rand.Rand
 	injector   *injector
+	plan       []planner.Fault
+	// staying is set if callers keep their sessions and some also open them at hosts out of rotation.
+	staying bool
 
 	mu sync.Mutex
 	// sessions is the number of sessions made, from which their names are derived.
@@ -127,9 +138,13 @@
 	findings := s.recover()
 	over := make(chan struct{})
 	var g sync.WaitGroup
-	for i := range workers {
+	callers := workers
+	if s.staying {
+		callers = stayingWorkers
+	}
+	for i := range callers {
 		g.Add(1)
-		go (&worker{soak: s, random: rand.New(rand.NewPCG(seed, uint64(i+2)))}).run(&g, over)
+		go (&worker{soak: s, random: rand.New(rand.NewPCG(seed, uint64(i+2))), direct: s.staying && i%directShare == 0}).run(&g, over)
 	}
 	for _, h := range d.hosts {
 		g.Add(1)
@@ -137,7 +152,7 @@
 	}
 	g.Add(1)
 	go (&operator{soak: s}).run(&g, over)
-	s.injectFaults(seed)
+	s.injectFaults()
 	findings = append(findings, s.recover()...)
 	findings = append(findings, s.checkRemovedKeys()...)
 	findings = append(findings, s.checkOperations(seed)...)
@@ -152,7 +167,7 @@
 	findings = append(findings, s.checkHeld()...)
 	for i, r := range d.recorders {
 		h := r.History()
-		h.Staleness, h.Stops = staleness, s.injector.plannedStops()
+		h.Staleness, h.Timeout, h.Stops = staleness, routeTimeout, s.injector.plannedStops()
 		findings = append(findings, checker.Check(h, d.groups[i].Truth())...)
 		if len(h.Reads) == 0 || len(h.Writes) == 0 {
 			findings = append(findings, "idle: nothing was read or written, so nothing was checked")
@@ -186,11 +201,11 @@
 		s.sessions, reads, outcomes[checker.OutcomeRan], outcomes[checker.OutcomeNotRun], outcomes[checker.OutcomeUnknown], dropped, held, probes, disconnects, len(s.injector.injected), len(s.injector.stops), undisturbed)
 }
 
-// injectFaults carries out the plan of the seed and waits until all faults are over.
-func (s *soakRun) injectFaults(seed uint64) {
+// injectFaults carries out the plan and waits until all faults are over.
+func (s *soakRun) injectFaults() {
 	began := time.Now()
 	var g sync.WaitGroup
-	for _, f := range planOf(seed) {
+	for _, f := range s.plan {
 		time.Sleep(time.Until(began.Add(f.At)))
 		g.Add(1)
 		go (&injection{injector: s.injector, fault: f}).run(&g)
@@ -203,7 +218,7 @@
 	time.Sleep(settleTime)
 	var g sync.WaitGroup
 	g.Add(1)
-	f := planner.Fault{Kind: planner.KindStop, Target: int(seed % uint64(*hosts))}
+	f := planner.Fault{Kind: planner.KindStop, Target: int(seed % uint64(s.deployment.hostCount))}
 	go (&injection{injector: s.injector, fault: f}).run(&g)
 	g.Wait()
 }
@@ -256,10 +271,23 @@
 	}
 }
 
+const (
+	// stayingWorkers is the number of callers that keep their sessions. One in directShare of them opens sessions
+	// at a host that is stopping, while there is one.
+	stayingWorkers = 48
+	directShare    = 2
+	// longSession is the maximum number of operations of a session that is kept, and thinkTime the maximum
+	// pause between two of them.
+	longSession = 40
+	thinkTime   = 60 * time.Millisecond
+)
+
 // worker runs one session after the other, each at a random host and database.
 type worker struct {
 	soak   *soakRun
 	random *rand.Rand
+	// direct is set if the worker prefers a host that is stopping.
+	direct bool
 }
 
 func (w *worker) run(g *sync.WaitGroup, over <-chan struct{}) {
@@ -267,7 +295,9 @@
 	d := w.soak.deployment
 	for !endedAfter(over, time.Duration(w.random.IntN(20))*time.Millisecond) {
 		h := d.hosts[w.random.IntN(len(d.hosts))]
-		if !h.inRotation() {
+		if w.direct {
+			h = d.stoppingHost(h)
+		} else if !d.takesCallers(h) {
 			continue
 		}
 		x := d.databases[w.random.IntN(len(d.databases))]
@@ -275,7 +305,11 @@
 			w.soak.tryWildKey(h, x)
 			continue
 		}
-		w.soak.session(h, x, w.random).Run(1 + w.random.IntN(8))
+		c, operations := w.soak.session(h, x, w.random), 8
+		if w.soak.staying && !w.direct {
+			c.MaximumPause, operations = thinkTime, longSession
+		}
+		c.Run(1 + w.random.IntN(operations))
 	}
 }
 
