fix(runner): a stopping host takes no work that nobody waits for

Callers' statements ran at a server and ended without an answer: the listener for callers was open until the process had ended. The drain ended once no session was left, or half a second before its grace period did, whatever was in progress. With fewer than half of a zone's hosts ready, the balancer sends new callers to those that are stopping, so that there always are some. The same held for links of other hosts, whose leases were counted only once they were granted.

Sessions and leases are now counted by one drainer.Work. It is closed in the same step in which it is seen to be idle, at the latest when the last sixth of the grace period begins, which is left for what is in progress. Then the listeners for callers and for other hosts are closed. A lease that is requested counts, and one that is requested later is refused as not run.

TestStoppedHostTakesNothing fails before: both addresses accept connections after the end, and a link is served.

--- /dev/null
+++ b/internal/proxy/assembler/stops_test.go
@@ -0,0 +1,47 @@
+package assembler
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/platform"
+)
+
+// Guards against callers and borrowers that are served after the drain, whose statements end with the process.
+func TestStoppedHostTakesNothing(t *testing.T) {
+	i := startInstance(t)
+	h := startHost(t, i.listener.Addr().String())
+	l, err := platform.ConnectLink(t.Context(), h.settings.HostAddress(), declarer.Server{ID: "i-1", Group: "g"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	close(h.drain)
+	if err := <-h.done; err != nil {
+		t.Error(err)
+	}
+	for _, a := range []string{h.settings.CallerAddress, h.settings.HostAddress()} {
+		if c, err := net.Dial("tcp4", a); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("%s accepts connections after the end: %v", a, err)
+			if err == nil {
+				c.Close()
+			}
+		}
+	}
+	end := time.Now().Add(10 * time.Second)
+	l.Borrow(connpooler.AcquireRequest{Deadline: end, Class: admitter.ClassWrite, Team: "books"})
+	if err := l.Send([]declarer.Request{{ID: "x", Text: "WRITE a one"}}, end); err != nil {
+		t.Fatal(err)
+	}
+	var a declarer.Answer
+	if err := l.Receive(&a, end); err != nil || a.Code != declarer.CodeServerUnreachable {
+		t.Errorf("a link is answered with code %d, %v", a.Code, err)
+	}
+}
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -8,13 +8,13 @@
 import (
 	"maps"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/limit/drainer"
 	"github.com/cuminwick/cuminwick/internal/limit/forecaster"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -110,9 +110,9 @@
 	Position func(maximum time.Duration) (m marker.Mark, age time.Duration, ok bool)
 	// IdleTransactionTimeout returns how long an open transaction may wait for its caller.
 	IdleTransactionTimeout func() time.Duration
-	// ActiveLeases counts the connections that are lent at present, over all links that share
-	// it.
-	ActiveLeases *atomic.Int64
+	// Work counts the connections that are lent and the requests for one, over all links that share it. Once it is
+	// closed, nothing is lent.
+	Work *drainer.Work
 
 	lease *connpooler.Lease
 	// request is the event with which the borrower requested the lease.
@@ -202,14 +202,18 @@
 	if l.Ranked == nil || !l.Ranked() {
 		e.Importance = 0
 	}
+	if !l.Work.Begin() {
+		l.refusal.Message = "host is stopping"
+		return
+	}
 	var err error
 	l.lease, err = p.Acquire(e.acquireRequest(time.Now()))
 	if err != nil {
 		l.refusal = refusalOf(err)
+		l.Work.End()
 		return
 	}
 	l.fresh, l.request = true, e
-	l.ActiveLeases.Add(1)
 }
 
 // acquireRequest returns the event as a request to the pool.
@@ -226,7 +230,7 @@
 	if l.lease != nil {
 		l.lease.Release(broken)
 		l.lease = nil
-		l.ActiveLeases.Add(-1)
+		l.Work.End()
 	}
 	l.refusal = Refusal{Unreachable: true, Message: "nothing was borrowed"}
 }
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"os"
 	"slices"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
+	"github.com/cuminwick/cuminwick/internal/limit/drainer"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
@@ -135,10 +135,10 @@
 }
 
 func serveBorrower(s *server, p *connpooler.Pool, b *borrower) *borrower {
-	var lent atomic.Int64
-	l := &Link{Borrower: b, Pool: func(bool) *connpooler.Pool { return p }, OnAnswer: func() {}, ActiveLeases: &lent, Position: s.position, IdleTransactionTimeout: func() time.Duration { return 3 * time.Second }}
+	var lent drainer.Work
+	l := &Link{Borrower: b, Pool: func(bool) *connpooler.Pool { return p }, OnAnswer: func() {}, Work: &lent, Position: s.position, IdleTransactionTimeout: func() time.Duration { return 3 * time.Second }}
 	l.Run()
-	if n := lent.Load(); n != 0 {
+	if n := lent.Count(); n != 0 {
 		panic(fmt.Sprintf("%d connections are lent after the end", n))
 	}
 	synctest.Wait()
@@ -339,8 +339,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &server{}
 				p := pool(s)
-				var lent atomic.Int64
-				l := &Link{Pool: func(bool) *connpooler.Pool { return p }, ActiveLeases: &lent, Ranked: x.ranked}
+				var lent drainer.Work
+				l := &Link{Pool: func(bool) *connpooler.Pool { return p }, Work: &lent, Ranked: x.ranked}
 				l.lend(Event{Kind: KindLend, Wait: time.Second, Importance: 17})
 				if a := l.request.acquireRequest(time.Now()); a.Importance != x.want {
 					t.Errorf("importance %d, want %d", a.Importance, x.want)
--- a/internal/proxy/runner/callers.go
+++ b/internal/proxy/runner/callers.go
@@ -34,7 +34,12 @@
 	}
 }
 
+// serve starts a session on the connection, which it closes if the host is about to end.
 func (h *Host) serve(c net.Conn) {
+	if !h.work.Begin() {
+		c.Close()
+		return
+	}
 	s := &executor.Session{Caller: h.NewCaller(c), Board: h.Board, Pools: &h.pools, Observer: &h.observer, RetryBudgets: &h.budgets, KeyWaits: &h.keyWaits, Limiter: &h.quotas, Reporter: h.Reporter, Ready: h.ready, KeysConfirmed: h.keysConfirmed}
 	h.mu.Lock()
 	h.sessions[s] = struct{}{}
@@ -57,6 +62,7 @@
 }
 
 func (h *Host) removeSession(s *executor.Session) {
+	defer h.work.End()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.sessions, s)
--- a/internal/proxy/runner/deployment_test.go
+++ b/internal/proxy/runner/deployment_test.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/limit/drainer"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -275,7 +276,7 @@
 // node is one entry host of the deployment.
 type node struct {
 	host *Host
-	lent atomic.Int64
+	lent drainer.Work
 	// poweredOff is set once the host has lost power.
 	poweredOff atomic.Bool
 }
@@ -361,7 +362,7 @@
 		return nil, connpooler.ErrNoRoute
 	}
 	c := &link{owner: x, events: make(chan lender.Event, 64), answers: make(chan declarer.Answer, 256)}
-	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func(b bool) *connpooler.Pool { return x.host.pools.ownPool(s.ID, b) }, Ranked: x.host.Board.Ranked, OnAnswer: func() {}, ActiveLeases: &x.lent, IdleTransactionTimeout: x.host.Board.IdleTransactionTimeout,
+	l := &lender.Link{Borrower: &borrower{link: c}, Pool: func(b bool) *connpooler.Pool { return x.host.pools.ownPool(s.ID, b) }, Ranked: x.host.Board.Ranked, OnAnswer: func() {}, Work: &x.lent, IdleTransactionTimeout: x.host.Board.IdleTransactionTimeout,
 		Position: func(maximum time.Duration) (marker.Mark, time.Duration, bool) {
 			return x.host.sharePosition(s.ID, maximum)
 		}}
--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -22,7 +22,8 @@
 
 // drain makes the host unready and waits until the balancer sends no more connections. Sessions
 // then end as soon as they are outside of a transaction; after five eighths of the grace period
-// those with an open transaction are terminated as well.
+// those with an open transaction are terminated as well. Callers and borrowers are taken until nothing is in
+// progress, or until the last sixth of the grace period, which is left for what is.
 func (h *Host) drain(ctx context.Context) {
 	began, grace := time.Now(), h.bounds().Grace
 	h.draining.Store(true)
@@ -32,7 +33,7 @@
 	h.deregister()
 	_ = scheduler.Pause(ctx, min(readinessPropagationDelay, grace/2))
 	h.forEachSession((*executor.Session).Stop)
-	for time.Since(began) < grace-exitReserve && h.SessionCount()+int(h.activeLeases.Load()) > 0 {
+	for time.Since(began) < grace*5/6 && !h.work.CloseIfIdle() {
 		if time.Since(began) > grace*5/8 {
 			h.forEachSession((*executor.Session).Terminate)
 		} else {
@@ -42,13 +43,28 @@
 			return
 		}
 	}
+	h.closeIntake()
+	for time.Since(began) < grace-exitReserve && h.work.Count() > 0 {
+		h.forEachSession((*executor.Session).Terminate)
+		if scheduler.Pause(ctx, drainPollInterval) != nil {
+			return
+		}
+	}
 	h.logWork("drained")
 }
 
+// closeIntake refuses new callers, and new work of other hosts.
+func (h *Host) closeIntake() {
+	h.work.Close()
+	h.callers.Close()
+	h.Relayer.Listener.Close()
+}
+
 // logWork logs a step of a planned stop with the work that is in progress.
 func (h *Host) logWork(step string) {
+	n := h.SessionCount()
 	h.Log.WithFields(log.Fields{
-		"sessions": h.SessionCount(), "busy-sessions": h.busySessionCount(), "lent": h.activeLeases.Load(),
+		"sessions": n, "busy-sessions": h.busySessionCount(), "lent": h.work.Count() - n,
 		"accepted-while-draining": h.acceptedWhileDraining.Load(),
 	}).Info(step)
 }
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -17,6 +17,7 @@
 	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/customer/limiter"
 	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/limit/drainer"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -113,13 +114,15 @@
 	prober   promoter.Prober
 	dialer   relaydialer.Dialer
 	draining atomic.Bool
+	// callers is the listener for callers.
+	callers net.Listener
 	// currentBounds holds the bounds of the last SetBounds, nil before the first.
 	currentBounds atomic.Pointer[Bounds]
 	// registered is closed once all hosts of a first start had time to register. It is nil at any
 	// other start.
 	registered chan struct{}
-	// activeLeases counts the connections that other hosts currently borrow.
-	activeLeases atomic.Int64
+	// work counts the sessions and the connections that other hosts borrow. A stopping host closes it before it ends.
+	work drainer.Work
 	// acceptedWhileDraining counts the callers accepted since the drain began.
 	acceptedWhileDraining atomic.Int64
 
@@ -145,8 +148,8 @@
 // period is over. It returns an error if it can't listen on an address.
 func (h *Host) Run(ctx context.Context, drain <-chan struct{}) error {
 	h.prepare()
-	c, err := net.Listen("tcp4", h.CallerAddress)
-	if err != nil {
+	var err error
+	if h.callers, err = net.Listen("tcp4", h.CallerAddress); err != nil {
 		return errors.Annotate(err, "listen for callers")
 	}
 	r, err := net.Listen("tcp4", h.ReadinessAddress)
@@ -159,12 +162,13 @@
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.runContext = x
-	h.start(x, c, r)
+	h.start(x, r)
 	select {
 	case <-drain:
 		h.drain(x)
 	case <-ctx.Done():
 	}
+	h.closeIntake()
 	h.logWork("stopped")
 	return nil
 }
@@ -226,7 +230,7 @@
 	return func() { h.Board.Confirm(s) }
 }
 
-func (h *Host) start(ctx context.Context, callers, readiness net.Listener) {
+func (h *Host) start(ctx context.Context, readiness net.Listener) {
 	m := http.NewServeMux()
 	m.HandleFunc(h.ReadinessPath, h.handleReadiness)
 	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Second}
@@ -236,7 +240,7 @@
 	h.Relayer.Lend = h.lend
 	h.Relayer.Quota = func(c net.Conn) { h.ServeQuota(c, &h.quotas) }
 	go h.Relayer.Run()
-	go (&acceptor{host: h, listener: callers}).run()
+	go (&acceptor{host: h, listener: h.callers}).run()
 	go (&readinessServer{server: s, listener: readiness, log: h.Log}).run()
 	go (&trimmer{host: h}).run(ctx)
 	h.Log.WithField("host", h.Name).Info("started")
--- a/internal/proxy/runner/lending.go
+++ b/internal/proxy/runner/lending.go
@@ -14,8 +14,8 @@
 // lend serves another host that borrows this host's connections to a server, until the link ends.
 func (h *Host) lend(c net.Conn, server string) {
 	l := &lender.Link{
-		Borrower:     h.NewBorrower(c),
-		ActiveLeases: &h.activeLeases,
+		Borrower: h.NewBorrower(c),
+		Work:     &h.work,
 		Position: func(maximum time.Duration) (marker.Mark, time.Duration, bool) {
 			return h.sharePosition(server, maximum)
 		},
