fix(executor): a statement is answered before a stopping host ends

A statement at a server that doesn't answer waited for its route's timeout, also beyond the end of its host's process: its caller saw the connection end, and learned neither that its read hadn't been answered nor that its write's outcome is unknown. Found in reading, from the question of what else is in progress when a drain ends.

While a host stops, the time of a statement ends 0.1 s before the drain does, so that the route's own answer is given then. TestStatementIsAnsweredBeforeHostEnds fails before (the host ends without an answer) for a read and a write.

Left: a statement that was sent before SIGTERM on a route with a timeout above five seconds keeps its time.

--- a/internal/proxy/assembler/stops_test.go
+++ b/internal/proxy/assembler/stops_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -45,3 +47,32 @@
 		t.Errorf("a link is answered with code %d, %v", a.Code, err)
 	}
 }
+
+// Guards against a statement that waits for its server until the process ends, without an answer to its caller.
+func TestStatementIsAnsweredBeforeHostEnds(t *testing.T) {
+	for text, want := range map[string]string{
+		"READ a":      "ERR TIMEOUT ",
+		"WRITE a one": "ERR UNKNOWN ",
+	} {
+		t.Run(text, func(t *testing.T) {
+			i := startInstance(t)
+			h := startHost(t, i.listener.Addr().String())
+			c := h.call(t, "books")
+			c.line()
+			c.expect(t, "WRITE a zero", "DONE sig|READY I 1.2") // opens a connection to the server
+			close(h.drain)
+			h.awaitReadiness(t, http.StatusServiceUnavailable)
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			if a := c.ask(text); !strings.HasPrefix(a, want) || !strings.HasSuffix(a, "READY I -") {
+				t.Errorf("answered with %q", a)
+			}
+			select {
+			case <-h.done:
+				t.Error("the host ended before the answer")
+			default:
+				<-h.done
+			}
+		})
+	}
+}
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -58,12 +58,25 @@
 	now := time.Now()
 	b := s.RetryBudgets.group(m.route.Group)
 	b.CountRequest()
+	t := s.statementTimeout(m.route, now)
 	return &attempt{
-		session: s, admission: m, request: q, arrived: s.Board.Time(), began: now, deadline: now.Add(m.route.Timeout),
-		retries: retrier.Statement{Deadline: m.route.Timeout, Budget: b, KeepReserve: m.importance.Level() > 0},
+		session: s, admission: m, request: q, arrived: s.Board.Time(), began: now, deadline: now.Add(t),
+		retries: retrier.Statement{Deadline: t, Budget: b, KeepReserve: m.importance.Level() > 0},
 	}
 }
 
+// statementTimeout returns the route's timeout, shortened so that the caller is answered before a stopping host ends.
+func (s *Session) statementTimeout(r declarer.Route, now time.Time) time.Duration {
+	if s.AnswerBy == nil {
+		return r.Timeout
+	}
+	by := s.AnswerBy()
+	if by.IsZero() {
+		return r.Timeout
+	}
+	return max(0, min(r.Timeout, by.Sub(now)))
+}
+
 // runAutocommit serves a statement outside of a transaction.
 func (s *Session) runAutocommit(m admission, q *request) error {
 	a := s.newAttempt(m, q)
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -37,6 +37,9 @@
 	// KeysConfirmed, if not nil, reports whether the configuration was confirmed recently enough to
 	// accept its customers' keys.
 	KeysConfirmed func() bool
+	// AnswerBy, if not nil, returns by when all statements must be answered as the host is stopping, zero if it
+	// isn't.
+	AnswerBy func() time.Time
 
 	// database is the one that the caller named at the start, key the digest of the key that it sent.
 	database string
--- a/internal/proxy/runner/callers.go
+++ b/internal/proxy/runner/callers.go
@@ -40,11 +40,11 @@
 		c.Close()
 		return
 	}
-	s := &executor.Session{Caller: h.NewCaller(c), Board: h.Board, Pools: &h.pools, Observer: &h.observer, RetryBudgets: &h.budgets, KeyWaits: &h.keyWaits, Limiter: &h.quotas, Reporter: h.Reporter, Ready: h.ready, KeysConfirmed: h.keysConfirmed}
+	s := &executor.Session{Caller: h.NewCaller(c), Board: h.Board, Pools: &h.pools, Observer: &h.observer, RetryBudgets: &h.budgets, KeyWaits: &h.keyWaits, Limiter: &h.quotas, Reporter: h.Reporter, Ready: h.ready, KeysConfirmed: h.keysConfirmed, AnswerBy: h.answerBy}
 	h.mu.Lock()
 	h.sessions[s] = struct{}{}
 	h.mu.Unlock()
-	if h.draining.Load() {
+	if h.stopping.Load() != nil {
 		h.acceptedWhileDraining.Add(1)
 	}
 	go (&sessionServer{host: h, session: s}).run()
--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -16,25 +16,49 @@
 	readinessPropagationDelay = 2200 * time.Millisecond
 	// exitReserve is the part of the grace period that is left for the process to exit.
 	exitReserve = 500 * time.Millisecond
+	// answerReserve is the time before that in which callers whose servers haven't answered are told so.
+	answerReserve = 100 * time.Millisecond
 	// drainPollInterval is how often a draining host checks whether all sessions have ended.
 	drainPollInterval = 50 * time.Millisecond
 )
 
+// plannedStop is a stop of the host in progress.
+type plannedStop struct {
+	began time.Time
+	grace time.Duration
+}
+
+// elapsed returns the time since the beginning.
+func (p *plannedStop) elapsed() time.Duration { return time.Since(p.began) }
+
+// answerBy returns by when all statements must be answered.
+func (p *plannedStop) answerBy() time.Time {
+	return p.began.Add(p.grace - exitReserve - answerReserve)
+}
+
+// answerBy returns by when all statements must be answered, zero unless the host is stopping.
+func (h *Host) answerBy() time.Time {
+	if p := h.stopping.Load(); p != nil {
+		return p.answerBy()
+	}
+	return time.Time{}
+}
+
 // drain makes the host unready and waits until the balancer sends no more connections. Sessions
 // then end as soon as they are outside of a transaction; after five eighths of the grace period
 // those with an open transaction are terminated as well. Callers and borrowers are taken until nothing is in
 // progress, or until the last sixth of the grace period, which is left for what is.
 func (h *Host) drain(ctx context.Context) {
-	began, grace := time.Now(), h.bounds().Grace
-	h.draining.Store(true)
+	p := &plannedStop{began: time.Now(), grace: h.bounds().Grace}
+	h.stopping.Store(p)
 	h.logWork("draining")
 	// Without its entry, other hosts borrow from the next owner. Leases that are out may end.
 	h.quotas.Leave()
 	h.deregister()
-	_ = scheduler.Pause(ctx, min(readinessPropagationDelay, grace/2))
+	_ = scheduler.Pause(ctx, min(readinessPropagationDelay, p.grace/2))
 	h.forEachSession((*executor.Session).Stop)
-	for time.Since(began) < grace*5/6 && !h.work.CloseIfIdle() {
-		if time.Since(began) > grace*5/8 {
+	for p.elapsed() < p.grace*5/6 && !h.work.CloseIfIdle() {
+		if p.elapsed() > p.grace*5/8 {
 			h.forEachSession((*executor.Session).Terminate)
 		} else {
 			h.forEachSession((*executor.Session).Stop)
@@ -44,7 +68,7 @@
 		}
 	}
 	h.closeIntake()
-	for time.Since(began) < grace-exitReserve && h.work.Count() > 0 {
+	for p.elapsed() < p.grace-exitReserve && h.work.Count() > 0 {
 		h.forEachSession((*executor.Session).Terminate)
 		if scheduler.Pause(ctx, drainPollInterval) != nil {
 			return
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -109,11 +109,12 @@
 	// starter is nil at a first start.
 	starter *starter
 	// began is when the host started.
-	began    time.Time
-	gate     gate
-	prober   promoter.Prober
-	dialer   relaydialer.Dialer
-	draining atomic.Bool
+	began  time.Time
+	gate   gate
+	prober promoter.Prober
+	dialer relaydialer.Dialer
+	// stopping is the planned stop in progress, nil before.
+	stopping atomic.Pointer[plannedStop]
 	// callers is the listener for callers.
 	callers net.Listener
 	// currentBounds holds the bounds of the last SetBounds, nil before the first.
@@ -292,7 +293,7 @@
 
 // Ready reports whether the host accepts callers. Callers that the balancer sends nevertheless while
 // operators drain the host are served.
-func (h *Host) Ready() bool { return !h.draining.Load() && !h.drained() && h.ready() }
+func (h *Host) Ready() bool { return h.stopping.Load() == nil && !h.drained() && h.ready() }
 
 // ready reports whether the host has received the configuration, the list of servers and the list of
 // hosts. Without the latter it would open connections to servers whose connections another host owns;
