fix(runner): a shorter grace period holds during a stop

A SIGHUP during a drain can bring a shorter grace period; the drain went by the one at its beginning, so that the process could be killed in the middle of it. The shorter of the two holds now; a longer one isn't used, as the kill may already be set for the first. TestShorterGraceHoldsDuringStop.

--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -25,15 +25,21 @@
 // plannedStop is a stop of the host in progress.
 type plannedStop struct {
 	began time.Time
-	grace time.Duration
+	// initialGrace is the grace period at the beginning, bounds the present bounds.
+	initialGrace time.Duration
+	bounds       func() Bounds
 }
 
+// grace returns the grace period. A shorter one that is set during the stop holds, a longer one doesn't, as the
+// process may be killed after either.
+func (p *plannedStop) grace() time.Duration { return min(p.initialGrace, p.bounds().Grace) }
+
 // elapsed returns the time since the beginning.
 func (p *plannedStop) elapsed() time.Duration { return time.Since(p.began) }
 
 // answerBy returns by when all statements must be answered.
 func (p *plannedStop) answerBy() time.Time {
-	return p.began.Add(p.grace - exitReserve - answerReserve)
+	return p.began.Add(p.grace() - exitReserve - answerReserve)
 }
 
 // answerBy returns by when all statements must be answered, zero unless the host is stopping.
@@ -49,16 +55,16 @@
 // those with an open transaction are terminated as well. Callers and borrowers are taken until nothing is in
 // progress, or until the last sixth of the grace period, which is left for what is.
 func (h *Host) drain(ctx context.Context) {
-	p := &plannedStop{began: time.Now(), grace: h.bounds().Grace}
+	p := &plannedStop{began: time.Now(), initialGrace: h.bounds().Grace, bounds: h.bounds}
 	h.stopping.Store(p)
 	h.logWork("draining")
 	// Without its entry, other hosts borrow from the next owner. Leases that are out may end.
 	h.quotas.Leave()
 	h.deregister()
-	_ = scheduler.Pause(ctx, min(readinessPropagationDelay, p.grace/2))
+	_ = scheduler.Pause(ctx, min(readinessPropagationDelay, p.grace()/2))
 	h.forEachSession((*executor.Session).Stop)
-	for p.elapsed() < p.grace*5/6 && !h.work.CloseIfIdle() {
-		if p.elapsed() > p.grace*5/8 {
+	for p.elapsed() < p.grace()*5/6 && !h.work.CloseIfIdle() {
+		if p.elapsed() > p.grace()*5/8 {
 			h.forEachSession((*executor.Session).Terminate)
 		} else {
 			h.forEachSession((*executor.Session).Stop)
@@ -68,7 +74,7 @@
 		}
 	}
 	h.closeIntake()
-	for p.elapsed() < p.grace-exitReserve && h.work.Count() > 0 {
+	for p.elapsed() < p.grace()-exitReserve && h.work.Count() > 0 {
 		h.forEachSession((*executor.Session).Terminate)
 		if scheduler.Pause(ctx, drainPollInterval) != nil {
 			return
