fix(executor): a stop doesn't end sessions whose next statement is on its way

At a stopping host, one statement in eight was broken off: a session was ended right after the answer to its statement, or at any moment at which it waited, so that a caller that goes on at once found its next statement without an answer. A single write isn't repeated then, as nobody can say whether it ran.

A session is now ended once it has been idle for 0.1 s. An open transaction is still ended after five eighths of the grace period, all sessions when its last sixth begins. A connection whose caller hasn't started a session counts as idle, and one that is ended during its start is refused as not run.

Weighed: an unasked error before the close. Its caller would take it for the answer to a statement that it has just sent, but the platform's callers expect a state after it.

--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -57,10 +57,14 @@
 	// openTransaction is nil outside of a transaction.
 	openTransaction *transaction
 
-	mu       sync.Mutex
 	stopping atomic.Bool
-	// idle is set while the session waits for its caller outside of a transaction.
-	idle bool
+
+	mu sync.Mutex
+	// idleSince is since when the session has waited for its caller outside of a transaction, also before its start;
+	// zero while it doesn't.
+	idleSince time.Time
+	// inTransaction is set if a transaction was open when the session last waited for its caller.
+	inTransaction bool
 }
 
 // preparedStatement is a statement that the caller has prepared: whether it writes, and its shape,
@@ -83,11 +87,17 @@
 
 // start answers the caller's startup message and reports whether the session may begin.
 func (s *Session) start() bool {
+	s.startWaiting()
 	d, key, err := s.Caller.Start(time.Now().Add(startupTimeout))
+	s.endWaiting()
 	if err != nil {
 		return false
 	}
 	s.database, s.key = d, identifier.DigestOf(key)
+	if s.stopping.Load() {
+		_ = s.Caller.Refuse(declarer.CodeBusy, stoppingText)
+		return false
+	}
 	if !s.awaitReady() {
 		_ = s.Caller.Refuse(declarer.CodeBusy, "the host isn't ready yet")
 		return false
@@ -139,8 +149,8 @@
 	if s.openTransaction != nil && s.openTransaction.lease != nil {
 		deadline = time.Now().Add(s.Board.IdleTransactionTimeout())
 	}
-	s.setIdle(s.openTransaction == nil)
-	defer s.setIdle(false)
+	s.startWaiting()
+	defer s.endWaiting()
 	if s.stopping.Load() && s.openTransaction == nil {
 		return declarer.Statement{}, errStopped
 	}
@@ -149,35 +159,56 @@
 
 const errStopped = errors.ConstError("session stopped")
 
-func (s *Session) setIdle(idle bool) {
+func (s *Session) startWaiting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.idle = idle
+	s.inTransaction = s.openTransaction != nil
+	if !s.inTransaction {
+		s.idleSince = time.Now()
+	}
 }
 
-// Stop ends the session as soon as no transaction is open.
-func (s *Session) Stop() {
-	s.stopping.Store(true)
+func (s *Session) endWaiting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.idle {
-		s.Caller.Interrupt()
+	s.idleSince = time.Time{}
+}
+
+// Stop ends the session if it has waited for its caller outside of a transaction for that long: a caller that has just
+// been answered may have sent its next statement.
+func (s *Session) Stop(idle time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.idleSince.IsZero() && time.Since(s.idleSince) >= idle {
+		s.end()
 	}
 }
 
-// Idle reports whether the session waits for its caller outside of a transaction.
-func (s *Session) Idle() bool {
+// StopTransaction ends the session the next time it waits for its caller, if a transaction is open.
+func (s *Session) StopTransaction() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.idle
+	if s.inTransaction {
+		s.end()
+	}
 }
 
-// Terminate ends the session the next time it waits for its caller, even in a transaction.
-func (s *Session) Terminate() {
+// end ends the session the next time it waits for its caller.
+func (s *Session) end() {
 	s.stopping.Store(true)
 	s.Caller.Interrupt()
 }
 
+// Idle reports whether the session waits for its caller outside of a transaction.
+func (s *Session) Idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.idleSince.IsZero()
+}
+
+// Terminate ends the session the next time it waits for its caller, even in a transaction.
+func (s *Session) Terminate() { s.end() }
+
 // expireTransaction rolls back a transaction whose caller was idle for too long, and reports
 // whether the session continues. The caller receives the error with its next statement.
 func (s *Session) expireTransaction(err error) bool {
@@ -191,6 +222,9 @@
 // ErrDeadline is returned by Caller.Next when the deadline has passed.
 const ErrDeadline = errors.ConstError("caller sent nothing in time")
 
+// stoppingText refuses what a stopping host doesn't serve any more.
+const stoppingText = "not run: the host is stopping, retry at another one"
+
 // rollBackOpenTransaction rolls back the transaction that is open when the session ends.
 func (s *Session) rollBackOpenTransaction() {
 	if s.openTransaction != nil {
--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -18,6 +18,8 @@
 	exitReserve = 500 * time.Millisecond
 	// answerReserve is the time before that in which callers whose servers haven't answered are told so.
 	answerReserve = 100 * time.Millisecond
+	// quietTime is how long a session must have been idle before it is ended.
+	quietTime = 100 * time.Millisecond
 	// drainPollInterval is how often a draining host checks whether all sessions have ended.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -50,10 +52,17 @@
 	return time.Time{}
 }
 
-// drain makes the host unready and waits until the balancer sends no more connections. Sessions
-// then end as soon as they are outside of a transaction; after five eighths of the grace period
-// those with an open transaction are terminated as well. Callers and borrowers are taken until nothing is in
-// progress, or until the last sixth of the grace period, which is left for what is.
+// stopSession ends an idle session; after five eighths of the grace period, also one with an open transaction.
+func (p *plannedStop) stopSession(s *executor.Session) {
+	s.Stop(quietTime)
+	if p.elapsed() > p.grace()*5/8 {
+		s.StopTransaction()
+	}
+}
+
+// drain makes the host unready and waits until the balancer sends no more connections. Sessions then end as soon as
+// they are idle. Callers and borrowers are taken until nothing is in progress, or until the last sixth of the grace
+// period, which is left for what is.
 func (h *Host) drain(ctx context.Context) {
 	p := &plannedStop{began: time.Now(), initialGrace: h.bounds().Grace, bounds: h.bounds}
 	h.stopping.Store(p)
@@ -62,13 +71,8 @@
 	h.quotas.Leave()
 	h.deregister()
 	_ = scheduler.Pause(ctx, min(readinessPropagationDelay, p.grace()/2))
-	h.forEachSession((*executor.Session).Stop)
 	for p.elapsed() < p.grace()*5/6 && !h.work.CloseIfIdle() {
-		if p.elapsed() > p.grace()*5/8 {
-			h.forEachSession((*executor.Session).Terminate)
-		} else {
-			h.forEachSession((*executor.Session).Stop)
-		}
+		h.forEachSession(p.stopSession)
 		if scheduler.Pause(ctx, drainPollInterval) != nil {
 			return
 		}
