fix(executor): transactions at a stopping host aren't begun only to be cut off

The rule gives those that are open at SIGTERM half of the grace period; these got less.

From half of the grace period on, BEGIN is refused as not run, and transactions are ended when its last sixth begins, no longer after five eighths: the host is there until then for other callers anyway. So a transaction has a third of the grace period at least.

TestStoppingHostBeginsNoTransactionTooLate fails before: BEGIN is served or its session ended.

--- a/internal/proxy/assembler/stops_test.go
+++ b/internal/proxy/assembler/stops_test.go
@@ -76,3 +76,27 @@
 		})
 	}
 }
+
+// Guards against a transaction that begins at a stopping host and is cut off before it can end.
+func TestStoppingHostBeginsNoTransactionTooLate(t *testing.T) {
+	i := startInstance(t)
+	h := startHost(t, i.listener.Addr().String())
+	open := h.call(t, "books")
+	open.line()
+	open.expect(t, "BEGIN", "DONE -|READY T -")
+	close(h.drain)
+	h.awaitReadiness(t, http.StatusServiceUnavailable)
+	time.Sleep(h.settings.Grace / 2)
+	answer := "end"
+	for answer == "end" { // a session that is idle for a moment is ended
+		late := h.call(t, "books")
+		late.line()
+		answer = late.ask("BEGIN")
+	}
+	if want := "ERR BUSY not run: the host is stopping, retry at another one|READY I -"; answer != want {
+		t.Errorf("a late BEGIN is answered with %q", answer)
+	}
+	open.expect(t, "WRITE a one", "DONE sig|READY T 1.2")
+	open.expect(t, "COMMIT", "DONE sig|READY I 1.2")
+	<-h.done
+}
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -67,14 +67,11 @@
 
 // statementTimeout returns the route's timeout, shortened so that the caller is answered before a stopping host ends.
 func (s *Session) statementTimeout(r declarer.Route, now time.Time) time.Duration {
-	if s.AnswerBy == nil {
+	t, stopping := s.stopTimes()
+	if !stopping {
 		return r.Timeout
 	}
-	by := s.AnswerBy()
-	if by.IsZero() {
-		return r.Timeout
-	}
-	return max(0, min(r.Timeout, by.Sub(now)))
+	return max(0, min(r.Timeout, t.AnswerBy.Sub(now)))
 }
 
 // runAutocommit serves a statement outside of a transaction.
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -37,9 +37,8 @@
 	// KeysConfirmed, if not nil, reports whether the configuration was confirmed recently enough to
 	// accept its customers' keys.
 	KeysConfirmed func() bool
-	// AnswerBy, if not nil, returns by when all statements must be answered as the host is stopping, zero if it
-	// isn't.
-	AnswerBy func() time.Time
+	// StopTimes, if not nil, returns the times of the host's planned stop, false unless it is stopping.
+	StopTimes func() (StopTimes, bool)
 
 	// database is the one that the caller named at the start, key the digest of the key that it sent.
 	database string
@@ -63,8 +62,14 @@
 	// idleSince is since when the session has waited for its caller outside of a transaction, also before its start;
 	// zero while it doesn't.
 	idleSince time.Time
-	// inTransaction is set if a transaction was open when the session last waited for its caller.
-	inTransaction bool
+}
+
+// StopTimes are the times until which a stopping host serves its callers.
+type StopTimes struct {
+	// BeginBy is until when transactions may begin: one that begins later would be terminated before it can end.
+	BeginBy time.Time
+	// AnswerBy is by when all statements are answered.
+	AnswerBy time.Time
 }
 
 // preparedStatement is a statement that the caller has prepared: whether it writes, and its shape,
@@ -162,8 +167,7 @@
 func (s *Session) startWaiting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inTransaction = s.openTransaction != nil
-	if !s.inTransaction {
+	if s.openTransaction == nil {
 		s.idleSince = time.Now()
 	}
 }
@@ -180,25 +184,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.idleSince.IsZero() && time.Since(s.idleSince) >= idle {
-		s.end()
-	}
-}
-
-// StopTransaction ends the session the next time it waits for its caller, if a transaction is open.
-func (s *Session) StopTransaction() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.inTransaction {
-		s.end()
+		s.Terminate()
 	}
 }
 
-// end ends the session the next time it waits for its caller.
-func (s *Session) end() {
-	s.stopping.Store(true)
-	s.Caller.Interrupt()
-}
-
 // Idle reports whether the session waits for its caller outside of a transaction.
 func (s *Session) Idle() bool {
 	s.mu.Lock()
@@ -207,7 +196,10 @@
 }
 
 // Terminate ends the session the next time it waits for its caller, even in a transaction.
-func (s *Session) Terminate() { s.end() }
+func (s *Session) Terminate() {
+	s.stopping.Store(true)
+	s.Caller.Interrupt()
+}
 
 // expireTransaction rolls back a transaction whose caller was idle for too long, and reports
 // whether the session continues. The caller receives the error with its next statement.
@@ -343,10 +335,30 @@
 	case m.hold.Kind != HoldNone:
 		return s.refuseHeld(x, m)
 	}
+	if t, stopping := s.stopTimes(); stopping && time.Now().After(t.BeginBy) {
+		return s.refuseStopping(x, m)
+	}
 	s.openTransaction = &transaction{admission: m, arrived: s.Board.Time(), readOnly: x.Verb == declarer.VerbBeginRead}
 	return s.Caller.Done(declarer.StateTransaction)
 }
 
+// stopTimes returns the times of the host's planned stop, false unless it is stopping.
+func (s *Session) stopTimes() (StopTimes, bool) {
+	if s.StopTimes == nil {
+		return StopTimes{}, false
+	}
+	return s.StopTimes()
+}
+
+// refuseStopping refuses a transaction that couldn't end before the host does.
+func (s *Session) refuseStopping(x declarer.Statement, m admission) error {
+	s.Reporter.Statement(&Report{
+		Group: m.route.Group, Database: s.database, Customer: m.customer, Statement: x.ID, Verb: x.Verb,
+		Code: declarer.CodeBusy, Reason: stoppingText, Importance: m.importance, Ranked: m.ranked, Version: s.version(),
+	})
+	return s.fail(declarer.CodeBusy, stoppingText)
+}
+
 func (s *Session) rollback() error {
 	t := s.openTransaction
 	s.openTransaction = nil
--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -44,25 +44,18 @@
 	return p.began.Add(p.grace() - exitReserve - answerReserve)
 }
 
-// answerBy returns by when all statements must be answered, zero unless the host is stopping.
-func (h *Host) answerBy() time.Time {
-	if p := h.stopping.Load(); p != nil {
-		return p.answerBy()
-	}
-	return time.Time{}
-}
-
-// stopSession ends an idle session; after five eighths of the grace period, also one with an open transaction.
-func (p *plannedStop) stopSession(s *executor.Session) {
-	s.Stop(quietTime)
-	if p.elapsed() > p.grace()*5/8 {
-		s.StopTransaction()
+// stopTimes returns the times of the stop in progress, false if there is none.
+func (h *Host) stopTimes() (executor.StopTimes, bool) {
+	p := h.stopping.Load()
+	if p == nil {
+		return executor.StopTimes{}, false
 	}
+	return executor.StopTimes{BeginBy: p.began.Add(p.grace() / 2), AnswerBy: p.answerBy()}, true
 }
 
 // drain makes the host unready and waits until the balancer sends no more connections. Sessions then end as soon as
-// they are idle. Callers and borrowers are taken until nothing is in progress, or until the last sixth of the grace
-// period, which is left for what is.
+// they are idle outside of a transaction. Callers and borrowers are taken until nothing is in progress, or until the
+// last sixth of the grace period, when all sessions end once their statement is answered.
 func (h *Host) drain(ctx context.Context) {
 	p := &plannedStop{began: time.Now(), initialGrace: h.bounds().Grace, bounds: h.bounds}
 	h.stopping.Store(p)
@@ -72,7 +65,7 @@
 	h.deregister()
 	_ = scheduler.Pause(ctx, min(readinessPropagationDelay, p.grace()/2))
 	for p.elapsed() < p.grace()*5/6 && !h.work.CloseIfIdle() {
-		h.forEachSession(p.stopSession)
+		h.forEachSession(func(s *executor.Session) { s.Stop(quietTime) })
 		if scheduler.Pause(ctx, drainPollInterval) != nil {
 			return
 		}
