--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -350,12 +350,14 @@
 	return s.StopTimes()
 }
 
-// refuseStopping refuses a transaction that couldn't end before the host does.
+// refuseStopping refuses a transaction that couldn't end before the host does, and ends the session, so that its
+// caller retries at another host.
 func (s *Session) refuseStopping(x declarer.Statement, m admission) error {
 	s.Reporter.Statement(&Report{
 		Group: m.route.Group, Database: s.database, Customer: m.customer, Statement: x.ID, Verb: x.Verb,
 		Code: declarer.CodeBusy, Reason: stoppingText, Importance: m.importance, Ranked: m.ranked, Version: s.version(),
 	})
+	s.Terminate()
 	return s.fail(declarer.CodeBusy, stoppingText)
 }
 
--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -50,12 +50,22 @@
 	if p == nil {
 		return executor.StopTimes{}, false
 	}
-	return executor.StopTimes{BeginBy: p.began.Add(p.grace() / 2), AnswerBy: p.answerBy()}, true
+	return executor.StopTimes{BeginBy: p.began.Add(p.grace() * 5 / 8), AnswerBy: p.answerBy()}, true
+}
+
+// endSession ends a session without a transaction the next time it waits for its caller; once all statements must be
+// answered, also one with a transaction.
+func (p *plannedStop) endSession(s *executor.Session) {
+	if time.Now().Before(p.answerBy()) {
+		s.Stop(0)
+		return
+	}
+	s.Terminate()
 }
 
 // drain makes the host unready and waits until the balancer sends no more connections. Sessions then end as soon as
 // they are idle outside of a transaction. Callers and borrowers are taken until nothing is in progress, or until the
-// last sixth of the grace period, when all sessions end once their statement is answered.
+// last sixth of the grace period, which is left for the statements and transactions in progress.
 func (h *Host) drain(ctx context.Context) {
 	p := &plannedStop{began: time.Now(), initialGrace: h.bounds().Grace, bounds: h.bounds}
 	h.stopping.Store(p)
@@ -72,7 +82,7 @@
 	}
 	h.closeIntake()
 	for p.elapsed() < p.grace()-exitReserve && h.work.Count() > 0 {
-		h.forEachSession((*executor.Session).Terminate)
+		h.forEachSession(p.endSession)
 		if scheduler.Pause(ctx, drainPollInterval) != nil {
 			return
 		}
