test: doors of a stopping host; planned work alone breaks nothing off

The soak of stops also reports statements that ran and broke off at hosts that weren't stopping, as its SIGHUPs and changes of the configuration may not break off any either. Its callers end a session whose host says that it is stopping.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -77,6 +77,9 @@
 // answer.
 const errCallerDisconnected = errors.ConstError("caller left")
 
+// errHostStopping is returned after a refusal with which a stopping host ends the session.
+const errHostStopping = errors.ConstError("host is stopping")
+
 // Open connects and starts the session. It returns false if the host does not serve the database,
 // and an error if the connection fails or the host answers otherwise.
 func (s *Session) Open() (bool, error) {
@@ -193,10 +196,16 @@
 	code string
 	// held reports that the statement was refused as held by the operators.
 	held bool
+	// stopping reports that the statement was refused as the host is stopping, which ends the session.
+	stopping bool
 }
 
-// heldText is the part of an answer by which a statement held by the operators is recognized.
-const heldText = "is held by the operator"
+// heldText is the part of an answer by which a statement held by the operators is recognized, stoppingText that of one
+// refused by a stopping host.
+const (
+	heldText     = "is held by the operator"
+	stoppingText = "the host is stopping"
+)
 
 // ask sends one statement and waits for its answer, unless the session disconnects at random. It
 // records a connection that broke meanwhile.
@@ -268,6 +277,7 @@
 			if a.held = strings.Contains(rest, heldText); a.held {
 				s.recordHeld(id, rest, sent)
 			}
+			a.stopping = strings.Contains(rest, stoppingText)
 		case "READY":
 			if a.code == "" && signed(text) && signature != "sig."+id {
 				s.Recorder.Update(func(h *checker.History) {
@@ -354,7 +364,11 @@
 // random or after an error.
 func (s *Session) transact(item string) error {
 	began := time.Now()
-	if a, err := s.ask("BEGIN"); err != nil || a.code != "" {
+	a, err := s.ask("BEGIN")
+	if a.stopping {
+		return errHostStopping
+	}
+	if err != nil || a.code != "" {
 		return err
 	}
 	s.tx = transaction{open: true, began: began}
@@ -375,7 +389,7 @@
 	if s.Random.IntN(4) == 0 {
 		return s.rollBack(nil)
 	}
-	a, err := s.ask("COMMIT")
+	a, err = s.ask("COMMIT")
 	s.recordWrites(outcome(a, err))
 	return err
 }
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -145,7 +145,9 @@
 	Disconnects         []Disconnect
 	Served              []Served
 	Stops               []Stop
-	Held                []HeldAnswer
+	// PlannedOnly is set if nothing but planned work has disturbed the hosts.
+	PlannedOnly bool
+	Held        []HeldAnswer
 	// UnexpectedAnswers describes answers that do not match their request.
 	UnexpectedAnswers []string
 }
@@ -267,6 +269,28 @@
 			}
 		}
 	}
+	if c.history.PlannedOnly {
+		c.ranUnansweredBesideStops()
+	}
+}
+
+// ranUnansweredBesideStops reports statements that a server ran and whose callers got no whole answer, at times at which
+// their host wasn't stopping.
+func (c *check) ranUnansweredBesideStops() {
+	for _, x := range c.history.Disconnects {
+		run, ran := c.truth.Runs[x.ID]
+		if !ran || x.Ended.Sub(x.StatementSent) >= c.history.Timeout {
+			continue
+		}
+		if !slices.ContainsFunc(c.history.Stops, func(s Stop) bool { return s.mayEnd(x) }) {
+			c.report("unanswered: %s ran %v after it was sent to %s, and broke off after %v, without a stop", x.ID, run.Ended.Sub(x.StatementSent), x.Host, x.Ended.Sub(x.StatementSent))
+		}
+	}
+}
+
+// mayEnd reports whether the statement was in progress while its host was stopping.
+func (s Stop) mayEnd(x Disconnect) bool {
+	return x.Host == s.Host && x.Ended.After(s.At) && x.StatementSent.Before(s.At.Add(s.Grace)) && x.Ended.Before(s.At.Add(s.Grace+noticeTime))
 }
 
 const (
@@ -281,8 +305,7 @@
 // was stopped as planned.
 func (c *check) ranUnanswered(s Stop, x Disconnect) {
 	run, ran := c.truth.Runs[x.ID]
-	within := x.Ended.After(s.At) && x.StatementSent.Before(s.At.Add(s.Grace)) && x.Ended.Before(s.At.Add(s.Grace+noticeTime))
-	if !ran || !within || c.history.Timeout > 0 && x.Ended.Sub(x.StatementSent) >= c.history.Timeout {
+	if !ran || !s.mayEnd(x) || c.history.Timeout > 0 && x.Ended.Sub(x.StatementSent) >= c.history.Timeout {
 		return
 	}
 	if x.StatementSent.Before(s.At.Add(lateSending)) && run.Ended.After(s.At.Add(s.Allowed*5/6)) {
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -167,7 +167,7 @@
 	findings = append(findings, s.checkHeld()...)
 	for i, r := range d.recorders {
 		h := r.History()
-		h.Staleness, h.Timeout, h.Stops = staleness, routeTimeout, s.injector.plannedStops()
+		h.Staleness, h.Timeout, h.Stops, h.PlannedOnly = staleness, routeTimeout, s.injector.plannedStops(), s.staying
 		findings = append(findings, checker.Check(h, d.groups[i].Truth())...)
 		if len(h.Reads) == 0 || len(h.Writes) == 0 {
 			findings = append(findings, "idle: nothing was read or written, so nothing was checked")
