fix(commander): a reload during the start of a process doesn't end it

SIGHUP ends a process that hasn't asked for it, and the process asked after it had read its settings.

It now asks before any other step. TestReloadDuringStartEndsNoProcess has a process read its settings from a pipe and sends SIGHUP meanwhile: it ends with the signal before, with the error of its empty settings now.

Left: the 3 ms from the start of the process to its main function. The soak therefore sends SIGHUP once a process listens; what comes before can't be told from a process that is still its parent's.

--- a/internal/proxy/commander/serve.go
+++ b/internal/proxy/commander/serve.go
@@ -17,6 +17,9 @@
 // run serves until SIGTERM or SIGINT and then drains. SIGHUP reloads the settings: those that may
 // change while a host runs come into force, and the log names the others that have changed.
 func (*serve) run(out io.Writer) error {
+	// Before any other step, as SIGHUP ends a process that hasn't asked for it.
+	r := &signalForwarder{signals: make(chan os.Signal, 1), reloads: make(chan struct{})}
+	signal.Notify(r.signals, syscall.SIGHUP)
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -24,8 +27,6 @@
 	c, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
-	r := &signalForwarder{signals: make(chan os.Signal, 1), reloads: make(chan struct{})}
-	signal.Notify(r.signals, syscall.SIGHUP)
 	go r.run()
 	h := &assembler.Assembler{Settings: s, LogOutput: out, Reload: r.reloads, Load: platform.LoadSettings}
 	return h.Run(context.Background(), c.Done())
--- a/internal/soak/runner/process_test.go
+++ b/internal/soak/runner/process_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -112,6 +113,17 @@
 	_ = h.command.Process.Signal(s)
 }
 
+// reload tells the process to read its settings again, if it has started: before a process has asked for the signal, the
+// signal ends it.
+func (h *host) reload() {
+	c, err := net.Dial("tcp4", h.readiness)
+	if err != nil {
+		return
+	}
+	c.Close()
+	h.signal(syscall.SIGHUP)
+}
+
 // deregistrationDelay is how long the load balancer sends callers to a host that is stopping: it polls
 // once a second and removes a host after two failed polls.
 const deregistrationDelay = 2 * time.Second
--- a/internal/soak/runner/stops_test.go
+++ b/internal/soak/runner/stops_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -50,6 +52,28 @@
 	s.test(ctx, t, seed)
 }
 
+// Guards against a reload of settings that ends a process which is still reading them for the first time.
+func TestReloadDuringStartEndsNoProcess(t *testing.T) {
+	h := &host{directory: t.TempDir()}
+	h.settings = filepath.Join(h.directory, "settings")
+	if err := syscall.Mkfifo(h.settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.start(); err != nil {
+		t.Fatal(err)
+	}
+	f, err := os.OpenFile(h.settings, os.O_WRONLY, 0) // waits until the process reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.signal(syscall.SIGHUP)
+	f.Close()
+	<-h.exited
+	if x := h.command.ProcessState; x.ExitCode() <= 0 {
+		t.Errorf("the process ends with %s, not with an error of its empty settings", x)
+	}
+}
+
 // lateAnswer is the time after which a statement counts as late in the summary.
 const lateAnswer = 300 * time.Millisecond
 
