test(soak): hosts that stop are stalled

A process on a busy machine isn't scheduled for some hundred ms, also while it stops. The soak of stops now suspends each stopping host three times for 0.1 to 0.4 s.

--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -69,14 +69,19 @@
 	kindEnd
 )
 
-// KindReload tells an entry host to read its settings again (SIGHUP), see Stops.
-const KindReload = kindEnd
+// Kinds beside planned stops, see Stops.
+const (
+	// KindReload tells an entry host to read its settings again (SIGHUP).
+	KindReload Kind = iota + kindEnd
+	// KindStall suspends an entry host's process for less than half a second, as on a busy machine.
+	KindStall
+)
 
 // names holds the name of each Kind, in the order of the constants.
 var names = [...]string{
 	"kill", "pause", "stop", "isolate", "silence", "store-silent", "store-busy", "store-reset", "store-slow",
 	"store-loses", "store-forgets", "store-watches-silent", "primary-crash", "server-mute", "server-silence", "replica-deaf",
-	"server-refuses", "server-unheard", "orders-late", "holder-kill", "primary-blink", "two-crash", "reload",
+	"server-refuses", "server-unheard", "orders-late", "holder-kill", "primary-blink", "two-crash", "reload", "stall",
 }
 
 // String returns the kind's name in kebab case.
@@ -152,8 +157,17 @@
 	return l
 }
 
+const (
+	// stalls is the number of stalls of each stop, which fall into longestStop after its request.
+	stalls      = 3
+	longestStop = 5500 * time.Millisecond
+	// minimumStall and maximumStall are the bounds of a stall's duration.
+	minimumStall = 100 * time.Millisecond
+	maximumStall = 400 * time.Millisecond
+)
+
 // Stops returns planned stops of entry hosts in series, in order of time. Each step stops one to three hosts
-// within half a second, beside reloads of settings.
+// within half a second, beside reloads of settings. A host is stalled three times while it stops.
 func Stops(seed uint64, length time.Duration) []Fault {
 	const together, perStep = 500 * time.Millisecond, 3
 	r := rand.New(rand.NewPCG(seed, 3))
@@ -163,8 +177,14 @@
 			f := randomFault(r, at+randomDuration(r, together))
 			f.Kind = KindStop
 			l = append(l, f)
-			f.Kind, f.At = KindReload, f.At+randomDuration(r, maximumDuration)
-			l = append(l, f)
+			reload := f
+			reload.Kind, reload.At = KindReload, f.At+randomDuration(r, maximumDuration)
+			l = append(l, reload)
+			for range stalls {
+				x := f
+				x.Kind, x.At, x.Duration = KindStall, f.At+randomDuration(r, longestStop), minimumStall+randomDuration(r, maximumStall-minimumStall)
+				l = append(l, x)
+			}
 		}
 	}
 	slices.SortStableFunc(l, func(a, b Fault) int { return int(a.At - b.At) })
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -69,7 +69,7 @@
 			}
 			last = f.At
 		}
-		if stops < 4 || stops != len(p)/2 {
+		if stops < 4 || len(p) != stops*(2+stalls) {
 			t.Errorf("seed %d has %d stops of %d faults", seed, stops, len(p))
 		}
 	}
--- a/internal/soak/runner/faults_test.go
+++ b/internal/soak/runner/faults_test.go
@@ -45,6 +45,11 @@
 	defer g.Done()
 	d, f := x.injector.deployment, x.fault
 	switch f.Kind {
+	case planner.KindStall:
+		h := d.hosts[f.Target%len(d.hosts)]
+		h.signal(syscall.SIGSTOP)
+		time.Sleep(f.Duration)
+		h.signal(syscall.SIGCONT)
 	case planner.KindReload:
 		d.hosts[f.Target%len(d.hosts)].reload()
 	case planner.KindKill, planner.KindPause, planner.KindStop, planner.KindIsolate, planner.KindSilence:
