fix(runner): a process that wakes late answers before it ends

Statements are still answered 0.6 s before, so that only a process that is late uses the time.

The soak's findings of requests broken off also tell how long the statement itself waited.

--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -14,10 +14,10 @@
 	// readinessPropagationDelay is how long the balancer may send new connections after the host
 	// has become unready: it polls once a second and acts on the second negative answer.
 	readinessPropagationDelay = 2200 * time.Millisecond
-	// exitReserve is the part of the grace period that is left for the process to exit.
-	exitReserve = 500 * time.Millisecond
-	// answerReserve is the time before that in which callers whose servers haven't answered are told so.
-	answerReserve = 100 * time.Millisecond
+	// answerReserve is the part of the grace period that is left when all statements must be answered, and exitReserve the
+	// part that is left for the process to exit. In between, a process that wasn't scheduled in time sends its answers.
+	answerReserve = 600 * time.Millisecond
+	exitReserve   = 200 * time.Millisecond
 	// quietTime is how long a session must have been idle before it is ended.
 	quietTime = 100 * time.Millisecond
 	// drainPollInterval is how often a draining host checks whether all sessions have ended.
@@ -41,7 +41,7 @@
 
 // answerBy returns by when all statements must be answered.
 func (p *plannedStop) answerBy() time.Time {
-	return p.began.Add(p.grace() - exitReserve - answerReserve)
+	return p.began.Add(p.grace() - answerReserve)
 }
 
 // stopTimes returns the times of the stop in progress, false if there is none.
--- a/internal/proxy/runner/draining_test.go
+++ b/internal/proxy/runner/draining_test.go
@@ -15,7 +15,7 @@
 			b := Bounds{Grace: 6 * time.Second}
 			p := &plannedStop{began: time.Now(), initialGrace: b.Grace, bounds: func() Bounds { return b }}
 			b.Grace = x.later
-			if got := p.answerBy().Sub(p.began); got != x.want-exitReserve-answerReserve {
+			if got := p.answerBy().Sub(p.began); got != x.want-answerReserve {
 				t.Errorf("statements are answered after %v", got)
 			}
 		})
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -262,7 +262,7 @@
 		for _, x := range c.history.Disconnects {
 			within := x.Ended.After(s.At) && x.Ended.Before(s.At.Add(s.Grace))
 			if x.Host == s.Host && within && x.Ended.Sub(x.Sent) > disconnectTolerance {
-				c.report("cut off: %s waited %v at %s, which was stopped as planned", x.ID, x.Ended.Sub(x.Sent), x.Host)
+				c.report("cut off: %s waited %v at %s, its statement %v; stopped as planned, it broke off after %v", x.ID, x.Ended.Sub(x.Sent), x.Host, x.Ended.Sub(x.StatementSent), x.Ended.Sub(s.At))
 			}
 			if x.Host == s.Host {
 				c.ranUnanswered(s, x)
