fix(executor): a session that is being ended begins no transaction

A session was ended as idle while its caller's BEGIN arrived. BEGIN was served, and the next wait ended at once.

Such a BEGIN is now refused as not run, as a late one is. TestEndingSessionBeginsNoTransaction fails before: BEGIN is served.

--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -335,7 +335,7 @@
 	case m.hold.Kind != HoldNone:
 		return s.refuseHeld(x, m)
 	}
-	if t, stopping := s.stopTimes(); stopping && time.Now().After(t.BeginBy) {
+	if t, stopping := s.stopTimes(); s.stopping.Load() || stopping && time.Now().After(t.BeginBy) {
 		return s.refuseStopping(x, m)
 	}
 	s.openTransaction = &transaction{admission: m, arrived: s.Board.Time(), readOnly: x.Verb == declarer.VerbBeginRead}
@@ -350,8 +350,8 @@
 	return s.StopTimes()
 }
 
-// refuseStopping refuses a transaction that couldn't end before the host does, and ends the session, so that its
-// caller retries at another host.
+// refuseStopping refuses a transaction that couldn't end before the session or the host does, and ends the session, so
+// that its caller retries at another host.
 func (s *Session) refuseStopping(x declarer.Statement, m admission) error {
 	s.Reporter.Statement(&Report{
 		Group: m.route.Group, Database: s.database, Customer: m.customer, Statement: x.ID, Verb: x.Verb,
--- a/internal/proxy/executor/stop_test.go
+++ b/internal/proxy/executor/stop_test.go
@@ -15,6 +15,8 @@
 	pause      time.Duration
 	// silent is set if the caller doesn't start the session.
 	silent bool
+	// last is a statement that arrives as the session is interrupted, if its verb is set.
+	last declarer.Statement
 
 	interrupted chan struct{}
 	answered    []declarer.Code
@@ -35,6 +37,10 @@
 	}
 	select {
 	case <-c.interrupted:
+		if x := c.last; x.Verb != declarer.VerbUnknown {
+			c.last = declarer.Statement{}
+			return x, nil
+		}
 		return declarer.Statement{}, ErrDeadline
 	case <-time.After(pause):
 	}
@@ -74,7 +80,7 @@
 	c.interrupted = make(chan struct{})
 	b := &blackboard.Board{}
 	b.Configure(&declarer.Configuration{Version: 1, Routes: map[string]declarer.Route{"db": {Name: "db", Database: "db", Group: "g"}}})
-	s := &Session{Caller: c, Board: b, Ready: func() bool { return true }}
+	s := &Session{Caller: c, Board: b, Reporter: noReporter{}, Ready: func() bool { return true }}
 	began, ended := time.Now(), make(chan struct{})
 	go func() {
 		s.Run()
@@ -113,3 +119,19 @@
 		})
 	}
 }
+
+// Guards against a transaction that begins in a session which is being ended, and is cut off right after.
+func TestEndingSessionBeginsNoTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &scriptedCaller{last: declarer.Statement{Verb: declarer.VerbBegin}}
+		stopped(c)
+		if len(c.answered) != 1 || c.answered[0] != declarer.CodeBusy {
+			t.Errorf("BEGIN is answered with codes %v, want %v", c.answered, declarer.CodeBusy)
+		}
+	})
+}
+
+// noReporter drops all reports.
+type noReporter struct{}
+
+func (noReporter) Statement(*Report) {}
