fix(runner): a list is read at once after the store has discarded its history

While the store doesn't answer, calls go through a gate, with pauses of 0.2 to 0.6 s between them. The store that answers again with "history discarded" has answered; the gate took it for neither an answer nor a failure, so that the list waited for the next call's turn, 0.5 s and more on two hosts in a row, as one reads through the other.

Such an answer now opens the gate. TestFollowerListsAtOnceAfterForgetting fails before (0.41 s).

--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -90,6 +90,7 @@
 			f.onAnswer()
 		case errors.Is(err, cachesyncer.ErrCompacted):
 			watching = false
+			f.gate.recordAnswer()
 		default:
 			f.gate.recordFailure()
 		}
--- a/internal/proxy/runner/follower_test.go
+++ b/internal/proxy/runner/follower_test.go
@@ -17,6 +17,8 @@
 type scriptedSource struct {
 	answers []answer
 	calls   []string
+	// called is when each call was made.
+	called []time.Time
 }
 
 type answer struct {
@@ -26,7 +28,7 @@
 }
 
 func (s *scriptedSource) next(ctx context.Context, call string) answer {
-	s.calls = append(s.calls, call)
+	s.calls, s.called = append(s.calls, call), append(s.called, time.Now())
 	if len(s.answers) == 0 {
 		<-ctx.Done()
 		return answer{err: ctx.Err()}
@@ -82,6 +84,27 @@
 	})
 }
 
+// Guards against a change that is read late: the store answers again, but has discarded its history, and the list
+// waits for the pause between calls to a store that doesn't answer.
+func TestFollowerListsAtOnceAfterForgetting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		away := answer{err: errors.New("away")}
+		s := &scriptedSource{answers: []answer{{at: 5}, away, away, away, away, {err: cachesyncer.ErrCompacted}, {at: 20}}}
+		f := &follower[string]{name: "test", source: s, gate: &gate{}, onAnswer: func() {}, wait: constant(time.Second), log: discardLog, onLost: func(string) {}, reset: func([]string) {}, apply: func([]Change[string]) {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.run(ctx)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		if len(s.calls) < 7 || s.calls[6] != "list" {
+			t.Fatalf("calls %q", s.calls)
+		}
+		if pause := s.called[6].Sub(s.called[5]); pause > 0 {
+			t.Errorf("the list is read %v after the store has answered", pause)
+		}
+	})
+}
+
 // Guards against a watch that stalls: its connection stays open and no data arrives. A change made
 // meanwhile must be in force within three seconds of its acknowledgement, so the watch must time
 // out before that.
