--- a/internal/proxy/runner/draining.go
+++ b/internal/proxy/runner/draining.go
@@ -39,6 +39,12 @@
 // elapsed returns the time since the beginning.
 func (p *plannedStop) elapsed() time.Duration { return time.Since(p.began) }
 
+// beginTime returns how long transactions begin.
+func (p *plannedStop) beginTime() time.Duration { return p.grace() * 5 / 8 }
+
+// intakeTime returns how long callers and borrowers are taken while something is in progress.
+func (p *plannedStop) intakeTime() time.Duration { return p.grace() * 5 / 6 }
+
 // answerBy returns by when all statements must be answered.
 func (p *plannedStop) answerBy() time.Time {
 	return p.began.Add(p.grace() - answerReserve)
@@ -50,7 +56,7 @@
 	if p == nil {
 		return executor.StopTimes{}, false
 	}
-	return executor.StopTimes{BeginBy: p.began.Add(p.grace() * 5 / 8), AnswerBy: p.answerBy()}, true
+	return executor.StopTimes{BeginBy: p.began.Add(p.beginTime()), AnswerBy: p.answerBy()}, true
 }
 
 // endSession ends a session without a transaction the next time it waits for its caller; once all statements must be
@@ -74,7 +80,7 @@
 	h.quotas.Leave()
 	h.deregister()
 	_ = scheduler.Pause(ctx, min(readinessPropagationDelay, p.grace()/2))
-	for p.elapsed() < p.grace()*5/6 && !h.work.CloseIfIdle() {
+	for p.elapsed() < p.intakeTime() && !h.work.CloseIfIdle() {
 		h.forEachSession(func(s *executor.Session) { s.Stop(quietTime) })
 		if scheduler.Pause(ctx, drainPollInterval) != nil {
 			return
