fix(checker): statements of routes without a timeout are checked beside stops

Found in reading the change again. A history whose routes have no timeout has zero for it, and the check of statements that broke off beside a stop took every wait for longer than that: it could find nothing. The check around stops had it right, in a copy of the same lines. No soak was concerned, as each sets a timeout.

Both checks ask one function now. The case "routes without a timeout" of TestCheck fails before. Findings are no longer sorted backwards, which was only to print some kinds first.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -84,12 +84,12 @@
 	StatementSent time.Time
 }
 
-// Service is how a statement, or the opening of a session, was served.
+// Service is how a statement, or the attempt to open a session, was served.
 type Service uint8
 
 // Kinds of service.
 const (
-	// ServiceAnswered is a statement with an answer of a server, or an opened session.
+	// ServiceAnswered is a statement that was answered without an error.
 	ServiceAnswered Service = iota
 	// ServiceRefused is an answer that says that nothing has run.
 	ServiceRefused
@@ -99,7 +99,7 @@
 	ServiceNotOpened
 )
 
-// Served is one statement, or the opening of a session, at a host.
+// Served is one statement, or one failed attempt to open a session, at a host.
 type Served struct {
 	Host        string
 	Service     Service
@@ -167,8 +167,6 @@
 	}
 	c.configurationProbes()
 	c.stops()
-	slices.Sort(c.violations)
-	slices.Reverse(c.violations)
 	return c.violations
 }
 
@@ -278,16 +276,20 @@
 // their host wasn't stopping.
 func (c *check) ranUnansweredBesideStops() {
 	for _, x := range c.history.Disconnects {
-		run, ran := c.truth.Runs[x.ID]
-		if !ran || x.Ended.Sub(x.StatementSent) >= c.history.Timeout {
-			continue
-		}
-		if !slices.ContainsFunc(c.history.Stops, func(s Stop) bool { return s.mayEnd(x) }) {
+		run, ran := c.ranInTime(x)
+		if ran && !slices.ContainsFunc(c.history.Stops, func(s Stop) bool { return s.mayEnd(x) }) {
 			c.report("unanswered: %s ran %v after it was sent to %s, and broke off after %v, without a stop", x.ID, run.Ended.Sub(x.StatementSent), x.Host, x.Ended.Sub(x.StatementSent))
 		}
 	}
 }
 
+// ranInTime returns when a server ran the statement, false if none did, or if it broke off at the route's timeout.
+func (c *check) ranInTime(x Disconnect) (replicator.Run, bool) {
+	run, ran := c.truth.Runs[x.ID]
+	timedOut := c.history.Timeout > 0 && x.Ended.Sub(x.StatementSent) >= c.history.Timeout
+	return run, ran && !timedOut
+}
+
 // mayEnd reports whether the statement was in progress while its host was stopping.
 func (s Stop) mayEnd(x Disconnect) bool {
 	return x.Host == s.Host && x.Ended.After(s.At) && x.StatementSent.Before(s.At.Add(s.Grace)) && x.Ended.Before(s.At.Add(s.Grace+noticeTime))
@@ -304,8 +306,8 @@
 // ranUnanswered reports a statement that a server ran and whose caller got no whole answer from a host that
 // was stopped as planned.
 func (c *check) ranUnanswered(s Stop, x Disconnect) {
-	run, ran := c.truth.Runs[x.ID]
-	if !ran || !s.mayEnd(x) || c.history.Timeout > 0 && x.Ended.Sub(x.StatementSent) >= c.history.Timeout {
+	run, ran := c.ranInTime(x)
+	if !ran || !s.mayEnd(x) {
 		return
 	}
 	if x.StatementSent.Before(s.At.Add(lateSending)) && run.Ended.After(s.At.Add(s.Allowed*5/6)) {
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -43,6 +43,12 @@
 	return h
 }
 
+// withoutTimeout returns the history with routes that have no timeout.
+func withoutTimeout(h History) History {
+	h.Timeout = 0
+	return h
+}
+
 // ranAt returns the state of a group that ran one statement until the given millisecond.
 func ranAt(id string, ms int) replicator.Truth {
 	t := committed()
@@ -93,6 +99,7 @@
 		"ran and unanswered at a planned stop":               {history: unanswered(290, 310), truth: ranAt("q", 300), want: "unanswered: q"},
 		"not run and unanswered at a planned stop":           {history: unanswered(290, 310), truth: committed()},
 		"ran and unanswered after the route's timeout":       {history: unanswered(200, 310), truth: ranAt("q", 300)},
+		"ran and unanswered, routes without a timeout":       {history: withoutTimeout(besideStop()), truth: ranAt("q", 5300), want: "unanswered: q"},
 		"ran and unanswered beside a stop":                   {history: besideStop(), truth: ranAt("q", 5300), want: "unanswered: q"},
 		"ran in the last sixth, sent early":                  {history: unanswered(890, 910), truth: ranAt("q", 900)},
 		"sent just before the process ended":                 {history: History{Stops: []Stop{{Host: "h", At: at(0), Grace: time.Second, Undisturbed: true}}, Disconnects: []Disconnect{{Host: "h", ID: "q", Sent: at(290), Ended: at(300)}}}, truth: committed()},
