feat(reporter): ends of sessions are counted by cause, and odd ones are logged

A session that the host ended for what its caller sent (an unknown message, an id of the proxy's own, a message too long), or that ended in the middle of a message, left no trace: no line in the log, no metric. Afterwards nobody could tell a caller that left from one that was cut off.

Sessions now report why they end. cuminwick_session_ends_total counts all ends by cause, and a line "session ended" with cause, database and error tells of the odd ones. What callers are answered is unchanged.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -83,7 +83,8 @@
 	a.feeds.OnReceive = x.Received
 	a.sent = x.Sent
 	h.Counter = m
-	h.Reporter = &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
+	r := &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
+	h.Reporter, h.OnSessionEnd = r, r.SessionEnd
 	if a.Reload != nil {
 		adopt := func(s platform.Settings) {
 			limitMemory(s)
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -39,6 +39,8 @@
 	KeysConfirmed func() bool
 	// StopTimes, if not nil, returns the times of the host's planned stop, false unless it is stopping.
 	StopTimes func() (StopTimes, bool)
+	// OnEnd, if not nil, is called when the session has ended.
+	OnEnd func(SessionEnd)
 
 	// database is the one that the caller named at the start, key the digest of the key that it sent.
 	database string
@@ -55,6 +57,8 @@
 	lastCommitGroup string
 	// openTransaction is nil outside of a transaction.
 	openTransaction *transaction
+	// endError is why the session ends, nil before.
+	endError error
 
 	stopping atomic.Bool
 
@@ -74,6 +78,7 @@
 // Run serves the caller until the session ends.
 func (s *Session) Run() {
 	defer s.Caller.Close()
+	defer s.reportEnd()
 	if !s.start() {
 		return
 	}
@@ -88,22 +93,27 @@
 	d, key, err := s.Caller.Start(time.Now().Add(startupTimeout))
 	s.endWaiting()
 	if err != nil {
+		s.endError = err
 		return false
 	}
 	s.database, s.key = d, identifier.DigestOf(key)
 	if s.stopping.Load() {
-		_ = s.Caller.Refuse(declarer.CodeBusy, stoppingText)
-		return false
+		return s.refuseStart(declarer.CodeBusy, stoppingText)
 	}
 	if !s.awaitReady() {
-		_ = s.Caller.Refuse(declarer.CodeBusy, "the host isn't ready yet")
-		return false
+		return s.refuseStart(declarer.CodeBusy, "the host isn't ready yet")
 	}
 	if code := s.admitStart(); code != declarer.CodeNone {
-		_ = s.Caller.Refuse(code, s.refusalText(code))
-		return false
+		return s.refuseStart(code, s.refusalText(code))
 	}
-	return s.Caller.Ready() == nil
+	return s.answered(s.Caller.Ready())
+}
+
+// refuseStart refuses the session. It returns false, as the session doesn't begin.
+func (s *Session) refuseStart(c declarer.Code, text string) bool {
+	s.endError = errors.Annotatef(errRefused, "%s", text)
+	_ = s.Caller.Refuse(c, text)
+	return false
 }
 
 const (
@@ -133,10 +143,14 @@
 // step serves one statement and reports whether the session continues.
 func (s *Session) step() bool {
 	x, err := s.next()
-	if err != nil {
-		return s.openTransaction != nil && s.expireTransaction(err)
+	if err == nil {
+		return s.answered(s.serve(x))
+	}
+	if s.openTransaction != nil && s.expireTransaction(err) {
+		return true
 	}
-	return s.serve(x) == nil
+	s.endError = err
+	return false
 }
 
 // next waits for the caller's next statement. A stopping session ends here if no transaction is
--- a/internal/proxy/executor/stop_test.go
+++ b/internal/proxy/executor/stop_test.go
@@ -76,7 +76,7 @@
 }
 
 // newSession returns a session of the caller at a host that knows no servers.
-func newSession(c *scriptedCaller) *Session {
+func newSession(c Caller) *Session {
 	b := &blackboard.Board{}
 	b.Configure(&declarer.Configuration{Version: 1, Routes: map[string]declarer.Route{"db": {Name: "db", Database: "db", Group: "g"}}})
 	return &Session{Caller: c, Board: b, RetryBudgets: &RetryBudgets{}, Observer: &Observer{Board: b}, Reporter: noReporter{}, Ready: func() bool { return true }}
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -21,6 +21,7 @@
 	reads      *prometheus.CounterVec
 	attempts   prometheus.Counter
 	customers  *prometheus.CounterVec
+	ends       *prometheus.CounterVec
 	ranked     rankedMetrics
 	held       *prometheus.CounterVec
 	promotions *prometheus.CounterVec
@@ -72,6 +73,7 @@
 	m.reads = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "reads_total", Help: "Reads that ran, by the role of the server."}, []string{"role"})
 	m.attempts = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "attempts_total", Help: "Statements sent to servers, repeated ones included."})
 	m.customers = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "customer_statements_total", Help: "Statements by customer and outcome. Customers beyond the first 200 that sent statements are counted as one, named other."}, []string{"customer", "outcome"})
+	m.ends = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "session_ends_total", Help: "Sessions of callers that have ended, by cause: bye, closed, cut (in the middle of a message), malformed, too-long, unread (the answer could not be sent), refused, no-startup or stopped."}, []string{"cause"})
 	m.ranked = newRankedMetrics(m.Registry)
 	m.held = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "held_statements_total", Help: "Statements refused as held by operators, by kind (customer, route) and name of what is held. Names beyond the first 200 are counted as one, named other."}, []string{"kind", "name"})
 	m.promotions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "promotions_total", Help: "Promotions that this host ordered, by reason and result: done, refused or unconfirmed."}, []string{"reason", "result"})
@@ -82,7 +84,7 @@
 	m.sent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_sent_bytes_total", Help: "Bytes of answers to other entry hosts, by kind of object and result: whole or cut."}, []string{"kind", "result"})
 	m.transfers = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "platform_transfer_seconds", Help: "Time from an answer's first byte to its last, by direction (received, sent) and kind of object.", Buckets: buckets}, []string{"direction", "kind"})
 	m.unadmitted = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "not_admitted_total", Help: "Requests that were refused without a round trip, as the owner of the server's connections would have refused them, by the priority of the route."}, []string{"priority"})
-	m.Registry.MustRegister(m.received, m.sent, m.transfers, m.customers, m.unadmitted, m.held)
+	m.Registry.MustRegister(m.received, m.sent, m.transfers, m.customers, m.unadmitted, m.held, m.ends)
 	m.Registry.MustRegister(m.calls, m.phases, m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
 	m.gauge("sessions", "Sessions that are served.", func() float64 { return float64(g.Sessions()) })
 	m.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.Configuration()) })
--- a/internal/proxy/runner/callers.go
+++ b/internal/proxy/runner/callers.go
@@ -40,7 +40,7 @@
 		c.Close()
 		return
 	}
-	s := &executor.Session{Caller: h.NewCaller(c), Board: h.Board, Pools: &h.pools, Observer: &h.observer, RetryBudgets: &h.budgets, KeyWaits: &h.keyWaits, Limiter: &h.quotas, Reporter: h.Reporter, Ready: h.ready, KeysConfirmed: h.keysConfirmed, StopTimes: h.stopTimes}
+	s := &executor.Session{Caller: h.NewCaller(c), Board: h.Board, Pools: &h.pools, Observer: &h.observer, RetryBudgets: &h.budgets, KeyWaits: &h.keyWaits, Limiter: &h.quotas, Reporter: h.Reporter, Ready: h.ready, KeysConfirmed: h.keysConfirmed, StopTimes: h.stopTimes, OnEnd: h.OnSessionEnd}
 	h.mu.Lock()
 	h.sessions[s] = struct{}{}
 	h.mu.Unlock()
--- a/internal/proxy/runner/host.go
+++ b/internal/proxy/runner/host.go
@@ -90,8 +90,10 @@
 	DialQuota  func(ctx context.Context, h declarer.Host) (quotakeeper.Peer, error)
 	ServeQuota func(c net.Conn, k *quotakeeper.Keeper)
 	Reporter   executor.Reporter
-	Counter    Counter
-	Log        log.Interface
+	// OnSessionEnd, if not nil, is called when a caller's session has ended.
+	OnSessionEnd func(executor.SessionEnd)
+	Counter      Counter
+	Log          log.Interface
 
 	pools          pools
 	observer       executor.Observer
