feat(platform): answers that no statement asked for are counted and logged

Callers got the answers of other statements where a backend server answered twice, and the logs showed nothing: neither the bytes that arrive while no statement is pending, nor an answer that has answered a statement before.

Each connection now knows for which statements it awaits answers, and a new package judges every complete answer against the oldest of them: signature, rows, state and position. 'repeated' tells an answer that was sent twice from messages that were split otherwise than meant ('order', 'no-result', new signatures).

No answer is handled otherwise than before.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -82,6 +82,8 @@
 	a.store.OnCall, a.store.OnReceive = m.PlatformCall, x.Received
 	a.feeds.OnReceive = x.Received
 	a.sent = x.Sent
+	d := platform.Dialer{OnMismatch: (&reporter.Mismatches{Log: h.Log, Metrics: m}).Record}
+	h.Transport, h.DialLink = d, d.DialLink
 	h.Counter = m
 	r := &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
 	h.Reporter, h.OnSessionEnd = r, r.SessionEnd
@@ -172,9 +174,7 @@
 		Registrar:         &platform.Registrar{Store: store},
 		Seeds:             &platform.SeedStore{Store: store},
 		ReachHost:         platform.ReachHost,
-		Transport:         platform.Dialer{},
 		ParseStatus:       platform.ParseStatus,
-		DialLink:          platform.DialLink,
 		NewBorrower:       func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
 		Relayer:           &relayer.Relayer{ReadRequest: platform.ReadHostRequest, Dial: platform.DialRaw, Reply: platform.WriteHostReply, Feed: f.serve, Log: l},
 		Self:              declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone, Bandwidth: s.Bandwidth, Strength: appraiser.Strength(s.Cores, s.Bandwidth)},
--- /dev/null
+++ b/internal/proxy/matcher/matcher.go
@@ -0,0 +1,276 @@
+// Package matcher decides which statement an answer of a backend server belongs to.
+//
+// Answers carry no id and arrive in the order of the statements, so that a server that answers a
+// statement twice shifts all answers that follow. What ties an answer to its statement are the
+// signature of a caller's statement, which is new with each run, and the state that must follow.
+package matcher
+
+import (
+	"hash/maphash"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+// Effect is what the success of a statement does to the transaction state of its connection.
+type Effect uint8
+
+// Effects.
+const (
+	// EffectNone leaves the state as it is.
+	EffectNone Effect = iota
+	// EffectBegin opens a transaction.
+	EffectBegin
+	// EffectEnd ends the transaction.
+	EffectEnd
+)
+
+// Request is a statement that was sent.
+type Request struct {
+	// ID and Name, the statement's keyword, describe the statement in logs.
+	ID, Name string
+	// Caller is set for a caller's statement, whose success carries a signature. The proxy's own
+	// statements are answered without one.
+	Caller bool
+	Effect Effect
+	// Leading is set if only the primary accepts the statement: the end of its log never goes back.
+	Leading bool
+	// Row is set if a success of one of the proxy's own statements has a row.
+	Row bool
+}
+
+// Answer is a complete answer.
+type Answer struct {
+	// Ended is set if the answer has a result, which is a success or an error.
+	Ended bool
+	// Signature is that of a success, empty if it has none.
+	Signature []byte
+	Code      declarer.Code
+	Rows      int
+	// Body holds the messages before the state.
+	Body     []byte
+	State    declarer.State
+	Position marker.Mark
+}
+
+// Verdict says which statement an answer belongs to.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// VerdictMatch means that the answer is that of the oldest pending statement.
+	VerdictMatch Verdict = iota
+	// VerdictSurplus means that the answer belongs to none, and that the one of the oldest pending
+	// statement is still to come.
+	VerdictSurplus
+	// VerdictDoubtful means that the answer may belong to the oldest pending statement or to none.
+	VerdictDoubtful
+	// VerdictBroken means that the answer and those that follow can't be told apart.
+	VerdictBroken
+)
+
+const (
+	// rememberedSuccesses is how many signatures a Matcher remembers.
+	rememberedSuccesses = 512
+	// rememberedErrors is how many errors a Matcher remembers.
+	rememberedErrors = 8
+	// errorMemory is for how long an equal error is doubtful.
+	errorMemory = 2 * time.Second
+)
+
+// Matcher judges the answers of one connection. Its fields are set before use.
+type Matcher struct {
+	// Relayed is set if another host judges the server's answers. Errors are not doubtful then: that
+	// host answers with equal errors itself.
+	Relayed bool
+	// State is the transaction state after the last answer that matched.
+	State declarer.State
+
+	pending   []Request
+	successes []success
+	// next is the index in successes that is overwritten next.
+	next   int
+	errors [rememberedErrors]failure
+	// nextError is the index in errors that is overwritten next.
+	nextError int
+	position  marker.Mark
+}
+
+// success is a success that matched a statement. Its hashes are those of the signature and the body.
+type success struct {
+	signature, body uint64
+	caller          bool
+	at              time.Time
+}
+
+// failure is an error that matched a statement.
+type failure struct {
+	body uint64
+	at   time.Time
+}
+
+// seed is that of all hashes in this process.
+var seed = maphash.MakeSeed()
+
+// Expect adds a statement that was sent.
+func (m *Matcher) Expect(r Request) { m.pending = append(m.pending, r) }
+
+// Pending returns how many statements haven't been answered.
+func (m *Matcher) Pending() int { return len(m.pending) }
+
+// Oldest returns the oldest pending statement, false if there is none.
+func (m *Matcher) Oldest() (Request, bool) {
+	if len(m.pending) == 0 {
+		return Request{}, false
+	}
+	return m.pending[0], true
+}
+
+// Accept records the answer as that of the oldest pending statement.
+func (m *Matcher) Accept(a *Answer, now time.Time) {
+	if len(m.pending) == 0 {
+		return
+	}
+	r := m.pending[0]
+	m.pending = m.pending[:copy(m.pending, m.pending[1:])]
+	m.State = a.State
+	m.position = marker.Max(m.position, a.Position)
+	switch {
+	case a.Code != declarer.CodeNone:
+		m.errors[m.nextError] = failure{body: maphash.Bytes(seed, a.Body), at: now}
+		m.nextError = (m.nextError + 1) % rememberedErrors
+	case len(a.Signature) > 0:
+		m.remember(success{signature: maphash.Bytes(seed, a.Signature), body: maphash.Bytes(seed, a.Body), caller: r.Caller, at: now})
+	}
+}
+
+func (m *Matcher) remember(s success) {
+	if len(m.successes) < rememberedSuccesses {
+		m.successes = append(m.successes, s)
+		return
+	}
+	m.successes[m.next] = s
+	m.next = (m.next + 1) % rememberedSuccesses
+}
+
+// Judgment is a verdict on an answer.
+type Judgment struct {
+	Verdict Verdict
+	Reason  declarer.MismatchReason
+	// First is when the same answer matched a statement, zero unless it did.
+	First time.Time
+}
+
+// Judge judges a complete answer against the oldest pending statement. It changes nothing.
+func (m *Matcher) Judge(a *Answer, now time.Time) Judgment {
+	switch {
+	case !a.Ended && a.Rows == 0:
+		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchNoResult}
+	case !a.Ended:
+		return Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchNoResult}
+	case a.Code != declarer.CodeNone:
+		return m.judgeError(a, now)
+	}
+	r, ok := m.Oldest()
+	if j, known := m.judgeSignature(a, r.Caller); known {
+		return j
+	}
+	switch {
+	case !ok:
+		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchUnrequested}
+	case r.Caller:
+		return m.judgeCallers(a, r)
+	}
+	return m.judgeOwn(a, r)
+}
+
+// judgeSignature judges a success whose signature has matched a statement before.
+func (m *Matcher) judgeSignature(a *Answer, caller bool) (j Judgment, known bool) {
+	if len(a.Signature) == 0 {
+		return j, false
+	}
+	h := maphash.Bytes(seed, a.Signature)
+	for i := range m.successes {
+		s := &m.successes[i]
+		if s.signature != h || !s.caller && !caller {
+			continue
+		}
+		j = Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchInterleaved, First: s.at}
+		if s.body == maphash.Bytes(seed, a.Body) {
+			j.Verdict, j.Reason = VerdictSurplus, declarer.MismatchRepeated
+		}
+		return j, true
+	}
+	return j, false
+}
+
+// judgeCallers judges a success in place of the answer to a caller's statement.
+func (m *Matcher) judgeCallers(a *Answer, r Request) Judgment {
+	switch {
+	case len(a.Signature) == 0 && a.Rows > 0:
+		return Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchUnsigned}
+	case len(a.Signature) == 0:
+		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchUnsigned}
+	case a.State != m.after(r):
+		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchState}
+	}
+	return Judgment{}
+}
+
+// judgeOwn judges a success in place of the answer to one of the proxy's own statements. A new
+// signature shows that an answer before it was not that of the caller's statement.
+func (m *Matcher) judgeOwn(a *Answer, r Request) Judgment {
+	v := VerdictSurplus
+	if len(a.Signature) > 0 {
+		v = VerdictBroken
+	}
+	switch {
+	case a.State != m.after(r):
+		return Judgment{Verdict: v, Reason: declarer.MismatchState}
+	case r.Row != (a.Rows > 0):
+		return Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchRows}
+	case r.Leading && !a.Position.IsZero() && !a.Position.Covers(m.position):
+		return Judgment{Verdict: v, Reason: declarer.MismatchPosition}
+	}
+	return Judgment{}
+}
+
+// judgeError judges an error. Errors carry nothing that ties them to their statements.
+func (m *Matcher) judgeError(a *Answer, now time.Time) Judgment {
+	first := m.errorSeen(a, now)
+	switch {
+	case a.Rows > 0 && (a.Code.NotRun() || !first.IsZero()):
+		return Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchInterleaved, First: first}
+	case len(m.pending) == 0:
+		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchUnrequested, First: first}
+	case a.State == declarer.StateTransaction && m.State != declarer.StateTransaction:
+		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchState, First: first}
+	case !first.IsZero() && !m.Relayed:
+		return Judgment{Verdict: VerdictDoubtful, Reason: declarer.MismatchEqualError, First: first}
+	}
+	return Judgment{}
+}
+
+// errorSeen returns when an equal error has last matched a statement, zero if none has lately.
+func (m *Matcher) errorSeen(a *Answer, now time.Time) time.Time {
+	var t time.Time
+	h := maphash.Bytes(seed, a.Body)
+	for _, e := range m.errors {
+		if e.body == h && now.Sub(e.at) < errorMemory && e.at.After(t) {
+			t = e.at
+		}
+	}
+	return t
+}
+
+// after returns the state after a success of the statement.
+func (m *Matcher) after(r Request) declarer.State {
+	switch r.Effect {
+	case EffectBegin:
+		return declarer.StateTransaction
+	case EffectEnd:
+		return declarer.StateIdle
+	}
+	return m.State
+}
--- /dev/null
+++ b/internal/proxy/matcher/matcher_test.go
@@ -0,0 +1,146 @@
+package matcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/group/marker"
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+)
+
+var (
+	callers = Request{ID: "a", Name: "READ", Caller: true}
+	commit  = Request{ID: "a", Name: "COMMIT", Caller: true, Effect: EffectEnd}
+	begin   = Request{Name: "BEGIN", Effect: EffectBegin, Leading: true}
+	end     = Request{Name: "ROLLBACK", Effect: EffectEnd}
+	set     = Request{Name: "SET"}
+	status  = Request{Name: "STATUS", Row: true}
+)
+
+func at(n uint64) marker.Mark { return marker.Mark{Term: 1, Position: marker.Position(n)} }
+
+// read returns the signed answer to a read.
+func read(signature, row string, s declarer.State) Answer {
+	return Answer{Ended: true, Signature: []byte(signature), Rows: 1, Body: []byte("ROW " + row + "DONE " + signature), State: s, Position: at(5)}
+}
+
+// done returns the answer to one of the proxy's own statements.
+func done(s declarer.State) Answer {
+	return Answer{Ended: true, Body: []byte("DONE -"), State: s, Position: at(5)}
+}
+
+func failed(c declarer.Code, s declarer.State) Answer {
+	return Answer{Ended: true, Code: c, Body: []byte{byte(c)}, State: s, Position: at(5)}
+}
+
+// Each answer is judged after a read "one" was answered and an error BUSY, in the state of the row. Guards
+// against an answer that is taken for that of another statement, and against a true answer that isn't taken.
+func TestJudge(t *testing.T) {
+	const idle, open, broken = declarer.StateIdle, declarer.StateTransaction, declarer.StateFailed
+	old := read("s1", "one", idle)
+	torn := read("s1", "two", idle)
+	rows := Answer{Rows: 1, Body: []byte("ROW x"), State: idle}
+	bare := Answer{State: idle}
+	errorAfterRow := failed(declarer.CodeReadOnly, idle)
+	errorAfterRow.Rows = 1
+	back := done(open)
+	back.Position = at(4)
+	row := done(idle)
+	row.Rows = 1
+	for name, c := range map[string]struct {
+		request Request
+		answer  Answer
+		before  declarer.State
+		want    Verdict
+	}{
+		"an answer to a read":                     {request: callers, answer: read("s2", "two", idle)},
+		"in a transaction":                        {request: callers, answer: read("s2", "two", open), before: open},
+		"a commit":                                {request: commit, answer: Answer{Ended: true, Signature: []byte("s2"), State: idle}, before: open},
+		"a begin":                                 {request: begin, answer: done(open)},
+		"a rollback":                              {request: end, answer: done(idle), before: open},
+		"a rollback in a failed transaction":      {request: end, answer: done(idle), before: broken},
+		"a setting":                               {request: set, answer: done(idle)},
+		"a setting in a transaction":              {request: set, answer: done(open), before: open},
+		"a status":                                {request: status, answer: row},
+		"an own success with a signature":         {request: set, answer: Answer{Ended: true, Signature: []byte("s-"), State: idle}},
+		"an error":                                {request: callers, answer: failed(declarer.CodeReadOnly, idle)},
+		"an error that fails the transaction":     {request: callers, answer: failed(declarer.CodeReadOnly, broken), before: open},
+		"an earlier answer":                       {request: callers, answer: old, want: VerdictSurplus},
+		"an earlier answer to a setting":          {request: set, answer: old, want: VerdictSurplus},
+		"an earlier signature with another row":   {request: callers, answer: torn, want: VerdictBroken},
+		"a caller's success without signature":    {request: callers, answer: done(idle), want: VerdictSurplus},
+		"a row without signature":                 {request: callers, answer: row, want: VerdictBroken},
+		"a commit that stays open":                {request: commit, answer: read("s2", "two", open), before: open, want: VerdictSurplus},
+		"a read that ends the transaction":        {request: callers, answer: read("s2", "two", idle), before: open, want: VerdictSurplus},
+		"a begin that opens nothing":              {request: begin, answer: done(idle), want: VerdictSurplus},
+		"a begin on a log that went back":         {request: begin, answer: back, want: VerdictSurplus},
+		"a rollback that ends nothing":            {request: end, answer: done(open), before: open, want: VerdictSurplus},
+		"a new signature in place of a begin":     {request: begin, answer: read("s2", "two", idle), want: VerdictBroken},
+		"a row in place of a setting":             {request: set, answer: row, want: VerdictBroken},
+		"a status without a row":                  {request: status, answer: done(idle), want: VerdictBroken},
+		"a bare state":                            {request: callers, answer: bare, want: VerdictSurplus},
+		"rows without a result":                   {request: callers, answer: rows, want: VerdictBroken},
+		"an error that promises no run, with row": {request: callers, answer: errorAfterRow, want: VerdictBroken},
+		"an error that opens a transaction":       {request: callers, answer: failed(declarer.CodeReadOnly, open), want: VerdictSurplus},
+		"an equal error":                          {request: callers, answer: failed(declarer.CodeBusy, idle), want: VerdictDoubtful},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			m := newMatcher(old, now)
+			m.State = c.before
+			m.Expect(c.request)
+			if j := m.Judge(&c.answer, now); j.Verdict != c.want {
+				t.Errorf("verdict %d, reason %s, want %d", j.Verdict, j.Reason, c.want)
+			}
+		})
+	}
+}
+
+// newMatcher returns a Matcher after a read and a statement that failed with BUSY.
+func newMatcher(first Answer, now time.Time) *Matcher {
+	m := &Matcher{}
+	busy := failed(declarer.CodeBusy, declarer.StateIdle)
+	for _, a := range []*Answer{&first, &busy} {
+		m.Expect(callers)
+		m.Accept(a, now)
+	}
+	return m
+}
+
+// Guards against a confirmation for each error of a server that is busy all the time, and against one for
+// the refusals of another host.
+func TestEqualErrorsAreDoubtfulForAWhile(t *testing.T) {
+	now := time.Now()
+	busy := failed(declarer.CodeBusy, declarer.StateIdle)
+	m := newMatcher(read("s1", "one", declarer.StateIdle), now)
+	m.Expect(callers)
+	if j := m.Judge(&busy, now.Add(errorMemory)); j.Verdict != VerdictMatch {
+		t.Errorf("verdict %d after %s", j.Verdict, errorMemory)
+	}
+	m.Relayed = true
+	if j := m.Judge(&busy, now); j.Verdict != VerdictMatch {
+		t.Errorf("verdict %d on a link", j.Verdict)
+	}
+}
+
+// Guards against a memory that grows with the answers of a connection.
+func TestSignaturesAreRememberedUpToABound(t *testing.T) {
+	m := &Matcher{}
+	now := time.Now()
+	for i := range 3 * rememberedSuccesses {
+		a := read(time.Duration(i).String(), "x", declarer.StateIdle)
+		m.Expect(callers)
+		if j := m.Judge(&a, now); j.Verdict != VerdictMatch {
+			t.Fatalf("answer %d: %s", i, j.Reason)
+		}
+		m.Accept(&a, now)
+	}
+	if n := len(m.successes); n != rememberedSuccesses {
+		t.Errorf("%d remembered", n)
+	}
+	a := read(time.Duration(3*rememberedSuccesses-rememberedSuccesses).String(), "x", declarer.StateIdle)
+	m.Expect(callers)
+	if j := m.Judge(&a, now); j.Verdict != VerdictSurplus {
+		t.Error("the oldest that should be remembered isn't")
+	}
+}
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -27,6 +27,7 @@
 	promotions *prometheus.CounterVec
 	losses     *prometheus.CounterVec
 	unadmitted *prometheus.CounterVec
+	mismatches *prometheus.CounterVec
 	calls      *prometheus.CounterVec
 	phases     *prometheus.HistogramVec
 	received   *prometheus.CounterVec
@@ -84,7 +85,8 @@
 	m.sent = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_sent_bytes_total", Help: "Bytes of answers to other entry hosts, by kind of object and result: whole or cut."}, []string{"kind", "result"})
 	m.transfers = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "platform_transfer_seconds", Help: "Time from an answer's first byte to its last, by direction (received, sent) and kind of object.", Buckets: buckets}, []string{"direction", "kind"})
 	m.unadmitted = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "not_admitted_total", Help: "Requests that were refused without a round trip, as the owner of the server's connections would have refused them, by the priority of the route."}, []string{"priority"})
-	m.Registry.MustRegister(m.received, m.sent, m.transfers, m.customers, m.unadmitted, m.held, m.ends)
+	m.mismatches = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "mismatched_answers_total", Help: "Answers of backend servers, and parts of answers, that were not those of the statements that they came for, by reason."}, []string{"reason"})
+	m.Registry.MustRegister(m.mismatches, m.received, m.sent, m.transfers, m.customers, m.unadmitted, m.held, m.ends)
 	m.Registry.MustRegister(m.calls, m.phases, m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
 	m.gauge("sessions", "Sessions that are served.", func() float64 { return float64(g.Sessions()) })
 	m.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.Configuration()) })
@@ -142,6 +144,11 @@
 	m.unadmitted.WithLabelValues(priorities[priority]).Inc()
 }
 
+// Mismatch counts an answer that wasn't that of the statement that it came for.
+func (m *Metrics) Mismatch(r declarer.MismatchReason) {
+	m.mismatches.WithLabelValues(r.String()).Inc()
+}
+
 // PlatformCall counts a call to the platform.
 func (m *Metrics) PlatformCall(method, kind, result string) {
 	m.calls.WithLabelValues(method, kind, result).Inc()
