test(soak): answers belong to their statements

Users saw answers that weren't the caller's own, statements on connections with other values or in other transactions, and statements that nobody sent. No soak could show it: servers answered once, texts were plain, signatures named the id only, and the stand-ins split lines as the product does.

- Servers take texts apart as the protocol says, sign each run uniquely, answer statements of entry hosts with DONE -, and record what they ran: id, text, shape, values, connection, transaction, signature and rows.
- Servers that stutter repeat 2% of their answers up to 500 ms later, some in the middle of the next answer, some signed anew.
- Callers send texts with odd bytes and several statements at once, leave in the middle, and record what they sent and received.
- The checker counts mixed, pinned and unasked; each has cases in TestCheckStatements that break it.
The servers' finding "mixed" is named "transaction".

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -3,7 +3,6 @@
 package caller
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cuminwick/cuminwick/internal/soak/checker"
+	"github.com/cuminwick/cuminwick/internal/soak/framer"
 )
 
 const (
@@ -52,11 +52,24 @@
 	Random *rand.Rand
 	// MaximumPause is the maximum pause between two operations, zero for none.
 	MaximumPause time.Duration
+	// OddPercent is the share of operations whose texts hold odd bytes, PipelinePercent that of statements sent
+	// several at once.
+	OddPercent, PipelinePercent int
 
 	conn  net.Conn
-	lines *bufio.Reader
+	lines *framer.Reader
 	// statements is the number of statements sent; it is the second part of a statement's id.
 	statements int
+	// outstanding holds the statements without an answer yet, in the order in which they were sent.
+	outstanding []*checker.Statement
+	// values and prepared are the session's values and prepared statements, by name.
+	values   map[string]string
+	prepared map[string]prepared
+	// transactions is the number of transactions begun, transaction the number of the open one, zero without
+	// one.
+	transactions, transaction int
+	// state is that of the last answer.
+	state string
 	// tx is the open transaction, or the zero value.
 	tx transaction
 }
@@ -77,6 +90,9 @@
 // answer.
 const errCallerDisconnected = errors.ConstError("caller left")
 
+// errRefused is returned after a statement that changes the session and failed.
+const errRefused = errors.ConstError("session not changed")
+
 // errHostStopping is returned after a refusal with which a stopping host ends the session.
 const errHostStopping = errors.ConstError("host is stopping")
 
@@ -87,7 +103,7 @@
 	if err != nil {
 		return false, err
 	}
-	s.conn, s.lines = c, bufio.NewReader(c)
+	s.conn, s.lines = c, framer.New(c)
 	c.SetDeadline(time.Now().Add(answerTimeout))
 	key := s.Key
 	if key == "" {
@@ -96,7 +112,7 @@
 	if _, err := fmt.Fprintf(c, "STARTUP %s %s\r\n", s.Database, key); err != nil {
 		return false, err
 	}
-	l, err := s.line()
+	l, err := s.lines.Next()
 	switch {
 	case err != nil:
 		return false, err
@@ -135,8 +151,12 @@
 			s.recordWrites(checker.OutcomeNotRun) // no COMMIT was sent
 			return
 		}
+		pause := time.Duration(0)
 		if s.MaximumPause > 0 {
-			time.Sleep(time.Duration(s.Random.Int64N(int64(s.MaximumPause))))
+			pause = time.Duration(s.Random.Int64N(int64(s.MaximumPause)))
+		}
+		if s.state != stateIdle || s.rest(pause) != nil {
+			return
 		}
 	}
 	_, _ = fmt.Fprint(s.conn, "BYE\r\n")
@@ -165,6 +185,12 @@
 // operate carries out one random operation: a write, a transaction, or a read, which may use the
 // prepared statement.
 func (s *Session) operate() error {
+	if s.chance(s.PipelinePercent) {
+		return s.pipeline()
+	}
+	if s.chance(s.OddPercent) {
+		return s.operateOdd()
+	}
 	item := fmt.Sprintf("x%d", s.Random.IntN(items))
 	switch s.Random.IntN(8) {
 	case 0, 1:
@@ -210,17 +236,20 @@
 // ask sends one statement and waits for its answer, unless the session disconnects at random. It
 // records a connection that broke meanwhile.
 func (s *Session) ask(text string) (answer, error) {
-	s.statements++
-	id := fmt.Sprintf("%s.%d", s.Name, s.statements)
 	sent := time.Now()
-	s.conn.SetDeadline(sent.Add(answerTimeout))
-	if _, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", id, text); err != nil {
+	if s.send(text) != nil {
 		return answer{}, errConnectionBroken
 	}
 	if s.Random.IntN(100) < disconnectPercent && s.disconnect(text) {
 		return answer{}, errCallerDisconnected
 	}
-	a, err := s.await(id, text, sent)
+	return s.receive(sent)
+}
+
+// receive waits for the answer to the first outstanding statement, which was sent at the given time.
+func (s *Session) receive(sent time.Time) (answer, error) {
+	id := s.outstanding[0].ID
+	a, err := s.await(sent)
 	if err != nil {
 		x := checker.Disconnect{Host: s.Host.Name, ID: id, Sent: sent, StatementSent: sent, Ended: time.Now()}
 		if s.tx.open {
@@ -250,35 +279,44 @@
 	return true
 }
 
-// await reads the answer. It records an unexpected answer if the signature of the server is not the
-// one of this statement.
-func (s *Session) await(id, text string, sent time.Time) (answer, error) {
+// await reads the answer to the first outstanding statement. It records an unexpected answer if the signature of
+// the server is not the one of this statement.
+func (s *Session) await(sent time.Time) (answer, error) {
 	var a answer
-	signature := ""
+	x := s.outstanding[0]
 	for {
-		l, err := s.line()
+		l, err := s.lines.Next()
 		if err != nil {
 			return a, err
 		}
 		keyword, rest, _ := strings.Cut(l, " ")
 		switch keyword {
 		case "ROW":
-			a.row = rest
+			x.Rows = append(x.Rows, rest)
 		case "DONE":
-			signature = rest
+			x.Signature = rest
 		case "ERR":
 			a.code, _, _ = strings.Cut(rest, " ")
 			if a.held = strings.Contains(rest, heldText); a.held {
-				s.recordHeld(id, rest, sent)
+				s.recordHeld(x.ID, rest, sent)
 			}
 			a.stopping = strings.Contains(rest, stoppingText)
 		case "READY":
-			if a.code == "" && signed(text) && signature != "sig."+id {
+			if a.code == "" && signed(x.Text) && !strings.HasPrefix(x.Signature, "sig."+x.ID+".") {
 				s.Recorder.Update(func(h *checker.History) {
-					h.UnexpectedAnswers = append(h.UnexpectedAnswers, fmt.Sprintf("strange: %s (%s) got the answer %q", id, text, signature))
+					h.UnexpectedAnswers = append(h.UnexpectedAnswers, fmt.Sprintf("strange: %s (%.100q) got the answer %q", x.ID, x.Text, x.Signature))
 				})
 			}
+			if len(x.Rows) > 0 {
+				a.row = x.Rows[0]
+			}
+			s.state, _, _ = strings.Cut(rest, " ")
+			s.recordAnswer(a.code)
 			return a, nil
+		default:
+			s.Recorder.Update(func(h *checker.History) {
+				h.UnexpectedAnswers = append(h.UnexpectedAnswers, fmt.Sprintf("strange: %s (%.100q) got the message %.100q", x.ID, x.Text, l))
+			})
 		}
 	}
 }
@@ -290,12 +328,6 @@
 	return keyword == "READ" || keyword == "WRITE" || keyword == "EXEC" || keyword == "COMMIT"
 }
 
-// line reads one line without its end.
-func (s *Session) line() (string, error) {
-	l, err := s.lines.ReadString('\n')
-	return strings.TrimRight(l, "\r\n"), err
-}
-
 // outcome returns the outcome of a write that got the answer. Only the listed error codes say that
 // it did not run.
 func outcome(a answer, err error) checker.Outcome {
@@ -313,9 +345,13 @@
 }
 
 // write makes one write outside a transaction and records its outcome.
-func (s *Session) write(item string) error {
+func (s *Session) write(item string) error { return s.writeWith("WRITE", item) }
+
+// writeWith makes one write outside a transaction, with a text that starts with the command, and records its
+// outcome.
+func (s *Session) writeWith(command, item string) error {
 	w := checker.Write{Session: s.Name, Item: item, Value: s.Recorder.nextValue()}
-	a, err := s.ask(fmt.Sprintf("WRITE %s %d", item, w.Value))
+	a, err := s.ask(command + " " + item + " " + s.data(w.Value))
 	w.ID = fmt.Sprintf("%s.%d", s.Name, s.statements)
 	w.Outcome, w.Answered = outcome(a, err), time.Now()
 	s.Recorder.Update(func(h *checker.History) { h.Writes = append(h.Writes, w) })
@@ -358,7 +394,7 @@
 	defer func() { s.tx = transaction{} }()
 	for range 2 {
 		w := checker.Write{Session: s.Name, Item: item, Value: s.Recorder.nextValue()}
-		a, err := s.ask(fmt.Sprintf("WRITE %s %d", item, w.Value))
+		a, err := s.ask("WRITE " + item + " " + s.data(w.Value))
 		w.ID = fmt.Sprintf("%s.%d", s.Name, s.statements)
 		s.tx.writes = append(s.tx.writes, w)
 		if err != nil || a.code != "" {
@@ -367,7 +403,9 @@
 		if err := s.read("READ "+item, item); err != nil {
 			return s.rollBack(err)
 		}
-		time.Sleep(time.Duration(s.Random.IntN(maximumThinkTimeMilliseconds)) * time.Millisecond)
+		if err := s.rest(time.Duration(s.Random.IntN(maximumThinkTimeMilliseconds)) * time.Millisecond); err != nil {
+			return s.rollBack(err)
+		}
 	}
 	if s.Random.IntN(4) == 0 {
 		return s.rollBack(nil)
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -72,6 +72,26 @@
 	Answered time.Time
 }
 
+// Statement is a statement that a caller sent.
+type Statement struct {
+	// ID starts with the name of the session and a dot.
+	ID, Text string
+	// Transaction is the number of the session's open transaction, zero without one.
+	Transaction int
+	// Values are the session's values that were acknowledged before.
+	Values map[string]string
+	// Mode and Shape are those that the session prepared under the name of an execution, Arguments what
+	// followed the name.
+	Mode, Shape, Arguments string
+	// Uncertain is set if a statement sent before in the same write failed, so that Transaction, Values, Mode
+	// and Shape don't hold.
+	Uncertain bool
+	// Answered is set once the whole answer was received. Code is that of an error.
+	Answered        bool
+	Code, Signature string
+	Rows            []string
+}
+
 // Disconnect is a connection that broke, or timed out, while its caller waited for an answer.
 type Disconnect struct {
 	Host string
@@ -148,6 +168,9 @@
 	// PlannedOnly is set if nothing but planned work has disturbed the hosts.
 	PlannedOnly bool
 	Held        []HeldAnswer
+	Statements  []*Statement
+	// Surplus describes messages that were received while no request was outstanding.
+	Surplus []string
 	// UnexpectedAnswers describes answers that do not match their request.
 	UnexpectedAnswers []string
 }
@@ -167,6 +190,7 @@
 	}
 	c.configurationProbes()
 	c.stops()
+	c.statements()
 	return c.violations
 }
 
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -67,7 +67,7 @@
 	twice := committed("a")
 	twice.Commits["a"] = 2
 	reported := committed()
-	reported.Violations = []string{"mixed: b.1 runs in a transaction of a"}
+	reported.Violations = []string{"transaction: b.1 runs in a transaction of a"}
 	for name, x := range map[string]struct {
 		history History
 		truth   replicator.Truth
@@ -90,7 +90,7 @@
 		"misses a commit beyond the staleness":               {history: History{Writes: []Write{acknowledged("a", "s", 1, 0)}, Reads: read(FreshnessBoundedStaleness, "o", 0, 1001), Staleness: time.Second}, truth: committed("a"), want: "stale: r"},
 		"misses a commit of its own session":                 {history: History{Writes: []Write{acknowledged("a", "s", 1, 0)}, Reads: read(FreshnessReadYourWrites, "s", 0, 5), Staleness: time.Second}, truth: committed("a"), want: "stale: r"},
 		"may miss another session's commit":                  {history: History{Writes: []Write{acknowledged("a", "s", 1, 0)}, Reads: read(FreshnessReadYourWrites, "o", 0, 5), Staleness: time.Second}, truth: committed("a")},
-		"reported by a server":                               {truth: reported, want: "mixed: b.1"},
+		"reported by a server":                               {truth: reported, want: "transaction: b.1"},
 		"answer to another statement":                        {history: History{UnexpectedAnswers: []string{"strange: a got the answer to b"}}, truth: committed(), want: "strange: a"},
 		"configuration is applied":                           {history: History{ConfigurationProbes: []ConfigurationProbe{{Host: "h", Version: 2, Sent: at(0), Answered: at(1)}, {Host: "h", Version: 2, Found: true, Sent: at(2), Answered: at(3)}}}, truth: committed()},
 		"configuration is reverted":                          {history: History{ConfigurationProbes: []ConfigurationProbe{{Host: "h", Version: 2, Found: true, Sent: at(0), Answered: at(1)}, {Host: "h", Version: 2, Sent: at(2), Answered: at(3)}}}, truth: committed(), want: "reverted: h"},
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -77,3 +77,23 @@
 		t.Errorf("%d stops at once in 50 seeds", atOnce)
 	}
 }
+
+// Some servers must answer twice and some must not, or the soak would not tell them apart.
+func TestStutters(t *testing.T) {
+	for seed := range uint64(50) {
+		p := Stutters(seed, 10*time.Second, 6)
+		if !slices.Equal(p, Stutters(seed, 10*time.Second, 6)) {
+			t.Fatalf("seed %d gives different plans", seed)
+		}
+		targets := make(map[int]bool)
+		for _, f := range p {
+			targets[f.Target] = true
+			if f.At+f.Duration != 10*time.Second || f.Duration < 5*time.Second {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+		if len(targets) != 4 || len(p) != 4 {
+			t.Errorf("seed %d: %d of 6 servers", seed, len(targets))
+		}
+	}
+}
--- a/internal/soak/replicator/log.go
+++ b/internal/soak/replicator/log.go
@@ -1,6 +1,9 @@
 package replicator
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // position returns the end of the server's log as term and index. The index starts at 1, so that no
 // position is zero.
@@ -14,16 +17,23 @@
 	return term <= s.term && len(s.log)+1 >= n
 }
 
-// latest returns the highest value of the item in the log and in own, zero without one. Each write has
-// a higher value than those before, so the highest value is that of the latest write.
-func (s *Server) latest(item string, own []Record) int {
-	v := 0
+// latest returns the rows of a read of the item: the data with the highest value in the log and in own, "0"
+// without one, and further rows for an item with odd bytes. Each write has a higher value than those
+// before, so the highest value is that of the latest write.
+func (s *Server) latest(item string, own []Record) []string {
+	v := Record{Data: "0"}
 	for _, l := range [][]Record{s.log, own} {
 		for _, r := range l {
-			if r.Item == item {
-				v = max(v, r.Value)
+			if r.Item == item && r.Value >= v.Value {
+				v = r
 			}
 		}
 	}
-	return v
+	if strings.HasPrefix(item, OddItem) {
+		return []string{v.Data, item, "", "x\nDONE sig\nREADY I -\r", "\x00 \xff  "}
+	}
+	return []string{v.Data}
 }
+
+// OddItem is the beginning of the names of items whose reads have rows with odd bytes.
+const OddItem = "o"
--- a/internal/soak/replicator/replication.go
+++ b/internal/soak/replicator/replication.go
@@ -56,18 +56,16 @@
 
 // command carries out a command about the replication, with a term that must be above the newest one. The
 // caller holds the mutex.
-func (g *Group) command(s *Server, f []string) {
+func (g *Group) command(s *Server, x statement) {
 	var term uint64
-	if len(f) > 1 {
-		_, _ = fmt.Sscan(f[1], &term)
-	}
+	_, _ = fmt.Sscan(x.argument, &term)
 	newer := term > g.primary.term
 	switch {
-	case f[0] == "DEMOTE" && newer && g.leads(s):
+	case x.keyword == "DEMOTE" && newer && g.leads(s):
 		g.demoted = true
-	case f[0] == "PAUSE" && newer && !g.leads(s):
+	case x.keyword == "PAUSE" && newer && !g.leads(s):
 		s.paused = term
-	case f[0] == "RESUME":
+	case x.keyword == "RESUME":
 		s.paused = 0
 	}
 	g.changed.Broadcast()
--- a/internal/soak/replicator/replicator.go
+++ b/internal/soak/replicator/replicator.go
@@ -21,6 +21,8 @@
 	ID    string
 	Item  string
 	Value int
+	// Data is the text that was written; Value is the number at its beginning.
+	Data string
 }
 
 // Server is one server of the group. The group's mutex guards its fields.
@@ -34,8 +36,8 @@
 	log     []Record
 	// paused is the term of the server's pause, zero if it receives.
 	paused uint64
-	// down, mute and deaf are the current faults, see ServerFault.
-	down, mute, deaf bool
+	// down, mute, deaf and stutters are the current faults, see ServerFault.
+	down, mute, deaf, stutters bool
 }
 
 // Group is a database group. Its exported fields are set before use.
@@ -50,6 +52,8 @@
 	// Synchronous is how many replicas must have a write before it is acknowledged. If it isn't zero, each
 	// replica receives after a while of its own.
 	Synchronous int
+	// Seed decides which answers are repeated.
+	Seed uint64
 	// Customer returns the customer of a session, whose name its connections must have. It is nil if
 	// callers are not identified.
 	Customer func(session string) string
@@ -75,6 +79,10 @@
 	// operations holds by customer when each operation ran: a statement outside a transaction, or the
 	// first one of a transaction.
 	operations map[string][]time.Time
+	// executions are the runs of all statements, numbers the last number that number returned.
+	executions []*Execution
+	numbers    int
+	answers    AnswerCount
 }
 
 // ErrPromotionRefused is returned for a promotion of an unknown server, of one that is down, or with
@@ -126,8 +134,8 @@
 // ServerFault is the faults of a server; the zero value is none.
 type ServerFault struct {
 	// Down is a server that does not run, Mute one that accepts statements and answers none, Deaf a
-	// replica that receives no replication.
-	Down, Mute, Deaf bool
+	// replica that receives no replication, Stutters one that sends some answers twice.
+	Down, Mute, Deaf, Stutters bool
 }
 
 // SetFault replaces the faults of a server; the zero value ends them.
@@ -137,7 +145,7 @@
 	if x.Down {
 		s.paused = 0
 	}
-	s.down, s.mute, s.deaf = x.Down, x.Mute, x.Deaf
+	s.down, s.mute, s.deaf, s.stutters = x.Down, x.Mute, x.Deaf, x.Stutters
 	g.changed.Broadcast()
 }
 
@@ -228,6 +236,8 @@
 	Violations []string
 	// Runs holds by id when each caller's statement last ran.
 	Runs map[string]Run
+	// Executions are the runs of all statements, those of entry hosts too.
+	Executions []Execution
 	// Synchronous is set if no acknowledged write may be rolled back.
 	Synchronous bool
 }
@@ -242,6 +252,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := Truth{Log: slices.Clone(g.primary.log), Commits: make(map[string]int), Dropped: make(map[string]bool), Violations: slices.Clone(g.violations), Synchronous: g.Synchronous > 0, Runs: maps.Clone(g.runs)}
+	for _, e := range g.executions {
+		t.Executions = append(t.Executions, *e)
+	}
 	for k, v := range g.commits {
 		t.Commits[k] = v
 	}
--- a/internal/soak/runner/faults_test.go
+++ b/internal/soak/runner/faults_test.go
@@ -58,7 +58,7 @@
 			defer h.faultLock.Unlock()
 			x.host(h)
 		}
-	case planner.KindPrimaryCrash, planner.KindPrimaryBlink, planner.KindServerMute, planner.KindServerSilence, planner.KindReplicaDeaf:
+	case planner.KindPrimaryCrash, planner.KindPrimaryBlink, planner.KindServerMute, planner.KindServerSilence, planner.KindReplicaDeaf, planner.KindStutter:
 		x.lockServer(x.targetServer(), x.server)
 	case planner.KindServerRefuses, planner.KindServerUnheard:
 		x.lockServer(x.targetServer(), x.path)
@@ -154,6 +154,9 @@
 // any server of the group otherwise. It returns nil if there is none.
 func (x *injection) targetServer() *server {
 	d := x.injector.deployment
+	if x.fault.Kind == planner.KindStutter {
+		return d.servers[x.fault.Target%len(d.servers)]
+	}
 	g := d.groups[x.fault.Target%groups]
 	first := x.fault.Target % groups * serversPerGroup
 	l := d.servers[first : first+serversPerGroup]
@@ -184,6 +187,10 @@
 		g.SetFault(s.Server, replicator.ServerFault{Deaf: true})
 		time.Sleep(x.fault.Duration)
 		g.SetFault(s.Server, replicator.ServerFault{})
+	case planner.KindStutter:
+		g.SetFault(s.Server, replicator.ServerFault{Stutters: true})
+		time.Sleep(x.fault.Duration)
+		g.SetFault(s.Server, replicator.ServerFault{})
 	case planner.KindServerSilence:
 		s.Silence()
 	}
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -77,6 +77,9 @@
 	if s.staying {
 		t.Log(s.stopSummary())
 	}
+	if s.calm > 0 {
+		t.Log(s.answerSummary(findings))
+	}
 	if len(findings) == 0 {
 		os.RemoveAll(directory)
 		return
@@ -84,8 +87,8 @@
 	for _, f := range s.plan {
 		t.Log(f)
 	}
-	const maximumFindings = 20
-	for _, f := range findings[:min(maximumFindings, len(findings))] {
+	const maximumFindings = 40
+	for _, f := range sample(findings, maximumFindings) {
 		t.Error(f)
 	}
 	t.Logf("%d findings, logs in %s", len(findings), directory)
@@ -124,6 +127,10 @@
 	plan       []planner.Fault
 	// staying is set if callers keep their sessions and some also open them at hosts out of rotation.
 	staying bool
+	// calm is the minimum time until callers stop, beside the faults of the plan.
+	calm time.Duration
+	// oddPercent and pipelinePercent are those of the callers' sessions.
+	oddPercent, pipelinePercent int
 
 	mu sync.Mutex
 	// sessions is the number of sessions made, from which their names are derived.
@@ -211,6 +218,7 @@
 		go (&injection{injector: s.injector, fault: f}).run(&g)
 	}
 	g.Wait()
+	time.Sleep(time.Until(began.Add(s.calm)))
 }
 
 // stop stops one host as planned while no other fault is active.
@@ -258,6 +266,7 @@
 	return &caller.Session{
 		Name: n, Key: s.deployment.key(n), Host: h.Host, Database: x.name, Freshness: freshness[x.kind],
 		Recorder: s.deployment.recorders[x.group], Random: rand.New(rand.NewPCG(r.Uint64(), 0)),
+		OddPercent: s.oddPercent, PipelinePercent: s.pipelinePercent,
 	}
 }
 
