test(soak): second answers differ by seed, and say whose they are

A second answer that is signed anew can't be told from the answer to a later statement by what it holds, one that is sent unchanged can. Seeds now have servers that repeat answers whole and unchanged only, that also send some in the middle of the next answer, and that also sign some anew, so that a run shows which of these still reach callers. A finding names the statement whose signature was received, and servers' error texts have odd bytes in the seeds with odd texts.

--- a/internal/soak/checker/statements.go
+++ b/internal/soak/checker/statements.go
@@ -27,14 +27,26 @@
 		}
 	}
 	c.transactions(runs)
+	signers := signersOf(c.truth.Executions)
 	for _, s := range c.history.Statements {
-		c.answer(s, runs[s.ID])
+		c.answer(s, runs[s.ID], signers)
 	}
 	for _, x := range c.history.Surplus {
 		c.report("mixed: %s", x)
 	}
 }
 
+// signersOf returns by signature which answer a server signed with it.
+func signersOf(l []replicator.Execution) map[string]string {
+	m := make(map[string]string)
+	for _, e := range l {
+		m[e.SecondSignature] = "the second answer to " + e.ID
+		m[e.Signature] = "the answer to " + e.ID
+	}
+	m[""], m[proxyID] = "none", "a statement of an entry host"
+	return m
+}
+
 // isForwarded reports whether only a server may answer the statement.
 func isForwarded(keyword string) bool {
 	return keyword == "READ" || keyword == "WRITE" || keyword == "EXEC" || keyword == "COMMIT"
@@ -127,7 +139,7 @@
 
 // answer reports a success that no server sent for the statement, and a name that isn't known although its
 // preparing was acknowledged.
-func (c *check) answer(s *Statement, runs []replicator.Execution) {
+func (c *check) answer(s *Statement, runs []replicator.Execution, signers map[string]string) {
 	keyword, _, _ := strings.Cut(s.Text, " ")
 	if !s.Answered || !isForwarded(keyword) {
 		return
@@ -139,6 +151,6 @@
 		return s.Signature != "" && (s.Signature == e.Signature || s.Signature == e.SecondSignature) && slices.Equal(s.Rows, e.Rows)
 	}
 	if s.Code == "" && !slices.ContainsFunc(runs, matches) {
-		c.report("mixed: %s (%.100q) got %.200q with the signature %.100q, no server sent it", s.ID, s.Text, s.Rows, s.Signature)
+		c.report("mixed: %s (%.100q) got %.200q with the signature %.100q, which is that of %.100q", s.ID, s.Text, s.Rows, s.Signature, signers[s.Signature])
 	}
 }
--- a/internal/soak/replicator/connection.go
+++ b/internal/soak/replicator/connection.go
@@ -169,12 +169,17 @@
 }
 
 // refuse returns an error answer.
-func refuse(code string) reply { return reply{code: code, text: "refused"} }
+func (c *connection) refuse(code string) reply {
+	if c.responder.Group.OddErrors {
+		return reply{code: code, text: "refused\nDONE sig\nREADY I -\rx\x00\xff  "}
+	}
+	return reply{code: code, text: "refused"}
+}
 
 // fail returns an error answer and marks an open transaction as failed.
 func (c *connection) fail(code string) reply {
 	c.failed = c.open
-	return refuse(code)
+	return c.refuse(code)
 }
 
 // done returns the answer to a statement that ran, signed if it is a caller's. The caller holds the group's
@@ -237,7 +242,7 @@
 	case "BEGIN":
 		writable := x.mode == ""
 		if writable && !g.leads(s) {
-			return refuse("READONLY")
+			return c.refuse("READONLY")
 		}
 		c.open, c.writable, c.term, c.owner, c.transaction = true, writable, s.term, "", g.number()
 		return c.done(id)
@@ -287,7 +292,7 @@
 func (c *connection) access(id string, x statement) reply {
 	s, g := c.responder.Server, c.responder.Group
 	if c.failed {
-		return refuse("MALFORMED")
+		return c.refuse("MALFORMED")
 	}
 	if x.keyword == "EXEC" {
 		p, ok := c.prepared[x.name]
@@ -318,11 +323,11 @@
 		return c.commit(id, []Record{r})
 	case "COMMIT":
 		if !c.open {
-			return refuse("MALFORMED")
+			return c.refuse("MALFORMED")
 		}
 		if deposed && len(c.written) > 0 {
 			c.end()
-			return refuse("READONLY")
+			return c.refuse("READONLY")
 		}
 		l := c.written
 		c.end()
--- a/internal/soak/replicator/execution.go
+++ b/internal/soak/replicator/execution.go
@@ -13,6 +13,8 @@
 	Mode, Shape, Arguments string
 	// Values are the values that were set on the connection.
 	Values map[string]string
+	// Server is the id of the server.
+	Server string
 	// Connection is the number of the connection, Transaction that of the open transaction, zero without one.
 	Connection, Transaction int
 	// Writes is the number of writes of the open transaction.
@@ -25,7 +27,7 @@
 
 // execution returns the record of a statement that is about to run. The caller holds the group's mutex.
 func (c *connection) execution(id string, x statement) *Execution {
-	e := &Execution{ID: id, Text: x.text, Keyword: x.keyword, Values: maps.Clone(c.values), Connection: c.number, Transaction: c.transaction, Writes: len(c.written)}
+	e := &Execution{ID: id, Text: x.text, Keyword: x.keyword, Values: maps.Clone(c.values), Server: c.responder.Server.ID, Connection: c.number, Transaction: c.transaction, Writes: len(c.written)}
 	if x.keyword == "EXEC" {
 		p := c.prepared[x.name]
 		e.Mode, e.Shape, e.Arguments = p.mode, p.shape, x.argument
--- a/internal/soak/replicator/replicator.go
+++ b/internal/soak/replicator/replicator.go
@@ -52,8 +52,11 @@
 	// Synchronous is how many replicas must have a write before it is acknowledged. If it isn't zero, each
 	// replica receives after a while of its own.
 	Synchronous int
-	// Seed decides which answers are repeated.
-	Seed uint64
+	// Seed decides which answers are repeated, Repetition how.
+	Seed       uint64
+	Repetition Repetition
+	// OddErrors makes the texts of errors hold odd bytes.
+	OddErrors bool
 	// Customer returns the customer of a session, whose name its connections must have. It is nil if
 	// callers are not identified.
 	Customer func(session string) string
--- a/internal/soak/replicator/stutter.go
+++ b/internal/soak/replicator/stutter.go
@@ -12,11 +12,17 @@
 	// maximumStutterDelay.
 	stutterPercent      = 2
 	maximumStutterDelay = 500 * time.Millisecond
-	// cutPercent is the share of second answers that are sent in the middle of the next answer, signAnewPercent
-	// that of those that are signed anew.
-	cutPercent, signAnewPercent = 15, 15
+	// specialPercent is the share of second answers that are cut in, and that of those that are signed anew, where
+	// servers do so.
+	specialPercent = 15
 )
 
+// Repetition is how servers that stutter send second answers: whole and unchanged, and some otherwise.
+type Repetition struct {
+	// CutIn sends some in the middle of the next answer, SignAnew some with a signature of their own.
+	CutIn, SignAnew bool
+}
+
 // AnswerCount is how many answers the servers of a group sent, and how many of them twice.
 type AnswerCount struct {
 	All, Repeated int
@@ -48,12 +54,13 @@
 	if !c.responder.Group.repeats(c) {
 		return
 	}
+	g := c.responder.Group
 	how, after := c.random.IntN(100), time.Duration(c.random.Int64N(int64(maximumStutterDelay)))
-	if how >= 100-signAnewPercent && a.execution != nil && a.signature != "-" {
-		a.signature = c.responder.Group.signAnew(a.execution)
+	if g.Repetition.SignAnew && how >= 100-specialPercent && a.execution != nil && a.signature != "-" {
+		a.signature = g.signAnew(a.execution)
 	}
 	s := strings.Join(a.lines(), "")
-	if how < cutPercent {
+	if g.Repetition.CutIn && how < specialPercent {
 		c.owe(s)
 		return
 	}
--- a/internal/soak/runner/answers_test.go
+++ b/internal/soak/runner/answers_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/soak/planner"
+	"github.com/cuminwick/cuminwick/internal/soak/replicator"
 )
 
 var (
@@ -40,6 +41,12 @@
 // both, or only answers.
 func causesOf(seed uint64) (stutter, odd bool) { return seed%3 != 0, seed%3 != 2 }
 
+// repetitionOf returns how servers answer twice in the soak with the seed: in three seeds out of nine whole and
+// unchanged only.
+func repetitionOf(seed uint64) replicator.Repetition {
+	return replicator.Repetition{CutIn: seed/3%3 > 0, SignAnew: seed/3%3 > 1}
+}
+
 func soakAnswers(t *testing.T, seed uint64) {
 	directory, err := os.MkdirTemp("", fmt.Sprintf("soak-answers-%d-", seed))
 	if err != nil {
@@ -54,6 +61,7 @@
 		calm: *answerLength, pipelinePercent: pipelinePercent,
 	}
 	stutter, odd := causesOf(seed)
+	d.repetition, d.oddErrors = repetitionOf(seed), odd
 	if stutter {
 		s.plan = planner.Stutters(seed, *answerLength, groups*serversPerGroup)
 	}
@@ -98,6 +106,6 @@
 		k, _, _ := strings.Cut(f, ":")
 		kinds[k]++
 	}
-	return fmt.Sprintf("odd texts %t, %d connections, %d customers: %d answers to callers, %d of servers, %d of them twice; mixed %d, pinned %d, unasked %d; findings %v; errors %v",
-		s.oddPercent > 0, s.deployment.connections, s.deployment.customers, answered, sent, repeated, kinds["mixed"], kinds["pinned"], kinds["unasked"], kinds, errors)
+	return fmt.Sprintf("odd texts %t, %+v, %d connections, %d customers: %d answers to callers, %d of servers, %d of them twice; mixed %d, pinned %d, unasked %d; findings %v; errors %v",
+		s.oddPercent > 0, s.deployment.repetition, s.deployment.connections, s.deployment.customers, answered, sent, repeated, kinds["mixed"], kinds["pinned"], kinds["unasked"], kinds, errors)
 }
--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -56,8 +56,11 @@
 // deployment holds all parts of one soak: the stand-ins, the network and the entry hosts' processes.
 type deployment struct {
 	directory string
-	// seed decides which answers of servers are repeated.
-	seed uint64
+	// seed decides which answers of servers are repeated, repetition how.
+	seed       uint64
+	repetition replicator.Repetition
+	// oddErrors makes the texts of servers' errors hold odd bytes.
+	oddErrors bool
 	// hostCount is the number of entry hosts.
 	hostCount int
 	// statementTime is the run time of a statement.
@@ -128,7 +131,7 @@
 // addGroups starts the database groups with their servers and replication.
 func (d *deployment) addGroups() error {
 	for i := range groups {
-		g := &replicator.Group{Name: fmt.Sprintf("group-%d", i), Lag: 10 * time.Millisecond, PromoteTime: 200 * time.Millisecond, StatementTime: d.statementTime, Synchronous: d.synchronous, Seed: d.seed}
+		g := &replicator.Group{Name: fmt.Sprintf("group-%d", i), Lag: 10 * time.Millisecond, PromoteTime: 200 * time.Millisecond, StatementTime: d.statementTime, Synchronous: d.synchronous, Seed: d.seed, Repetition: d.repetition, OddErrors: d.oddErrors}
 		if d.synchronous > 0 {
 			g.PromoteTime = 600 * time.Millisecond
 		}
