fix(runner): a seed list of another writer ends no process

What callers saw: machines that ended by themselves again and again (LOST).

Cause: the seed list of a zone says how many hosts of the zone read for the others. A starting host used that number as the bound of a slice. With a number below zero, which another writer had left in the list, the process ended with a panic, and so did each process that was started after it.

Evidence: TestOddSeedListIsUsed, before: "panic: slice bounds out of range [:-]" in runner.candidates.

Change: a number below 1 counts as 1, which is what a zone has at least.

--- a/internal/proxy/runner/seeds.go
+++ b/internal/proxy/runner/seeds.go
@@ -121,13 +121,14 @@
 	}
 }
 
-// seed uses the hosts of a seed list as upstream hosts until the hosts are listed.
+// seed uses the hosts of a seed list as upstream hosts until the hosts are listed. Another writer may
+// have put any number into the list.
 func (r *roster) seed(s declarer.Seeds) {
 	l := slices.Clone(s.Hosts)
 	orderUpstreams(l)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.upstreams = candidates(l, r.self, s.ZoneUpstreams)
+	r.upstreams = candidates(l, r.self, max(1, s.ZoneUpstreams))
 }
 
 // seedUpstreams returns the hosts through which this host may read, each once.
