fix(pool): bytes that the last answer left unread close a connection

What callers saw: the rows or the command tag of another caller's statement, with success, and after that each caller on the connection the answer to the statement before.

Cause: a connection is only used again if nothing is unread, but that was looked up in the kernel alone. What a server sends in the same segment as ReadyForQuery is read into the connection's buffer with it, and isn't in the kernel any more. A caller that waits for a connection gets it without any check, and within a transaction none was made at all.

Change: Conn.Quiet takes the buffer into account; the pool closes a connection that comes back with a full buffer; before each batch the exchange looks at both once more. Notices, parameter statuses and notifications that have come meanwhile are forwarded; anything else is ErrSurplus, with ErrNotSent, since no byte of the batch was sent.

--- a/internal/pool/exchanger/exchanger.go
+++ b/internal/pool/exchanger/exchanger.go
@@ -109,6 +109,9 @@
 	if err := x.settle(ctx); err != nil {
 		return Result{}, errors.WithType(err, ErrNotSent)
 	}
+	if err := x.receiveUnread(); err != nil {
+		return Result{}, errors.WithType(err, ErrNotSent)
+	}
 	if err := x.send(); err != nil {
 		return Result{}, err
 	}
--- a/internal/pool/keeper/alive.go
+++ b/internal/pool/keeper/alive.go
@@ -5,6 +5,18 @@
 	"syscall"
 )
 
+// Quiet reports whether the connection is open and nothing that the server sent is unread, as far as
+// this host's kernel has received.
+func (c *Conn) Quiet() bool {
+	return !c.hasBuffered() && alive(c.Conn.Conn)
+}
+
+// hasBuffered reports whether bytes were read from the socket and not from the connection's Reader.
+// What follows an answer in the same segment is buffered, where alive doesn't see it.
+func (c *Conn) hasBuffered() bool {
+	return c.Reader.Source != nil && c.Reader.Buffered() > 0
+}
+
 // alive reports whether an idle connection is still open, as far as this host's kernel has
 // received.
 //
--- a/internal/pool/keeper/keeper.go
+++ b/internal/pool/keeper/keeper.go
@@ -206,7 +206,7 @@
 	for n := len(k.idle); n > 0 && !k.closed; n-- {
 		c := k.idle[n-1]
 		k.idle = k.idle[:n-1]
-		if alive(c.Conn.Conn) {
+		if c.Quiet() {
 			return c
 		}
 		c.Close()
@@ -274,7 +274,16 @@
 	}
 }
 
+// returnConn gives a connection to the next user, or closes it if more has been received than the
+// answers to its last user, because the next one would get the rest.
 func (k *Keeper) returnConn(c *Conn) {
+	if c.hasBuffered() {
+		if k.Log != nil {
+			k.Log.WithField("step", "return connection").WithField("peer", k.Server.Name).Warn("connection discarded: the server sent more than its answers")
+		}
+		k.discard(c)
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.put(c)
--- a/internal/wire/follower/follower.go
+++ b/internal/wire/follower/follower.go
@@ -72,7 +72,7 @@
 		return true
 	}
 	i := f.Batch.Items[f.next]
-	if !isAnswer(t) {
+	if !IsAnswer(t) {
 		return true
 	}
 	if completes(i.Type, t) {
@@ -104,9 +104,9 @@
 	return true
 }
 
-// isAnswer reports whether a message of type t answers an item. The other types may be sent by a
+// IsAnswer reports whether a message of type t answers an item. The other types may be sent by a
 // backend server at any time.
-func isAnswer(t byte) bool {
+func IsAnswer(t byte) bool {
 	return t != NoticeResponse && t != ParameterStatus && t != NotificationResponse
 }
 
