test(soak): fresh servers are used beside odd entries

An entry of another writer names no server, and the others hold. The soak's store had none, so that nothing showed what such an entry does to the entries that come after it.

TestFreshServersAreUsedBesideOddEntries writes entries nested 9,999 deep, with numbers, ports, capacities and warm-up times out of range, and with fields of other types among those of the servers. A second later a replica appears. Each odd entry names a listener of its own, to which no host may connect.

Not among the entries: bytes that are no JSON, as they would make the whole answer of the stand-in unreadable.

--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -79,6 +79,8 @@
 	customers, connections int
 	// synchronous is how many replicas must have a write before it is acknowledged.
 	synchronous int
+	// entries are entries of another writer among those of the servers, nil without any.
+	entries *oddEntries
 	// orders carries out orders for promotions.
 	orders *orders
 	// paths are the first host's ways to the servers, by address, if writes are synchronous.
@@ -195,10 +197,11 @@
 			continue
 		}
 		for _, s := range d.servers {
-			if e, up := s.Group.Entry(s.Server); up {
+			if e, up := s.Group.Entry(s.Server); up && !d.entries.hides(d, s) {
 				_ = d.store.Renew("servers", s.Server.ID, e)
 			}
 		}
+		d.entries.renew(d)
 		d.store.RemoveExpired("servers")
 	}
 }
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -143,6 +143,7 @@
 func (s *soakRun) run(seed uint64) []string {
 	d := s.deployment
 	findings := s.recover()
+	d.entries.appear()
 	over := make(chan struct{})
 	var g sync.WaitGroup
 	callers := workers
@@ -164,6 +165,9 @@
 	findings = append(findings, s.checkRemovedKeys()...)
 	findings = append(findings, s.checkOperations(seed)...)
 	s.stop(seed)
+	if d.entries != nil {
+		findings = append(findings, s.recover()...) // the host that was stopped reads all entries anew
+	}
 	close(over)
 	g.Wait()
 	findings = append(findings, s.injector.findings...)
@@ -172,6 +176,7 @@
 	findings = append(findings, d.checkImportance()...)
 	findings = append(findings, d.checkStrength()...)
 	findings = append(findings, s.checkHeld()...)
+	findings = append(findings, d.checkEntries()...)
 	for i, r := range d.recorders {
 		h := r.History()
 		h.Staleness, h.Timeout, h.Stops, h.PlannedOnly = staleness, routeTimeout, s.injector.plannedStops(), s.staying
