test(assembler): hosts of the simulated network have IP addresses

The hosts of the simulated network registered themselves under their names as addresses, which no host can have: since entries of hosts are checked, they did not find each other, and 6 tests of this package failed. They now register an IP address with a port. What the tests check is unchanged; go test ./internal/proxy/assembler is green again.

--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -139,12 +141,18 @@
 	f.add(ctx, zone, region, name, regions, false)
 }
 
+// addressOf returns the address of a host.
+func addressOf(name string) string {
+	h := xxhash.Sum64String(name)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(h >> 16), byte(h >> 8), byte(h)}), 7).String()
+}
+
 func (f *fleet) add(ctx context.Context, zone, region, name string, regions map[string]string, first bool) {
 	rate := f.speed * hostRate
 	if f.fast[name] {
 		rate *= fastFactor
 	}
-	m := &member{fleet: f, machine: f.network.add(name, region, rate)}
+	m := &member{fleet: f, machine: f.network.add(addressOf(name), region, rate)}
 	m.store = &storeDialer{machine: m.machine}
 	store := platform.NewStore(storeAddress)
 	store.Dial = m.store.Dial
@@ -158,7 +166,7 @@
 		Seeds: &platform.SeedStore{Store: store}, ReachHost: m.reach,
 
 		Board:   &blackboard.Board{Zone: zone, Region: region, Regions: regions, Now: now},
-		Self:    declarer.Host{Name: name, Address: name, AvailabilityZone: zone, Bandwidth: int64(8 * rate)},
+		Self:    declarer.Host{Name: name, Address: addressOf(name), AvailabilityZone: zone, Bandwidth: int64(8 * rate)},
 		Bounds:  runner.Bounds{ConfigurationLimit: 5 * time.Second, DrainLimit: 10 * time.Second},
 		Counter: reporter.NewMetrics(reporter.Gauges{}),
 		Log:     &log.Logger{Handler: discard.New()},
@@ -447,7 +455,7 @@
 	old := f.hosts
 	f.hosts = nil
 	for _, m := range old {
-		f.network.remove(m.host.Name)
+		f.network.remove(m.machine.address)
 	}
 	f.random.Shuffle(len(old), func(i, k int) { old[i], old[k] = old[k], old[i] })
 	for _, m := range old {
