fix(platform): a group whose claim was replaced by another writer gets a primary

What callers saw: nothing so far; found by reading what else another writer can replace.

Cause: a claim that can not be decoded counted as a store that does not answer. Then only a host that holds a claim of its own acts, and after a restart of the hosts none does: the primary of the group is never replaced. A claim with a term of 64 bits was taken, and no term can be above it: "PAUSE" with the next one, zero, has no effect.

A host that wants to promote leaves an unknown holder the time of a lease, as it leaves it to one that answers: TestUnknownHolderIsGivenTime, before: "host does not defer to an unknown holder".

--- a/internal/proxy/promoter/claims.go
+++ b/internal/proxy/promoter/claims.go
@@ -15,7 +15,7 @@
 // Claim names the host that may promote a server of a group. The platform keeps one claim for
 // each group.
 type Claim struct {
-	// Holder is the name of the host that holds the claim.
+	// Holder is the name of the host that holds the claim, empty if that isn't known.
 	Holder string
 	// Server is the server that the holder has chosen. It is empty if no order of the holder can
 	// be carried out any more.
@@ -80,7 +80,7 @@
 
 // defersTo reports whether another host holds the claim and is given time to act first. The
 // time starts again with each change of the claim. A holder that doesn't answer is not waited
-// for, as it won't act.
+// for, as it won't act. One that isn't known may act.
 func (p *Promoter) defersTo(ctx context.Context, c Claim, server string) bool {
 	return p.defersFor(ctx, max(holderGracePeriod, p.Lease()+leaseSlack), c, server)
 }
@@ -96,7 +96,7 @@
 	if time.Since(p.otherClaimAt) >= d {
 		return false
 	}
-	return p.Dialer.HostResponds(ctx, c.Holder, declarer.Server{ID: server})
+	return c.Holder == "" || p.Dialer.HostResponds(ctx, c.Holder, declarer.Server{ID: server})
 }
 
 // reuseHeldClaim returns the last claim that this host made, for use while the store is
