fix(wire): a message that can't answer the statement ends the connection

What callers saw: rows and tags of another answer, an answer that ended too early, a COMMIT that had failed counted as run; a ReadyForQuery without a body, or a CopyInResponse to the proxy's own SET, stopped the entry host ("index out of range [0]", "nil pointer dereference").

Cause: the follower counted the last messages of answers and let all others through. A ReadyForQuery was taken whatever its length, and the rest of a long one for the next message. An error without an SQLSTATE left the result's code empty, which means success.

Change: Follower.Expects says which messages can follow in the answers to Query, Parse, Bind, Describe, Execute, Close and Sync; any other one is ErrLost, so that the outcome is unknown and the connection is closed. ReadyForQuery has one byte, I, T or E; an error has an SQLSTATE. TestExpects holds the grammar.

--- a/internal/pool/exchanger/exchanger.go
+++ b/internal/pool/exchanger/exchanger.go
@@ -22,8 +22,6 @@
 	// inlineWriteBytes is the largest batch that is written before its answer is read. Socket
 	// buffers hold that much, so the write can't block until the answer is read.
 	inlineWriteBytes = 32 << 10
-	// maximumErrorBytes is the largest body of an error response that is parsed for its SQLSTATE.
-	maximumErrorBytes = framer.ChunkBytes
 )
 
 const (
@@ -32,6 +30,8 @@
 	// ErrLost is returned when the connection was lost after bytes of the batch were sent, so
 	// that its outcome is unknown.
 	ErrLost = errors.ConstError("connection lost")
+	// ErrMalformed is returned for a message of the backend server that violates the protocol.
+	ErrMalformed = errors.ConstError("malformed message of the backend server")
 )
 
 // Transaction states in ReadyForQuery.
@@ -83,7 +83,8 @@
 	Canceller Canceller
 	Batch     *batcher.Batch
 	Output    Output
-	Input     Input
+	// Input is nil if the batch begins no COPY FROM STDIN.
+	Input Input
 	// AskPosition sends a query for the log position after the batch. It must not be set for a
 	// COPY FROM STDIN, because the query would arrive in the middle of the COPY data.
 	AskPosition bool
@@ -219,25 +220,57 @@
 
 // handle processes one message of the backend server.
 func (x *Exchange) handle(f framer.Frame) error {
+	if !x.follower.Expects(f.Type) {
+		return x.lost(errors.Annotatef(ErrSurplus, "message %q", f.Type))
+	}
 	if f.Type == follower.ErrorResponse {
 		x.forgetSkippedParses()
 	}
 	pass := x.follower.Accept(f.Type)
 	switch f.Type {
 	case follower.ReadyForQuery:
-		x.result.Status = f.Body()[0]
-		return nil
+		return x.recordStatus(f)
 	case follower.ErrorResponse:
-		x.recordCode(f)
+		if err := x.recordCode(f); err != nil {
+			return err
+		}
 	case follower.CommandComplete:
 		x.result.Tag = string(bytes.TrimRight(f.Body(), "\x00"))
 	case follower.CopyInResponse:
-		x.deliver(f.Type, f.Raw, true, f.Whole())
-		return x.copyIn()
+		return x.handleCopyIn(f, pass)
 	}
 	return x.forward(f, pass)
 }
 
+// recordStatus keeps the transaction state in a ReadyForQuery.
+func (x *Exchange) recordStatus(f framer.Frame) error {
+	s, err := parseStatus(f)
+	if err != nil {
+		return x.lost(err)
+	}
+	x.result.Status = s
+	return nil
+}
+
+// parseStatus returns the transaction state in a ReadyForQuery.
+func parseStatus(f framer.Frame) (byte, error) {
+	if b := f.Body(); f.Whole() && len(b) == 1 && (b[0] == Idle || b[0] == InTransaction || b[0] == Failed) {
+		return b[0], nil
+	}
+	return 0, errors.Annotatef(ErrMalformed, "ready for query of %d bytes, state %.1q", len(f.Body())+f.Remaining, f.Body())
+}
+
+// handleCopyIn forwards the beginning of a COPY FROM STDIN and then the caller's data.
+func (x *Exchange) handleCopyIn(f framer.Frame, pass bool) error {
+	if x.Input == nil {
+		return x.lost(errors.Annotate(ErrSurplus, "server asks for the data of a COPY"))
+	}
+	if err := x.forward(f, pass); err != nil {
+		return err
+	}
+	return x.copyIn()
+}
+
 // forward reads the rest of a message and, if pass is set, delivers all of it to the caller.
 func (x *Exchange) forward(f framer.Frame, pass bool) error {
 	if pass {
@@ -280,12 +313,17 @@
 	}
 }
 
-// recordCode keeps the SQLSTATE of the first error response.
-func (x *Exchange) recordCode(f framer.Frame) {
-	if x.result.Code != "" || len(f.Raw) > maximumErrorBytes+framer.HeaderBytes {
-		return
+// recordCode keeps the SQLSTATE of the first error response. Without one the request would count as
+// run.
+func (x *Exchange) recordCode(f framer.Frame) error {
+	c := Code(f.Body())
+	if c == "" {
+		return x.lost(errors.Annotatef(ErrMalformed, "error response without an SQLSTATE, of %d bytes", len(f.Body())+f.Remaining))
 	}
-	x.result.Code = Code(f.Body())
+	if x.result.Code == "" {
+		x.result.Code = c
+	}
+	return nil
 }
 
 // receivePosition reads the answer to a position query. The mark is zero if the server answered
--- a/internal/wire/follower/follower.go
+++ b/internal/wire/follower/follower.go
@@ -41,6 +41,12 @@
 
 	// next is the index of the first item whose answer isn't complete.
 	next int
+	// described reports that the parameters of the next item, a Describe, were received.
+	described bool
+	// result is the type of the first message of a result that isn't complete, zero if there is none.
+	result byte
+	// hasResult reports that a result of the batch is complete.
+	hasResult bool
 	// beginDiscarded reports that the answer to the prepended BEGIN of a Query was discarded.
 	beginDiscarded bool
 }
@@ -65,6 +71,7 @@
 // Accept processes the type of the next message of the backend server and reports whether the message
 // is forwarded to the caller.
 func (f *Follower) Accept(t byte) bool {
+	f.record(t)
 	if t == ErrorResponse {
 		return f.acceptError()
 	}
@@ -77,6 +84,7 @@
 	}
 	if completes(i.Type, t) {
 		f.next++
+		f.described, f.result = false, 0
 	}
 	if i.Begins && t == CommandComplete && !f.beginDiscarded {
 		f.beginDiscarded = true
--- a/internal/wire/follower/follower_test.go
+++ b/internal/wire/follower/follower_test.go
@@ -91,3 +91,69 @@
 		}
 	}
 }
+
+// Guards against messages that answer something else: after one, each answer belongs to the request
+// before. Every message of an answer must be expected where PostgreSQL sends it.
+func TestExpects(t *testing.T) {
+	tests := []struct {
+		name  string
+		batch *batcher.Batch
+		// messages are expected, except for the last one if surplus is set.
+		messages string
+		surplus  bool
+	}{
+		{name: "rows", batch: newBatch("Q"), messages: "TDDCZ"},
+		{name: "no rows", batch: newBatch("Q"), messages: "TCZ"},
+		{name: "several results", batch: newBatch("Q"), messages: "CTDCICZ"},
+		{name: "error after a result", batch: newBatch("Q"), messages: "TDCTDEZ"},
+		{name: "copy in", batch: newBatch("Q"), messages: "GCZ"},
+		{name: "copy in that fails", batch: newBatch("Q"), messages: "GEZ"},
+		{name: "copy out", batch: newBatch("Q"), messages: "HdddcCZ"},
+		{name: "messages of the server's own", batch: newBatch("Q"), messages: "NSATNDASCNSAZ"},
+		{name: "extended", batch: newBatch("PBDES"), messages: "12TDDCZ"},
+		{name: "description of a statement", batch: newBatch("PDS"), messages: "1tTZ"},
+		{name: "description without rows", batch: newBatch("PDS"), messages: "1tnZ"},
+		{name: "suspended portal", batch: newBatch("BEES"), messages: "2DsDCZ"},
+		{name: "error of the implicit commit", batch: newBatch("PBES"), messages: "12CEZ"},
+		{name: "copy out by execute", batch: newBatch("PBES"), messages: "12HdcCZ"},
+		{name: "close", batch: newBatch("CS"), messages: "3Z"},
+		{name: "ready first", batch: newBatch("Q"), messages: "Z", surplus: true},
+		{name: "ready within rows", batch: newBatch("Q"), messages: "TDZ", surplus: true},
+		{name: "second ready", batch: newBatch("Q"), messages: "CZZ", surplus: true},
+		{name: "row without description", batch: newBatch("Q"), messages: "D", surplus: true},
+		{name: "row after a result", batch: newBatch("Q"), messages: "TDCD", surplus: true},
+		{name: "description within rows", batch: newBatch("Q"), messages: "TDT", surplus: true},
+		{name: "second error", batch: newBatch("Q"), messages: "EE", surplus: true},
+		{name: "result after an error", batch: newBatch("Q"), messages: "ET", surplus: true},
+		{name: "copy data without copy out", batch: newBatch("Q"), messages: "Td", surplus: true},
+		{name: "copy both", batch: newBatch("Q"), messages: "W", surplus: true},
+		{name: "parse complete to a query", batch: newBatch("Q"), messages: "1", surplus: true},
+		{name: "authentication", batch: newBatch("Q"), messages: "R", surplus: true},
+		{name: "key", batch: newBatch("Q"), messages: "K", surplus: true},
+		{name: "command complete to a parse", batch: newBatch("PBES"), messages: "C", surplus: true},
+		{name: "second parse complete", batch: newBatch("PBES"), messages: "11", surplus: true},
+		{name: "second command complete", batch: newBatch("PBES"), messages: "12CC", surplus: true},
+		{name: "description of an execute", batch: newBatch("PBES"), messages: "12T", surplus: true},
+		{name: "second parameter description", batch: newBatch("PDS"), messages: "1tt", surplus: true},
+		{name: "ready instead of a bind complete", batch: newBatch("PBES"), messages: "1Z", surplus: true},
+		{name: "answer after an error", batch: newBatch("PBES"), messages: "1E2", surplus: true},
+		{name: "answer after a flush", batch: newBatch("PH"), messages: "11", surplus: true},
+		{name: "answer to what isn't sent", batch: newBatch("PBES", batcher.Inject), messages: "1", surplus: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := follower.Follower{Batch: tt.batch}
+			for i := range len(tt.messages) {
+				for _, ok := f.NextInjected(); ok; _, ok = f.NextInjected() {
+				}
+				if want := i < len(tt.messages)-1 || !tt.surplus; f.Expects(tt.messages[i]) != want {
+					t.Fatalf("message %d of %q: expected %t", i, tt.messages, !want)
+				}
+				f.Accept(tt.messages[i])
+			}
+			if f.NextInjected(); !tt.surplus && !f.Done() {
+				t.Error("batch isn't answered")
+			}
+		})
+	}
+}
