fix(pool): the answer to the position query proves the answers before it

What callers saw: the rows of the statement before, with success, if a server sent that answer once more while the next statement ran. Nothing is unread at the time of the check then, and PostgreSQL's protocol numbers no requests. The position in the log could be read from any row, also from a caller's.

Cause: the answer to the position query was whatever came up to the next ReadyForQuery.

Evidence: all cases of TestSurplusAnswerWhileNextStatementRuns and of TestPositionOfAnotherAnswer fail before; a notification that came before the position's answer was lost (TestMessagesBetweenAnswers).

Change: each position query names its result column after its number on the connection, modulo 256. The answer must describe that one column, hold one row of the form term/position, and end in the state of the statement's answer, else it is ErrLost. The answer to a caller's statement is held until then, as before. An error in its place is still accepted, as after a cancel. A simple query carries the number of its statements, so that a surplus command tag before its answer is found too; pool owners get the number with the item.

It costs one byte or three in the query and none in the row; no query and no round trip is added.

--- a/internal/caller/server/keyed.go
+++ b/internal/caller/server/keyed.go
@@ -339,7 +339,7 @@
 // sent as one query, so that after an error or a cancel none of the remaining texts run.
 func (s *Session) execute(x context.Context, inTransaction bool, texts ...string) (exchanger.Result, error) {
 	var b batcher.Batch
-	b.AddQuery(batcher.Discard, strings.Join(texts, "; "))
+	b.AddStatements(batcher.Discard, strings.Join(texts, "; "), len(texts))
 	return s.lease.Exchange(x, lessor.Exchange{
 		Batch:         &b,
 		Output:        discardOutput{},
--- a/internal/caller/server/request.go
+++ b/internal/caller/server/request.go
@@ -33,10 +33,18 @@
 		return nil
 	}
 	p := &plan{executed: []*prepared{{statement: c}}}
-	p.batch.AddQuery(batcher.Pass, q)
+	p.batch.AddStatements(batcher.Pass, q, resultsOf(&c))
 	return s.perform(p, batcher.Sync)
 }
 
+// resultsOf returns the number of results of a text, zero if it isn't known.
+func resultsOf(c *classifier.Statement) int {
+	if c.Kind == classifier.KindUnparsed {
+		return 0
+	}
+	return len(c.Parts)
+}
+
 // extended handles the pending messages of the extended protocol; t is the type of the message that
 // ends them, Sync or Flush.
 func (s *Session) extended(t byte) error {
--- a/internal/pool/exchanger/adapter.go
+++ b/internal/pool/exchanger/adapter.go
@@ -24,6 +24,7 @@
 		default:
 			b.Add(t.Type, t.Answer, x.Batch.Raw(i))
 			b.Items[len(b.Items)-1].Begins = t.Begins
+			b.Items[len(b.Items)-1].Results = t.Results
 		}
 	}
 	x.Batch = b
@@ -70,18 +71,14 @@
 // encode returns the bytes to send: the batch, preceded by a position query if AskBefore is set and
 // followed by one if AskPosition is set.
 func (x *Exchange) encode() []byte {
-	p := make([]byte, 0, x.Batch.Size()+2*len(positionQuery))
+	p := make([]byte, 0, x.Batch.Size()+2*maximumPositionQueryBytes)
 	if x.AskBefore {
-		p = append(p, positionQuery...)
+		p = x.before.appendTo(p, x.Conn)
 	}
 	p = x.Batch.AppendTo(p)
 	if x.AskPosition {
 		x.Conn.Replay.SimpleQuerySent()
-		p = append(p, positionQuery...)
+		p = x.after.appendTo(p, x.Conn)
 	}
 	return p
 }
-
-// positionQuery is the encoded query for the log position. Nearly every request sends it, so it is
-// encoded once.
-var positionQuery = batcher.EncodeQuery(positionSQL)
--- a/internal/pool/exchanger/exchanger.go
+++ b/internal/pool/exchanger/exchanger.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"strconv"
 
 	"github.com/juju/errors"
 
@@ -17,8 +16,6 @@
 )
 
 const (
-	// positionSQL reads the mark (term and position) of the last entry of the server's log.
-	positionSQL = "SELECT cuminwick_position()"
 	// inlineWriteBytes is the largest batch that is written before its answer is read. Socket
 	// buffers hold that much, so the write can't block until the answer is read.
 	inlineWriteBytes = 32 << 10
@@ -96,6 +93,8 @@
 
 	follower follower.Follower
 	result   Result
+	// before and after are the position queries around the batch.
+	before, after positionQuery
 	// callerErr is the error that ended the forwarding to or from the caller.
 	callerErr error
 	cancel    *cancellation
@@ -176,7 +175,7 @@
 // receive reads the answers to the position queries and to the batch.
 func (x *Exchange) receive() error {
 	if x.AskBefore {
-		m, err := x.receivePosition()
+		m, err := x.receivePosition(&x.before)
 		if err != nil {
 			return err
 		}
@@ -185,7 +184,7 @@
 	if err := x.receiveBatch(); err != nil || !x.AskPosition {
 		return err
 	}
-	m, err := x.receivePosition()
+	m, err := x.receivePosition(&x.after)
 	x.result.Position = m
 	return err
 }
@@ -326,48 +325,11 @@
 	return nil
 }
 
-// receivePosition reads the answer to a position query. The mark is zero if the server answered
-// with an error, as it does after a cancel.
-func (x *Exchange) receivePosition() (marker.Mark, error) {
-	var m marker.Mark
-	for {
-		f, err := x.Conn.Reader.Next()
-		if err != nil {
-			return marker.Mark{}, x.lost(err)
-		}
-		switch f.Type {
-		case follower.DataRow:
-			m = ParsePosition(f.Body())
-		case follower.ReadyForQuery:
-			return m, nil
-		}
-	}
-}
-
 // lost returns err as an ErrLost.
 func (x *Exchange) lost(err error) error {
 	return errors.WithType(errors.Annotatef(err, "exchange with backend server %s", x.Conn.Address), ErrLost)
 }
 
-// ParsePosition returns the mark in the body of a DataRow with one text column of the form
-// term/position, zero if the row is malformed.
-func ParsePosition(row []byte) marker.Mark {
-	const columnHeader = 6
-	if len(row) <= columnHeader {
-		return marker.Mark{}
-	}
-	t, p, _ := bytes.Cut(row[columnHeader:], []byte{'/'})
-	n, err := strconv.ParseUint(string(t), 10, 64)
-	if err != nil {
-		return marker.Mark{}
-	}
-	k, err := strconv.ParseUint(string(p), 10, 64)
-	if err != nil {
-		return marker.Mark{}
-	}
-	return marker.Mark{Term: marker.Term(n), Position: marker.Position(k)}
-}
-
 // Code returns the SQLSTATE in the body of an ErrorResponse, empty if there is none.
 func Code(body []byte) string {
 	for len(body) > 1 {
--- a/internal/pool/exchanger/fuzz_test.go
+++ b/internal/pool/exchanger/fuzz_test.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"regexp"
 	"strings"
 	"testing"
 
@@ -31,15 +32,24 @@
 	})
 }
 
-// A row that isn't of the form term/position must not be parsed as a mark.
+// A row that isn't of the form term/position must not be parsed as a mark, nor one with another column
+// or with more bytes than its column.
 func FuzzParsePosition(f *testing.F) {
 	f.Add([]byte("\x00\x01\x00\x00\x00\x043/17"))
 	f.Add([]byte("\x00\x01\x00\x00\x00\x143/99999999999999999999"))
 	f.Add([]byte("\x00\x01\xff\xff\xff\xff"))
+	f.Add([]byte("\x00\x02\x00\x00\x00\x043/17"))
+	f.Add([]byte("\x00\x01\x00\x00\x00\x043/17\x00\x00\x00\x00"))
 	f.Fuzz(func(t *testing.T, row []byte) {
-		m := ParsePosition(row)
-		if (m.Term != 0 || m.Position != 0) && !strings.ContainsRune(string(row[6:]), '/') {
-			t.Errorf("%q read as %+v", row, m)
+		m, ok := parsePosition(row)
+		n := max(6, len(row))
+		column := string(append(row, make([]byte, 6)...)[6:n])
+		want := exactPosition.MatchString(column) && string(row[:6]) == string([]byte{0, 1, 0, 0, byte(len(column) >> 8), byte(len(column))})
+		if ok && !want || want && !ok && len(column) < 20 {
+			t.Errorf("%q read as %+v, %t", row, m, ok)
 		}
 	})
 }
+
+// exactPosition matches a position, perhaps with numbers that exceed 64 bits.
+var exactPosition = regexp.MustCompile(`^[0-9]+/[0-9]+$`)
--- a/internal/pool/exchanger/server_test.go
+++ b/internal/pool/exchanger/server_test.go
@@ -53,7 +53,7 @@
 		var a string
 		switch {
 		case f.Type == batcher.Query && strings.Contains(b, "cuminwick_position()"):
-			a = rowAnswer(positionColumn(b), "3/17") + ready(Idle)
+			a = rowAnswer(columnOf(b), "3/17") + ready(Idle)
 			if s.position != nil {
 				a = s.position(a)
 			}
@@ -67,8 +67,8 @@
 	}
 }
 
-// positionColumn returns the name of the result column of a position query.
-func positionColumn(sql string) string {
+// columnOf returns the name of the result column of a position query.
+func columnOf(sql string) string {
 	if _, n, ok := strings.Cut(sql, " AS "); ok {
 		return n
 	}
@@ -125,7 +125,7 @@
 	t.Helper()
 	o := &recorder{}
 	x := &Exchange{Conn: c, Canceller: noCanceller{}, Batch: &batcher.Batch{}, Output: o, AskPosition: askPosition}
-	x.Batch.AddQuery(batcher.Pass, sql)
+	x.Batch.AddStatements(batcher.Pass, sql, 1)
 	c.SetDeadline(time.Now().Add(5 * time.Second))
 	r, err := x.Run(t.Context())
 	return o, r, err
--- a/internal/pool/forwarder/lease.go
+++ b/internal/pool/forwarder/lease.go
@@ -252,7 +252,7 @@
 		}
 		n += len(r)
 		t := b.Items[i]
-		m.Items = append(m.Items, messenger.Item{Type: t.Type, Answer: t.Answer, Name: t.Name, Raw: r, Begins: t.Begins})
+		m.Items = append(m.Items, messenger.Item{Type: t.Type, Answer: t.Answer, Name: t.Name, Raw: r, Begins: t.Begins, Results: t.Results})
 	}
 	return i
 }
--- a/internal/pool/granter/service.go
+++ b/internal/pool/granter/service.go
@@ -265,6 +265,7 @@
 		b.Add(i.Type, i.Answer, i.Raw)
 		b.Items[len(b.Items)-1].Name = i.Name
 		b.Items[len(b.Items)-1].Begins = i.Begins
+		b.Items[len(b.Items)-1].Results = i.Results
 	}
 	if b.Size() > messenger.MaximumBytes {
 		return errors.Annotatef(messenger.ErrTooLarge, "batch of %d bytes", b.Size())
--- a/internal/pool/messenger/message.go
+++ b/internal/pool/messenger/message.go
@@ -23,6 +23,8 @@
 	// Raw is the message as it is sent to the backend server.
 	Raw    []byte `cbor:"4,keyasint"`
 	Begins bool   `cbor:"5,keyasint,omitempty"`
+	// Results is zero from a host that doesn't send it.
+	Results int `cbor:"6,keyasint,omitempty"`
 }
 
 // Items holds messages of the next batch, in order.
--- a/internal/wire/batcher/batcher.go
+++ b/internal/wire/batcher/batcher.go
@@ -48,6 +48,9 @@
 	// Begins reports that a Query starts with a BEGIN that the caller didn't send. The CommandComplete
 	// of the BEGIN is discarded.
 	Begins bool
+	// Results is the number of statements of a Query, each of which has one result, zero if it isn't
+	// known.
+	Results int
 
 	// start and end are the offsets of the message in Batch.raw.
 	start, end int
@@ -112,6 +115,12 @@
 	b.AddBody(Query, a, []byte(sql), []byte{0})
 }
 
+// AddStatements appends a simple query of the given number of statements.
+func (b *Batch) AddStatements(a Answer, sql string, statements int) {
+	b.AddQuery(a, sql)
+	b.Items[len(b.Items)-1].Results = statements
+}
+
 // EncodeQuery returns the message of a simple query, with its header.
 func EncodeQuery(sql string) []byte {
 	var b Batch
@@ -159,6 +168,9 @@
 	if b.Items[0].Type == Query {
 		n.AddBody(Query, Pass, []byte(sql), []byte("; "), b.Body(0))
 		n.Items[0].Begins = true
+		if r := b.Items[0].Results; r > 0 {
+			n.Items[0].Results = r + 1
+		}
 		return n
 	}
 	n.AddBody(Parse, Discard, []byte{0}, []byte(sql), []byte{0, 0, 0})
--- a/internal/wire/follower/follower.go
+++ b/internal/wire/follower/follower.go
@@ -45,8 +45,8 @@
 	described bool
 	// result is the type of the first message of a result that isn't complete, zero if there is none.
 	result byte
-	// hasResult reports that a result of the batch is complete.
-	hasResult bool
+	// results counts the complete results of the next item, a Query.
+	results int
 	// beginDiscarded reports that the answer to the prepended BEGIN of a Query was discarded.
 	beginDiscarded bool
 }
--- a/internal/wire/follower/grammar.go
+++ b/internal/wire/follower/grammar.go
@@ -18,7 +18,7 @@
 	}
 	switch i {
 	case batcher.Query:
-		return f.queryExpects(t)
+		return f.queryExpects(t, f.Batch.Items[f.next].Results)
 	case batcher.Describe:
 		return t == ParameterDescription && !f.described || t == RowDescription || t == NoData
 	case batcher.Execute:
@@ -28,23 +28,25 @@
 	}
 }
 
-// queryExpects reports whether t can follow in the answer to a Query: results, each of which ends with
-// a command tag, then ReadyForQuery, and after an error nothing else.
-func (f *Follower) queryExpects(t byte) bool {
+// queryExpects reports whether t can follow in the answer to a Query with the given number of results,
+// zero if it isn't known: results, each of which ends with a command tag, then ReadyForQuery, and after
+// an error nothing else.
+func (f *Follower) queryExpects(t byte, results int) bool {
 	if f.Failed {
 		return t == ReadyForQuery
 	}
+	more := results == 0 || f.results < results
 	switch t {
 	case RowDescription, EmptyQueryResponse, CopyInResponse, CopyOutResponse:
-		return f.result == 0
+		return f.result == 0 && more
 	case DataRow:
 		return f.result == RowDescription
 	case BackendCopyData, BackendCopyDone:
 		return f.result == CopyOutResponse
 	case CommandComplete:
-		return true
+		return more
 	case ReadyForQuery:
-		return f.result == 0 && f.hasResult
+		return f.result == 0 && f.results > 0 && (results == 0 || f.results == results)
 	}
 	return false
 }
@@ -74,7 +76,8 @@
 		if f.result == 0 {
 			f.result = t
 		}
-	case CommandComplete, EmptyQueryResponse, ErrorResponse:
-		f.result, f.hasResult = 0, true
+	case CommandComplete, EmptyQueryResponse:
+		f.result = 0
+		f.results++
 	}
 }
