fix(caller): an answer without a proved position is no success

What callers saw: a success for a read whose position query had ended in an error, although the next position query found that the connection was out of step.

Cause: askPosition dropped the error and returned the zero mark, which a read doesn't wait for.

Evidence: TestUnprovedAnswerIsNoSuccess fails before for "SELECT 1".

Change: the error is handled as a connection lost at the statement: a read at a replica runs again, a keyed request is settled by its key, anything else is unknown.

--- a/internal/caller/server/acknowledgement.go
+++ b/internal/caller/server/acknowledgement.go
@@ -67,7 +67,11 @@
 		return a.commitLost(x, errors.Errorf("SQLSTATE %s to COMMIT", r.Code))
 	}
 	if r.Position.IsZero() {
-		r.Position = a.askPosition(x)
+		m, err := a.askPosition(x)
+		if err != nil {
+			return a.unproved(x, err)
+		}
+		r.Position = m
 	}
 	s.Director.Observe(s.group, s.choice.Server, r.Position)
 	if r.Code != "" && !a.commits() || !a.mustAwaitMajority(r.Position) {
@@ -171,15 +175,24 @@
 	return !a.write && a.session.deferredBegin == nil
 }
 
-// askPosition queries the log position if it wasn't queried along with the batch.
-func (a *attempt) askPosition(x context.Context) marker.Mark {
+// askPosition queries the log position if it wasn't queried along with the batch, or if the server
+// answered that query with an error.
+func (a *attempt) askPosition(x context.Context) (marker.Mark, error) {
 	s := a.session
 	var b batcher.Batch
 	r, err := s.lease.Exchange(context.WithoutCancel(x), lessor.Exchange{Batch: &b, Output: &s.out, Input: s, AskPosition: true, InTransaction: true})
-	if err != nil {
-		return marker.Mark{}
+	return r.Position, err
+}
+
+// unproved handles a request whose answer isn't followed by that to a position query. It may be the
+// answer to an earlier request on the connection.
+func (a *attempt) unproved(x context.Context, err error) (*failure, bool) {
+	s := a.session
+	a.releaseForRetry(false)
+	if s.keyed != nil {
+		return a.settle(x, err)
 	}
-	return r.Position
+	return a.connectionLost(x, err)
 }
 
 // errNoPosition is returned if a commit can't be waited for because its log position is unknown. A
