fix(pool): the check of an idle connection expects nothing but ReadyForQuery

What callers saw: the answer to the check as that to their statement, once a server had sent a surplus answer before it.

Cause: the check skipped everything up to a ReadyForQuery. It also took the body of a notice above 32 KiB for further messages.

Evidence: TestRoundTripWithSurplus fails before in its four cases of rows, tags, whole answers and other states.

Change: only messages that the server sends by itself and the error of a late cancel may come before ReadyForQuery, nothing after it. An idle connection must be outside a transaction; the check after a cancel takes any state, since the transaction may go on (TestSettleInsideTransaction).

--- a/internal/pool/exchanger/cancelling.go
+++ b/internal/pool/exchanger/cancelling.go
@@ -11,6 +11,7 @@
 	"github.com/cuminwick/cuminwick/internal/pool/keeper"
 	"github.com/cuminwick/cuminwick/internal/wire/batcher"
 	"github.com/cuminwick/cuminwick/internal/wire/follower"
+	"github.com/cuminwick/cuminwick/internal/wire/framer"
 )
 
 const (
@@ -80,33 +81,61 @@
 		c.Conn.Close()
 		return errors.Trace(dialer.ErrCancelUnconfirmed)
 	}
-	return RoundTrip(c.Conn, settleTimeout)
+	_, err := roundTrip(c.Conn, settleTimeout)
+	return err
 }
 
-// RoundTrip sends a Sync on an idle connection and waits for ReadyForQuery. After an error the
-// connection must be closed.
+// RoundTrip sends a Sync on a connection outside a transaction and waits for ReadyForQuery. After an
+// error the connection must be closed.
 func RoundTrip(c *keeper.Conn, timeout time.Duration) error {
+	s, err := roundTrip(c, timeout)
+	if err == nil && s != Idle {
+		err = errors.Annotatef(ErrSurplus, "state %q of an idle connection to backend server %s", s, c.Address)
+	}
+	return err
+}
+
+// roundTrip sends a Sync and returns the transaction state in the ReadyForQuery that answers it.
+func roundTrip(c *keeper.Conn, timeout time.Duration) (byte, error) {
 	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return errors.Trace(err)
+		return 0, errors.Trace(err)
 	}
 	defer c.SetDeadline(time.Time{})
 	var b batcher.Batch
 	b.AddBody(batcher.Sync, batcher.Pass)
 	if _, err := c.Write(b.AppendTo(nil)); err != nil {
-		return errors.Trace(err)
+		return 0, errors.Trace(err)
 	}
 	return awaitReady(c)
 }
 
-// awaitReady discards messages up to ReadyForQuery.
-func awaitReady(c *keeper.Conn) error {
+// awaitReady reads up to ReadyForQuery, the answer to a Sync. Before it may be the error of a late
+// cancel, and messages that the server sends by itself.
+func awaitReady(c *keeper.Conn) (byte, error) {
 	for {
 		f, err := c.Reader.Next()
 		if err != nil {
-			return errors.Trace(err)
+			return 0, errors.Trace(err)
+		}
+		switch {
+		case f.Type == follower.ReadyForQuery:
+			return lastStatus(c, f)
+		case follower.IsAnswer(f.Type) && f.Type != follower.ErrorResponse:
+			return 0, errors.Annotatef(ErrSurplus, "message %q of backend server %s instead of ready for query", f.Type, c.Address)
 		}
-		if f.Type == follower.ReadyForQuery {
-			return nil
+		for f.Remaining > 0 {
+			if _, err := c.Reader.Rest(&f); err != nil {
+				return 0, errors.Trace(err)
+			}
 		}
 	}
 }
+
+// lastStatus returns the transaction state in f, which must be the last message that was received.
+func lastStatus(c *keeper.Conn, f framer.Frame) (byte, error) {
+	s, err := parseStatus(f)
+	if err == nil && c.Reader.Buffered() > 0 {
+		err = errors.Annotatef(ErrSurplus, "%d bytes of backend server %s after ready for query", c.Reader.Buffered(), c.Address)
+	}
+	return s, err
+}
