fix(pool): a COPY that the server fails by itself leaves no answer behind

What callers saw: a ReadyForQuery as the whole answer to a statement, and after that the answers of the statements before, on a connection on which another caller had sent a COPY FROM STDIN that wasn't the last message before its Sync.

Cause: PostgreSQL takes the next message of the batch for COPY data and fails the COPY; the Sync of the batch ends the answer. The exchange nevertheless forwarded the caller's data up to its own Sync, which the server answered on its own.

Evidence: TestCopyLeavesNothingUnread, "another statement before the sync", has unread bytes before.

Change: the caller's data isn't read in this case. The session ignores it, as PostgreSQL does, and answers the Sync.

--- a/internal/pool/exchanger/copier.go
+++ b/internal/pool/exchanger/copier.go
@@ -8,6 +8,9 @@
 
 // copyIn forwards the caller's COPY data to the server up to CopyDone or CopyFail.
 func (x *Exchange) copyIn() error {
+	if x.copyFailsByItself() {
+		return nil
+	}
 	for {
 		t, p, err := x.Input.Next()
 		if err != nil {
@@ -22,6 +25,22 @@
 	}
 }
 
+// copyFailsByItself reports whether the batch has another message after the one that began the COPY
+// and before the Sync. PostgreSQL takes that message for COPY data and fails. The Sync of the batch
+// then ends the answer, and one of the caller's would be answered on its own.
+func (x *Exchange) copyFailsByItself() bool {
+	u := x.follower.Unanswered()
+	if len(u) == 0 || u[0].Type != batcher.Execute {
+		return false
+	}
+	for _, i := range u[1:] {
+		if i.Answer == batcher.Pass || i.Answer == batcher.Discard {
+			return i.Type != batcher.Sync && i.Type != batcher.Flush
+		}
+	}
+	return false
+}
+
 // endCopy forwards the Sync that ends a COPY of the extended protocol. PostgreSQL ignores the Sync
 // of the batch itself, because it receives that one during COPY.
 func (x *Exchange) endCopy() error {
