fix(caller): messages with bytes after their end are refused

What callers saw: after another caller had sent a Flush with a body, a ReadyForQuery as the whole answer to a statement, since PostgreSQL answers such a Flush with an error and a ReadyForQuery that isn't expected. A simple query among messages of the extended protocol was answered before them. The text after the zero byte of a query was dropped, and the rest sent.

Cause: only the beginnings of messages were read, and their bodies sent on as they came.

Change: a Sync or a Flush with a body, and a Query before the Sync of earlier messages, end the session with 08P01; a Query, Bind, Describe, Execute or Close that doesn't end where its fields do is answered with 08P01, and nothing of its batch is sent.

--- a/internal/caller/server/prepared.go
+++ b/internal/caller/server/prepared.go
@@ -81,6 +81,15 @@
 	return string(b[:n]), b[n+1:], nil
 }
 
+// onlyString returns the string that a message body consists of.
+func onlyString(b []byte) (string, error) {
+	s, rest, err := cutString(b)
+	if err == nil && len(rest) > 0 {
+		err = ErrMalformed
+	}
+	return s, err
+}
+
 // define reads a Parse message and stores its statement. It returns the caller's name for the
 // statement.
 func (s *statements) define(body []byte) (string, *prepared, error) {
@@ -144,6 +153,44 @@
 	}
 }
 
+// rowLimitBytes is the size of the row limit in an Execute message.
+const rowLimitBytes = 4
+
+// isBindTail reports whether b is a Bind message after the names: the parameters' formats, the
+// parameters and the results' formats.
+func isBindTail(b []byte) bool {
+	b, ok := skipFormats(b)
+	if !ok || len(b) < 2 {
+		return false
+	}
+	n := int(binary.BigEndian.Uint16(b))
+	b = b[2:]
+	for range n {
+		if len(b) < 4 {
+			return false
+		}
+		l := max(0, int(int32(binary.BigEndian.Uint32(b))))
+		if int32(binary.BigEndian.Uint32(b)) < -1 || l > len(b)-4 {
+			return false
+		}
+		b = b[4+l:]
+	}
+	b, ok = skipFormats(b)
+	return ok && len(b) == 0
+}
+
+// skipFormats returns what follows a list of format codes.
+func skipFormats(b []byte) ([]byte, bool) {
+	if len(b) < 2 {
+		return nil, false
+	}
+	n := 2 + 2*int(binary.BigEndian.Uint16(b))
+	if len(b) < n {
+		return nil, false
+	}
+	return b[n:], true
+}
+
 // planner converts a caller's messages to a plan.
 type planner struct {
 	statements *statements
@@ -230,8 +277,8 @@
 		return errors.Annotate(err, "read bind message")
 	}
 	name, tail, err := cutString(rest)
-	if err != nil {
-		return errors.Annotate(err, "read bind message")
+	if err != nil || !isBindTail(tail) {
+		return errors.Annotate(ErrMalformed, "read bind message")
 	}
 	d, shared, err := p.resolve(name)
 	if err != nil {
@@ -248,7 +295,7 @@
 	if len(body) < 2 {
 		return errors.Annotate(ErrMalformed, "read describe message")
 	}
-	name, _, err := cutString(body[1:])
+	name, err := onlyString(body[1:])
 	if err != nil {
 		return errors.Annotate(err, "read describe message")
 	}
@@ -269,9 +316,9 @@
 }
 
 func (p *planner) execute(raw, body []byte) error {
-	portal, _, err := cutString(body)
-	if err != nil {
-		return errors.Annotate(err, "read execute message")
+	portal, limit, err := cutString(body)
+	if err != nil || len(limit) != rowLimitBytes {
+		return errors.Annotate(ErrMalformed, "read execute message")
 	}
 	if d := p.statements.portals[portal]; d != nil {
 		p.plan.executed = append(p.plan.executed, d)
@@ -286,7 +333,7 @@
 	if len(body) < 2 {
 		return errors.Annotate(ErrMalformed, "read close message")
 	}
-	name, _, err := cutString(body[1:])
+	name, err := onlyString(body[1:])
 	if err != nil {
 		return errors.Annotate(err, "read close message")
 	}
--- a/internal/caller/server/request.go
+++ b/internal/caller/server/request.go
@@ -19,7 +19,7 @@
 // simple handles one simple query.
 func (s *Session) simple(body []byte) error {
 	s.request++
-	q, _, err := cutString(body)
+	q, err := onlyString(body)
 	if err != nil {
 		return s.refuse(describe(errors.Annotate(err, "read query message")))
 	}
--- a/internal/caller/server/session.go
+++ b/internal/caller/server/session.go
@@ -264,7 +264,7 @@
 	return t.C, func() { t.Stop() }
 }
 
-// Next implements exchanger.Input. It returns the caller's next message.
+// Next returns the type of the caller's next message and its bytes with the header.
 func (s *Session) Next() (byte, []byte, error) {
 	for s.current == nil || s.nextItem >= len(s.current.Items) {
 		if s.current != nil {
@@ -304,10 +304,16 @@
 	}
 	switch t {
 	case batcher.Query:
+		if s.pending.Size() > 0 {
+			return s.violation("query before the sync of the messages before it")
+		}
 		return s.simple(s.current.Body(i))
 	case batcher.Parse, batcher.Bind, batcher.Describe, batcher.Execute, batcher.Close:
 		return s.collect(t, i)
 	case batcher.Sync, batcher.Flush:
+		if len(s.current.Body(i)) > 0 {
+			return s.violation("message " + quoteType(t) + " with a body")
+		}
 		s.pending.Add(t, batcher.Pass, s.current.Raw(i))
 		return s.extended(t)
 	case batcher.CopyData, batcher.CopyDone, batcher.CopyFail:
@@ -319,11 +325,20 @@
 		s.fatal(&failure{severity: severityFatal, code: codeFeature, message: "function calls outside SQL aren't supported", outcome: recorder.NotRun})
 		return ErrMalformed
 	default:
-		s.fatal(&failure{severity: severityFatal, code: codeProtocol, message: "unknown message type " + strconv.Quote(string(rune(t))), outcome: recorder.NotRun})
-		return ErrMalformed
+		return s.violation("unknown message type " + quoteType(t))
 	}
 }
 
+// violation ends the session because of a message after which the server's answers couldn't be matched
+// to the caller's requests.
+func (s *Session) violation(message string) error {
+	s.fatal(&failure{code: codeProtocol, message: message, outcome: recorder.NotRun})
+	return ErrMalformed
+}
+
+// quoteType returns the type of a message as it is shown to the caller.
+func quoteType(t byte) string { return strconv.QuoteToASCII(string(rune(t))) }
+
 func (s *Session) collect(t byte, i int) error {
 	if s.pending.Size()+len(s.current.Raw(i)) > s.MaximumMessageBytes {
 		s.fatal(&failure{severity: severityFatal, code: codeProgramLimit, message: ErrBatchTooLarge.Error(), outcome: recorder.NotRun})
