fix(caller): only messages of COPY are forwarded during a COPY

What callers saw: the answer to a query that another caller had sent in the middle of its COPY FROM STDIN. That query was run unseen, so that what it set stayed on the connection.

Cause: everything up to CopyDone or CopyFail was forwarded. A server that has failed the COPY already ignores data, but answers a Query, a Parse or a Sync, and nobody reads that answer.

A batch without a COPY has no input, and a request for some is an error of the server or of the pool owner.

--- a/internal/caller/server/acknowledgement.go
+++ b/internal/caller/server/acknowledgement.go
@@ -180,7 +180,7 @@
 func (a *attempt) askPosition(x context.Context) (marker.Mark, error) {
 	s := a.session
 	var b batcher.Batch
-	r, err := s.lease.Exchange(context.WithoutCancel(x), lessor.Exchange{Batch: &b, Output: &s.out, Input: s, AskPosition: true, InTransaction: true})
+	r, err := s.lease.Exchange(context.WithoutCancel(x), lessor.Exchange{Batch: &b, Output: &s.out, AskPosition: true, InTransaction: true})
 	return r.Position, err
 }
 
--- a/internal/caller/server/attempt.go
+++ b/internal/caller/server/attempt.go
@@ -161,7 +161,7 @@
 	return lessor.Exchange{
 		Batch:         b,
 		Output:        &s.out,
-		Input:         s,
+		Input:         a.copyInput(),
 		AskPosition:   a.asksPosition(),
 		AskBefore:     s.out.gate != nil,
 		InTransaction: !a.fresh || s.keyed != nil,
@@ -205,10 +205,8 @@
 	if a.end == batcher.Flush {
 		return false
 	}
-	for _, d := range a.plan.executed {
-		if d.statement.Kind == classifier.KindUnparsed || copiesIn(&d.statement) {
-			return false
-		}
+	if a.mayCopyIn() {
+		return false
 	}
 	return s.status == exchanger.Idle && s.deferredBegin == nil || a.commits()
 }
--- a/internal/pool/forwarder/answer.go
+++ b/internal/pool/forwarder/answer.go
@@ -81,6 +81,9 @@
 
 // sendCopyData forwards the caller's messages of a COPY FROM STDIN up to its last one.
 func (a *answerReader) sendCopyData() error {
+	if a.exchange.Input == nil {
+		return errors.Annotate(encoder.ErrMalformed, "input for a batch without a COPY")
+	}
 	ended := false
 	for {
 		t, p, err := a.exchange.Input.Next()
