fix(soak): odd texts hold no CR LF, and values may be empty

The callers' odd texts were put together from parts, and a CR at the end of one before a LF at the start of the next ended the line.

One in three of the values that are set is empty.

--- a/internal/soak/caller/odd.go
+++ b/internal/soak/caller/odd.go
@@ -22,7 +22,7 @@
 
 // word returns a text of odd bytes without blanks.
 func (s *Session) word(start string) string {
-	return start + oddWords[s.Random.IntN(len(oddWords))] + []string{"", "a", oddWords[s.Random.IntN(len(oddWords))]}[s.Random.IntN(3)]
+	return withoutLineEnds(start + pick(s, oddWords) + pick(s, []string{"", "a", pick(s, oddWords)}))
 }
 
 // last returns a text of odd bytes for the last field of a message.
@@ -31,11 +31,16 @@
 	case 0:
 		return s.word(start)
 	case 1:
-		return s.word(start) + oddEnds[s.Random.IntN(len(oddEnds))]
+		return withoutLineEnds(s.word(start) + pick(s, oddEnds))
 	}
-	return start + oddEnds[s.Random.IntN(len(oddEnds))]
+	return withoutLineEnds(start + pick(s, oddEnds))
 }
 
+func pick(s *Session, l []string) string { return l[s.Random.IntN(len(l))] }
+
+// withoutLineEnds parts each CR LF, which ends a line wherever it stands.
+func withoutLineEnds(text string) string { return strings.ReplaceAll(text, "\r\n", "\r\x00\n") }
+
 // data returns the data of a write of the value.
 func (s *Session) data(value int) string {
 	if !s.chance(s.OddPercent) {
@@ -45,7 +50,7 @@
 }
 
 func (s *Session) oddItem() string {
-	return replicator.OddItem + oddItems[s.Random.IntN(len(oddItems))]
+	return replicator.OddItem + pick(s, oddItems)
 }
 
 // operateOdd carries out an operation whose texts hold odd bytes.
@@ -62,14 +67,14 @@
 		item = s.last(item)
 		return s.read("READ "+item, item)
 	case 4:
-		return s.setUp("SET " + s.word("n") + " " + s.last("v"))
+		return s.setUp("SET " + s.word("n") + " " + pick(s, []string{s.last("v"), s.last("v"), ""}))
 	}
 	return s.execute(item)
 }
 
 // execute prepares a statement under a name with odd bytes, runs it, and at random forgets it.
 func (s *Session) execute(item string) error {
-	name, mode := s.word("p"), []string{"READ", "WRITE"}[s.Random.IntN(2)]
+	name, mode := s.word("p"), pick(s, []string{"READ", "WRITE"})
 	if err := s.setUp("PREPARE " + name + " " + mode + " " + s.last(fmt.Sprintf("q%d", s.Random.IntN(items)))); err != nil {
 		return err
 	}
