test(soak): callers object to messages out of order

An answer with messages after its end, as one that is cut into another, passed if its last signature was right; an answer to BEGIN or SET passed without DONE. Both are findings now.

A statement that was sent behind an unanswered BEGIN, SET or PREPARE in the same write, and whose caller left, counted as one in that transaction and with these values, though the statement before may have been refused: a limited customer's BEGIN is, by right. Such statements aren't checked for them.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -124,8 +125,12 @@
 	return false, errors.Errorf("greeted by %q", l)
 }
 
-// Close closes the connection, if there is one.
+// Close closes the connection, if there is one. What was sent after a statement that changes the session and wasn't
+// answered may run in another state than was expected, as that statement may have failed.
 func (s *Session) Close() {
+	if i := slices.IndexFunc(s.outstanding, func(x *checker.Statement) bool { return !signed(x.Text) }); i >= 0 {
+		markUncertain(s.outstanding[i+1:])
+	}
 	if s.conn != nil {
 		s.conn.Close()
 	}
@@ -290,6 +295,9 @@
 			return a, err
 		}
 		keyword, rest, _ := strings.Cut(l, " ")
+		if ended := x.Signature != "" || a.code != ""; ended != (keyword == "READY") {
+			s.recordStrange("strange: %s (%.100q) got the message %.100q out of order", x.ID, x.Text, l)
+		}
 		switch keyword {
 		case "ROW":
 			x.Rows = append(x.Rows, rest)
@@ -303,9 +311,7 @@
 			a.stopping = strings.Contains(rest, stoppingText)
 		case "READY":
 			if a.code == "" && signed(x.Text) && !strings.HasPrefix(x.Signature, "sig."+x.ID+".") {
-				s.Recorder.Update(func(h *checker.History) {
-					h.UnexpectedAnswers = append(h.UnexpectedAnswers, fmt.Sprintf("strange: %s (%.100q) got the answer %q", x.ID, x.Text, x.Signature))
-				})
+				s.recordStrange("strange: %s (%.100q) got the answer %q", x.ID, x.Text, x.Signature)
 			}
 			if len(x.Rows) > 0 {
 				a.row = x.Rows[0]
@@ -314,9 +320,7 @@
 			s.recordAnswer(a.code)
 			return a, nil
 		default:
-			s.Recorder.Update(func(h *checker.History) {
-				h.UnexpectedAnswers = append(h.UnexpectedAnswers, fmt.Sprintf("strange: %s (%.100q) got the message %.100q", x.ID, x.Text, l))
-			})
+			s.recordStrange("strange: %s (%.100q) got the message %.100q", x.ID, x.Text, l)
 		}
 	}
 }
@@ -370,9 +374,7 @@
 	}
 	r := checker.Read{ID: fmt.Sprintf("%s.%d", s.Name, s.statements), Session: s.Name, Item: item, Freshness: s.Freshness, Sent: sent}
 	if _, err := fmt.Sscan(a.row, &r.Value); err != nil {
-		s.Recorder.Update(func(h *checker.History) {
-			h.UnexpectedAnswers = append(h.UnexpectedAnswers, fmt.Sprintf("strange: %s read %q", r.ID, a.row))
-		})
+		s.recordStrange("strange: %s read %q", r.ID, a.row)
 		return nil
 	}
 	s.Recorder.Update(func(h *checker.History) { h.Reads = append(h.Reads, r) })
--- a/internal/soak/caller/recorder.go
+++ b/internal/soak/caller/recorder.go
@@ -37,6 +37,11 @@
 	s.Recorder.Update(func(h *checker.History) { h.Served = append(h.Served, r) })
 }
 
+// recordStrange records an answer that doesn't match its request.
+func (s *Session) recordStrange(format string, a ...any) {
+	s.Recorder.Update(func(h *checker.History) { h.UnexpectedAnswers = append(h.UnexpectedAnswers, fmt.Sprintf(format, a...)) })
+}
+
 // recordHeld records a statement that was refused as held, and an unexpected answer if a transaction is
 // open: operators hold back no statement of an open transaction.
 func (s *Session) recordHeld(id, text string, sent time.Time) {
--- a/internal/soak/caller/statements.go
+++ b/internal/soak/caller/statements.go
@@ -85,15 +85,19 @@
 	s.outstanding = s.outstanding[1:]
 	x.Answered, x.Code = true, code
 	if code != "" && !signed(x.Text) {
-		for _, o := range s.outstanding {
-			o.Uncertain = true
-		}
+		markUncertain(s.outstanding)
 	}
 	if s.state == stateIdle && len(s.outstanding) == 0 {
 		s.transaction = 0
 	}
 }
 
+func markUncertain(l []*checker.Statement) {
+	for _, x := range l {
+		x.Uncertain = true
+	}
+}
+
 // minimumRest is the time in which a surplus message that was sent with an answer arrives.
 const minimumRest = time.Millisecond
 
