fix(executor): values reach servers with the text by which they were set

"SET zone" and "SET zone " were one value to the proxy: empty fields were left out of what it sent, and values were compared without them. A session got a connection with the value of another one, which differed by a byte, and a server saw another value than the one that was acknowledged.

A session keeps the text of each SET, and sends and compares that text, also where a connection is lent to another host.

--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -235,8 +235,8 @@
 type Request struct {
 	// ID is the caller's request id, empty for a statement of the proxy itself.
 	ID string
-	// Text is a caller's statement as received. If it is empty, the following fields define the
-	// statement.
+	// Text is a caller's statement as received, with VerbSet the one by which the value was set. If it
+	// is empty, the following fields define the statement.
 	Text           string
 	Verb           Verb
 	Name, Argument string
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -44,9 +44,10 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.values)) {
-		if v, ok := l.Values[name]; !ok || v != s.values[name] {
-			l.Values[name] = s.values[name]
-			e.add(declarer.Request{Verb: declarer.VerbSet, Name: name, Argument: s.values[name]})
+		want := s.values[name]
+		if v, ok := l.Values[name]; !ok || v != want.text {
+			l.Values[name] = want.text
+			e.add(declarer.Request{Verb: declarer.VerbSet, Name: name, Argument: want.value, Text: want.text})
 		}
 	}
 	if q.prepared != nil {
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -47,7 +47,7 @@
 	key      identifier.Digest
 	// values are the session's settings by name, prepared its prepared statements by the caller's
 	// name.
-	values   map[string]string
+	values   map[string]setting
 	prepared map[string]preparedStatement
 	// stateBytes is the size of the names and values in values and prepared.
 	stateBytes int
@@ -68,6 +68,10 @@
 	idleSince time.Time
 }
 
+// setting is a value that a caller has set, with the text by which it did so. Equal values may differ in their
+// text: a field that is empty, and one that is missing.
+type setting struct{ value, text string }
+
 // preparedStatement is a statement that the caller has prepared: whether it writes, and its shape,
 // which the server runs with the arguments of each execution.
 type preparedStatement struct {
@@ -253,15 +257,15 @@
 func (s *Session) set(x declarer.Statement) error {
 	old := 0
 	if o, ok := s.values[x.Name]; ok {
-		old = len(x.Name) + len(o)
+		old = len(x.Name) + len(o.value)
 	}
 	if !s.reserveState(x.Name, x.Argument, old) {
 		return s.fail(declarer.CodeTooBig, "the session has set and prepared too much")
 	}
 	if s.values == nil {
-		s.values = make(map[string]string)
+		s.values = make(map[string]setting)
 	}
-	s.values[x.Name] = x.Argument
+	s.values[x.Name] = setting{value: x.Argument, text: x.Text}
 	return s.Caller.Done(s.state())
 }
 
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -338,7 +338,7 @@
 	values := make(map[string]string)
 	for _, r := range requests {
 		if r.Verb == declarer.VerbSet {
-			values[r.Name] = r.Argument
+			values[r.Name] = r.Text
 		}
 	}
 	if l.fresh && !sameValues(l.lease.Values, values) {
@@ -366,10 +366,10 @@
 func (l *Link) isRedundant(r declarer.Request) bool {
 	switch r.Verb {
 	case declarer.VerbSet:
-		if v, ok := l.lease.Values[r.Name]; ok && v == r.Argument {
+		if v, ok := l.lease.Values[r.Name]; ok && v == r.Text {
 			return true
 		}
-		l.lease.Values[r.Name] = r.Argument
+		l.lease.Values[r.Name] = r.Text
 	case declarer.VerbPrepare:
 		if _, ok := l.lease.Prepared[r.Name]; ok {
 			return true
--- a/internal/proxy/lender/lender_test.go
+++ b/internal/proxy/lender/lender_test.go
@@ -163,7 +163,7 @@
 }
 
 func set(n, v string) declarer.Request {
-	return declarer.Request{Verb: declarer.VerbSet, Name: n, Argument: v}
+	return declarer.Request{Verb: declarer.VerbSet, Name: n, Argument: v, Text: "SET " + n + " " + v}
 }
 
 func prepare(n string) declarer.Request {
