fix(executor): a prepared statement has one word as its name on servers

The name on a server was the caller's shape with a prefix. A shape is the last field and may hold blanks, a name may not: for shape "q3b8 x" the server prepared shape "x WRITE q3b8 x" under the name "w_q3b8" and kind "", and ran another shape than the caller's, or that of another session.

A plain shape of at most 40 bytes stays part of the name, so that nothing grows on the wire in the usual case. The name is computed once, at PREPARE.

Failed before: TestNameOnServerStandsForOneShape (blanks, white space, control and other bytes, and up to 60 kB in a name).

--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -2,6 +2,9 @@
 package executor
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,6 +80,8 @@
 type preparedStatement struct {
 	writes bool
 	shape  string
+	// name is the statement's name on servers.
+	name string
 }
 
 // Run serves the caller until the session ends.
@@ -280,7 +285,9 @@
 	if s.prepared == nil {
 		s.prepared = make(map[string]preparedStatement)
 	}
-	s.prepared[x.Name] = preparedStatement{writes: x.Writes, shape: x.Argument}
+	p := preparedStatement{writes: x.Writes, shape: x.Argument}
+	p.name = serverStatementName(p)
+	s.prepared[x.Name] = p
 	return s.Caller.Done(s.state())
 }
 
@@ -356,18 +363,39 @@
 	}
 	q.Text = ""
 	q.Verb = declarer.VerbExecute
-	q.Name = serverStatementName(p)
+	q.Name = p.name
 	q.Argument = x.Argument
 	q.Writes = p.writes
 	q.prepared = &p
 	return q, nil
 }
 
+const (
+	// maximumPlainShape is the longest shape, in bytes, that is part of its name on servers.
+	maximumPlainShape = 40
+	// namePlain and nameDigest follow the letter of the access in a name.
+	namePlain  = "_"
+	nameDigest = "h_"
+)
+
+// serverStatementName returns the name of a prepared statement on servers. It is one word, and stands for
+// one shape and access only: a shape that may not be part of a word is replaced by its digest.
 func serverStatementName(p preparedStatement) string {
+	access := "r"
 	if p.writes {
-		return "w_" + p.shape
+		access = "w"
 	}
-	return "r_" + p.shape
+	if isPlainShape(p.shape) {
+		return access + namePlain + p.shape
+	}
+	d := sha256.Sum256([]byte(p.shape))
+	return access + nameDigest + base64.RawURLEncoding.EncodeToString(d[:])
+}
+
+func isPlainShape(s string) bool {
+	return len(s) <= maximumPlainShape && !strings.ContainsFunc(s, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '.' && r != '_' && r != '-'
+	})
 }
 
 // request is a caller's statement in the form sent to a backend server. verb is the caller's,
