fix(executor): a caller is told why its message ends the session

A message that isn't one of the protocol, one with the id of the proxy's own statements and one above 1 MiB ended the connection without a word: its caller couldn't tell that from a lost host, and could only count its statement as unknown.

It gets ERR MALFORMED or ERR TOOBIG, after an open transaction was rolled back, and then the close.

--- a/internal/proxy/executor/ending.go
+++ b/internal/proxy/executor/ending.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/juju/errors"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
 // Errors of Caller.Start and Caller.Next that end a session. After any other error, the caller has closed the
@@ -67,6 +69,16 @@
 	return err == nil
 }
 
+// explainEnd tells the caller why its session ends, if that is for what it has sent.
+func (s *Session) explainEnd() {
+	switch {
+	case errors.Is(s.endError, ErrMalformed):
+		_ = s.Caller.Refuse(declarer.CodeMalformed, "not run: the message isn't one of the protocol; the session ends")
+	case errors.Is(s.endError, ErrTooLong):
+		_ = s.Caller.Refuse(declarer.CodeTooBig, "not run: the message is too long; the session ends")
+	}
+}
+
 // reportEnd reports why the session has ended.
 func (s *Session) reportEnd() {
 	if s.OnEnd != nil {
--- a/internal/proxy/executor/ending_test.go
+++ b/internal/proxy/executor/ending_test.go
@@ -14,6 +14,13 @@
 type endingCaller struct {
 	scriptedCaller
 	start, next, answer error
+	// refused is the code of an error without a state.
+	refused declarer.Code
+}
+
+func (c *endingCaller) Refuse(x declarer.Code, _ string) error {
+	c.refused = x
+	return nil
 }
 
 func (c *endingCaller) Start(time.Time) (database, key string, err error) { return "db", "", c.start }
@@ -76,3 +83,27 @@
 		})
 	}
 }
+
+// Guards against a caller whose session ends without a word for what it has sent.
+func TestOddMessageIsAnswered(t *testing.T) {
+	for name, x := range map[string]struct {
+		caller endingCaller
+		want   declarer.Code
+	}{
+		"malformed":           {endingCaller{next: ErrMalformed}, declarer.CodeMalformed},
+		"too long":            {endingCaller{next: ErrTooLong}, declarer.CodeTooBig},
+		"malformed at start":  {endingCaller{start: ErrMalformed}, declarer.CodeMalformed},
+		"too long at start":   {endingCaller{start: ErrTooLong}, declarer.CodeTooBig},
+		"cut":                 {endingCaller{next: ErrCut}, declarer.CodeNone},
+		"bye":                 {endingCaller{next: ErrBye}, declarer.CodeNone},
+		"no startup":          {endingCaller{start: ErrDeadline}, declarer.CodeNone},
+		"cut startup message": {endingCaller{start: ErrCut}, declarer.CodeNone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			newSession(&x.caller).Run()
+			if x.caller.refused != x.want {
+				t.Errorf("caller is told code %d, want %d", x.caller.refused, x.want)
+			}
+		})
+	}
+}
--- a/internal/proxy/executor/ports.go
+++ b/internal/proxy/executor/ports.go
@@ -22,7 +22,7 @@
 	Interrupt()
 	// Ready tells the caller that its session has started.
 	Ready() error
-	// Refuse answers Start with an error.
+	// Refuse answers Start, or a message that isn't a statement, with an error. The session ends then.
 	Refuse(c declarer.Code, text string) error
 	// Done, Fail and Forward answer a statement: Done if the proxy has run it itself, Fail with an
 	// error of the proxy, Forward with the answer of a backend server.
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -88,6 +88,7 @@
 func (s *Session) Run() {
 	defer s.Caller.Close()
 	defer s.reportEnd()
+	defer s.explainEnd()
 	if !s.start() {
 		return
 	}
