fix(executor): a statement that grows beyond 1 MiB is refused

A statement of just 1 MiB may be longer once it is sent: a prepared statement has another name on the server, and a read may have to wait for a position. A server ends a connection with such a message, and the statement counted as unknown.

It is refused with TOOBIG, and nothing is sent.

--- a/internal/proxy/declarer/declarer.go
+++ b/internal/proxy/declarer/declarer.go
@@ -178,8 +178,13 @@
 	Writes bool
 	// Text is the statement as the caller sent it.
 	Text string
+	// Limit is the length in bytes up to which the text fits into a message to a server, zero if any does.
+	Limit int
 }
 
+// PositionBytes is by how many bytes a required position lengthens a text at most.
+const PositionBytes = 48
+
 // Code is the reason of an error answer.
 type Code uint8
 
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -335,6 +335,9 @@
 	if err != nil {
 		return s.fail(declarer.CodeNoSuchStatement, x.Name)
 	}
+	if x.Limit > 0 && q.textBytes(x) > x.Limit {
+		return s.fail(declarer.CodeTooBig, "not run: the statement is too long to be sent to a server")
+	}
 	if s.openTransaction != nil {
 		return s.runInTransaction(q)
 	}
@@ -407,6 +410,18 @@
 	prepared *preparedStatement
 }
 
+// textBytes returns the length in bytes that the text of a statement has at most once it is sent to a server.
+func (q *request) textBytes(x declarer.Statement) int {
+	n := len(x.Text)
+	if q.prepared != nil {
+		n += len(q.Name) - len(x.Name)
+	}
+	if !q.Writes {
+		n += declarer.PositionBytes
+	}
+	return n
+}
+
 // recordCommit keeps the position of the session's newest commit. The position belongs to one
 // group only, and a changed route may lead the session to another group.
 func (s *Session) recordCommit(group string, m marker.Mark) {
