docs(design): where bytes become messages, with a test for each place

One row for each place on the platform's path: what is accepted exactly, what isn't and what its sender is told, what surplus, missing and cut messages do, and the test. TestPromisesNameTestsThatExist checks this page's names too.

--- a/docs_test.go
+++ b/docs_test.go
@@ -10,29 +10,31 @@
 	"testing"
 )
 
-// Guards against docs/promises.md naming a test that has been renamed or removed. Readers would
-// rely on a check that is never run.
+// Guards against a page naming a test that has been renamed or removed. Readers would rely on a check that is
+// never run.
 func TestPromisesNameTestsThatExist(t *testing.T) {
-	b, err := os.ReadFile("docs/promises.md")
-	if err != nil {
-		t.Fatal(err)
-	}
 	tests := definedTests(t)
-	named := regexp.MustCompile("`(Test[A-Z][A-Za-z0-9]*)`").FindAllStringSubmatch(string(b), -1)
-	if len(named) == 0 {
-		t.Fatal("docs/promises.md names no test")
-	}
-	for _, m := range named {
-		if !tests[m[1]] {
-			t.Errorf("docs/promises.md names %s, which doesn't exist", m[1])
+	for _, page := range []string{"docs/promises.md", "docs/design/message-boundaries.md"} {
+		b, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		named := regexp.MustCompile("`((?:Test|Fuzz)[A-Z][A-Za-z0-9]*)`").FindAllStringSubmatch(string(b), -1)
+		if len(named) == 0 {
+			t.Fatalf("%s names no test", page)
+		}
+		for _, m := range named {
+			if !tests[m[1]] {
+				t.Errorf("%s names %s, which doesn't exist", page, m[1])
+			}
 		}
 	}
 }
 
-// definedTests returns the names of all test functions in the module.
+// definedTests returns the names of all test and fuzz functions in the module.
 func definedTests(t *testing.T) map[string]bool {
 	tests := map[string]bool{}
-	f := regexp.MustCompile(`(?m)^func (Test[A-Z]\w*)\(`)
+	f := regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)[A-Z]\w*)\(`)
 	err := filepath.WalkDir(".", func(p string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(p, "_test.go") {
 			return err
