fix(connpooler): a connection on which bytes have arrived unasked isn't used again

Callers got the answers of other statements (MIXED) where a backend server answered a statement again after the first answer: the next statement on the connection was answered by what was already there. The pool looked for unread bytes only on connections that had rested for 50 ms, and never after a use or between the lease and the sending.

A connection is now looked at when it is returned, when it is leased and, unless answers are pending or a transaction is open, before something is sent. With unread bytes, or closed by the server, it is given up. Send then returns connpooler.ErrNotSent: nothing was sent, so that the statement, also a write, is tried on another connection, a commit is told as aborted, and the owner of a borrowed connection lends another one for the first batch of a lease.

--- a/internal/limit/retrier/statement.go
+++ b/internal/limit/retrier/statement.go
@@ -21,6 +21,9 @@
 	CauseUnreachable
 	// CauseNotPrimary means that the server isn't the primary or didn't prove that it is.
 	CauseNotPrimary
+	// CauseNotSent means that the connection could not be used any more when the statement was to be
+	// sent. Another connection to the same server may work.
+	CauseNotSent
 )
 
 // Action is the next step for a statement.
@@ -119,7 +122,7 @@
 			return s.refuse()
 		}
 		return Step{}
-	case c == CauseNotPrimary:
+	case c == CauseNotPrimary, c == CauseNotSent:
 		return Step{}
 	case s.SingleServer:
 		return s.retryLater(c, now, random)
--- a/internal/limit/retrier/statement_test.go
+++ b/internal/limit/retrier/statement_test.go
@@ -92,7 +92,7 @@
 			} else {
 				s.CountTry()
 				now += time.Duration(rapid.IntRange(0, 100).Draw(r, "took")) * time.Millisecond
-				x = s.Refused(name, Cause(rapid.IntRange(0, int(CauseNotPrimary)).Draw(r, "cause")), 0, now, rapid.Uint64().Draw(r, "draw"))
+				x = s.Refused(name, Cause(rapid.IntRange(0, int(CauseNotSent)).Draw(r, "cause")), 0, now, rapid.Uint64().Draw(r, "draw"))
 			}
 			if x.Action == ActionRefuse {
 				break
--- a/internal/proxy/connpooler/connpooler.go
+++ b/internal/proxy/connpooler/connpooler.go
@@ -25,9 +25,6 @@
 	// session has given up on them. An unresponsive connection takes up one of the server's few
 	// connections until it is closed.
 	recoverTimeout = 2 * time.Second
-	// checkAfterIdle is how long a connection must have been idle to be checked, before it is
-	// leased, for whether the server has closed it.
-	checkAfterIdle = 50 * time.Millisecond
 )
 
 // Pool holds the connections to one server. Its exported fields are set before use.
@@ -125,7 +122,7 @@
 	}
 }
 
-// errEnded is returned if the server had closed all idle connections when a waiter was granted
+// errEnded is returned if none of the idle connections could be used when a waiter was granted
 // one. They have been dropped, so that the next attempt waits for a new connection.
 const errEnded = errors.ConstError("connections ended")
 
@@ -196,7 +193,7 @@
 }
 
 // takeIdle leases an idle connection to the granted entry e; there is one for each grant, unless
-// the server has closed it. If err isn't nil, it returns err.
+// it has ended. If err isn't nil, it returns err.
 func (p *Pool) takeIdle(a AcquireRequest, e *admitter.Entry, err error) (*Lease, error) {
 	if err != nil {
 		return nil, err
@@ -208,7 +205,7 @@
 		if l == nil {
 			break
 		}
-		if time.Since(l.usedAt) > checkAfterIdle && l.Ended() {
+		if l.Ended() {
 			p.drop(l)
 			continue
 		}
--- a/internal/proxy/connpooler/connpooler_test.go
+++ b/internal/proxy/connpooler/connpooler_test.go
@@ -332,9 +332,8 @@
 		p := newPool(f)
 		l := acquire(t, p)
 		old := l.Connection.(*fakeConnection)
-		old.ended = true
 		l.Release(false)
-		time.Sleep(2 * checkAfterIdle)
+		old.ended = true
 		if l = acquire(t, p); l.Connection == old {
 			t.Error("a connection that the server has closed is leased")
 		}
--- a/internal/proxy/connpooler/full_test.go
+++ b/internal/proxy/connpooler/full_test.go
@@ -46,10 +46,11 @@
 			leases = append(leases, acquire(t, p))
 		}
 		for _, l := range leases {
-			l.Connection.(*fakeConnection).ended = true
 			l.Release(false)
 		}
-		time.Sleep(2 * checkAfterIdle)
+		for _, l := range leases {
+			l.Connection.(*fakeConnection).ended = true
+		}
 		acquire(t, p).Release(false)
 		p.Close()
 	})
--- a/internal/proxy/connpooler/lease.go
+++ b/internal/proxy/connpooler/lease.go
@@ -12,14 +12,15 @@
 
 // Connection is a connection to a backend server.
 type Connection interface {
-	// Send writes all requests at once. After an error, the server may have received any part
-	// of them.
+	// Send writes all requests at once. After an error other than ErrNotSent, the server may have
+	// received any part of them.
 	Send(r []declarer.Request, deadline time.Time) error
 	// Receive reads the next answer. It can be called again after a timeout.
 	Receive(a *declarer.Answer, deadline time.Time) error
 	// PendingAnswers returns how many requests haven't been answered yet.
 	PendingAnswers() int
-	// Ended reports whether the server has closed the connection.
+	// Ended reports whether the connection can't be used again: the server has closed it, or has sent
+	// something that nobody asked for. It must not be called while answers are pending.
 	Ended() bool
 	Close()
 }
@@ -66,8 +67,8 @@
 		if l.PendingAnswers() > 0 {
 			p.dropUnusedSince(l.leasedAt)
 		}
-		p.release(l, broken || l.PendingAnswers() > 0 || b.Return() != nil)
-	case broken:
+		p.release(l, broken || l.PendingAnswers() > 0 || l.Ended() || b.Return() != nil)
+	case broken, l.PendingAnswers() == 0 && l.Ended():
 		p.release(l, true)
 	case l.PendingAnswers() > 0 || l.State != declarer.StateIdle:
 		p.beginRecovery(l)
@@ -106,13 +107,20 @@
 		l.State = a.State
 		a = declarer.Answer{Body: a.Body[:0]}
 	}
-	if l.State == declarer.StateIdle {
-		return nil
+	if l.State != declarer.StateIdle {
+		if err := l.rollBack(&a, t); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+// rollBack rolls back an open transaction.
+func (l *Lease) rollBack(a *declarer.Answer, t time.Time) error {
 	if err := l.Send([]declarer.Request{{Verb: declarer.VerbRollback}}, t); err != nil {
 		return err
 	}
-	if err := l.Receive(&a, t); err != nil {
+	if err := l.Receive(a, t); err != nil {
 		return err
 	}
 	l.State = a.State
--- a/internal/proxy/connpooler/refusal.go
+++ b/internal/proxy/connpooler/refusal.go
@@ -43,6 +43,9 @@
 	// ErrTimeout is returned by Connection.Receive if no answer arrived by the deadline. It may
 	// still arrive.
 	ErrTimeout = errors.ConstError("no answer in time")
+	// ErrNotSent is returned by Connection.Send if the server has closed the connection or sent
+	// something that nobody asked for. Nothing was sent.
+	ErrNotSent = errors.ConstError("connection can't be used, nothing was sent")
 )
 
 // noConnectionError returns the refusal for a pool that has no connection and opens none before
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -246,6 +246,11 @@
 		a.reason = r.Error()
 		return retryWith(a.afterRefusal(a.server, retrier.CauseQueueTooLong, r.RetryAfter))
 	}
+	if errors.Is(err, connpooler.ErrNotSent) {
+		l.Release(true)
+		a.reason = err.Error()
+		return retryWith(a.afterRefusal(a.server, retrier.CauseNotSent, 0))
+	}
 	if err != nil {
 		return a.handleBrokenExchange(l, err)
 	}
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -76,13 +76,23 @@
 // the caller's statement.
 func (e *exchange) run(l ...*declarer.Answer) error {
 	err := e.sendAndReceive(l)
-	if e.permit != nil {
-		e.permit.End(l[0].Code)
-		e.permit = nil
-	}
+	e.endPermit(l[0].Code, err)
 	return err
 }
 
+// endPermit returns the permit, if there is one, after an exchange.
+func (e *exchange) endPermit(c declarer.Code, err error) {
+	switch {
+	case e.permit == nil:
+		return
+	case errors.Is(err, connpooler.ErrNotSent):
+		e.permit.Cancel()
+	default:
+		e.permit.End(c)
+	}
+	e.permit = nil
+}
+
 func (e *exchange) sendAndReceive(l []*declarer.Answer) error {
 	r, n := e.requests, e.setupCount
 	e.requests, e.setupCount = nil, 0
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/cuminwick/cuminwick/internal/limit/admitter"
 	"github.com/cuminwick/cuminwick/internal/proxy/blackboard"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
@@ -146,6 +148,7 @@
 	err := e.run(&begun, &ended)
 	l.Release(err != nil)
 	switch {
+	case errors.Is(err, connpooler.ErrNotSent):
 	case err != nil:
 		f.observer.Board.Do(f.group, func(g *grouptracker.Group) { g.RecordFailure(id, f.observer.Board.Time(), f.observer.Board.Time()) })
 	case begun.Code == declarer.CodeReadOnly:
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -98,7 +98,7 @@
 	if err := a.sendUntilServed(t); err != nil {
 		a.report(declarer.CodeAborted)
 		s.abortUnanswered(t, err)
-		if errors.Is(err, connpooler.ErrRefused) {
+		if notSent(err) {
 			return s.fail(declarer.CodeAborted, rolledBackText(err))
 		}
 		return s.fail(declarer.CodeAborted, "the server's answer didn't come; the transaction is rolled back")
@@ -107,6 +107,11 @@
 	return s.forwardAnswer(t, a)
 }
 
+// notSent reports whether the statement was certainly not sent.
+func notSent(err error) bool {
+	return errors.Is(err, connpooler.ErrRefused) || errors.Is(err, connpooler.ErrNotSent)
+}
+
 // rolledBackText returns the text for a statement of a transaction that was refused before it was
 // sent.
 func rolledBackText(err error) string {
@@ -120,6 +125,9 @@
 		return
 	}
 	t.abortBroken()
+	if notSent(err) {
+		return
+	}
 	s.Board.Do(t.route.Group, func(g *grouptracker.Group) { g.RecordFailure(t.server, s.Board.Time(), s.Board.Time()) })
 }
 
@@ -214,7 +222,7 @@
 	s.abortUnanswered(t, err)
 	code, text := declarer.CodeOutcomeUnknown, "the server's answer to the commit didn't come; whether it took effect isn't known"
 	switch {
-	case errors.Is(err, connpooler.ErrRefused):
+	case notSent(err):
 		code, text = declarer.CodeAborted, rolledBackText(err)
 	case !t.wrote:
 		code, text = declarer.CodeAborted, "the server's answer to the commit didn't come; nothing had been written"
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -167,7 +167,10 @@
 	if l.lease == nil {
 		return l.refuseAll(len(e.Requests))
 	}
-	err := l.run(e.Requests, min(e.Wait, answerTimeout))
+	err := l.runOrReplace(e.Requests, min(e.Wait, answerTimeout))
+	if errors.Is(err, errNoReplacement) {
+		return l.refuseAll(len(e.Requests))
+	}
 	if errors.Is(err, connpooler.ErrRefused) {
 		l.refusal = refusalOf(err)
 		return l.refuseAll(len(e.Requests))
@@ -179,6 +182,33 @@
 	return l.Borrower.Flush() == nil
 }
 
+// errNoReplacement is returned if a connection can't be used, and there is no other one to lend in its place.
+const errNoReplacement = errors.ConstError("no connection in place of one that can't be used")
+
+// runOrReplace is run. If the connection can't be used any more before the first batch of the lease was sent,
+// it lends another one in its place.
+func (l *Link) runOrReplace(requests []declarer.Request, wait time.Duration) error {
+	fresh := l.fresh
+	err := l.run(requests, wait)
+	if !errors.Is(err, connpooler.ErrNotSent) {
+		return err
+	}
+	l.returnLease(true)
+	l.refusal = Refusal{Unreachable: true, Message: err.Error()}
+	if !fresh {
+		return errNoReplacement
+	}
+	if l.lend(l.request); l.lease == nil {
+		return errNoReplacement
+	}
+	if err = l.run(requests, wait); !errors.Is(err, connpooler.ErrNotSent) {
+		return err
+	}
+	l.returnLease(true)
+	l.refusal = Refusal{Unreachable: true, Message: err.Error()}
+	return errNoReplacement
+}
+
 // tellPosition answers a request for a position, and reports whether the link can be used further.
 func (l *Link) tellPosition(maximum time.Duration) bool {
 	m, age, ok := l.Position(maximum)
@@ -255,8 +285,8 @@
 }
 
 // run runs a batch of statements and answers each. It first acquires a permit, unless all of them
-// are the proxy's own, such as those that set the connection up. If it returns a connpooler.Refusal,
-// nothing was sent.
+// are the proxy's own, such as those that set the connection up. If it returns a connpooler.Refusal or
+// connpooler.ErrNotSent, nothing was sent.
 func (l *Link) run(requests []declarer.Request, wait time.Duration) error {
 	end := time.Now().Add(wait)
 	if !slices.ContainsFunc(requests, func(r declarer.Request) bool { return r.ID != "" }) {
@@ -272,7 +302,11 @@
 		return err
 	}
 	err = l.exchange(requests, end)
-	t.End(l.code)
+	if errors.Is(err, connpooler.ErrNotSent) {
+		t.Cancel()
+	} else {
+		t.End(l.code)
+	}
 	return err
 }
 
