fix(platform): an answer is given to a statement only if it can be its own

Callers got other statements' rows and signatures with success (MIXED), transactions that were never begun or committed were acknowledged, and values and prepared names were taken as set where a server answered a statement twice, the second time late: Connection.Receive gave the next answer to the oldest pending statement, whatever it was.

An answer that has answered an earlier statement on the connection (the same signature and body), a caller's success without signature, a success whose state the statement can't lead to, a primary's position that went back and a second greeting are skipped: the true answer still comes, in order. Parts of several answers (a known signature with other rows, a message after the result, rows or a state without a result, a new signature in place of one of the proxy's own answers) end the connection with connpooler.ErrOutOfStep: a read runs again elsewhere, a transaction is rolled back, the outcome of a write or commit is unknown, never 'not run'. After either, the connection isn't used again. In a transaction, the answer of which something arrived before the statement was sent is skipped. A server whose answers can't be told apart doesn't count as failed. A read's confirmation counts only if the rollback behind it succeeded.

TestOutcomeIsUnknownWhereAnswersCannotBeToldApart.

--- a/internal/proxy/assembler/assembler_test.go
+++ b/internal/proxy/assembler/assembler_test.go
@@ -31,6 +31,8 @@
 	mu       sync.Mutex
 	items    map[string]string
 	position int
+	// signatures counts the statements of callers.
+	signatures int
 }
 
 func startInstance(t *testing.T) *instance {
@@ -86,6 +88,11 @@
 	if f[2] == "AFTER" {
 		f = append(f[:2], f[4:]...)
 	}
+	done := "DONE -\r\n"
+	if f[1] != "-" {
+		i.signatures++
+		done = fmt.Sprintf("DONE sig%d\r\n", i.signatures)
+	}
 	switch f[2] {
 	case "BEGIN":
 		s.state = "T"
@@ -95,9 +102,9 @@
 		i.items[f[3]] = f[4]
 		i.position++
 	case "READ":
-		return "ROW " + i.items[f[3]] + "\r\nDONE sig\r\n" + s.ready()
+		return "ROW " + i.items[f[3]] + "\r\n" + done + s.ready()
 	}
-	return "DONE sig\r\n" + s.ready()
+	return done + s.ready()
 }
 
 func (s *service) ready() string {
@@ -288,16 +295,16 @@
 	if l := c.line(); l != "READY I -" {
 		t.Fatalf("greeted by %q", l)
 	}
-	c.expect(t, "WRITE a one", "DONE sig|READY I 1.2")
-	c.expect(t, "READ a", "ROW one|DONE sig|READY I 1.2")
+	c.expect(t, "WRITE a one", "DONE sig1|READY I 1.2")
+	c.expect(t, "READ a", "ROW one|DONE sig2|READY I 1.2")
 	c.expect(t, "SET zone x", "DONE -|READY I -")
 	c.expect(t, "PREPARE s READ q", "DONE -|READY I -")
 	c.expect(t, "DEALLOC t", "ERR NOSTMT t|READY I -")
 	c.expect(t, "BEGIN", "DONE -|READY T -")
-	c.expect(t, "WRITE a two", "DONE sig|READY T 1.3")
-	c.expect(t, "COMMIT", "DONE sig|READY I 1.3")
+	c.expect(t, "WRITE a two", "DONE sig3|READY T 1.3")
+	c.expect(t, "COMMIT", "DONE sig4|READY I 1.3")
 	c.expect(t, "DELETE a", "ERR MALFORMED statement not understood|READY I -")
-	c.expect(t, "READ a", "ROW two|DONE sig|READY I 1.3")
+	c.expect(t, "READ a", "ROW two|DONE sig5|READY I 1.3")
 	if l := h.call(t, "nowhere").line(); l != "ERR NODB nowhere" {
 		t.Errorf("unknown database: %q", l)
 	}
@@ -317,13 +324,13 @@
 	idle.line()
 	busy.line()
 	busy.expect(t, "BEGIN", "DONE -|READY T -")
-	busy.expect(t, "WRITE a one", "DONE sig|READY T 1.2")
+	busy.expect(t, "WRITE a one", "DONE sig1|READY T 1.2")
 	close(h.drain)
 	h.awaitReadiness(t, http.StatusServiceUnavailable)
 	if l := idle.line(); l != "end" {
 		t.Errorf("the idle caller receives %q", l)
 	}
-	busy.expect(t, "COMMIT", "DONE sig|READY I 1.2")
+	busy.expect(t, "COMMIT", "DONE sig2|READY I 1.2")
 	if l := busy.line(); l != "end" {
 		t.Errorf("the other caller receives %q", l)
 	}
--- a/internal/proxy/assembler/stops_test.go
+++ b/internal/proxy/assembler/stops_test.go
@@ -59,7 +59,7 @@
 			h := startHost(t, i.listener.Addr().String())
 			c := h.call(t, "books")
 			c.line()
-			c.expect(t, "WRITE a zero", "DONE sig|READY I 1.2") // opens a connection to the server
+			c.expect(t, "WRITE a zero", "DONE sig1|READY I 1.2") // opens a connection to the server
 			close(h.drain)
 			h.awaitReadiness(t, http.StatusServiceUnavailable)
 			i.mu.Lock()
@@ -98,7 +98,7 @@
 	if want := "ERR BUSY not run: the host is stopping, retry at another one|READY I -"; answer != want {
 		t.Errorf("a late BEGIN is answered with %q", answer)
 	}
-	open.expect(t, "WRITE a one", "DONE sig|READY T 1.2")
-	open.expect(t, "COMMIT", "DONE sig|READY I 1.2")
+	open.expect(t, "WRITE a one", "DONE sig1|READY T 1.2")
+	open.expect(t, "COMMIT", "DONE sig2|READY I 1.2")
 	<-h.done
 }
--- a/internal/proxy/connpooler/refusal.go
+++ b/internal/proxy/connpooler/refusal.go
@@ -46,6 +46,9 @@
 	// ErrNotSent is returned by Connection.Send if the server has closed the connection or sent
 	// something that nobody asked for. Nothing was sent.
 	ErrNotSent = errors.ConstError("connection can't be used, nothing was sent")
+	// ErrOutOfStep is returned by Connection.Receive if the answers on the connection can't be told
+	// apart. Statements without an answer may have run.
+	ErrOutOfStep = errors.ConstError("answers can't be told apart")
 )
 
 // noConnectionError returns the refusal for a pool that has no connection and opens none before
--- a/internal/proxy/executor/attempt.go
+++ b/internal/proxy/executor/attempt.go
@@ -328,7 +328,7 @@
 		return err
 	}
 	a.beginPosition = begun.Position
-	a.unconfirmed = begun.Code != declarer.CodeNone
+	a.unconfirmed = begun.Code != declarer.CodeNone || ended.Code != declarer.CodeNone
 	a.deposed = begun.Code == declarer.CodeReadOnly
 	return nil
 }
--- a/internal/proxy/executor/judging.go
+++ b/internal/proxy/executor/judging.go
@@ -65,7 +65,7 @@
 func (a *attempt) handleBrokenExchange(l *connpooler.Lease, err error) tryResult {
 	timeout := errors.Is(err, connpooler.ErrTimeout)
 	l.Release(!timeout)
-	if !timeout {
+	if !timeout && !errors.Is(err, connpooler.ErrOutOfStep) {
 		a.session.Board.Do(a.route.Group, func(g *grouptracker.Group) { g.RecordFailure(a.server, a.session.Board.Time(), a.session.Board.Time()) })
 	}
 	a.reason = err.Error()
--- a/internal/proxy/executor/observer.go
+++ b/internal/proxy/executor/observer.go
@@ -148,12 +148,12 @@
 	err := e.run(&begun, &ended)
 	l.Release(err != nil)
 	switch {
-	case errors.Is(err, connpooler.ErrNotSent):
+	case errors.Is(err, connpooler.ErrNotSent), errors.Is(err, connpooler.ErrOutOfStep):
 	case err != nil:
 		f.observer.Board.Do(f.group, func(g *grouptracker.Group) { g.RecordFailure(id, f.observer.Board.Time(), f.observer.Board.Time()) })
 	case begun.Code == declarer.CodeReadOnly:
 		f.observer.Board.Do(f.group, func(g *grouptracker.Group) { g.RecordNotLeading(id) })
-	case begun.Code == declarer.CodeNone:
+	case begun.Code == declarer.CodeNone && ended.Code == declarer.CodeNone:
 		f.observer.Board.RecordLeadership(f.group, id, asked, begun.Position)
 	}
 }
--- a/internal/proxy/executor/transaction.go
+++ b/internal/proxy/executor/transaction.go
@@ -125,8 +125,8 @@
 		return
 	}
 	t.abortBroken()
-	if notSent(err) {
-		return
+	if errors.Is(err, connpooler.ErrOutOfStep) || notSent(err) {
+		return // the server has answered, or was not asked
 	}
 	s.Board.Do(t.route.Group, func(g *grouptracker.Group) { g.RecordFailure(t.server, s.Board.Time(), s.Board.Time()) })
 }
--- a/internal/proxy/executor/unsent_test.go
+++ b/internal/proxy/executor/unsent_test.go
@@ -11,6 +11,7 @@
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
+	"github.com/cuminwick/cuminwick/internal/proxy/grouptracker"
 )
 
 // spentDialer opens connections that can't be used any more when a statement with the text is to be sent.
@@ -80,3 +81,38 @@
 		endSession(h, c)
 	})
 }
+
+// outOfStepConnection is one whose answers can't be told apart.
+type outOfStepConnection struct{ connpooler.Connection }
+
+func (outOfStepConnection) Receive(*declarer.Answer, time.Time) error { return connpooler.ErrOutOfStep }
+
+type outOfStepDialer struct{ connpooler.Dialer }
+
+func (d outOfStepDialer) Dial(ctx context.Context, s declarer.Server, customer string) (connpooler.Connection, marker.Mark, error) {
+	c, m, err := d.Dialer.Dial(ctx, s, customer)
+	if err != nil {
+		return nil, m, err
+	}
+	return outOfStepConnection{c}, m, nil
+}
+
+// Guards against a write whose answer can't be told apart that is told not to have run, and against a
+// primary that is taken for failed although it has answered.
+func TestOutcomeIsUnknownWhereAnswersCannotBeToldApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDatabaseGroup(rand.New(rand.NewPCG(1, 1)), newHistory())
+		h := newEntryHost(w, "z-0")
+		h.pools["i-0"] = &connpooler.Pool{Server: w.listServers()[0], Dialer: outOfStepDialer{w}, Observer: h, Limit: 6}
+		c := startSession(h, "primary")
+		if _, r := c.ask("WRITE x 1"); r.code != declarer.CodeOutcomeUnknown {
+			t.Errorf("code %d", r.code)
+		}
+		h.board.Do("db", func(g *grouptracker.Group) {
+			if s := g.Find("i-0"); s.FailingSince != 0 {
+				t.Error("the server is taken for failed")
+			}
+		})
+		endSession(h, c)
+	})
+}
--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -7,6 +7,7 @@
 
 import (
 	"hash/maphash"
+	"slices"
 	"time"
 
 	"github.com/cuminwick/cuminwick/internal/group/marker"
@@ -72,7 +73,7 @@
 
 const (
 	// rememberedSuccesses is how many signatures a Matcher remembers.
-	rememberedSuccesses = 512
+	rememberedSuccesses = 256
 	// rememberedErrors is how many errors a Matcher remembers.
 	rememberedErrors = 8
 	// errorMemory is for how long an equal error is doubtful.
@@ -87,23 +88,32 @@
 	// State is the transaction state after the last answer that matched.
 	State declarer.State
 
-	pending   []Request
-	successes []success
-	// next is the index in successes that is overwritten next.
+	pending []Request
+	// signatures are the hashes of the last successes' signatures, and successes the rest of what is
+	// remembered of them. They are apart, as each success is looked for among all signatures.
+	signatures []uint64
+	successes  []success
+	// next is the index in both that is overwritten next.
 	next   int
 	errors [rememberedErrors]failure
 	// nextError is the index in errors that is overwritten next.
 	nextError int
 	position  marker.Mark
+	// greeting is the position in the answer that opened the connection.
+	greeting marker.Mark
 }
 
-// success is a success that matched a statement. Its hashes are those of the signature and the body.
+// success is a success that matched a statement. Its body is a hash.
 type success struct {
-	signature, body uint64
-	caller          bool
-	at              time.Time
+	body uint64
+	// milliseconds is the time since epoch.
+	milliseconds uint32
+	caller       bool
 }
 
+// epoch is the zero of the times of successes.
+var epoch = time.Now()
+
 // failure is an error that matched a statement.
 type failure struct {
 	body uint64
@@ -113,6 +123,9 @@
 // seed is that of all hashes in this process.
 var seed = maphash.MakeSeed()
 
+// Greet records the position in the answer that opened the connection, which has no result.
+func (m *Matcher) Greet(p marker.Mark) { m.greeting, m.position = p, p }
+
 // Expect adds a statement that was sent.
 func (m *Matcher) Expect(r Request) { m.pending = append(m.pending, r) }
 
@@ -141,16 +154,16 @@
 		m.errors[m.nextError] = failure{body: maphash.Bytes(seed, a.Body), at: now}
 		m.nextError = (m.nextError + 1) % rememberedErrors
 	case len(a.Signature) > 0:
-		m.remember(success{signature: maphash.Bytes(seed, a.Signature), body: maphash.Bytes(seed, a.Body), caller: r.Caller, at: now})
+		m.remember(maphash.Bytes(seed, a.Signature), success{body: maphash.Bytes(seed, a.Body), caller: r.Caller, milliseconds: uint32(now.Sub(epoch).Milliseconds())})
 	}
 }
 
-func (m *Matcher) remember(s success) {
+func (m *Matcher) remember(signature uint64, s success) {
 	if len(m.successes) < rememberedSuccesses {
-		m.successes = append(m.successes, s)
+		m.signatures, m.successes = append(m.signatures, signature), append(m.successes, s)
 		return
 	}
-	m.successes[m.next] = s
+	m.signatures[m.next], m.successes[m.next] = signature, s
 	m.next = (m.next + 1) % rememberedSuccesses
 }
 
@@ -165,7 +178,7 @@
 // Judge judges a complete answer against the oldest pending statement. It changes nothing.
 func (m *Matcher) Judge(a *Answer, now time.Time) Judgment {
 	switch {
-	case !a.Ended && a.Rows == 0:
+	case !a.Ended && a.Rows == 0 && a.State == declarer.StateIdle && a.Position == m.greeting:
 		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchNoResult}
 	case !a.Ended:
 		return Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchNoResult}
@@ -190,19 +203,19 @@
 	if len(a.Signature) == 0 {
 		return j, false
 	}
-	h := maphash.Bytes(seed, a.Signature)
-	for i := range m.successes {
-		s := &m.successes[i]
-		if s.signature != h || !s.caller && !caller {
-			continue
-		}
-		j = Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchInterleaved, First: s.at}
-		if s.body == maphash.Bytes(seed, a.Body) {
-			j.Verdict, j.Reason = VerdictSurplus, declarer.MismatchRepeated
-		}
-		return j, true
+	i := slices.Index(m.signatures, maphash.Bytes(seed, a.Signature))
+	if i < 0 {
+		return j, false
+	}
+	s := &m.successes[i]
+	if !s.caller && !caller {
+		return j, false
 	}
-	return j, false
+	j = Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchInterleaved, First: epoch.Add(time.Duration(s.milliseconds) * time.Millisecond)}
+	if s.body == maphash.Bytes(seed, a.Body) {
+		j.Verdict, j.Reason = VerdictSurplus, declarer.MismatchRepeated
+	}
+	return j, true
 }
 
 // judgeCallers judges a success in place of the answer to a caller's statement.
@@ -246,6 +259,8 @@
 		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchUnrequested, First: first}
 	case a.State == declarer.StateTransaction && m.State != declarer.StateTransaction:
 		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchState, First: first}
+	case !first.IsZero() && a.State == declarer.StateIdle && m.State == declarer.StateTransaction && m.pending[0].Effect != EffectEnd:
+		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchState, First: first}
 	case !first.IsZero() && !m.Relayed:
 		return Judgment{Verdict: VerdictDoubtful, Reason: declarer.MismatchEqualError, First: first}
 	}
--- a/internal/proxy/matcher/matcher_test.go
+++ b/internal/proxy/matcher/matcher_test.go
@@ -40,7 +40,8 @@
 	old := read("s1", "one", idle)
 	torn := read("s1", "two", idle)
 	rows := Answer{Rows: 1, Body: []byte("ROW x"), State: idle}
-	bare := Answer{State: idle}
+	bare := Answer{State: idle, Position: at(2)}
+	otherBare := Answer{State: idle, Position: at(5)}
 	errorAfterRow := failed(declarer.CodeReadOnly, idle)
 	errorAfterRow.Rows = 1
 	back := done(open)
@@ -78,7 +79,10 @@
 		"a new signature in place of a begin":     {request: begin, answer: read("s2", "two", idle), want: VerdictBroken},
 		"a row in place of a setting":             {request: set, answer: row, want: VerdictBroken},
 		"a status without a row":                  {request: status, answer: done(idle), want: VerdictBroken},
-		"a bare state":                            {request: callers, answer: bare, want: VerdictSurplus},
+		"the greeting":                            {request: callers, answer: bare, want: VerdictSurplus},
+		"another bare state":                      {request: callers, answer: otherBare, want: VerdictBroken},
+		"an equal error that ends a transaction":  {request: callers, answer: failed(declarer.CodeBusy, idle), before: open, want: VerdictSurplus},
+		"an equal error to a commit":              {request: commit, answer: failed(declarer.CodeBusy, idle), before: open, want: VerdictDoubtful},
 		"rows without a result":                   {request: callers, answer: rows, want: VerdictBroken},
 		"an error that promises no run, with row": {request: callers, answer: errorAfterRow, want: VerdictBroken},
 		"an error that opens a transaction":       {request: callers, answer: failed(declarer.CodeReadOnly, open), want: VerdictSurplus},
@@ -99,6 +103,7 @@
 // newMatcher returns a Matcher after a read and a statement that failed with BUSY.
 func newMatcher(first Answer, now time.Time) *Matcher {
 	m := &Matcher{}
+	m.Greet(at(2))
 	busy := failed(declarer.CodeBusy, declarer.StateIdle)
 	for _, a := range []*Answer{&first, &busy} {
 		m.Expect(callers)
