fix(platform): an error that comes twice isn't taken for the next statement's

Writes that had run were told as refused (REFUSED) or sent again (TWICE), also within a transaction, where a backend server sent a BUSY or READONLY error a second time while the next statement on the connection ran. Errors carry no signature, so that nothing tells a second one from a genuine one.

--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -198,6 +198,36 @@
 	return m.judgeOwn(a, r)
 }
 
+// JudgeAfter judges an answer that came after held, a doubtful one in place of the answer to the oldest
+// pending statement, and after the statement that was sent to find out. It reports whether the answer is that
+// of the latter, so that held is genuine. Otherwise held was surplus, and the judgment is that on a.
+func (m *Matcher) JudgeAfter(held, a *Answer, now time.Time) (confirmed bool, j Judgment) {
+	if len(m.pending) > 1 && m.confirms(held, a) {
+		return true, Judgment{}
+	}
+	j = m.Judge(a, now)
+	if j.Verdict == VerdictDoubtful {
+		j.Verdict = VerdictMatch
+	}
+	return false, j
+}
+
+// confirms reports whether a answers the statement after the oldest pending one if held answers that. In a
+// failed transaction, that statement is refused.
+func (m *Matcher) confirms(held, a *Answer) bool {
+	switch {
+	case !a.Ended || a.Rows > 0:
+		return false
+	case held.State == declarer.StateFailed:
+		return a.Code == declarer.CodeMalformed && a.State == declarer.StateFailed
+	case a.Code != declarer.CodeNone || len(a.Signature) > 0:
+		return false
+	case m.pending[1].Effect == EffectBegin:
+		return a.State == declarer.StateTransaction
+	}
+	return a.State == held.State
+}
+
 // judgeSignature judges a success whose signature has matched a statement before.
 func (m *Matcher) judgeSignature(a *Answer, caller bool) (j Judgment, known bool) {
 	if len(a.Signature) == 0 {
--- a/internal/proxy/matcher/matcher_test.go
+++ b/internal/proxy/matcher/matcher_test.go
@@ -149,3 +149,39 @@
 		t.Error("the oldest that should be remembered isn't")
 	}
 }
+
+// The answer after a doubtful one tells whether that was genuine. Guards against an error that is taken for a
+// statement's own although the statement has run, and against a true error that isn't taken.
+func TestJudgeAfter(t *testing.T) {
+	const idle, open, broken = declarer.StateIdle, declarer.StateTransaction, declarer.StateFailed
+	busy := func(s declarer.State) Answer { return failed(declarer.CodeBusy, s) }
+	for name, c := range map[string]struct {
+		held, answer Answer
+		confirmation Request
+		confirmed    bool
+		want         Verdict
+	}{
+		"a begin":                            {held: busy(idle), confirmation: begin, answer: done(open), confirmed: true},
+		"a success of the statement":         {held: busy(idle), confirmation: begin, answer: read("s2", "two", idle)},
+		"an error of the statement":          {held: busy(idle), confirmation: begin, answer: busy(idle)},
+		"an earlier success":                 {held: busy(idle), confirmation: begin, answer: read("s1", "one", idle), want: VerdictSurplus},
+		"an earlier answer without state":    {held: busy(idle), confirmation: begin, answer: done(idle), want: VerdictSurplus},
+		"a name in a transaction":            {held: busy(open), confirmation: set, answer: done(open), confirmed: true},
+		"a name in a failed transaction":     {held: busy(broken), confirmation: set, answer: failed(declarer.CodeMalformed, broken), confirmed: true},
+		"a success in a transaction":         {held: busy(open), confirmation: set, answer: read("s2", "two", open)},
+		"a torn answer in a transaction":     {held: busy(open), confirmation: set, answer: read("s1", "two", open), want: VerdictBroken},
+		"another setting in the wrong state": {held: busy(open), confirmation: set, answer: done(idle), want: VerdictSurplus},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			m := newMatcher(read("s1", "one", idle), now)
+			m.State = c.held.State
+			m.Expect(callers)
+			m.Expect(c.confirmation)
+			confirmed, j := m.JudgeAfter(&c.held, &c.answer, now)
+			if confirmed != c.confirmed || j.Verdict != c.want {
+				t.Errorf("confirmed %t, verdict %d, reason %s", confirmed, j.Verdict, j.Reason)
+			}
+		})
+	}
+}
