--- a/internal/proxy/connpooler/lease.go
+++ b/internal/proxy/connpooler/lease.go
@@ -112,6 +112,9 @@
 			return err
 		}
 	}
+	if l.Ended() {
+		return errors.Annotatef(ErrOutOfStep, "server %s", l.pool.Server.ID)
+	}
 	return nil
 }
 
--- a/internal/proxy/connpooler/surplus_test.go
+++ b/internal/proxy/connpooler/surplus_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
 // Guards against a connection on which the server has sent something after its last answer, and which is kept
@@ -17,6 +20,25 @@
 		if f.open != 0 {
 			t.Errorf("%d connections open", f.open)
 		}
-		p.Close()
+	})
+}
+
+// Guards against a recovery that takes a surplus answer for the one of an abandoned statement, which comes
+// after it.
+func TestRecoveredConnectionWithUnreadBytesIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServer{limit: 2}
+		p := newPool(f)
+		l := acquire(t, p)
+		x := l.Connection.(*fakeConnection)
+		_ = l.Send([]declarer.Request{{Verb: declarer.VerbBegin}}, time.Time{})
+		x.ended = true
+		l.Release(false) // recovers it, as an answer is pending
+		time.Sleep(recoverTimeout)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.open != 0 {
+			t.Errorf("%d connections open", f.open)
+		}
 	})
 }
