fix(promoter): a command waits for its own status row

A server that had greeted a command's connection twice would have failed the command, and counted as not answering. Each command has a connection of its own, so that no row of an earlier command can answer it; bytes that arrive before the command prevent that it is sent. It is then sent on another connection, once.

--- a/internal/proxy/promoter/prober.go
+++ b/internal/proxy/promoter/prober.go
@@ -38,8 +38,17 @@
 	return p.command(ctx, s, declarer.Request{Verb: declarer.VerbDemote, Term: t})
 }
 
-// command sends one command and parses the answer as a status.
+// command sends one command and parses the answer as a status. It uses another connection if the server has
+// sent something on the first one before the command.
 func (p *Prober) command(ctx context.Context, s declarer.Server, q declarer.Request) (declarer.Status, error) {
+	x, err := p.commandOnce(ctx, s, q)
+	if errors.Is(err, connpooler.ErrNotSent) {
+		return p.commandOnce(ctx, s, q)
+	}
+	return x, err
+}
+
+func (p *Prober) commandOnce(ctx context.Context, s declarer.Server, q declarer.Request) (declarer.Status, error) {
 	c, _, err := p.Dialer.Dial(ctx, s, "")
 	if err != nil {
 		return declarer.Status{}, err
