fix(platform): no object of another writer is taken as the configuration

What callers saw: nothing so far; found by reading. Every route would have vanished.

Cause: hosts took any object of the kind as the configuration, whatever its name, if its version was higher. One without a readable value, which is null since, was a configuration of version 0 without routes, which a host that has none yet puts into force.

Evidence: TestOnlyTheOperatorsConfigurationIsRead, before: the names "", "staged" and "Main" are taken. TestOddConfigurationIsRejected, before: null is taken.

Change: only the object "main" is read, and null is not a configuration. The last valid one stays in force.

--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -40,7 +40,7 @@
 // parseConfiguration decodes a configuration. Without the setting it isn't ranked: operators give their
 // routes priorities also where these are to order nothing.
 func (f *feeder) parseConfiguration(e cachesyncer.Entry) (*declarer.Configuration, error) {
-	c, err := platform.ParseConfiguration(e)
+	c, err := platform.ParseOperatorConfiguration(e)
 	if c != nil {
 		c.Ranked = c.Ranked && f.ranks
 	}
