--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -44,8 +44,9 @@
 	Reload <-chan struct{}
 	Load   func() (platform.Settings, error)
 
-	store *platform.Store
-	feeds *platform.FeedClient
+	store   *platform.Store
+	feeds   *platform.FeedClient
+	invalid *reporter.InvalidObjects
 	// sent is called with each answer to another host.
 	sent func(declarer.Transfer)
 }
@@ -84,7 +85,7 @@
 	a.sent = x.Sent
 	d := platform.Dialer{OnMismatch: (&reporter.Mismatches{Log: h.Log, Metrics: m}).Record}
 	h.Transport, h.DialLink = d, d.DialLink
-	h.Counter = m
+	h.Counter, a.invalid.Metrics = m, m
 	r := &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
 	h.Reporter, h.OnSessionEnd = r, r.SessionEnd
 	if a.Reload != nil {
@@ -153,13 +154,7 @@
 	}
 	store := platform.NewStore(s.StoreAddress)
 	a.store = store
-	reportInvalid := func(err error) {
-		if errors.Is(err, platform.ErrEntryIgnored) {
-			l.WithError(err).Warn("object in force without its invalid entries")
-			return
-		}
-		l.WithError(err).Warn("invalid object skipped")
-	}
+	a.invalid = &reporter.InvalidObjects{Log: l}
 	a.feeds = &platform.FeedClient{}
 	f := &feeder{store: store, remote: a.feeds, sent: func(t declarer.Transfer) { a.sent(t) }, servers: make(map[string]*platform.FeedServer), now: steady.Now, ranks: s.RanksRequests}
 	a.feeds.LastValue = f.lastValue
@@ -178,13 +173,22 @@
 		NewBorrower:       func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
 		Relayer:           &relayer.Relayer{ReadRequest: platform.ReadHostRequest, Dial: platform.DialRaw, Reply: platform.WriteHostReply, Feed: f.serve, Log: l},
 		Self:              declarer.Host{Name: s.HostName, Address: s.HostAddress(), AvailabilityZone: s.AvailabilityZone, Bandwidth: s.Bandwidth, Strength: appraiser.Strength(s.Cores, s.Bandwidth)},
-		PromotionPlatform: &platform.PromotionClient{Store: store, Commander: platform.NewCommander(s.CommandAddress)},
+		PromotionPlatform: &platform.PromotionClient{Store: store, Commander: platform.NewCommander(s.CommandAddress), OnInvalid: a.reportInvalid},
 		NewCaller:         func(c net.Conn) executor.Caller { return platform.NewCaller(c) },
 		Tolerance:         s.Tolerance,
 		DialQuota:         platform.DialQuotaLink,
 		ServeQuota:        platform.ServeQuota,
 		Log:               l,
 	}
-	f.attach(h, reportInvalid)
+	f.attach(h, a.reportInvalid)
 	return h
 }
+
+// reportInvalid reports an object of the platform that isn't used, or not all of it.
+func (a *Assembler) reportInvalid(err error) {
+	if errors.Is(err, platform.ErrEntryIgnored) {
+		a.invalid.Report(reporter.EffectPartial, err)
+		return
+	}
+	a.invalid.Report(reporter.EffectSkipped, err)
+}
--- a/internal/proxy/reporter/metrics.go
+++ b/internal/proxy/reporter/metrics.go
@@ -26,6 +26,7 @@
 	held       *prometheus.CounterVec
 	promotions *prometheus.CounterVec
 	losses     *prometheus.CounterVec
+	invalid    *prometheus.CounterVec
 	unadmitted *prometheus.CounterVec
 	mismatches *prometheus.CounterVec
 	calls      *prometheus.CounterVec
@@ -79,6 +80,7 @@
 	m.held = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "held_statements_total", Help: "Statements refused as held by operators, by kind (customer, route) and name of what is held. Names beyond the first 200 are counted as one, named other."}, []string{"kind", "name"})
 	m.promotions = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "promotions_total", Help: "Promotions that this host ordered, by reason and result: done, refused or unconfirmed."}, []string{"reason", "result"})
 	m.losses = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_losses_total", Help: "Times that the platform stopped answering, by kind of object."}, []string{"kind"})
+	m.invalid = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "invalid_objects_total", Help: "Invalid objects of the platform that were read, by effect: skipped, or partial if the object is used without its invalid entries."}, []string{"effect"})
 	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_calls_total", Help: "Calls to the platform, by method, kind of object and result: answered, conflict, unavailable or failed."}, []string{"method", "kind", "result"})
 	m.phases = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "failover_phase_seconds", Help: "Phases of promotions that this host ordered: from the need to the order, and from the order to the lead.", Buckets: buckets}, []string{"phase"})
 	m.received = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "platform_received_bytes_total", Help: "Bytes of answers about the platform's objects, by source (store, host), kind of object and result: whole, or cut if the answer was given up."}, []string{"source", "kind", "result"})
@@ -87,7 +89,7 @@
 	m.unadmitted = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "not_admitted_total", Help: "Requests that were refused without a round trip, as the owner of the server's connections would have refused them, by the priority of the route."}, []string{"priority"})
 	m.mismatches = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "mismatched_answers_total", Help: "Answers of backend servers, and parts of answers, that were not those of the statements that they came for, by reason."}, []string{"reason"})
 	m.Registry.MustRegister(m.mismatches, m.received, m.sent, m.transfers, m.customers, m.unadmitted, m.held, m.ends)
-	m.Registry.MustRegister(m.calls, m.phases, m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses)
+	m.Registry.MustRegister(m.calls, m.phases, m.statements, m.seconds, m.waits, m.reads, m.attempts, m.promotions, m.losses, m.invalid)
 	m.gauge("sessions", "Sessions that are served.", func() float64 { return float64(g.Sessions()) })
 	m.gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(g.Configuration()) })
 	m.gauge("configuration_age_seconds", "Time since the configuration was last confirmed.", func() float64 { return g.Age(blackboard.SectionConfiguration).Seconds() })
