fix(runner): a server whose entry became odd is gone at once

What callers saw: requests to a server for up to 2.5 s after its entry was replaced by one that names no server.

Cause: a list tells nothing of entries that can not be decoded, and the host takes a server that a new list lacks for one whose entry has lapsed while the store was away, which it keeps for 2.5 s. A watch removes it at once.

Evidence: TestServerWithOddEntryIsGoneAtOnce, with the removals of a list left out as before: servers ["missing" "odd" "sound"], want ["missing" "sound"].

Change: a list has such entries as removed ones, like a watch.

--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -23,8 +23,9 @@
 
 // Source reads and decodes one kind of object of the platform's store.
 type Source[T any] interface {
-	// List returns all objects and the revision to watch from.
-	List(ctx context.Context) ([]T, uint64, error)
+	// List returns all objects and the revision to watch from. Objects that can't be decoded are
+	// returned as removed.
+	List(ctx context.Context) ([]Change[T], uint64, error)
 	// Watch waits up to wait for changes after a revision and returns them with the new
 	// revision. It returns cachesyncer.ErrCompacted if the store has discarded the changes since
 	// that revision.
@@ -117,13 +118,30 @@
 	if err != nil {
 		return 0, err
 	}
-	f.reset(l)
+	f.replaceAll(l)
 	if f.listed.CompareAndSwap(false, true) && f.firstListed != nil {
 		close(f.firstListed)
 	}
 	return revision, nil
 }
 
+// replaceAll passes on a list. Objects that can't be decoded are gone, and aren't merely missing.
+func (f *follower[T]) replaceAll(l []Change[T]) {
+	var removed []Change[T]
+	values := make([]T, 0, len(l))
+	for _, x := range l {
+		if x.Removed {
+			removed = append(removed, x)
+			continue
+		}
+		values = append(values, x.Value)
+	}
+	f.reset(values)
+	if len(removed) > 0 {
+		f.apply(removed)
+	}
+}
+
 func (f *follower[T]) watch(ctx context.Context, revision uint64) (uint64, error) {
 	wait := f.wait()
 	c, cancel := watchdog.WithStallTimeout(ctx, wait+watchSlack, stallTimeout)
--- a/internal/proxy/runner/follower_test.go
+++ b/internal/proxy/runner/follower_test.go
@@ -27,6 +27,14 @@
 	err  error
 }
 
+func (a answer) changes() []Change[string] {
+	var l []Change[string]
+	for _, v := range a.list {
+		l = append(l, Change[string]{Name: v, Value: v})
+	}
+	return l
+}
+
 func (s *scriptedSource) next(ctx context.Context, call string) answer {
 	s.calls, s.called = append(s.calls, call), append(s.called, time.Now())
 	if len(s.answers) == 0 {
@@ -38,18 +46,14 @@
 	return a
 }
 
-func (s *scriptedSource) List(ctx context.Context) ([]string, uint64, error) {
+func (s *scriptedSource) List(ctx context.Context) ([]Change[string], uint64, error) {
 	a := s.next(ctx, "list")
-	return a.list, a.at, a.err
+	return a.changes(), a.at, a.err
 }
 
 func (s *scriptedSource) Watch(ctx context.Context, after uint64, _ time.Duration) ([]Change[string], uint64, error) {
 	a := s.next(ctx, "watch "+time.Duration(after).String())
-	var l []Change[string]
-	for _, v := range a.list {
-		l = append(l, Change[string]{Name: v, Value: v})
-	}
-	return l, a.at, a.err
+	return a.changes(), a.at, a.err
 }
 
 // Guards against a missed change: the store discards its history while a change is made, so that a
--- a/internal/proxy/runner/oddentry_test.go
+++ b/internal/proxy/runner/oddentry_test.go
@@ -1,7 +1,10 @@
 package runner
 
 import (
+	"context"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
@@ -18,3 +21,38 @@
 		}
 	}
 }
+
+// listedServers is a source with one list.
+type listedServers []Change[declarer.Server]
+
+func (l listedServers) List(context.Context) ([]Change[declarer.Server], uint64, error) {
+	return l, 9, nil
+}
+
+func (l listedServers) Watch(context.Context, uint64, time.Duration) ([]Change[declarer.Server], uint64, error) {
+	return nil, 9, nil
+}
+
+// Another writer has replaced the entry of a server, and the list is read anew. Guards against requests to a
+// server that no entry names: it isn't one whose entry is missing for a moment.
+func TestServerWithOddEntryIsGoneAtOnce(t *testing.T) {
+	var now []string
+	c := &catalogue{publish: func(l []declarer.Server) {
+		now = nil
+		for _, s := range l {
+			now = append(now, s.ID)
+		}
+		slices.Sort(now)
+	}}
+	c.reset([]declarer.Server{{ID: "missing"}, {ID: "odd"}, {ID: "sound"}})
+	f := &follower[declarer.Server]{
+		source: listedServers{{Name: "odd", Removed: true}, {Name: "sound", Value: declarer.Server{ID: "sound"}}},
+		reset:  c.reset, apply: c.apply,
+	}
+	if _, err := f.list(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if want := []string{"missing", "sound"}; !slices.Equal(now, want) {
+		t.Errorf("servers %q, want %q", now, want)
+	}
+}
