fix(dialer): a connection on which more than the login has arrived isn't used

What callers saw: nothing yet; a part of a message that had arrived with the end of the login was dropped with its buffer, so that the rest would have been read as the beginning of a message.

Cause: pgconn reads ahead, and what it has read beyond the login isn't passed on with the connection.

Evidence: TestSurplusAfterLogin fails before: the connection is used.

Change: such a connection is closed with ErrStrayRead, as for a read that was pending.

--- a/internal/backend/dialer/dialer.go
+++ b/internal/backend/dialer/dialer.go
@@ -106,6 +106,10 @@
 		_ = h.Conn.Close()
 		return nil, errors.Annotatef(err, "take over connection to backend server %s", address)
 	}
+	if b := h.Frontend.ReadBufferLen(); b > 0 {
+		_ = n.Close()
+		return nil, errors.Annotatef(ErrStrayRead, "%d bytes after the login of backend server %s", b, address)
+	}
 	return d.wrap(h, n, address), nil
 }
 
--- a/internal/backend/dialer/login.go
+++ b/internal/backend/dialer/login.go
@@ -9,8 +9,8 @@
 	"github.com/juju/errors"
 )
 
-// ErrStrayRead is returned when a read of pgconn that was pending after the login consumed bytes
-// meant for the connection's next user.
+// ErrStrayRead is returned when pgconn consumed bytes beyond the login, because a read was pending
+// after it or the server sent more than the answer.
 const ErrStrayRead = errors.ConstError("login took bytes of the connection's next user")
 
 // loginConn is the connection that pgconn uses for the login.
--- a/internal/backend/dialer/login_test.go
+++ b/internal/backend/dialer/login_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,3 +71,39 @@
 	b.Send(&pgproto3.NoticeResponse{Message: "hello"})
 	_ = b.Flush()
 }
+
+// A server sends more than the answer to the login, of which only a part may have arrived at its end.
+// If that part were dropped with the buffer of the login, the rest would be read as the beginning of
+// a message, or the next caller would get a whole one as its answer.
+func TestSurplusAfterLogin(t *testing.T) {
+	for _, surplus := range []string{"C\x00\x00\x00\x06X\x00Z\x00\x00\x00\x05I", "Z\x00\x00\x00\x05I", "N\x00\x00", "S"} {
+		synctest.Test(t, func(t *testing.T) {
+			near, far := net.Pipe()
+			go func() {
+				b := pgproto3.NewBackend(far, &surplusWriter{Conn: far, surplus: surplus})
+				if _, err := b.ReceiveStartupMessage(); err != nil {
+					t.Error(err)
+				}
+				b.Send(&pgproto3.AuthenticationOk{})
+				b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+				_ = b.Flush()
+			}()
+			d := &Dialer{User: "u", Timeout: time.Minute, Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }}
+			if c, err := d.Open(t.Context(), "127.0.0.1:1", "db"); !errors.Is(err, ErrStrayRead) {
+				t.Errorf("surplus %q: connection %v, error %v, want %v", surplus, c != nil, err, ErrStrayRead)
+			}
+			near.Close()
+			far.Close()
+		})
+	}
+}
+
+// surplusWriter is a connection that sends surplus bytes with each write.
+type surplusWriter struct {
+	net.Conn
+	surplus string
+}
+
+func (s *surplusWriter) Write(b []byte) (int, error) {
+	return s.Conn.Write(slices.Concat(b, []byte(s.surplus)))
+}
