fix(commander): a status names the call that it answers

What callers saw: stale reads would follow. Once a server had sent a status twice, each poll got the answer to the poll before, for as long as the connection lasted: a position from before a write that was acknowledged before the poll began.

Cause: the answer to a call was whatever row came next. A row that couldn't be read left the connection in use.

Change: each call passes its number, modulo 256, as a parameter, and the row returns it in the column cuminwick_call; a poll takes some ten bytes more in each direction. The fake server of the tests returns the number as the stand-in does.

--- a/internal/backend/commander/ask.go
+++ b/internal/backend/commander/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -61,13 +62,13 @@
 	}
 	defer n.SetDeadline(time.Time{})
 	d := &pgconn.StatementDescription{Fields: c.columns}
-	return c.connection.ExecStatement(context.Background(), d, nil, nil, nil).Read()
+	return c.connection.ExecStatement(context.Background(), d, [][]byte{c.nextCall()}, nil, nil).Read()
 }
 
 // queryUnprepared queries the status and leaves statusQuery as the unnamed prepared statement of
 // the connection.
 func (c *Client) queryUnprepared(ctx context.Context) (controller.Status, error) {
-	r := c.connection.ExecParams(ctx, statusQuery, nil, nil, nil, nil).Read()
+	r := c.connection.ExecParams(ctx, statusQuery, [][]byte{c.nextCall()}, nil, nil, nil).Read()
 	if r.Err != nil {
 		return controller.Status{}, c.callError(r.Err, statusQuery)
 	}
@@ -91,7 +92,7 @@
 			return s, err
 		}
 	}
-	var v [][]byte
+	v := [][]byte{c.nextCall()}
 	for _, a := range args {
 		v = append(v, []byte(a))
 	}
@@ -103,6 +104,12 @@
 	return c.readStatus(r)
 }
 
+// nextCall returns the number of the next call.
+func (c *Client) nextCall() []byte {
+	c.calls++
+	return strconv.AppendUint(nil, uint64(c.calls), 10)
+}
+
 // callError drops the connection if it is broken and adds the failed call to err.
 func (c *Client) callError(err error, sql string) error {
 	c.dropBroken(err)
--- a/internal/backend/commander/commander.go
+++ b/internal/backend/commander/commander.go
@@ -21,7 +21,14 @@
 // a slot.
 const ApplicationName = "cuminwick-control"
 
-const statusQuery = "SELECT * FROM cuminwick_status()"
+// callColumn is the result column that returns the number of a call. PostgreSQL's protocol numbers no
+// requests, and a status that answers an earlier poll may hold a position from before a write.
+const callColumn = "cuminwick_call"
+
+// selectCall is the beginning of each query. The first parameter is the number of the call.
+const selectCall = "SELECT *, $1::text AS " + callColumn + " FROM "
+
+const statusQuery = selectCall + "cuminwick_status()"
 
 // defaultTimeout bounds a command whose caller set no earlier deadline.
 const defaultTimeout = 2 * time.Second
@@ -61,6 +68,8 @@
 	columns []pgconn.FieldDescription
 	// identifier is the system identifier that the server reported first, zero before that.
 	identifier uint64
+	// calls counts the calls on all connections. It wraps around.
+	calls uint8
 	// verified reports whether verify has succeeded on connection.
 	verified bool
 	// lostProcessID is the process ID of the session on a connection that stopped responding, zero
@@ -257,17 +266,17 @@
 
 // RaiseTerm makes the server refuse writes and replication under terms lower than t.
 func (c *Client) RaiseTerm(ctx context.Context, t marker.Term) (controller.Status, error) {
-	return c.command(ctx, "SELECT * FROM cuminwick_raise_term("+formatTerm(t)+")")
+	return c.command(ctx, selectCall+"cuminwick_raise_term("+formatTerm(t)+")")
 }
 
 // Promote makes the server the primary of t, its accepted term.
 func (c *Client) Promote(ctx context.Context, t marker.Term) (controller.Status, error) {
-	return c.command(ctx, "SELECT * FROM cuminwick_promote("+formatTerm(t)+")")
+	return c.command(ctx, selectCall+"cuminwick_promote("+formatTerm(t)+")")
 }
 
 // Follow makes the server a replica of the named server under term t.
 func (c *Client) Follow(ctx context.Context, t marker.Term, backendServer, address string) (controller.Status, error) {
-	return c.command(ctx, "SELECT * FROM cuminwick_follow("+formatTerm(t)+", $1, $2)", backendServer, address)
+	return c.command(ctx, selectCall+"cuminwick_follow("+formatTerm(t)+", $2, $3)", backendServer, address)
 }
 
 func formatTerm(t marker.Term) string {
--- a/internal/backend/commander/commander_test.go
+++ b/internal/backend/commander/commander_test.go
@@ -57,6 +57,7 @@
 		case *pgproto3.Describe:
 			e.described = true
 		case *pgproto3.Bind:
+			e.bind(m)
 			s.queries <- e.query
 		case *pgproto3.Sync:
 			n := <-s.answers
@@ -79,6 +80,15 @@
 	backend           *pgproto3.Backend
 	query             string
 	parsed, described bool
+	// call is the first parameter of the last Bind, which is returned in a column of its own.
+	call string
+}
+
+func (e *session) bind(m *pgproto3.Bind) {
+	e.call = ""
+	if len(m.Parameters) > 0 {
+		e.call = string(m.Parameters[0])
+	}
 }
 
 // answer sends the messages with which PostgreSQL answers those received.
@@ -93,7 +103,7 @@
 	row := [][2]string{
 		{"backend_server", "db-1"}, {"role", "primary"}, {"term", "3"}, {"last_term", "3"},
 		{"last_position", strconv.Itoa(position)}, {"term_start", "1"}, {"since_heard_ms", "20"},
-		{"following", ""}, {"leaving", "t"},
+		{"following", ""}, {"leaving", "t"}, {callColumn, e.call},
 	}
 	d := &pgproto3.RowDescription{}
 	r := &pgproto3.DataRow{}
--- a/internal/backend/commander/read.go
+++ b/internal/backend/commander/read.go
@@ -18,10 +18,15 @@
 	err    error
 }
 
-// readStatus parses a status row and verifies that it comes from the configured server.
+// ErrOutOfStep is returned for a row that isn't the answer to the call.
+const ErrOutOfStep = errors.ConstError("answer to another call")
+
+// readStatus parses a status row and verifies that it comes from the configured server. It drops the
+// connection if the row isn't the answer to the last call, because later answers wouldn't be either.
 func (c *Client) readStatus(r *pgconn.Result) (controller.Status, error) {
 	p, err := c.parseStatus(r)
 	if err != nil {
+		c.dropBroken(err)
 		return controller.Status{}, err
 	}
 	return p, c.verify(p)
@@ -35,6 +40,9 @@
 		return controller.Status{}, errors.Errorf("status of backend server %s has %d values for %d columns", c.Name, n, len(r.FieldDescriptions))
 	}
 	w := &row{fields: r.FieldDescriptions, values: r.Rows[0]}
+	if n := w.text(callColumn); n != strconv.FormatUint(uint64(c.calls), 10) {
+		return controller.Status{}, errors.Annotatef(ErrOutOfStep, "backend server %s answered call %q instead of %d", c.Name, n, c.calls)
+	}
 	s := controller.Status{
 		BackendServer: w.text("backend_server"),
 		Role:          controller.Role(w.text("role")),
