fix(requester): the platform's answers are matched to their calls, and one odd host costs no others

What callers saw: nothing yet. Any object was taken for the one that was asked for, and any object for the result of a put, so that a late answer on a kept connection could have passed for a promotion's claim. One entry of the host list that couldn't be read, or was nested 9,999 deep, failed the whole list; an entry with port 99999 or 0 was used.

Cause: answers were decoded and returned as they came; what followed the first JSON value was ignored.

Change: an object has the kind and name that were asked for and a version above the one that is known; a put's has its writer and its value. A body holds one JSON value. Entries of the host list are decoded one by one: one without a name or of another kind is left out, an address that can't be dialed is removed. A list of objects stays all or nothing, because a configuration would be confirmed without the host whose object is missing (TestOddObjectFailsList). The fake service of TestCallGoesOnWhileItsAnswerArrives now returns a version, as the service does.

--- a/internal/platform/requester/requester.go
+++ b/internal/platform/requester/requester.go
@@ -52,6 +52,9 @@
 	ctx, cancel := c.bound(ctx, 0)
 	defer cancel()
 	err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, &o)
+	if err == nil {
+		err = checkObject(o, kind, name, 0)
+	}
 	return o, errors.Annotatef(err, "get object %s/%s from platform %s", kind, name, c.Address)
 }
 
@@ -65,6 +68,9 @@
 	ctx, cancel := c.bound(ctx, 0)
 	defer cancel()
 	err := c.call(ctx, http.MethodPut, objectPath(o.Kind, o.Name), o, &p)
+	if err == nil {
+		err = checkPut(p, o)
+	}
 	return p, errors.Annotatef(err, "put object %s/%s at platform %s", o.Kind, o.Name, c.Address)
 }
 
@@ -74,6 +80,9 @@
 	ctx, cancel := c.bound(ctx, 0)
 	defer cancel()
 	err := c.call(ctx, http.MethodGet, "/objects/"+url.PathEscape(kind), nil, &l)
+	if err == nil {
+		err = checkList(l, kind)
+	}
 	return l, errors.Annotatef(err, "list objects %s of platform %s", kind, c.Address)
 }
 
@@ -95,43 +104,59 @@
 	p := "/watches/" + url.PathEscape(kind) + "/" + url.PathEscape(name) + "?" + q.Encode()
 	var o accessor.Object
 	err := c.call(ctx, http.MethodGet, p, nil, &o)
+	if err == nil {
+		err = checkObject(o, kind, name, after)
+	}
 	return o, errors.Annotatef(err, "watch object %s/%s of platform %s", kind, name, c.Address)
 }
 
-// Hosts returns the host list.
+// Hosts returns the host list, without the entries that can't be read.
 func (c *Client) Hosts(ctx context.Context) ([]accessor.Host, error) {
 	var l []accessor.Host
 	ctx, cancel := c.bound(ctx, 0)
 	defer cancel()
-	err := c.call(ctx, http.MethodGet, "/hosts", nil, &l)
+	b, err := c.read(ctx, http.MethodGet, "/hosts", nil)
+	if err == nil {
+		l, err = decodeHosts(b)
+	}
 	return l, errors.Annotatef(err, "get host list of platform %s", c.Address)
 }
 
 // call makes one HTTP call with the JSON of request, unless it is nil, as its body, and decodes the
 // answer into a.
 func (c *Client) call(ctx context.Context, method, path string, request, a any) error {
+	b, err := c.read(ctx, method, path, request)
+	if err != nil {
+		return err
+	}
+	return errors.Annotate(json.Unmarshal(b, a), "decode answer")
+}
+
+// read makes one HTTP call and returns the body of the answer.
+func (c *Client) read(ctx context.Context, method, path string, request any) ([]byte, error) {
 	b, err := encodeBody(request)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	r, err := http.NewRequestWithContext(ctx, method, c.base()+path, b)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	if c.Token != "" {
 		r.Header.Set("Authorization", "Bearer "+c.Token)
 	}
 	p, err := c.client().Do(r)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	defer p.Body.Close()
 	watchdog.Progress(ctx)
 	l := io.LimitReader(watchdog.Reader{Context: ctx, Source: p.Body}, maximumAnswerBytes)
 	if p.StatusCode != http.StatusOK {
-		return statusError(p.StatusCode, l)
+		return nil, statusError(p.StatusCode, l)
 	}
-	return errors.Annotate(json.NewDecoder(l).Decode(a), "decode answer")
+	a, err := io.ReadAll(l)
+	return a, errors.Annotate(err, "read answer")
 }
 
 func (c *Client) client() *http.Client {
--- a/internal/platform/requester/slow_test.go
+++ b/internal/platform/requester/slow_test.go
@@ -38,7 +38,7 @@
 }
 
 func (s *slowService) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	b, _ := json.Marshal(accessor.Object{Kind: "k", Name: "n", Value: make([]byte, 64<<10)})
+	b, _ := json.Marshal(accessor.Object{Kind: "k", Name: "n", Version: 1, Value: make([]byte, 64<<10)})
 	for len(b) > 0 {
 		n := min(len(b), 16<<10)
 		_, _ = w.Write(b[:n])
