fix(classifier): callers can't name the prepared statements that sessions share

What callers saw: "prepared statement cuminwick_... does not exist" for a statement whose preparing was acknowledged, after another caller on the same connection had sent DEALLOCATE with that name, which follows from the text.

Cause: a statement's name at the server is a hash of its text under the prefix cuminwick_, and PREPARE, EXECUTE and DEALLOCATE of SQL were sent with any name.

Change: SQL names with the prefix are refused with 0A000, also within EXPLAIN and CREATE TABLE AS. Names that callers give in the extended protocol were replaced by the hash before.

--- a/internal/statement/classifier/parse.go
+++ b/internal/statement/classifier/parse.go
@@ -123,10 +123,13 @@
 		return s.addCopy(v.CopyStmt)
 	case *pg_query.Node_PrepareStmt:
 		s.pin(PinPrepare)
+		s.checkPrepared(v.PrepareStmt.Name)
 		return Part{Kind: KindPrepare, Name: v.PrepareStmt.Name}
 	case *pg_query.Node_ExecuteStmt:
+		s.checkPrepared(v.ExecuteStmt.Name)
 		return Part{Kind: KindExecute, Name: v.ExecuteStmt.Name}
 	case *pg_query.Node_DeallocateStmt:
+		s.checkPrepared(v.DeallocateStmt.Name)
 		return Part{Kind: KindDeallocate, Name: v.DeallocateStmt.Name}
 	case *pg_query.Node_DeclareCursorStmt:
 		return s.addCursor(v.DeclareCursorStmt)
@@ -183,6 +186,9 @@
 		}
 		return Part{Kind: p.Kind}
 	}
+	if x := e.Query.GetExecuteStmt(); x != nil {
+		s.checkPrepared(x.Name)
+	}
 	return Part{Kind: KindRead}
 }
 
--- a/internal/statement/classifier/scan.go
+++ b/internal/statement/classifier/scan.go
@@ -92,6 +92,8 @@
 		c.writes = c.writes || len(v.LockingClause) > 0 || v.IntoClause != nil
 	case *pg_query.InsertStmt, *pg_query.UpdateStmt, *pg_query.DeleteStmt, *pg_query.MergeStmt:
 		c.writes = true
+	case *pg_query.ExecuteStmt:
+		c.s.checkPrepared(v.Name)
 	case *pg_query.CreateStmt:
 		c.visitRelation(v.Relation, v.Oncommit)
 	case *pg_query.IntoClause:
--- a/internal/statement/classifier/statement.go
+++ b/internal/statement/classifier/statement.go
@@ -118,9 +118,16 @@
 	RefusalInvalidKey
 	// RefusalUnknownSetting is a SET or SHOW of a cuminwick setting that doesn't exist.
 	RefusalUnknownSetting
+	// RefusalSyntaxSetting is a setting with which the server divides texts into other strings and
+	// statements than the parser here.
+	RefusalSyntaxSetting
+	// RefusalReservedName is the SQL name of a prepared statement that all sessions share.
+	RefusalReservedName
 )
 
-var refusalNames = [...]string{"", "prepared transactions aren't supported", "a cuminwick setting must stand alone in its text", "the idempotency key isn't valid", "there is no such cuminwick setting"}
+var refusalNames = [...]string{"", "prepared transactions aren't supported", "a cuminwick setting must stand alone in its text", "the idempotency key isn't valid", "there is no such cuminwick setting",
+	"standard_conforming_strings must be on, and client_encoding one in which no character holds the byte of an ASCII character",
+	"names of prepared statements that begin with cuminwick_ are reserved"}
 
 // String returns the reason as a text for the caller, empty for RefusalNone.
 func (r Refusal) String() string { return refusalNames[r] }
