fix(classifier): settings that change where a string ends are refused

What callers saw: a role or another setting of the caller before them on the connection.

Cause: texts are classified with standard_conforming_strings on and in an encoding that contains ASCII. With the setting off, or in SJIS, BIG5, GBK, GB18030, UHC or JOHAB, the server ends a string elsewhere, and SET ROLE in what counts as a string here runs there unseen.

Change: these values are refused with 0A000, in SET, in set_config with constants and in the startup message.

--- a/internal/caller/server/boundaries_test.go
+++ b/internal/caller/server/boundaries_test.go
@@ -127,6 +127,9 @@
 		}
 	}
 	readTo(1)
+	if text != "" {
+		return types, text
+	}
 	types = ""
 	go func() { _, _ = io.WriteString(near, strings.Join(sent, "")) }()
 	readTo(n)
@@ -206,3 +209,23 @@
 		})
 	}
 }
+
+// Guards against a caller whose texts the servers divide otherwise than the entry host.
+func TestStartupSettingsThatChangeSyntax(t *testing.T) {
+	for _, tt := range []struct {
+		name, value string
+		refused     bool
+	}{
+		{"standard_conforming_strings", "off", true},
+		{"Standard_Conforming_Strings", "0", true},
+		{"client_encoding", "SJIS", true},
+		{"standard_conforming_strings", "on", false},
+		{"client_encoding", "'utf-8'", false},
+		{"search_path", "app", false},
+	} {
+		types, text := converse(t, &echoDirector{}, map[string]string{tt.name: tt.value}, 1, encode(batcher.Sync, ""))
+		if (types == "E.") != tt.refused || strings.HasPrefix(text, codeFeature) != tt.refused {
+			t.Errorf("%s=%s: caller got %q, error %q", tt.name, tt.value, types, text)
+		}
+	}
+}
--- a/internal/caller/server/welcome.go
+++ b/internal/caller/server/welcome.go
@@ -21,7 +21,11 @@
 		maximumBytes: s.MaximumMessageBytes,
 		onError:      s.disconnected,
 	}
-	if err := s.restoreStartupMark(); err != nil {
+	err := s.checkStartupSettings()
+	if err == nil {
+		err = s.restoreStartupMark()
+	}
+	if err != nil {
 		s.fatal(describe(err))
 		return err
 	}
@@ -33,6 +37,16 @@
 	return nil
 }
 
+// checkStartupSettings refuses settings of the startup message that a SET is refused for.
+func (s *Session) checkStartupSettings() error {
+	for n, v := range s.StartupRequest.Parameters {
+		if classifier.ChangesSyntax(n, v) {
+			return notRun(codeFeature, "setting refused: "+classifier.RefusalSyntaxSetting.String(), nil)
+		}
+	}
+	return nil
+}
+
 func (s *Session) restoreStartupMark() error {
 	t := s.StartupRequest.Parameters[classifier.SettingMark]
 	if t == "" {
--- a/internal/statement/classifier/scan.go
+++ b/internal/statement/classifier/scan.go
@@ -147,6 +147,7 @@
 		c.s.SequenceState = true
 	case effectSetting:
 		c.writes = true
+		c.s.checkSetConfig(f)
 		if !isLocalSetting(f) {
 			c.s.pin(PinSessionFunction)
 		}
--- a/internal/statement/classifier/setting.go
+++ b/internal/statement/classifier/setting.go
@@ -90,6 +90,9 @@
 	case pg_query.VariableSetKind_VAR_SET_VALUE:
 		p.Kind = KindSet
 		p.readValues(v)
+		if ChangesSyntax(p.Name, p.Value) {
+			s.refuse(RefusalSyntaxSetting)
+		}
 		if p.SQLValue == "" && !p.Local {
 			s.pin(PinSetting)
 		}
