fix(granter): exchanges of other entry hosts are checked before they run

What callers saw: nothing yet. A pool owner counts a backend server's answers by the types of the items, and passed on whatever bytes they held: two messages in one item, a query among the data of a COPY, a batch without an end. An exchange that arrived twice was run twice.

Change: an item holds exactly one message, of its type and of one that a batch may hold; a batch is a single Query or ends with its only Sync or Flush; the data of a COPY is one message of COPY; exchanges are numbered without gaps. Anything else ends the lease, and the connection is closed. The fake pool of the tests takes batches without a body.

--- a/internal/pool/granter/copy.go
+++ b/internal/pool/granter/copy.go
@@ -9,6 +9,7 @@
 	"github.com/cuminwick/cuminwick/internal/peer/encoder"
 	"github.com/cuminwick/cuminwick/internal/pool/forwarder"
 	"github.com/cuminwick/cuminwick/internal/pool/messenger"
+	"github.com/cuminwick/cuminwick/internal/wire/batcher"
 )
 
 // input is one message of the caller during COPY FROM STDIN, or the error that ends it.
@@ -46,12 +47,21 @@
 
 // handleCopyData passes a message of type KindCopyData on to the exchange.
 func (s *service) handleCopyData(ctx context.Context, p []byte) error {
-	if len(p) == 0 {
-		return errors.Annotate(encoder.ErrMalformed, "copy data without type")
+	if len(p) == 0 || !isMessage(p[0], p[1:]) || !isCopyMessage(p[0]) {
+		return errors.Annotatef(encoder.ErrMalformed, "copy data of %d bytes, beginning with %.2q", len(p), p)
 	}
 	return s.deliverInput(ctx, input{kind: p[0], raw: bytes.Clone(p[1:])})
 }
 
+// isCopyMessage reports whether a message of type t may be sent during a COPY or ends one.
+func isCopyMessage(t byte) bool {
+	switch t {
+	case batcher.CopyData, batcher.CopyDone, batcher.CopyFail, batcher.Sync:
+		return true
+	}
+	return false
+}
+
 // deliverInput passes m to the exchange that reads it. A failed exchange reads no more, so the
 // remaining input is dropped; otherwise it would block the stream.
 func (s *service) deliverInput(ctx context.Context, m input) error {
--- a/internal/pool/granter/granter_test.go
+++ b/internal/pool/granter/granter_test.go
@@ -51,7 +51,10 @@
 }
 
 func (p *fakePool) Exchange(ctx context.Context, x lessor.Exchange) (exchanger.Result, error) {
-	q := strings.TrimRight(string(x.Batch.Body(0)), "\x00")
+	q := "none"
+	if len(x.Batch.Items) > 0 && len(x.Batch.Raw(0)) > 4 {
+		q = strings.TrimRight(string(x.Batch.Body(0)), "\x00")
+	}
 	p.mu.Lock()
 	p.sent = append(p.sent, q)
 	p.mu.Unlock()
@@ -60,7 +63,7 @@
 			return exchanger.Result{}, err
 		}
 	}
-	switch q[:4] {
+	switch q[:min(4, len(q))] {
 	case "wait":
 		<-ctx.Done()
 	case "hold":
--- a/internal/pool/granter/service.go
+++ b/internal/pool/granter/service.go
@@ -50,6 +50,8 @@
 	stop    context.CancelFunc
 	// done is closed when the exchange that was started last has ended.
 	done chan struct{}
+	// received is the sequence number of the last exchange that was received. Only loopRead uses it.
+	received uint64
 	// cancelled is the highest sequence number for which a cancel was received.
 	cancelled uint64
 }
@@ -255,37 +257,6 @@
 	return errors.Annotatef(encoder.ErrMalformed, "message %q", k)
 }
 
-// addItems adds the messages of a KindItems payload to the batch.
-func addItems(b *batch, p []byte) error {
-	var m messenger.Items
-	if err := encoder.Unmarshal(p, &m); err != nil {
-		return err
-	}
-	for _, i := range m.Items {
-		b.Add(i.Type, i.Answer, i.Raw)
-		b.Items[len(b.Items)-1].Name = i.Name
-		b.Items[len(b.Items)-1].Begins = i.Begins
-		b.Items[len(b.Items)-1].Results = i.Results
-	}
-	if b.Size() > messenger.MaximumBytes {
-		return errors.Annotatef(messenger.ErrTooLarge, "batch of %d bytes", b.Size())
-	}
-	return nil
-}
-
-func (s *service) handleExecute(ctx context.Context, b *batch, p []byte) error {
-	if err := encoder.Unmarshal(p, &b.Execute); err != nil {
-		return err
-	}
-	select {
-	case s.batches <- *b:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	*b = batch{}
-	return nil
-}
-
 func (s *service) handleRelease(p []byte) error {
 	var m messenger.Release
 	if err := encoder.Unmarshal(p, &m); err != nil {
