fix(forwarder): an answer of the pool owner that is cut within a message is lost

What callers saw: nothing yet. A result that came within a message of the answer, or in an unknown transaction state, counted as a success; the caller would have taken what followed for the rest of the message.

Results of other exchanges, unknown kinds and surplus grants ended the lease before.

Change: parts of a message alternate as their flags say, a result without a failure comes between messages, and its state is one of the protocol's or none.

--- a/internal/pool/forwarder/answer.go
+++ b/internal/pool/forwarder/answer.go
@@ -14,6 +14,8 @@
 type answerReader struct {
 	lease    *lease
 	exchange lessor.Exchange
+	// inFrame reports that the last part of the present frame hasn't been received.
+	inFrame bool
 	// callerErr is the error that ended the forwarding to or from the caller.
 	callerErr error
 }
@@ -69,6 +71,10 @@
 	if len(b) < OutputHeaderBytes {
 		return errors.Annotate(encoder.ErrMalformed, "output without header")
 	}
+	if first := b[1]&flagFirst != 0; first == a.inFrame {
+		return errors.Annotatef(encoder.ErrMalformed, "part of frame %q, first %t", b[0], first)
+	}
+	a.inFrame = b[1]&flagLast == 0
 	if a.callerErr != nil {
 		return nil
 	}
@@ -119,6 +125,9 @@
 	if err := encoder.Unmarshal(b, &r); err != nil {
 		return exchanger.Result{}, a.lease.lost(err)
 	}
+	if !isStatus(r.Status) || a.inFrame && r.Failure == nil {
+		return exchanger.Result{}, a.lease.lost(errors.Annotatef(encoder.ErrMalformed, "result in state %q, within a frame %t", r.Status, a.inFrame))
+	}
 	if r.Sequence != a.lease.sequence {
 		return exchanger.Result{}, a.lease.lost(errors.Annotatef(encoder.ErrMalformed, "result of exchange %d, want %d", r.Sequence, a.lease.sequence))
 	}
@@ -135,3 +144,9 @@
 	}
 	return r.ExchangeResult(), nil
 }
+
+// isStatus reports whether s is a transaction state, or zero for an exchange that ended with a Flush or
+// failed.
+func isStatus(s byte) bool {
+	return s == 0 || s == exchanger.Idle || s == exchanger.InTransaction || s == exchanger.Failed
+}
