test(deployer): servers that send answers twice

The stand-in can send one of n answers once more, after a delay, those to control connections included (Server.RepeatAnswers). TestServersThatAnswerTwice runs 24 callers, who know what each read must return, for three seconds while one of 20 answers comes again up to 50 ms later.

--- a/internal/standin/injector/injector.go
+++ b/internal/standin/injector/injector.go
@@ -21,6 +21,16 @@
 	Isolated bool
 	// CommitFailure is the error that answers the next commit of a transaction with changes.
 	CommitFailure CommitFailure
+	// Repetition makes the server send some of its answers twice.
+	Repetition Repetition
+}
+
+// Repetition describes which answers are sent twice; none if Every is zero.
+type Repetition struct {
+	// Every is the number of answers of which one is sent twice.
+	Every int
+	// MaximumDelay bounds the time until an answer is sent again.
+	MaximumDelay time.Duration
 }
 
 // CommitFailure describes the error that answers a commit; none if Code is empty.
--- a/internal/standin/responder/connection.go
+++ b/internal/standin/responder/connection.go
@@ -37,9 +37,11 @@
 	secret  []byte
 	// control says that the client identified itself by ControlApplicationName.
 	control bool
-	session *executor.Session
-	types   *pgtype.Map
-	portals map[string]*portal
+	// activate is called at the end of the login.
+	activate func()
+	session  *executor.Session
+	types    *pgtype.Map
+	portals  map[string]*portal
 	// skipToSync says that messages up to Sync are ignored after an error in the extended protocol.
 	skipToSync bool
 	// bufferedBytes is the size of the rows that are queued and not sent.
@@ -56,7 +58,9 @@
 func (c *connection) run(ctx context.Context) {
 	defer c.conn.Close()
 	defer context.AfterFunc(ctx, func() { c.conn.Close() })()
-	c.backend = pgproto3.NewBackend(c.conn, c.conn)
+	w := &repeater{server: c.server, conn: c.conn}
+	c.activate = w.activate
+	c.backend = pgproto3.NewBackend(c.conn, w)
 	c.backend.SetMaxBodyLen(maximumMessageBytes)
 	err := c.serve(ctx)
 	if err != nil {
@@ -97,6 +101,7 @@
 	if err := c.sendGreeting(); err != nil {
 		return err
 	}
+	c.activate()
 	return c.loopMessages(ctx)
 }
 
--- a/internal/standin/responder/faults.go
+++ b/internal/standin/responder/faults.go
@@ -38,6 +38,17 @@
 	s.faults.Change(func(g *injector.Settings) { g.CommitFailure = f })
 }
 
+// RepeatAnswers makes the server send one of every n answers once more, after at most d; zero for n
+// ends that.
+func (s *Server) RepeatAnswers(n int, d time.Duration) {
+	s.faults.Change(func(f *injector.Settings) { f.Repetition = injector.Repetition{Every: n, MaximumDelay: d} })
+}
+
+// RepeatedAnswers returns the number of answers that were sent twice.
+func (s *Server) RepeatedAnswers() int64 {
+	return s.repeated.Load()
+}
+
 // SetReplicationLag sets how long the server, as a replica, delays each record before it applies it.
 func (s *Server) SetReplicationLag(d time.Duration) {
 	s.faults.Change(func(f *injector.Settings) { f.ReplicationLag = d })
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -58,8 +58,10 @@
 	slots              *semaphore.Weighted
 	currentConnections atomic.Int64
 	openedConnections  atomic.Int64
-	counters           statementCounters
-	sessions           registry
+	// answers counts the writes of answers while some are repeated, repeated those that were repeated.
+	answers, repeated atomic.Int64
+	counters          statementCounters
+	sessions          registry
 
 	mutex       sync.Mutex
 	address     string
