fix(pool): answers within transactions are proved to be the statement's own

What callers saw: within a transaction, the rows of an earlier statement of it, or for its first statement those of the connection's caller before, if a server sent an answer once more while the next statement ran.

Change: after a batch without a position query, a Parse of an empty text is sent whose one parameter has the number of the request on the connection for its type, and a Describe. The ParameterDescription returns the number, also in a failed transaction; the server runs nothing. Any other answer is ErrLost, and the caller's answer is held until then. Settings and the statements of idempotency keys are proved in the same way. Batches that end in a Flush, and COPY FROM STDIN, are not.

No round trip, slot or connection is added. The stand-in keeps the declared types of an empty text, as PostgreSQL does.

--- a/internal/caller/server/attempt.go
+++ b/internal/caller/server/attempt.go
@@ -164,25 +164,32 @@
 		Input:         a.copyInput(),
 		AskPosition:   a.asksPosition(),
 		AskBefore:     s.out.gate != nil,
+		AskProof:      a.asksProof(),
 		InTransaction: !a.fresh || s.keyed != nil,
 		ReturnIfIdle:  a.leavesNoState(),
 	}
 }
 
 // holdsAnswer reports whether the answer is held from its CommandComplete on until it is known
-// whether it must wait for the majority. That applies to whatever may commit, and to reads, for
+// whether it must wait for the majority, or that it is the batch's own. The former applies to whatever may commit, and to reads, for
 // which only the log position in the answer shows whether they must wait.
 func (a *attempt) holdsAnswer() bool {
 	s := a.session
 	if a.end == batcher.Flush {
 		return false
 	}
-	if s.keyed != nil && s.keyed.wrapped {
+	if s.keyed != nil && s.keyed.wrapped || a.asksProof() {
 		return true
 	}
 	return s.status == exchanger.Idle && s.deferredBegin == nil || a.commits()
 }
 
+// asksProof reports whether it is checked that the answer is that to the batch. The log position shows
+// that too, but is only queried outside of transactions.
+func (a *attempt) asksProof() bool {
+	return a.end != batcher.Flush && !a.mayCopyIn() && !a.asksPosition()
+}
+
 // commits reports whether the plan contains a COMMIT.
 func (a *attempt) commits() bool {
 	for _, d := range a.plan.executed {
--- a/internal/caller/server/keyed.go
+++ b/internal/caller/server/keyed.go
@@ -344,6 +344,7 @@
 		Batch:         &b,
 		Output:        discardOutput{},
 		AskPosition:   texts[len(texts)-1] == commitSQL,
+		AskProof:      true,
 		InTransaction: inTransaction,
 	})
 }
--- a/internal/host/deployer/repeat_test.go
+++ b/internal/host/deployer/repeat_test.go
@@ -41,9 +41,12 @@
 			}
 			l.conn = c
 		}
-		if l.random.IntN(4) == 0 {
+		switch l.random.IntN(8) {
+		case 0:
 			l.write(1000 + 100000*l.id + n)
-		} else {
+		case 1, 2, 3, 4:
+			l.transaction()
+		default:
 			l.read(l.random.IntN(100))
 		}
 	}
@@ -55,10 +58,7 @@
 func (l *lookupSession) read(id int) {
 	x, stop := context.WithTimeout(l.t.Context(), 5*time.Second)
 	defer stop()
-	var gotID int
-	var got string
-	err := l.conn.QueryRow(x, "SELECT id, v FROM t WHERE id = $1", id).Scan(&gotID, &got)
-	l.count(err, gotID == id && got == fmt.Sprint("v", id))
+	l.readIn(x, l.conn, id)
 }
 
 func (l *lookupSession) write(id int) {
@@ -71,6 +71,37 @@
 	}
 }
 
+// transaction reads several rows in a transaction.
+func (l *lookupSession) transaction() {
+	x, stop := context.WithTimeout(l.t.Context(), 5*time.Second)
+	defer stop()
+	t, err := l.conn.Begin(x)
+	if err != nil {
+		return
+	}
+	defer t.Rollback(x)
+	for range 4 {
+		if id := l.random.IntN(100); !l.readIn(x, t, id) {
+			return
+		}
+	}
+	_ = t.Commit(x)
+}
+
+// querier is a connection or a transaction.
+type querier interface {
+	QueryRow(ctx context.Context, sql string, args ...any) pgx.Row
+}
+
+// readIn reads a row and reports whether that succeeded.
+func (l *lookupSession) readIn(x context.Context, q querier, id int) bool {
+	var gotID int
+	var got string
+	err := q.QueryRow(x, "SELECT id, v FROM t WHERE id = $1", id).Scan(&gotID, &got)
+	l.count(err, gotID == id && got == fmt.Sprint("v", id))
+	return err == nil
+}
+
 func (l *lookupSession) count(err error, own bool) {
 	switch {
 	case err != nil:
--- a/internal/pool/exchanger/adapter.go
+++ b/internal/pool/exchanger/adapter.go
@@ -69,7 +69,7 @@
 }
 
 // encode returns the bytes to send: the batch, preceded by a position query if AskBefore is set and
-// followed by one if AskPosition is set.
+// followed by one if AskPosition is set, or else by a proof if AskProof is set.
 func (x *Exchange) encode() []byte {
 	p := make([]byte, 0, x.Batch.Size()+2*maximumPositionQueryBytes)
 	if x.AskBefore {
@@ -79,6 +79,10 @@
 	if x.AskPosition {
 		x.Conn.Replay.SimpleQuerySent()
 		p = x.after.appendTo(p, x.Conn)
+	} else if x.AskProof {
+		// The proof replaces the unnamed prepared statement.
+		x.Conn.Replay.SimpleQuerySent()
+		p = x.proof.appendTo(p, x.Conn)
 	}
 	return p
 }
--- a/internal/pool/exchanger/exchanger.go
+++ b/internal/pool/exchanger/exchanger.go
@@ -87,6 +87,10 @@
 	AskPosition bool
 	// AskBefore sends the same query before the batch as well.
 	AskBefore bool
+	// AskProof sends a request after the batch whose answer shows that the answers before it are the
+	// batch's. It runs no query. As for AskPosition, the batch must not begin a COPY FROM STDIN, and
+	// must end with a Sync or a Query. It has no effect if AskPosition is set.
+	AskProof bool
 	// Prober distinguishes a long-running statement from a dead connection. If it is nil, dead
 	// connections aren't detected.
 	Prober Prober
@@ -95,6 +99,7 @@
 	result   Result
 	// before and after are the position queries around the batch.
 	before, after positionQuery
+	proof         proof
 	// callerErr is the error that ended the forwarding to or from the caller.
 	callerErr error
 	cancel    *cancellation
@@ -181,12 +186,18 @@
 		}
 		x.result.Before = m
 	}
-	if err := x.receiveBatch(); err != nil || !x.AskPosition {
+	if err := x.receiveBatch(); err != nil {
 		return err
 	}
-	m, err := x.receivePosition(&x.after)
-	x.result.Position = m
-	return err
+	switch {
+	case x.AskPosition:
+		m, err := x.receivePosition(&x.after)
+		x.result.Position = m
+		return err
+	case x.AskProof:
+		return x.receiveProof()
+	}
+	return nil
 }
 
 // receiveBatch reads the answer to the batch itself.
--- a/internal/pool/exchanger/position.go
+++ b/internal/pool/exchanger/position.go
@@ -51,8 +51,8 @@
 
 // appendTo appends the next position query of c to p.
 func (q *positionQuery) appendTo(p []byte, c *keeper.Conn) []byte {
-	c.PositionQueries++
-	q.number = c.PositionQueries
+	c.Numbered++
+	q.number = c.Numbered
 	return append(p, positionQueries[q.number]...)
 }
 
--- a/internal/pool/exchanger/position_test.go
+++ b/internal/pool/exchanger/position_test.go
@@ -26,30 +26,71 @@
 		{"error and ready for query", func(string) string {
 			return message(follower.ErrorResponse, "SERROR\x00C22012\x00\x00") + ready(Idle)
 		}},
+	} {
+		for _, ask := range []Exchange{{AskPosition: true}, {AskProof: true}} {
+			t.Run(tt.name, func(t *testing.T) {
+				runWithSurplus(t, tt.surplus, ask)
+			})
+		}
+	}
+}
+
+// runWithSurplus runs two statements with the options of ask. The server sends the surplus before the
+// answer to the second one.
+func runWithSurplus(t *testing.T, surplus func(p string) string, ask Exchange) {
+	var first string
+	s := &scriptedServer{}
+	s.position = func(a string) string {
+		if first == "" {
+			first = a
+		}
+		return a
+	}
+	s.answer = func(n int, _ byte, sql string) string {
+		a := rowAnswer("v", sql) + ready(Idle)
+		if n == 2 {
+			a = surplus(first) + a
+		}
+		return a
+	}
+	c := s.connect(t)
+	x, y := ask, ask
+	if _, r, err := run(t, c, "1", &x); err != nil || r.Position.IsZero() == ask.AskPosition {
+		t.Fatal(r, err)
+	}
+	o, r, err := run(t, c, "2", &y)
+	if err == nil || errors.Is(err, ErrNotSent) {
+		t.Errorf("result %+v, error %v, want %v; caller got %q", r, err, ErrLost, o.raw.String())
+	}
+}
+
+// Guards against a proof that another answer is taken for.
+func TestProofOfAnotherAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		answer func(a string) string
+		ok     bool
+	}{
+		{"own", func(a string) string { return a }, true},
+		{"notice within", func(a string) string { return a[:5] + message(follower.NoticeResponse, "SNOTICE\x00\x00") + a[5:] }, true},
+		{"error of a late cancel", func(string) string { return message(follower.ErrorResponse, "C57014\x00\x00") + ready(Idle) }, true},
+		{"another number", func(a string) string {
+			return strings.Replace(a, "\x00\x01\x00\x01\x00\x01", "\x00\x01\x00\x01\x00\x02", 1)
+		}, false},
+		{"no description", func(a string) string { return strings.Replace(a, message(follower.NoData, ""), "", 1) }, false},
+		{"description of rows", func(a string) string { return strings.Replace(a, "n\x00\x00\x00\x04", rowAnswer("v", "1")[:26], 1) }, false},
+		{"second parse complete", func(a string) string { return message(follower.ParseComplete, "") + a }, false},
+		{"second error", func(string) string {
+			return strings.Repeat(message(follower.ErrorResponse, "C57014\x00\x00"), 2) + ready(Idle)
+		}, false},
+		{"ready for query only", func(string) string { return ready(Idle) }, false},
+		{"other state", func(a string) string { return a[:len(a)-1] + "E" }, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			var first string
-			s := &scriptedServer{}
-			s.position = func(a string) string {
-				if first == "" {
-					first = a
-				}
-				return a
-			}
-			s.answer = func(n int, _ byte, sql string) string {
-				a := rowAnswer("v", sql) + ready(Idle)
-				if n == 2 {
-					a = tt.surplus(first) + a
-				}
-				return a
-			}
-			c := s.connect(t)
-			if _, r, err := query(t, c, "1", true); err != nil || r.Position.IsZero() {
-				t.Fatal(r, err)
-			}
-			o, r, err := query(t, c, "2", true)
-			if err == nil || errors.Is(err, ErrNotSent) {
-				t.Errorf("result %+v, error %v, want %v; caller got %q", r, err, ErrLost, o.raw.String())
+			s := &scriptedServer{position: tt.answer, answer: func(_ int, _ byte, sql string) string { return rowAnswer("v", sql) + ready(Idle) }}
+			_, r, err := run(t, s.connect(t), "1", &Exchange{AskProof: true})
+			if (err == nil) != tt.ok || err != nil && !errors.Is(err, ErrLost) {
+				t.Errorf("result %+v, error %v, want success %t", r, err, tt.ok)
 			}
 		})
 	}
--- a/internal/pool/exchanger/server_test.go
+++ b/internal/pool/exchanger/server_test.go
@@ -44,6 +44,7 @@
 func (s *scriptedServer) run() {
 	r := framer.Reader{Source: bufio.NewReader(s.conn), MaximumBytes: 1 << 20}
 	n := 0
+	parameters := ""
 	for {
 		f, err := r.NextWhole()
 		if err != nil {
@@ -57,6 +58,14 @@
 			if s.position != nil {
 				a = s.position(a)
 			}
+		case f.Type == batcher.Parse && strings.HasPrefix(string(f.Body()), "\x00\x00"):
+			parameters = string(f.Body()[2:])
+		case f.Type == batcher.Sync && parameters != "":
+			a = message(follower.ParseComplete, "") + message(follower.ParameterDescription, parameters) + message(follower.NoData, "") + ready(Idle)
+			parameters = ""
+			if s.position != nil {
+				a = s.position(a)
+			}
 		case f.Type == batcher.Query || f.Type == batcher.Sync:
 			n++
 			a = s.answer(n, f.Type, b)
@@ -122,9 +131,15 @@
 
 // query runs one query on c and returns what the caller gets.
 func query(t *testing.T, c *keeper.Conn, sql string, askPosition bool) (*recorder, Result, error) {
+	t.Helper()
+	return run(t, c, sql, &Exchange{AskPosition: askPosition})
+}
+
+// run runs one query on c with the options of x.
+func run(t *testing.T, c *keeper.Conn, sql string, x *Exchange) (*recorder, Result, error) {
 	t.Helper()
 	o := &recorder{}
-	x := &Exchange{Conn: c, Canceller: noCanceller{}, Batch: &batcher.Batch{}, Output: o, AskPosition: askPosition}
+	x.Conn, x.Canceller, x.Batch, x.Output = c, noCanceller{}, &batcher.Batch{}, o
 	x.Batch.AddStatements(batcher.Pass, sql, 1)
 	c.SetDeadline(time.Now().Add(5 * time.Second))
 	r, err := x.Run(t.Context())
--- a/internal/pool/forwarder/lease.go
+++ b/internal/pool/forwarder/lease.go
@@ -223,7 +223,7 @@
 			return &notRunError{cause: errors.WithType(errors.Annotatef(err, "send to entry host %s", e.pool.Host), exchanger.ErrNotSent)}
 		}
 	}
-	m := messenger.Execute{Sequence: e.sequence, AskPosition: x.AskPosition, AskBefore: x.AskBefore, InTransaction: x.InTransaction, ReturnIfIdle: x.ReturnIfIdle}
+	m := messenger.Execute{Sequence: e.sequence, AskPosition: x.AskPosition, AskBefore: x.AskBefore, InTransaction: x.InTransaction, ReturnIfIdle: x.ReturnIfIdle, AskProof: x.AskProof}
 	if err := e.conn.SendValue(messenger.KindExecute, m); err != nil && !e.queued {
 		return e.lost(err)
 	}
--- a/internal/pool/granter/service.go
+++ b/internal/pool/granter/service.go
@@ -179,6 +179,7 @@
 		Input:         i,
 		AskPosition:   b.AskPosition,
 		AskBefore:     b.AskBefore,
+		AskProof:      b.AskProof,
 		InTransaction: b.InTransaction,
 		ReturnIfIdle:  b.ReturnIfIdle,
 	})
--- a/internal/pool/keeper/keeper.go
+++ b/internal/pool/keeper/keeper.go
@@ -33,9 +33,9 @@
 	// FinishCancel, if set, waits until a cancel request that was sent for this connection can't
 	// affect a later query. It must succeed before the connection is used again.
 	FinishCancel func(ctx context.Context) error
-	// PositionQueries counts the queries for the log position that were sent. It tells the answer to
-	// one of them from that to an earlier one.
-	PositionQueries uint8
+	// Numbered counts the requests with a number that were sent. It tells the answer to one of them
+	// from that to an earlier one, and wraps around.
+	Numbered uint8
 	// LastUsed is when the connection was last released, zero if never.
 	LastUsed time.Time
 }
--- a/internal/pool/lender/lender.go
+++ b/internal/pool/lender/lender.go
@@ -193,6 +193,7 @@
 		Input:       x.Input,
 		AskPosition: x.AskPosition,
 		AskBefore:   x.AskBefore,
+		AskProof:    x.AskProof,
 		Prober:      e.lender.Prober,
 	}
 	r, err := y.Run(ctx)
@@ -306,7 +307,7 @@
 func (e *lease) execute(ctx context.Context, sql string) error {
 	var b batcher.Batch
 	b.AddQuery(batcher.Discard, sql)
-	x := exchanger.Exchange{Conn: e.conn, Canceller: e.lender.Canceller, Batch: &b, Output: discardOutput{}, Prober: e.lender.Prober}
+	x := exchanger.Exchange{Conn: e.conn, Canceller: e.lender.Canceller, Batch: &b, Output: discardOutput{}, AskProof: true, Prober: e.lender.Prober}
 	r, err := x.Run(ctx)
 	e.lender.handleSilence(e.conn, err)
 	if err != nil {
--- a/internal/pool/lessor/lessor.go
+++ b/internal/pool/lessor/lessor.go
@@ -65,6 +65,8 @@
 	AskPosition bool
 	// AskBefore requests the position before the batch as well.
 	AskBefore bool
+	// AskProof requests a check that the response is that to the batch. See exchanger.Exchange.
+	AskProof bool
 	// InTransaction gives the batch priority over new transactions.
 	InTransaction bool
 	// ReturnIfIdle allows the lessor to return the connection to its pool with the result if it is
--- a/internal/pool/messenger/message.go
+++ b/internal/pool/messenger/message.go
@@ -42,6 +42,7 @@
 	AskBefore     bool   `cbor:"4,keyasint,omitempty"`
 	// ReturnIfIdle allows the pool owner to end the lease with the result.
 	ReturnIfIdle bool `cbor:"5,keyasint,omitempty"`
+	AskProof     bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Cancel cancels one exchange. A cancel that arrives after its exchange ended has a sequence number
--- a/internal/standin/executor/describe.go
+++ b/internal/standin/executor/describe.go
@@ -14,7 +14,8 @@
 
 func (s *Session) describe(n *pgquery.Node, given []uint32) (*PreparedStatement, error) {
 	if n == nil {
-		return &PreparedStatement{}, nil
+		// PostgreSQL keeps the types that are given for an empty text.
+		return &PreparedStatement{ParameterTypes: append([]uint32(nil), given...)}, nil
 	}
 	c := s.newScope(nil)
 	c.types = append([]uint32(nil), given...)
