fix(matcher): an owner's refusal in a transaction is given to its statement

A statement of a transaction that the owner of the server's connections refuses in the words of an earlier refusal was answered only at its timeout, and the link and idle ones beside it were closed.

Cause: the owner answers a refusal in state I also in a transaction. An error equal to one of the last 2 s in that state counted as surplus, which holds for servers, whose errors come twice, and not for owners, whose refusals are alike under overload.

Evidence: TestEqualRefusalOfOwnerInTransaction, before: "verdict 1, reason state".

Change: on links errors are never told by their state, as they aren't doubtful there either.

--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -289,7 +289,7 @@
 		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchUnrequested, First: first}
 	case a.State == declarer.StateTransaction && m.State != declarer.StateTransaction:
 		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchState, First: first}
-	case !first.IsZero() && a.State == declarer.StateIdle && m.State == declarer.StateTransaction && m.pending[0].Effect != EffectEnd:
+	case !first.IsZero() && !m.Relayed && a.State == declarer.StateIdle && m.State == declarer.StateTransaction && m.pending[0].Effect != EffectEnd:
 		return Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchState, First: first}
 	case !first.IsZero() && !m.Relayed:
 		return Judgment{Verdict: VerdictDoubtful, Reason: declarer.MismatchEqualError, First: first}
--- a/internal/proxy/matcher/matcher_test.go
+++ b/internal/proxy/matcher/matcher_test.go
@@ -185,3 +185,18 @@
 		})
 	}
 }
+
+// Guards against a transaction that waits for its timeout if the owner of the connections refuses its statement
+// in the words of an earlier refusal.
+func TestEqualRefusalOfOwnerInTransaction(t *testing.T) {
+	now := time.Now()
+	busy := failed(declarer.CodeNoLease, declarer.StateIdle)
+	m := &Matcher{Relayed: true}
+	m.Expect(callers)
+	m.Accept(&busy, now)
+	m.State = declarer.StateTransaction
+	m.Expect(callers)
+	if j := m.Judge(&busy, now.Add(time.Second)); j.Verdict != VerdictMatch {
+		t.Errorf("verdict %d, reason %s", j.Verdict, j.Reason)
+	}
+}
