fix(matcher): an error stays known while others come

What callers saw: found by review. A write that ran was told "not run", if a server sent an earlier error once more after eight others had come on the connection; under BUSY these are tens of milliseconds.

Cause: equal errors each took one of eight places in the memory, and what was overwritten counted as never seen.

Change: an equal error renews its place, and for as long as an overwritten one could come again every error is doubtful: a confirming statement tells whose it is, which takes no slot.

--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -98,7 +98,9 @@
 	errors [rememberedErrors]failure
 	// nextError is the index in errors that is overwritten next.
 	nextError int
-	position  marker.Mark
+	// forgottenAt is when the last error was received that is no longer remembered.
+	forgottenAt time.Time
+	position    marker.Mark
 	// greeting is the position in the answer that opened the connection.
 	greeting marker.Mark
 }
@@ -151,8 +153,7 @@
 	m.position = marker.Max(m.position, a.Position)
 	switch {
 	case a.Code != declarer.CodeNone:
-		m.errors[m.nextError] = failure{body: maphash.Bytes(seed, a.Body), at: now}
-		m.nextError = (m.nextError + 1) % rememberedErrors
+		m.rememberError(failure{body: maphash.Bytes(seed, a.Body), at: now})
 	case len(a.Signature) > 0:
 		m.remember(maphash.Bytes(seed, a.Signature), success{body: maphash.Bytes(seed, a.Body), caller: r.Caller, milliseconds: uint32(now.Sub(epoch).Milliseconds())})
 	}
@@ -167,6 +168,16 @@
 	m.next = (m.next + 1) % rememberedSuccesses
 }
 
+func (m *Matcher) rememberError(f failure) {
+	i := slices.IndexFunc(m.errors[:], func(e failure) bool { return e.body == f.body })
+	if i < 0 {
+		i = m.nextError
+		m.nextError = (m.nextError + 1) % rememberedErrors
+		m.forgottenAt = m.errors[i].at
+	}
+	m.errors[i] = f
+}
+
 // Judgment is a verdict on an answer.
 type Judgment struct {
 	Verdict Verdict
@@ -297,9 +308,13 @@
 	return Judgment{}
 }
 
-// errorSeen returns when an equal error has last matched a statement, zero if none has lately.
+// errorSeen returns when an equal error has last matched a statement, zero if none has lately. An error that is no
+// longer remembered counts as equal.
 func (m *Matcher) errorSeen(a *Answer, now time.Time) time.Time {
 	var t time.Time
+	if now.Sub(m.forgottenAt) < errorMemory {
+		t = m.forgottenAt
+	}
 	h := maphash.Bytes(seed, a.Body)
 	for _, e := range m.errors {
 		if e.body == h && now.Sub(e.at) < errorMemory && e.at.After(t) {
--- a/internal/proxy/matcher/matcher_test.go
+++ b/internal/proxy/matcher/matcher_test.go
@@ -200,3 +200,21 @@
 		t.Errorf("verdict %d, reason %s", j.Verdict, j.Reason)
 	}
 }
+
+// Guards against an earlier error that is taken for a write's own, after equal errors have taken its place in
+// memory.
+func TestErrorIsRememberedAmongEqualOnes(t *testing.T) {
+	now := time.Now()
+	first, busy := failed(declarer.CodeReadOnly, declarer.StateIdle), failed(declarer.CodeBusy, declarer.StateIdle)
+	m := &Matcher{}
+	m.Expect(callers)
+	m.Accept(&first, now)
+	for range rememberedErrors {
+		m.Expect(callers)
+		m.Accept(&busy, now.Add(100*time.Millisecond))
+	}
+	m.Expect(callers)
+	if j := m.Judge(&first, now.Add(200*time.Millisecond)); j.Verdict != VerdictDoubtful {
+		t.Errorf("verdict %d, reason %s", j.Verdict, j.Reason)
+	}
+}
