fix(matcher): a transaction on a log that went back isn't awaited

What callers saw: found by review. On a server that was rolled back and led again, a read of a primary route or a transaction waited for its timeout, as the genuine answer to BEGIN was skipped as surplus and no other one came.

Cause: the end of a primary's log can't go back while it leads, but a connection outlives its server's leads.

Evidence: TestBeginOnLogThatWentBackIsNotAwaited, before: "verdict 1, reason position". The row "a begin on a log that went back" of TestJudge asked for just that: its answer is still not taken, but the connection is given up at once.

Change: the connection is closed at once. BEGIN has no effect, so the statement runs again elsewhere.

--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -285,7 +285,8 @@
 	case r.Row != (a.Rows > 0):
 		return Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchRows}
 	case r.Leading && !a.Position.IsZero() && !a.Position.Covers(m.position):
-		return Judgment{Verdict: v, Reason: declarer.MismatchPosition}
+		// The log of a server that was rolled back and leads again has gone back as well.
+		return Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchPosition}
 	}
 	return Judgment{}
 }
