fix(lender): a connection whose setup the server refused isn't lent again

Over a link, a statement ran with the values of the connection's last borrower after a refused RESET, and without a value or a prepared statement after a refused SET or PREPARE, with success.

Cause: what sets up a connection is recorded as done when a batch is planned. The owner didn't read the code of the answer to RESET, and passed that of SET and PREPARE on to the borrower, which closed its link; the connection went back into the pool as set up.

Change: a refused setup ends the link and closes the connection.

--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -321,16 +321,20 @@
 	l.code = declarer.CodeNone
 	var a declarer.Answer
 	for range len(out) - countSent(skipped) {
-		if err := l.receive(&a, end); err != nil {
+		if err := l.receiveSetup(&a, end); err != nil {
 			return err
 		}
 	}
-	for _, s := range skipped {
+	for i, s := range skipped {
 		if s {
 			l.Borrower.Done(l.lease.State)
 			continue
 		}
-		if err := l.receive(&a, end); err != nil {
+		receive := l.receive
+		if setsUp(requests[i]) {
+			receive = l.receiveSetup
+		}
+		if err := receive(&a, end); err != nil {
 			return err
 		}
 		l.Borrower.Answer(&a)
@@ -338,6 +342,25 @@
 	return nil
 }
 
+// errSetup is returned if the server refuses what sets up a connection, which planBatch has recorded as done.
+const errSetup = errors.ConstError("connection can't be set up")
+
+// setsUp reports whether the statement is recorded as done when a batch is planned.
+func setsUp(r declarer.Request) bool {
+	return r.Verb == declarer.VerbSet || r.Verb == declarer.VerbPrepare || r.Verb == declarer.VerbReset
+}
+
+// receiveSetup is receive for a statement that sets up the connection.
+func (l *Link) receiveSetup(a *declarer.Answer, end time.Time) error {
+	if err := l.receive(a, end); err != nil {
+		return err
+	}
+	if a.Code != declarer.CodeNone {
+		return errors.Annotatef(errSetup, "%s", a.Detail)
+	}
+	return nil
+}
+
 // countSent returns how many statements aren't skipped.
 func countSent(skipped []bool) int {
 	n := 0
