fix(pool): answers to batches that end in a Flush are proved too

What callers saw: in a pipeline with Flush, the rows of an earlier statement, if a server sent that answer once more. Such a batch was the last kind but COPY FROM STDIN whose answer nothing was asked after.

Change: the proof ends with a Flush as well, and is complete with its description. After an error in the batch the server skips it, so nothing is awaited; an error in its place is ErrLost, since the server would skip up to the next Sync.

Evidence: without the change no proof is sent for such a batch, and "answer twice" of TestProofAfterFlush is a success with the surplus unread. TestPipelineOfFlushes holds that results come with each Flush.

--- a/internal/caller/server/attempt.go
+++ b/internal/caller/server/attempt.go
@@ -175,10 +175,13 @@
 // which only the log position in the answer shows whether they must wait.
 func (a *attempt) holdsAnswer() bool {
 	s := a.session
+	if a.asksProof() {
+		return true
+	}
 	if a.end == batcher.Flush {
 		return false
 	}
-	if s.keyed != nil && s.keyed.wrapped || a.asksProof() {
+	if s.keyed != nil && s.keyed.wrapped {
 		return true
 	}
 	return s.status == exchanger.Idle && s.deferredBegin == nil || a.commits()
@@ -187,7 +190,7 @@
 // asksProof reports whether it is checked that the answer is that to the batch. The log position shows
 // that too, but is only queried outside of transactions.
 func (a *attempt) asksProof() bool {
-	return a.end != batcher.Flush && !a.mayCopyIn() && !a.asksPosition()
+	return !a.mayCopyIn() && !a.asksPosition()
 }
 
 // commits reports whether the plan contains a COMMIT.
--- a/internal/host/deployer/pipeline_test.go
+++ b/internal/host/deployer/pipeline_test.go
@@ -60,3 +60,35 @@
 		t.Errorf("%d rows of a pipeline that failed", n)
 	}
 }
+
+// Guards against results that are kept back after a Flush, and against ones that are missing. A driver
+// requests the results of each statement of a pipeline before it sends the next one.
+func TestPipelineOfFlushes(t *testing.T) {
+	d := start(t)
+	c := connect(t, d, 0, "")
+	exec(t, c, "CREATE TABLE t (id bigint PRIMARY KEY)")
+	p := c.PgConn().StartPipeline(t.Context())
+	for i, q := range []string{"INSERT INTO t (id) VALUES (1)", "SELECT id FROM t", "INSERT INTO t (id) VALUES (2)", "SELECT id FROM t"} {
+		p.SendQueryParams(q, nil, nil, nil, nil)
+		p.SendFlushRequest()
+		if err := p.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		r, err := p.GetResults()
+		if err != nil {
+			t.Fatalf("statement %d: %v", i, err)
+		}
+		if v := r.(*pgconn.ResultReader).Read(); v.Err != nil || i%2 == 1 && len(v.Rows) != (i+1)/2 {
+			t.Errorf("statement %d: %d rows, %v", i, len(v.Rows), v.Err)
+		}
+	}
+	if err := p.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if n := query[int64](t, c, "SELECT count(*) FROM t"); n != 2 {
+		t.Errorf("%d rows, want 2", n)
+	}
+}
--- a/internal/pool/exchanger/adapter.go
+++ b/internal/pool/exchanger/adapter.go
@@ -79,10 +79,10 @@
 	if x.AskPosition {
 		x.Conn.Replay.SimpleQuerySent()
 		p = x.after.appendTo(p, x.Conn)
-	} else if x.AskProof {
+	} else if x.AskProof && len(x.Batch.Items) > 0 {
 		// The proof replaces the unnamed prepared statement.
 		x.Conn.Replay.SimpleQuerySent()
-		p = x.proof.appendTo(p, x.Conn)
+		p = x.proof.appendTo(p, x.Conn, x.Batch.Items[len(x.Batch.Items)-1].Type)
 	}
 	return p
 }
--- a/internal/pool/exchanger/exchanger.go
+++ b/internal/pool/exchanger/exchanger.go
@@ -88,8 +88,8 @@
 	// AskBefore sends the same query before the batch as well.
 	AskBefore bool
 	// AskProof sends a request after the batch whose answer shows that the answers before it are the
-	// batch's. It runs no query. As for AskPosition, the batch must not begin a COPY FROM STDIN, and
-	// must end with a Sync or a Query. It has no effect if AskPosition is set.
+	// batch's. It runs no query. As for AskPosition, the batch must not begin a COPY FROM STDIN. It has
+	// no effect if AskPosition is set.
 	AskProof bool
 	// Prober distinguishes a long-running statement from a dead connection. If it is nil, dead
 	// connections aren't detected.
@@ -194,7 +194,7 @@
 		m, err := x.receivePosition(&x.after)
 		x.result.Position = m
 		return err
-	case x.AskProof:
+	case x.AskProof && len(x.Batch.Items) > 0:
 		return x.receiveProof()
 	}
 	return nil
--- a/internal/pool/exchanger/position_test.go
+++ b/internal/pool/exchanger/position_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/cuminwick/cuminwick/internal/wire/batcher"
 	"github.com/cuminwick/cuminwick/internal/wire/follower"
 )
 
@@ -96,6 +98,42 @@
 	}
 }
 
+// Guards against the rows of an earlier statement for a batch that ends in a Flush, after which the
+// server sends no ReadyForQuery.
+func TestProofAfterFlush(t *testing.T) {
+	row := message(follower.BindComplete, "") + message(follower.DataRow, "\x00\x01\x00\x00\x00\x011") + message(follower.CommandComplete, "SELECT 1\x00")
+	failed := message(follower.BindComplete, "") + message(follower.ErrorResponse, "C22012\x00\x00")
+	for _, tt := range []struct {
+		name   string
+		answer string
+		proof  func(a string) string
+		ok     bool
+	}{
+		{"own", row, func(a string) string { return a }, true},
+		{"error, after which the proof is skipped", failed, func(string) string { return "" }, true},
+		{"answer twice", row + row, func(a string) string { return a }, false},
+		{"ready for query", row, func(string) string { return ready(Idle) }, false},
+		{"error instead of the proof", row, func(string) string { return message(follower.ErrorResponse, "C57014\x00\x00") }, false},
+		{"proof of another request", row, func(a string) string {
+			return strings.Replace(a, "\x00\x01\x00\x01\x00\x01", "\x00\x01\x00\x01\x00\x02", 1)
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &scriptedServer{position: tt.proof, answer: func(int, byte, string) string { return tt.answer }}
+			o, c := &recorder{}, s.connect(t)
+			x := &Exchange{Conn: c, Canceller: noCanceller{}, Batch: &batcher.Batch{}, Output: o, AskProof: true}
+			x.Batch.AddBody(batcher.Bind, batcher.Pass, make([]byte, 8))
+			x.Batch.AddBody(batcher.Execute, batcher.Pass, make([]byte, 5))
+			x.Batch.AddBody(batcher.Flush, batcher.Pass)
+			c.SetDeadline(time.Now().Add(5 * time.Second))
+			r, err := x.Run(t.Context())
+			if (err == nil) != tt.ok || err != nil && !errors.Is(err, ErrLost) {
+				t.Errorf("result %+v, error %v, want success %t; caller got %q", r, err, tt.ok, o.types)
+			}
+		})
+	}
+}
+
 // Guards against a position that is read from the answer to another query, after which a read or the
 // acknowledgement of a write relies on the wrong part of the log.
 func TestPositionOfAnotherAnswer(t *testing.T) {
--- a/internal/pool/exchanger/proof.go
+++ b/internal/pool/exchanger/proof.go
@@ -16,8 +16,13 @@
 // were those to the messages before the request. It prepares an empty text with one parameter whose
 // type is the number, and has it described. The server runs nothing and takes no snapshot, which a
 // SET TRANSACTION after it would not allow, and answers in a failed transaction too.
+//
+// It ends like the batch, with a Sync or a Flush. After an error the server skips one that ends with a
+// Flush.
 type proof struct {
 	number uint8
+	// flush says that the batch ends with a Flush.
+	flush bool
 	// last is the type of the last message of the answer, zero before the first one.
 	last byte
 }
@@ -26,7 +31,7 @@
 // that is to be inferred.
 const firstProofType = 1 << 16
 
-// proofs holds the encoded requests by their numbers.
+// proofs holds the encoded requests by their numbers, without the Sync or Flush.
 var proofs = encodeProofs()
 
 func encodeProofs() [1 << 8][]byte {
@@ -35,7 +40,6 @@
 		var b batcher.Batch
 		b.AddBody(batcher.Parse, batcher.Discard, []byte{0, 0}, proofParameters(uint8(n)))
 		b.AddBody(batcher.Describe, batcher.Discard, []byte{'S', 0})
-		b.AddBody(batcher.Sync, batcher.Discard)
 		l[n] = b.AppendTo(nil)
 	}
 	return l
@@ -47,17 +51,24 @@
 	return binary.BigEndian.AppendUint32([]byte{0, 1}, firstProofType+uint32(n))
 }
 
-// appendTo appends the next proof of c to p.
-func (q *proof) appendTo(p []byte, c *keeper.Conn) []byte {
+// appendTo appends the next proof of c to p, for a batch whose last message has type end.
+func (q *proof) appendTo(p []byte, c *keeper.Conn, end byte) []byte {
 	c.Numbered++
-	q.number = c.Numbered
-	return append(p, proofs[q.number]...)
+	q.number, q.flush = c.Numbered, end == batcher.Flush
+	t := batcher.Sync
+	if q.flush {
+		t = batcher.Flush
+	}
+	return append(append(p, proofs[q.number]...), t, 0, 0, 0, 4)
 }
 
 // receiveProof reads the answer to the proof. Messages that the server sends by itself are forwarded to
 // the caller.
 func (x *Exchange) receiveProof() error {
-	for {
+	if x.proof.flush && x.follower.Failed {
+		return nil
+	}
+	for !x.proof.flush || x.proof.last != follower.NoData {
 		f, err := x.Conn.Reader.Next()
 		if err != nil {
 			return x.lost(err)
@@ -73,10 +84,11 @@
 			return err
 		}
 	}
+	return nil
 }
 
-// accept handles the next message of the answer and reports whether it belongs there: three messages,
-// or an error after a cancel, before ReadyForQuery.
+// accept handles the next message of the answer and reports whether it belongs there: three messages
+// and, after a Sync, ReadyForQuery. Before that an error may come in place of the others, after a cancel.
 func (q *proof) accept(f framer.Frame) bool {
 	ok := false
 	switch f.Type {
@@ -87,7 +99,7 @@
 	case follower.NoData:
 		ok = q.last == follower.ParameterDescription
 	case follower.ErrorResponse:
-		ok = q.last != follower.ErrorResponse
+		ok = q.last != follower.ErrorResponse && !q.flush
 	case follower.ReadyForQuery:
 		ok = q.last == follower.NoData || q.last == follower.ErrorResponse
 	}
--- a/internal/pool/exchanger/server_test.go
+++ b/internal/pool/exchanger/server_test.go
@@ -60,13 +60,16 @@
 			}
 		case f.Type == batcher.Parse && strings.HasPrefix(string(f.Body()), "\x00\x00"):
 			parameters = string(f.Body()[2:])
-		case f.Type == batcher.Sync && parameters != "":
-			a = message(follower.ParseComplete, "") + message(follower.ParameterDescription, parameters) + message(follower.NoData, "") + ready(Idle)
+		case (f.Type == batcher.Sync || f.Type == batcher.Flush) && parameters != "":
+			a = message(follower.ParseComplete, "") + message(follower.ParameterDescription, parameters) + message(follower.NoData, "")
+			if f.Type == batcher.Sync {
+				a += ready(Idle)
+			}
 			parameters = ""
 			if s.position != nil {
 				a = s.position(a)
 			}
-		case f.Type == batcher.Query || f.Type == batcher.Sync:
+		case f.Type == batcher.Query || f.Type == batcher.Sync || f.Type == batcher.Flush:
 			n++
 			a = s.answer(n, f.Type, b)
 		}
