fix(platform): the answers of a server that has answered twice are confirmed

A caller whose write or replica read was on its way got the late second answer to an earlier statement (MIXED) where the backend server had signed it anew: it fits the statement, and nothing shows that it isn't its own.

matcher.Watch remembers for a minute which servers have sent what belonged to no statement. On their connections, statements of the proxy that use no slot are sent behind each caller's statement that ends a batch, in the same write, and its answer is held until theirs. If two answers come before theirs that can both be the statement's own, neither is taken: connpooler.ErrOutOfStep, so that a read runs again and a write is unknown. Other servers get nothing in addition, and each statement pays one comparison.

The first such answer of a server that has not answered twice before can't be found out.

Shown to fail without the Watch, directly and over a link: 'a server that has answered twice signs a second answer anew' (MIXED 1).

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -18,6 +18,7 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/executor"
 	"github.com/cuminwick/cuminwick/internal/proxy/lender"
+	"github.com/cuminwick/cuminwick/internal/proxy/matcher"
 	"github.com/cuminwick/cuminwick/internal/proxy/relayer"
 	"github.com/cuminwick/cuminwick/internal/proxy/reporter"
 	"github.com/cuminwick/cuminwick/internal/proxy/runner"
@@ -83,7 +84,7 @@
 	a.store.OnCall, a.store.OnReceive = m.PlatformCall, x.Received
 	a.feeds.OnReceive = x.Received
 	a.sent = x.Sent
-	d := platform.Dialer{OnMismatch: (&reporter.Mismatches{Log: h.Log, Metrics: m}).Record}
+	d := platform.Dialer{OnMismatch: (&reporter.Mismatches{Log: h.Log, Metrics: m}).Record, Watch: &matcher.Watch{}}
 	h.Transport, h.DialLink = d, d.DialLink
 	h.Counter, a.invalid.Metrics = m, m
 	r := &reporter.Reporter{Lines: e, Metrics: m, Sample: sample}
--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -6,6 +6,7 @@
 package matcher
 
 import (
+	"bytes"
 	"hash/maphash"
 	"slices"
 	"time"
@@ -209,13 +210,16 @@
 	return m.judgeOwn(a, r)
 }
 
-// JudgeAfter judges an answer that came after held, a doubtful one in place of the answer to the oldest
-// pending statement, and after the statement that was sent to find out. It reports whether the answer is that
-// of the latter, so that held is genuine. Otherwise held was surplus, and the judgment is that on a.
+// JudgeAfter judges an answer that came after held, the last one that can be that of the oldest pending
+// statement, and after the statement that was sent to find out. It reports whether the answer is that of the
+// latter, so that held is genuine. Otherwise the judgment says whether it can be that of the oldest one, too.
 func (m *Matcher) JudgeAfter(held, a *Answer, now time.Time) (confirmed bool, j Judgment) {
 	if len(m.pending) > 1 && m.confirms(held, a) {
 		return true, Judgment{}
 	}
+	if len(held.Signature) > 0 && bytes.Equal(held.Body, a.Body) {
+		return false, Judgment{Verdict: VerdictSurplus, Reason: declarer.MismatchRepeated}
+	}
 	j = m.Judge(a, now)
 	if j.Verdict == VerdictDoubtful {
 		j.Verdict = VerdictMatch
