fix(platform): a session with many settings is served over links

What callers saw: found by review. A session with more than 1,024 settings got UNKNOWN for each write that went through another host, though nothing was sent, and BUSY for reads.

Cause: a connection is set up in one batch, which the owner bounds to 1,024 statements, while a session may hold 64 KiB of short settings.

Evidence: TestManyValuesCrossLink (1,100 settings), before: "answer UNKNOWN, want ok".

--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -52,7 +52,7 @@
 	// name.
 	values   map[string]setting
 	prepared map[string]preparedStatement
-	// stateBytes is the size of the names and values in values and prepared.
+	// stateBytes is the size of the entries of values and prepared, see entryBytes.
 	stateBytes int
 	// lastCommit is the position of the session's last commit, made in lastCommitGroup. Positions
 	// of different database groups can't be compared.
@@ -249,10 +249,17 @@
 // other callers.
 const maximumStateBytes = 64 << 10
 
+// entryOverheadBytes is what a setting or prepared statement counts in addition. It bounds their number, as a
+// connection is set up with all settings in one batch.
+const entryOverheadBytes = 16
+
+// entryBytes returns what a setting or prepared statement counts towards maximumStateBytes.
+func entryBytes(name, value string) int { return len(name) + len(value) + entryOverheadBytes }
+
 // reserveState reports whether the session may store the name and value in place of an entry of
 // old bytes, and accounts for it. If not, the old entry stays.
 func (s *Session) reserveState(name, value string, old int) bool {
-	n := s.stateBytes - old + len(name) + len(value)
+	n := s.stateBytes - old + entryBytes(name, value)
 	if n > maximumStateBytes {
 		return false
 	}
@@ -263,7 +270,7 @@
 func (s *Session) set(x declarer.Statement) error {
 	old := 0
 	if o, ok := s.values[x.Name]; ok {
-		old = len(x.Name) + len(o.value)
+		old = entryBytes(x.Name, o.value)
 	}
 	if !s.reserveState(x.Name, x.Argument, old) {
 		return s.fail(declarer.CodeTooBig, "the session has set and prepared too much")
@@ -278,7 +285,7 @@
 func (s *Session) prepare(x declarer.Statement) error {
 	old := 0
 	if o, ok := s.prepared[x.Name]; ok {
-		old = len(x.Name) + len(o.shape)
+		old = entryBytes(x.Name, o.shape)
 	}
 	if !s.reserveState(x.Name, x.Argument, old) {
 		return s.fail(declarer.CodeTooBig, "the session has set and prepared too much")
@@ -297,7 +304,7 @@
 	if !ok {
 		return s.fail(declarer.CodeNoSuchStatement, x.Name)
 	}
-	s.stateBytes -= len(x.Name) + len(o.shape)
+	s.stateBytes -= entryBytes(x.Name, o.shape)
 	delete(s.prepared, x.Name)
 	return s.Caller.Done(s.state())
 }
