fix(executor): a statement that a server doesn't know is prepared again

What callers saw: found by review. Executions of a prepared statement that a server had forgotten were refused on the same connection until their retries ended.

Cause: the name stayed among those that are prepared on the connection, here and at the owner of borrowed connections.

Change: after NOSTMT nothing counts as prepared there.

--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -123,9 +123,12 @@
 }
 
 func (e *exchange) receive(a *declarer.Answer) error {
-	err := e.lease.Receive(a, e.deadline)
-	if err == nil {
-		e.lease.State = a.State
+	if err := e.lease.Receive(a, e.deadline); err != nil {
+		return err
 	}
-	return err
+	e.lease.State = a.State
+	if a.Code == declarer.CodeNoSuchStatement {
+		clear(e.lease.Prepared)
+	}
+	return nil
 }
--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -379,8 +379,11 @@
 		return err
 	}
 	l.lease.State = a.State
-	if a.Code == declarer.CodeBusy {
+	switch a.Code {
+	case declarer.CodeBusy:
 		l.code = a.Code
+	case declarer.CodeNoSuchStatement:
+		clear(l.lease.Prepared)
 	}
 	l.OnAnswer()
 	return nil
--- a/internal/proxy/lender/setup_test.go
+++ b/internal/proxy/lender/setup_test.go
@@ -11,10 +11,11 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
-// refusingServer refuses the first statement that is described so.
+// refusingServer refuses the first statement that is described so, with the code.
 type refusingServer struct {
 	server
 	refused string
+	code    declarer.Code
 }
 
 func (s *refusingServer) Dial(context.Context, declarer.Server, string) (connpooler.Connection, marker.Mark, error) {
@@ -32,7 +33,7 @@
 	for _, x := range r {
 		code := declarer.CodeNone
 		if describe(x) == c.refusing.refused {
-			code, c.refusing.refused = declarer.CodeBusy, ""
+			code, c.refusing.refused = c.refusing.code, ""
 		}
 		c.codes = append(c.codes, code)
 	}
@@ -61,7 +62,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &refusingServer{refused: c.refused}
+				s := &refusingServer{refused: c.refused, code: declarer.CodeBusy}
 				p := pool(&s.server)
 				p.Dialer = s
 				// The borrower closes its link after an error of its setup.
@@ -77,7 +78,7 @@
 // Guards against a statement that runs with the values of the connection's last borrower.
 func TestStatementAfterRefusedResetDoesNotSucceed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &refusingServer{refused: "RESET"}
+		s := &refusingServer{refused: "RESET", code: declarer.CodeBusy}
 		p := pool(&s.server)
 		p.Dialer = s
 		serve(&s.server, p, lend(), batch(set("a", "1"), text("READ x")), Event{Kind: KindReturn})
@@ -86,3 +87,16 @@
 		p.Close()
 	})
 }
+
+// Guards against a prepared statement that stays unknown on a connection, as it counts as prepared there.
+func TestUnknownStatementIsPreparedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &refusingServer{refused: "EXEC p x", code: declarer.CodeNoSuchStatement}
+		p := pool(&s.server)
+		p.Dialer = s
+		serve(&s.server, p, lend(), batch(prepare("p"), text("EXEC p x")), Event{Kind: KindReturn})
+		serve(&s.server, p, lend(), batch(prepare("p"), text("EXEC p y")), Event{Kind: KindReturn})
+		check(t, "sent", s.sent, []string{"PREPARE p", "EXEC p x", "PREPARE p", "EXEC p y"})
+		p.Close()
+	})
+}
