fix(platform): a surplus error isn't confirmed by a surplus answer

A write took effect twice (TWICE) where a second error and a second answer to one of the proxy's own statements came while it ran: the error was held, the other one passed for the first confirming statement's answer, and the signed answer of the write itself for the rollback's.

Once one of the proxy's own statements was answered without a signature on a connection, a signed success in place of such an answer ends it (ErrOutOfStep).

--- a/internal/proxy/declarer/mismatch.go
+++ b/internal/proxy/declarer/mismatch.go
@@ -19,6 +19,8 @@
 	MismatchInterleaved
 	// MismatchUnsigned means that the success of a caller's statement has no signature.
 	MismatchUnsigned
+	// MismatchSigned means that the success of one of the proxy's own statements has a signature.
+	MismatchSigned
 	// MismatchState means that the statement can't lead to the state.
 	MismatchState
 	// MismatchPosition means that the end of the primary's log has gone back.
@@ -40,6 +42,7 @@
 	MismatchRepeated:    "repeated",
 	MismatchInterleaved: "interleaved",
 	MismatchUnsigned:    "unsigned",
+	MismatchSigned:      "signed",
 	MismatchState:       "state",
 	MismatchPosition:    "position",
 	MismatchRows:        "rows",
--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -102,6 +102,9 @@
 	// forgottenAt is when the last error was received that is no longer remembered.
 	forgottenAt time.Time
 	position    marker.Mark
+	// unsigned is set once one of the proxy's own statements was answered without a signature, as they
+	// all are then.
+	unsigned bool
 	// greeting is the position in the answer that opened the connection.
 	greeting marker.Mark
 }
@@ -155,7 +158,9 @@
 	switch {
 	case a.Code != declarer.CodeNone:
 		m.rememberError(failure{body: maphash.Bytes(seed, a.Body), at: now})
-	case len(a.Signature) > 0:
+	case len(a.Signature) == 0:
+		m.unsigned = m.unsigned || !r.Caller
+	default:
 		m.remember(maphash.Bytes(seed, a.Signature), success{body: maphash.Bytes(seed, a.Body), caller: r.Caller, milliseconds: uint32(now.Sub(epoch).Milliseconds())})
 	}
 }
@@ -284,6 +289,8 @@
 		v = VerdictBroken
 	}
 	switch {
+	case len(a.Signature) > 0 && m.unsigned:
+		return Judgment{Verdict: VerdictBroken, Reason: declarer.MismatchSigned}
 	case a.State != m.after(r):
 		return Judgment{Verdict: v, Reason: declarer.MismatchState}
 	case r.Row != (a.Rows > 0):
--- a/internal/proxy/matcher/matcher_test.go
+++ b/internal/proxy/matcher/matcher_test.go
@@ -230,3 +230,17 @@
 		t.Errorf("verdict %d, reason %s: the answer that follows never comes", j.Verdict, j.Reason)
 	}
 }
+
+// Guards against a caller's answer that is taken for that of one of the proxy's own statements behind it.
+func TestSignedAnswerToOwnStatementIsBrokenWhereOthersAreUnsigned(t *testing.T) {
+	now := time.Now()
+	m := newMatcher(read("s1", "one", declarer.StateIdle), now)
+	own := done(declarer.StateIdle)
+	m.Expect(set)
+	m.Accept(&own, now)
+	m.Expect(end)
+	a := Answer{Ended: true, Signature: []byte("s2"), State: declarer.StateIdle}
+	if j := m.Judge(&a, now); j.Verdict != VerdictBroken || j.Reason != declarer.MismatchSigned {
+		t.Errorf("verdict %d, reason %s", j.Verdict, j.Reason)
+	}
+}
