--- a/internal/proxy/connpooler/lease.go
+++ b/internal/proxy/connpooler/lease.go
@@ -43,6 +43,8 @@
 	Prepared map[string]struct{}
 	// State is the transaction state of the connection after the last answer.
 	State declarer.State
+	// Unusable is set if the connection must not be used again, as Values or Prepared may be wrong.
+	Unusable bool
 
 	pool  *Pool
 	entry *admitter.Entry
@@ -59,6 +61,7 @@
 // transaction is recovered first; a broken one is closed.
 func (l *Lease) Release(broken bool) {
 	p := l.pool
+	broken = broken || l.Unusable
 	b, borrowed := l.Connection.(BorrowedConnection)
 	switch {
 	case borrowed:
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -102,24 +102,43 @@
 	if err := e.lease.Send(r, e.deadline); err != nil {
 		return err
 	}
-	for range n {
-		var a declarer.Answer
-		if err := e.receive(&a); err != nil {
-			return err
-		}
-		if a.Code.FromOwner() {
-			continue // nothing was sent, and the statement itself gets the same answer
-		}
-		if a.Code != declarer.CodeNone {
-			return errors.Annotatef(errSetup, "%s", a.Detail)
-		}
+	idle := e.lease.State == declarer.StateIdle
+	refused, err := e.receiveSetup(n)
+	switch {
+	case err != nil:
+		return err
+	case refused != nil && !idle:
+		return refused
 	}
 	for _, a := range l {
 		if err := e.receive(a); err != nil {
 			return err
 		}
 	}
-	return nil
+	if refused == nil {
+		return nil
+	}
+	e.lease.Unusable = true
+	if l[0].Code.NotRun() {
+		return nil // as for a statement that was sent alone
+	}
+	return refused
+}
+
+// receiveSetup receives the answers to n statements that set up the connection. It returns an errSetup as refused if
+// the server refused one of them.
+func (e *exchange) receiveSetup(n int) (refused, err error) {
+	for range n {
+		var a declarer.Answer
+		if err := e.receive(&a); err != nil {
+			return nil, err
+		}
+		// If the owner refuses, nothing was sent, and the statement itself gets the same answer.
+		if a.Code != declarer.CodeNone && !a.Code.FromOwner() {
+			refused = errors.Annotatef(errSetup, "%s", a.Detail)
+		}
+	}
+	return refused, nil
 }
 
 func (e *exchange) receive(a *declarer.Answer) error {
--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -240,12 +240,12 @@
 		return false
 	case held.State == declarer.StateFailed:
 		return a.Code == declarer.CodeMalformed && a.State == declarer.StateFailed
-	case a.Code != declarer.CodeNone || len(a.Signature) > 0:
+	case a.Code != declarer.CodeNone || len(a.Signature) > 0 && m.unsigned:
 		return false
 	case m.pending[1].Effect == EffectBegin:
 		return a.State == declarer.StateTransaction
 	}
-	return a.State == held.State
+	return len(a.Signature) == 0 && a.State == held.State
 }
 
 // judgeSignature judges a success whose signature has matched a statement before.
