--- a/internal/proxy/matcher/watch.go
+++ b/internal/proxy/matcher/watch.go
@@ -12,7 +12,7 @@
 // Watch remembers which servers have lately sent answers that belonged to no statement. Its zero value is
 // ready to use. It is safe for concurrent use.
 type Watch struct {
-	// latest is when the last of them did so, in nanoseconds of Unix time.
+	// latest is when the last of them did so, in nanoseconds since epoch, zero if none has.
 	latest atomic.Int64
 
 	mu      sync.Mutex
@@ -21,7 +21,7 @@
 
 // Record records that the server has sent such an answer.
 func (w *Watch) Record(server string, now time.Time) {
-	w.latest.Store(now.UnixNano())
+	w.latest.Store(int64(now.Sub(epoch)))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.servers == nil {
@@ -37,7 +37,7 @@
 
 // Suspicious reports whether the server has sent such an answer lately.
 func (w *Watch) Suspicious(server string, now time.Time) bool {
-	if now.Sub(time.Unix(0, w.latest.Load())) >= careDuration {
+	if t := w.latest.Load(); t == 0 || now.Sub(epoch)-time.Duration(t) >= careDuration {
 		return false
 	}
 	w.mu.Lock()
