--- a/internal/proxy/assembler/assembler_test.go
+++ b/internal/proxy/assembler/assembler_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -138,29 +139,44 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+const (
+	// firstPort and portCount are a range below that from which the kernel draws the ports of connections: beside busy
+	// tests, tens of thousands of those are in use.
+	firstPort = 12000
+	portCount = 18000
+)
+
 // freePort returns a port on which no process listens.
-func freePort(t *testing.T) int {
-	t.Helper()
-	l := listen(t)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
+func freePort(t *testing.T) int { return freePorts(t, 1) }
 
 // freePortPair returns the first of two consecutive ports on which no process listens.
-func freePortPair(t *testing.T) int {
+func freePortPair(t *testing.T) int { return freePorts(t, 2) }
+
+// freePorts returns the first of n consecutive ports on which no process listens.
+func freePorts(t *testing.T, n int) int {
 	t.Helper()
 	for range 100 {
-		p := freePort(t)
-		l, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(p+1)))
-		if err == nil {
-			l.Close()
+		p := firstPort + rand.IntN(portCount)
+		if areFree(p, n) {
 			return p
 		}
 	}
-	t.Fatal("no two ports in a row are free")
+	t.Fatalf("no %d ports in a row are free", n)
 	return 0
 }
 
+// areFree reports whether no process listens on n ports from the first on.
+func areFree(first, n int) bool {
+	for i := range n {
+		l, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+i)))
+		if err != nil {
+			return false
+		}
+		l.Close()
+	}
+	return true
+}
+
 // host is an entry host that runs in the test.
 type host struct {
 	settings platform.Settings
