fix(runner): a host that stops doesn't tell of a lost platform

What operators saw: lines "platform lost" with "context canceled" as a host stopped, and its loss counted.

Cause: the call in progress is canceled at the end, and its error was taken for one of the platform.

Evidence: TestStopIsNoLossOfPlatform, before: "lost: [test]". TestHostFollowsStoreWithOddEntries failed once with -race beside load, as such a line was written before the test read the log.

Change: a follower that is told to end reports nothing.

--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -83,6 +83,9 @@
 		} else {
 			revision, err = f.list(ctx)
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		f.recordResult(err)
 		switch {
 		case err == nil:
--- a/internal/proxy/runner/follower_test.go
+++ b/internal/proxy/runner/follower_test.go
@@ -127,6 +127,23 @@
 	})
 }
 
+// Guards against a loss of the platform that is logged and counted because the host stops.
+func TestStopIsNoLossOfPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lost []string
+		s := &scriptedSource{answers: []answer{{at: 5}}}
+		f := &follower[string]{name: "test", source: s, gate: &gate{}, onAnswer: func() {}, wait: constant(time.Second), log: discardLog, onLost: func(n string) { lost = append(lost, n) }, reset: func([]string) {}, apply: func([]Change[string]) {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		cancel()
+		synctest.Wait()
+		if len(lost) > 0 {
+			t.Errorf("lost: %q", lost)
+		}
+	})
+}
+
 // Guards against the loss of healthy servers: while the store is unavailable, entries of servers
 // lapse, and they are back soon after its return. If the servers were removed at once, callers
 // would have none.
