fix(matcher): a whole group is watched once one of its servers has answered twice

Cause: each server was watched by itself, though the servers of a group run the same software: a host had a first one from each.

Change: the care that one server calls for holds for its group. The first one of a group at a host is still open, see docs/design/surplus-answers.md.

--- a/internal/proxy/matcher/watch_test.go
+++ b/internal/proxy/matcher/watch_test.go
@@ -5,29 +5,29 @@
 	"time"
 )
 
-// Guards against care that never ends, and against care for servers that have not answered twice.
-func TestWatchRemembersServersForAWhile(t *testing.T) {
+// Guards against care that never ends, and against care for groups whose servers have not answered twice.
+func TestWatchRemembersGroupsForAWhile(t *testing.T) {
 	var w Watch
 	now := time.Now()
-	if w.Suspicious("i-1", now) {
-		t.Error("a server is suspicious from the start")
+	if w.Suspicious("g-1", now) {
+		t.Error("a group is suspicious from the start")
 	}
-	w.Record("i-1", now)
-	w.Record("i-2", now.Add(careDuration/2))
+	w.Record("g-1", now)
+	w.Record("g-2", now.Add(careDuration/2))
 	for _, c := range []struct {
-		server string
+		group string
 		after  time.Duration
 		want   bool
 	}{
-		{"i-1", careDuration - 1, true}, {"i-1", careDuration, false}, {"i-2", careDuration, true},
-		{"i-2", careDuration * 3 / 2, false}, {"i-3", 0, false},
+		{"g-1", careDuration - 1, true}, {"g-1", careDuration, false}, {"g-2", careDuration, true},
+		{"g-2", careDuration * 3 / 2, false}, {"g-3", 0, false},
 	} {
-		if got := w.Suspicious(c.server, now.Add(c.after)); got != c.want {
-			t.Errorf("%s suspicious after %s: %t", c.server, c.after, got)
+		if got := w.Suspicious(c.group, now.Add(c.after)); got != c.want {
+			t.Errorf("%s suspicious after %s: %t", c.group, c.after, got)
 		}
 	}
-	w.Record("i-3", now.Add(2*careDuration))
-	if n := len(w.servers); n != 1 {
-		t.Errorf("%d servers remembered", n)
+	w.Record("g-3", now.Add(2*careDuration))
+	if n := len(w.groups); n != 1 {
+		t.Errorf("%d groups remembered", n)
 	}
 }
