--- a/internal/proxy/matcher/watch_test.go
+++ b/internal/proxy/matcher/watch_test.go
@@ -16,8 +16,8 @@
 	w.Record("g-2", now.Add(careDuration/2))
 	for _, c := range []struct {
 		group string
-		after  time.Duration
-		want   bool
+		after time.Duration
+		want  bool
 	}{
 		{"g-1", careDuration - 1, true}, {"g-1", careDuration, false}, {"g-2", careDuration, true},
 		{"g-2", careDuration * 3 / 2, false}, {"g-3", 0, false},
