fix(reporter): lines about ended sessions are bounded

What operators would see: found by review. A caller that sends odd messages again and again fills the log, with names of up to 1 MiB.

Change: the limit of lines about mismatched answers is a type of its own and holds for each kind.

--- a/internal/proxy/reporter/ends_test.go
+++ b/internal/proxy/reporter/ends_test.go
@@ -40,3 +40,21 @@
 		t.Errorf("%d causes have names", len(endCauses))
 	}
 }
+
+// Guards against a log that is filled by callers who are cut off again and again, or by the names that they send.
+func TestSessionEndsAreLoggedAtBoundedRate(t *testing.T) {
+	var b strings.Builder
+	e := &encoder.Encoder{Writer: &b, QueueBytes: 1 << 20}
+	o := &Reporter{Lines: e, Metrics: newTestMetrics()}
+	for range 1000 {
+		o.SessionEnd(executor.SessionEnd{Database: strings.Repeat("x", 1<<10), Cause: executor.EndCut, Err: executor.ErrCut})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := e.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(b.String(), "session ended"); n < linesBurst || n > 2*linesBurst || b.Len() > n<<9 {
+		t.Errorf("%d lines, %d bytes", n, b.Len())
+	}
+}
--- a/internal/proxy/reporter/mismatches_test.go
+++ b/internal/proxy/reporter/mismatches_test.go
@@ -24,7 +24,7 @@
 	if n := testutil.ToFloat64(m.mismatches.WithLabelValues("repeated")); n != 1000 {
 		t.Errorf("%v counted", n)
 	}
-	if n := len(h.Entries); n < mismatchLinesBurst || n > 2*mismatchLinesBurst {
+	if n := len(h.Entries); n < linesBurst || n > 2*linesBurst {
 		t.Errorf("%d lines", n)
 	}
 	f := h.Entries[0].Fields
--- a/internal/proxy/reporter/reporter.go
+++ b/internal/proxy/reporter/reporter.go
@@ -17,6 +17,8 @@
 	// Sample is the reciprocal of the fraction of succeeded statements that is logged: one in
 	// Sample. Zero logs all.
 	Sample uint64
+
+	ends lineLimiter
 }
 
 // seed makes the choice of sampled statements differ between processes.
