fix(executor): a connection whose setup was refused isn't recovered

The server refused a value, and the statement sent with it got no answer in time: the connection was recovered and counted as set up, so that the next statement ran without the value, with success.

Cause: since the statement's own answer is read after a refused setup, the connection was marked as unusable only once that had come.

Evidence: TestRefusedSetupMakesConnectionUnusable, before: "unusable false" after one setup statement and after two.

Change: it is marked where the refusal is read.

--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -118,7 +118,6 @@
 	if refused == nil {
 		return nil
 	}
-	e.lease.Unusable = true
 	if l[0].Code.NotRun() {
 		return nil // as for a statement that was sent alone
 	}
@@ -136,6 +135,7 @@
 		// If the owner refuses, nothing was sent, and the statement itself gets the same answer.
 		if a.Code != declarer.CodeNone && !a.Code.FromOwner() {
 			refused = errors.Annotatef(errSetup, "%s", a.Detail)
+			e.lease.Unusable = true
 		}
 	}
 	return refused, nil
--- a/internal/proxy/executor/exchange_test.go
+++ b/internal/proxy/executor/exchange_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/cuminwick/cuminwick/internal/group/marker"
 	"github.com/cuminwick/cuminwick/internal/proxy/connpooler"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
@@ -51,3 +53,35 @@
 		t.Errorf("%d statements count as prepared, %v", len(l.Prepared), err)
 	}
 }
+
+// stalledConnection is a connection to a server that refuses to set a value and answers nothing else in time.
+type stalledConnection struct {
+	forgetfulConnection
+	answers int
+}
+
+func (c *stalledConnection) Receive(a *declarer.Answer, _ time.Time) error {
+	if c.answers++; c.answers > 1 {
+		return connpooler.ErrTimeout
+	}
+	a.Code = declarer.CodeBusy
+	return nil
+}
+
+// Guards against a connection that is recovered and counts as set up, though the server has refused that.
+func TestRefusedSetupMakesConnectionUnusable(t *testing.T) {
+	for n := 1; n <= 2; n++ {
+		p := &connpooler.Pool{Server: declarer.Server{ID: "i-1"}, Dialer: forgetfulConnection{}, Observer: forgetfulConnection{}, Limit: 1}
+		defer p.Close()
+		l, err := p.Acquire(connpooler.AcquireRequest{Deadline: time.Now().Add(10 * time.Second)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Connection = &stalledConnection{}
+		e := &exchange{lease: l, setupCount: n}
+		var a declarer.Answer
+		if err := e.run(&a); !errors.Is(err, connpooler.ErrTimeout) || !l.Unusable {
+			t.Errorf("%d setup statements: unusable %t, %v", n, l.Unusable, err)
+		}
+	}
+}
