fix(connpooler): a connection is reset if an abandoned statement got an error

A session ran with a value or a prepared statement that its server had refused to set up for an earlier one, whose statement was abandoned at its timeout.

Cause: the recovery of a connection received the answers that were still to come without a look at their codes, while values and statements count as set up from the moment at which they are sent.

Evidence: TestRecoveredConnectionAfterErrorIsReset, before: "values map[zone:SET zone a], prepared map[r_q:{}]".

Change: after an error among these answers the connection is reset, by a statement that takes no slot, and counts as not set up.

--- a/internal/proxy/connpooler/connpooler_test.go
+++ b/internal/proxy/connpooler/connpooler_test.go
@@ -71,6 +71,8 @@
 	state    declarer.State
 	ended    bool
 	err      error
+	// code is that of the next answer.
+	code declarer.Code
 }
 
 func (l *fakeConnection) Send(r []declarer.Request, _ time.Time) error {
@@ -89,7 +91,7 @@
 func (l *fakeConnection) Receive(a *declarer.Answer, _ time.Time) error {
 	time.Sleep(max(openDelay, l.server.answerDelay))
 	l.pending--
-	a.State = l.state
+	a.State, a.Code, l.code = l.state, l.code, declarer.CodeNone
 	return l.err
 }
 
--- a/internal/proxy/connpooler/lease.go
+++ b/internal/proxy/connpooler/lease.go
@@ -99,39 +99,50 @@
 	l.pool.endRecovery(l, l.recover() != nil)
 }
 
-// recover receives the pending answers and rolls back an open transaction.
+// recover receives the pending answers and rolls back an open transaction. After an error, which may be that of a
+// statement that was to set up the connection, the connection is reset.
 func (l *Lease) recover() error {
 	t := time.Now().Add(recoverTimeout)
+	failed, err := l.receivePending(t)
+	if err == nil && l.State != declarer.StateIdle {
+		err = l.runIdle(declarer.VerbRollback, t)
+	}
+	if err == nil && failed {
+		clear(l.Values)
+		clear(l.Prepared)
+		err = l.runIdle(declarer.VerbReset, t)
+	}
+	if err == nil && l.Ended() {
+		err = errors.Annotatef(ErrOutOfStep, "server %s", l.pool.Server.ID)
+	}
+	return err
+}
+
+// receivePending receives the pending answers, and reports whether one of them was an error.
+func (l *Lease) receivePending(deadline time.Time) (failed bool, err error) {
 	var a declarer.Answer
 	for l.PendingAnswers() > 0 {
-		if err := l.Receive(&a, t); err != nil {
-			return err
+		if err := l.Receive(&a, deadline); err != nil {
+			return false, err
 		}
-		l.State = a.State
+		l.State, failed = a.State, failed || a.Code != declarer.CodeNone
 		a = declarer.Answer{Body: a.Body[:0]}
 	}
-	if l.State != declarer.StateIdle {
-		if err := l.rollBack(&a, t); err != nil {
-			return err
-		}
-	}
-	if l.Ended() {
-		return errors.Annotatef(ErrOutOfStep, "server %s", l.pool.Server.ID)
-	}
-	return nil
+	return failed, nil
 }
 
-// rollBack rolls back an open transaction.
-func (l *Lease) rollBack(a *declarer.Answer, t time.Time) error {
-	if err := l.Send([]declarer.Request{{Verb: declarer.VerbRollback}}, t); err != nil {
+// runIdle runs a statement of the proxy, after which no transaction may be open.
+func (l *Lease) runIdle(v declarer.Verb, deadline time.Time) error {
+	if err := l.Send([]declarer.Request{{Verb: v}}, deadline); err != nil {
 		return err
 	}
-	if err := l.Receive(a, t); err != nil {
+	var a declarer.Answer
+	if err := l.Receive(&a, deadline); err != nil {
 		return err
 	}
 	l.State = a.State
-	if a.State != declarer.StateIdle {
-		return errors.Errorf("server %s: still in a transaction after a rollback", l.pool.Server.ID)
+	if a.Code != declarer.CodeNone || a.State != declarer.StateIdle {
+		return errors.Errorf("server %s: statement %d of a recovery failed with code %d in state %d", l.pool.Server.ID, v, a.Code, a.State)
 	}
 	return nil
 }
--- a/internal/proxy/connpooler/surplus_test.go
+++ b/internal/proxy/connpooler/surplus_test.go
@@ -42,3 +42,23 @@
 		}
 	})
 }
+
+// Guards against a session that runs with values that the server has refused to set: an abandoned statement was sent
+// with them.
+func TestRecoveredConnectionAfterErrorIsReset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServer{limit: 2}
+		p := newPool(f)
+		l := acquire(t, p)
+		l.Values["zone"], l.Prepared["r_q"] = "SET zone a", struct{}{}
+		l.Connection.(*fakeConnection).code = declarer.CodeBusy
+		_ = l.Send([]declarer.Request{{Verb: declarer.VerbSet}, {Verb: declarer.VerbRead}}, time.Time{})
+		l.Release(false) // recovers it, as answers are pending
+		time.Sleep(recoverTimeout)
+		n := acquire(t, p)
+		defer n.Release(false)
+		if n != l || len(n.Values) > 0 || len(n.Prepared) > 0 || f.sent[len(f.sent)-1] != declarer.VerbReset {
+			t.Errorf("values %v, prepared %v, sent %v", n.Values, n.Prepared, f.sent)
+		}
+	})
+}
