fix(lender): a connection in place of another one is awaited no longer than by the borrower

If a borrowed connection had unread bytes when its first statements were to be sent, the owner waited for another one as long as for the first. The borrower had given up by then, and told its caller that a write's outcome isn't known; the write ran afterwards, for nobody.

Evidence: TestReplacementIsNotAwaitedLongerThanByBorrower, before: sent 500 ms after a statement with 100 ms.

Change: one deadline holds for the batch, and for the connection that replaces the first one.

--- a/internal/proxy/lender/lender.go
+++ b/internal/proxy/lender/lender.go
@@ -167,7 +167,7 @@
 	if l.lease == nil {
 		return l.refuseAll(len(e.Requests))
 	}
-	err := l.runOrReplace(e.Requests, min(e.Wait, answerTimeout))
+	err := l.runOrReplace(e.Requests, time.Now().Add(min(e.Wait, answerTimeout)))
 	if errors.Is(err, errNoReplacement) {
 		return l.refuseAll(len(e.Requests))
 	}
@@ -187,9 +187,9 @@
 
 // runOrReplace is run. If the connection can't be used any more before the first batch of the lease was sent,
 // it lends another one in its place.
-func (l *Link) runOrReplace(requests []declarer.Request, wait time.Duration) error {
+func (l *Link) runOrReplace(requests []declarer.Request, end time.Time) error {
 	fresh := l.fresh
-	err := l.run(requests, wait)
+	err := l.run(requests, end)
 	if !errors.Is(err, connpooler.ErrNotSent) {
 		return err
 	}
@@ -198,10 +198,12 @@
 	if !fresh {
 		return errNoReplacement
 	}
-	if l.lend(l.request); l.lease == nil {
+	again := l.request
+	again.Wait = min(again.Wait, time.Until(end))
+	if l.lend(again); l.lease == nil {
 		return errNoReplacement
 	}
-	if err = l.run(requests, wait); !errors.Is(err, connpooler.ErrNotSent) {
+	if err = l.run(requests, end); !errors.Is(err, connpooler.ErrNotSent) {
 		return err
 	}
 	l.returnLease(true)
@@ -287,8 +289,7 @@
 // run runs a batch of statements and answers each. It first acquires a permit, unless all of them
 // are the proxy's own, such as those that set the connection up. If it returns a connpooler.Refusal or
 // connpooler.ErrNotSent, nothing was sent.
-func (l *Link) run(requests []declarer.Request, wait time.Duration) error {
-	end := time.Now().Add(wait)
+func (l *Link) run(requests []declarer.Request, end time.Time) error {
 	if !slices.ContainsFunc(requests, func(r declarer.Request) bool { return r.ID != "" }) {
 		return l.exchange(requests, end)
 	}
--- a/internal/proxy/lender/unsent_test.go
+++ b/internal/proxy/lender/unsent_test.go
@@ -75,3 +75,27 @@
 		})
 	}
 }
+
+// slowServer is a spentServer whose connections after the first take long to open.
+type slowServer struct{ spentServer }
+
+func (s *slowServer) Dial(ctx context.Context, x declarer.Server, customer string) (connpooler.Connection, marker.Mark, error) {
+	if s.opened > 0 {
+		time.Sleep(500 * time.Millisecond)
+	}
+	return s.spentServer.Dial(ctx, x, customer)
+}
+
+// Guards against a statement that is sent after its borrower has given it up, as another connection had to be opened.
+func TestReplacementIsNotAwaitedLongerThanByBorrower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowServer{spentServer: spentServer{server: &server{}, spent: 1}}
+		p := &connpooler.Pool{Server: declarer.Server{ID: "i"}, Dialer: s, Observer: s.server, Limit: 4, MinOpen: 1}
+		b := serve(s.server, p, Event{Kind: KindLend, Wait: 10 * time.Second}, Event{Kind: KindStatements, Wait: 100 * time.Millisecond, Requests: []declarer.Request{{ID: "x", Text: "WRITE a b"}}})
+		if d := cmp.Diff([]string{"refused"}, b.answers); d != "" || len(s.sent) > 0 {
+			t.Errorf("sent %q, %s", s.sent, d)
+		}
+		time.Sleep(time.Second)
+		p.Close()
+	})
+}
