--- a/internal/backend/commander/ask.go
+++ b/internal/backend/commander/ask.go
@@ -11,6 +11,15 @@
 	"github.com/cuminwick/cuminwick/internal/backend/controller"
 )
 
+// callColumn is the result column that returns the number of a call. PostgreSQL's protocol numbers no
+// requests, and a status that answers an earlier poll may hold a position from before a write.
+const callColumn = "cuminwick_call"
+
+// selectCall is the beginning of each query. The first parameter is the number of the call.
+const selectCall = "SELECT *, $1::text AS " + callColumn + " FROM "
+
+const statusQuery = selectCall + "cuminwick_status()"
+
 // queryStatus queries the status, at most twice.
 //
 // A restart of the server may have closed the kept connection unnoticed. The first use then fails,
--- a/internal/backend/commander/commander.go
+++ b/internal/backend/commander/commander.go
@@ -21,15 +21,6 @@
 // a slot.
 const ApplicationName = "cuminwick-control"
 
-// callColumn is the result column that returns the number of a call. PostgreSQL's protocol numbers no
-// requests, and a status that answers an earlier poll may hold a position from before a write.
-const callColumn = "cuminwick_call"
-
-// selectCall is the beginning of each query. The first parameter is the number of the call.
-const selectCall = "SELECT *, $1::text AS " + callColumn + " FROM "
-
-const statusQuery = selectCall + "cuminwick_status()"
-
 // defaultTimeout bounds a command whose caller set no earlier deadline.
 const defaultTimeout = 2 * time.Second
 
--- a/internal/proxy/connpooler/refusal.go
+++ b/internal/proxy/connpooler/refusal.go
@@ -49,6 +49,9 @@
 	// ErrOutOfStep is returned by Connection.Receive if the answers on the connection can't be told
 	// apart. Statements without an answer may have run.
 	ErrOutOfStep = errors.ConstError("answers can't be told apart")
+	// ErrSetup is returned if the server refuses a value or prepared statement of the session. The
+	// connection counts as set up, so that it must be closed.
+	ErrSetup = errors.ConstError("connection can't be set up")
 )
 
 // noConnectionError returns the refusal for a pool that has no connection and opens none before
--- a/internal/proxy/executor/exchange.go
+++ b/internal/proxy/executor/exchange.go
@@ -23,9 +23,6 @@
 	permit *connpooler.Permit
 }
 
-// errSetup is returned if the session's values can't be set on a connection.
-const errSetup = errors.ConstError("connection can't be set up")
-
 func (e *exchange) add(q declarer.Request) {
 	e.requests = append(e.requests, q)
 }
@@ -124,7 +121,7 @@
 	return refused
 }
 
-// receiveSetup receives the answers to n statements that set up the connection. It returns an errSetup as refused if
+// receiveSetup receives the answers to n statements that set up the connection. It returns an ErrSetup as refused if
 // the server refused one of them.
 func (e *exchange) receiveSetup(n int) (refused, err error) {
 	for range n {
@@ -134,7 +131,7 @@
 		}
 		// If the owner refuses, nothing was sent, and the statement itself gets the same answer.
 		if a.Code != declarer.CodeNone && !a.Code.FromOwner() {
-			refused = errors.Annotatef(errSetup, "%s", a.Detail)
+			refused = errors.Annotatef(connpooler.ErrSetup, "%s", a.Detail)
 			e.lease.Unusable = true
 		}
 	}
--- a/internal/proxy/executor/session.go
+++ b/internal/proxy/executor/session.go
@@ -2,9 +2,6 @@
 package executor
 
 import (
-	"crypto/sha256"
-	"encoding/base64"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,19 +68,6 @@
 	idleSince time.Time
 }
 
-// setting is a value that a caller has set, with the text by which it did so. Equal values may differ in their
-// text: a field that is empty, and one that is missing.
-type setting struct{ value, text string }
-
-// preparedStatement is a statement that the caller has prepared: whether it writes, and its shape,
-// which the server runs with the arguments of each execution.
-type preparedStatement struct {
-	writes bool
-	shape  string
-	// name is the statement's name on servers.
-	name string
-}
-
 // Run serves the caller until the session ends.
 func (s *Session) Run() {
 	defer s.Caller.Close()
@@ -243,72 +227,6 @@
 	return s.Caller.Fail(c, text, s.state())
 }
 
-// maximumStateBytes bounds the settings and prepared statements of one session, in bytes of names
-// and values. An entry host keeps them for thousands of sessions: without a bound, one caller that
-// sets values endlessly would get the process killed for its memory use, which disconnects all
-// other callers.
-const maximumStateBytes = 64 << 10
-
-// entryOverheadBytes is what a setting or prepared statement counts in addition. It bounds their number, as a
-// connection is set up with all settings in one batch.
-const entryOverheadBytes = 16
-
-// entryBytes returns what a setting or prepared statement counts towards maximumStateBytes.
-func entryBytes(name, value string) int { return len(name) + len(value) + entryOverheadBytes }
-
-// reserveState reports whether the session may store the name and value in place of an entry of
-// old bytes, and accounts for it. If not, the old entry stays.
-func (s *Session) reserveState(name, value string, old int) bool {
-	n := s.stateBytes - old + entryBytes(name, value)
-	if n > maximumStateBytes {
-		return false
-	}
-	s.stateBytes = n
-	return true
-}
-
-func (s *Session) set(x declarer.Statement) error {
-	old := 0
-	if o, ok := s.values[x.Name]; ok {
-		old = entryBytes(x.Name, o.value)
-	}
-	if !s.reserveState(x.Name, x.Argument, old) {
-		return s.fail(declarer.CodeTooBig, "the session has set and prepared too much")
-	}
-	if s.values == nil {
-		s.values = make(map[string]setting)
-	}
-	s.values[x.Name] = setting{value: x.Argument, text: x.Text}
-	return s.Caller.Done(s.state())
-}
-
-func (s *Session) prepare(x declarer.Statement) error {
-	old := 0
-	if o, ok := s.prepared[x.Name]; ok {
-		old = entryBytes(x.Name, o.shape)
-	}
-	if !s.reserveState(x.Name, x.Argument, old) {
-		return s.fail(declarer.CodeTooBig, "the session has set and prepared too much")
-	}
-	if s.prepared == nil {
-		s.prepared = make(map[string]preparedStatement)
-	}
-	p := preparedStatement{writes: x.Writes, shape: x.Argument}
-	p.name = serverStatementName(p)
-	s.prepared[x.Name] = p
-	return s.Caller.Done(s.state())
-}
-
-func (s *Session) deallocate(x declarer.Statement) error {
-	o, ok := s.prepared[x.Name]
-	if !ok {
-		return s.fail(declarer.CodeNoSuchStatement, x.Name)
-	}
-	s.stateBytes -= entryBytes(x.Name, o.shape)
-	delete(s.prepared, x.Name)
-	return s.Caller.Done(s.state())
-}
-
 func (s *Session) begin(x declarer.Statement) error {
 	if s.openTransaction != nil {
 		return s.fail(declarer.CodeMalformed, "a transaction is open")
@@ -358,77 +276,6 @@
 	return s.runAutocommit(m, q)
 }
 
-const errNoStatement = errors.ConstError("no such prepared statement")
-
-// buildRequest builds the request to the backend server. A prepared statement is named after its
-// shape on the server: sessions that prepare the same shape share it, and different shapes that
-// sessions prepare under one name don't collide.
-func (s *Session) buildRequest(x declarer.Statement) (*request, error) {
-	q := &request{Request: declarer.Request{ID: x.ID, Text: x.Text, Writes: x.Verb == declarer.VerbWrite}, verb: x.Verb}
-	if x.Verb != declarer.VerbExecute {
-		return q, nil
-	}
-	p, ok := s.prepared[x.Name]
-	if !ok {
-		return nil, errNoStatement
-	}
-	q.Text = ""
-	q.Verb = declarer.VerbExecute
-	q.Name = p.name
-	q.Argument = x.Argument
-	q.Writes = p.writes
-	q.prepared = &p
-	return q, nil
-}
-
-const (
-	// maximumPlainShape is the longest shape, in bytes, that is part of its name on servers.
-	maximumPlainShape = 40
-	// namePlain and nameDigest follow the letter of the access in a name.
-	namePlain  = "_"
-	nameDigest = "h_"
-)
-
-// serverStatementName returns the name of a prepared statement on servers. It is one word, and stands for
-// one shape and access only: a shape that may not be part of a word is replaced by its digest.
-func serverStatementName(p preparedStatement) string {
-	access := "r"
-	if p.writes {
-		access = "w"
-	}
-	if isPlainShape(p.shape) {
-		return access + namePlain + p.shape
-	}
-	d := sha256.Sum256([]byte(p.shape))
-	return access + nameDigest + base64.RawURLEncoding.EncodeToString(d[:])
-}
-
-func isPlainShape(s string) bool {
-	return len(s) <= maximumPlainShape && !strings.ContainsFunc(s, func(r rune) bool {
-		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '.' && r != '_' && r != '-'
-	})
-}
-
-// request is a caller's statement in the form sent to a backend server. verb is the caller's,
-// prepared is set for an execution only.
-type request struct {
-	declarer.Request
-	verb     declarer.Verb
-	prepared *preparedStatement
-}
-
-// textBytes returns the length in bytes that the text of a statement has at most once it is sent to a server.
-func (q *request) textBytes(x declarer.Statement) int {
-	n := len(x.Text)
-	if q.prepared != nil {
-		n += len(q.Name) - len(x.Name)
-	}
-	if !q.Writes {
-		n += declarer.PositionBytes
-	}
-	return n
-}
-
 // recordCommit keeps the position of the session's newest commit. The position belongs to one
 // group only, and a changed route may lead the session to another group.
 func (s *Session) recordCommit(group string, m marker.Mark) {
