fix(platform): what is left out of seed lists and pages of hosts is reported

What operators saw: nothing. An invalid host of a seed list, a number of upstream hosts that was replaced, and an entry of another host that couldn't be read were left out without a line in the log.

Change: both report like the reader of the store, at the same bounded rate.

--- a/internal/proxy/assembler/assembler.go
+++ b/internal/proxy/assembler/assembler.go
@@ -156,7 +156,7 @@
 	store := platform.NewStore(s.StoreAddress)
 	a.store = store
 	a.invalid = &reporter.InvalidObjects{Log: l}
-	a.feeds = &platform.FeedClient{}
+	a.feeds = &platform.FeedClient{OnInvalid: a.reportInvalid}
 	f := &feeder{store: store, remote: a.feeds, sent: func(t declarer.Transfer) { a.sent(t) }, servers: make(map[string]*platform.FeedServer), now: steady.Now, ranks: s.RanksRequests}
 	a.feeds.LastValue = f.lastValue
 	h := &runner.Host{
@@ -168,7 +168,7 @@
 		FirstStart:        s.FirstStart,
 		Board:             &blackboard.Board{Zone: s.AvailabilityZone, Region: s.Region, Regions: s.Regions},
 		Registrar:         &platform.Registrar{Store: store},
-		Seeds:             &platform.SeedStore{Store: store},
+		Seeds:             &platform.SeedStore{Store: store, OnInvalid: a.reportInvalid},
 		ReachHost:         platform.ReachHost,
 		ParseStatus:       platform.ParseStatus,
 		NewBorrower:       func(c net.Conn) lender.Borrower { return platform.NewBorrower(c) },
--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -38,6 +38,9 @@
 type Page struct {
 	Entries  []Entry `json:"entries"`
 	Revision uint64  `json:"as-of"`
+	// Invalid describes the entries that couldn't be read. Those whose name can't be told are left out of
+	// Entries, the others have no readable value.
+	Invalid []error `json:"-"`
 }
 
 // Reader reads one kind of object.
