fix(requester): invalid entries of the host list are reported

What operators saw: nothing. An entry that names no host was left out, and an address that can't be dialed was removed, without a line in the log.

Evidence: TestOddHostAmongOthers asks for one report of two equal lists, which nothing gave before.

Change: what is wrong is reported once, and again when it changes, as the list is read again and again.

--- a/internal/host/assembler/assembler.go
+++ b/internal/host/assembler/assembler.go
@@ -123,7 +123,7 @@
 // createPlatformClient creates the platform client and reads its token.
 func (a *Assembler) createPlatformClient() error {
 	p := a.Settings.Platform
-	a.platform = &requester.Client{Address: p.Address, Timeout: p.Timeout}
+	a.platform = &requester.Client{Address: p.Address, Timeout: p.Timeout, OnInvalid: func(err error) { a.log.WithError(err).Warn("host list has invalid entries") }}
 	if p.TokenFile == "" {
 		return nil
 	}
--- a/internal/platform/requester/matching.go
+++ b/internal/platform/requester/matching.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -50,36 +52,63 @@
 	return nil
 }
 
+// errInvalidEntry is reported for an entry of the host list that can't be read.
+const errInvalidEntry = errors.ConstError("invalid entry of the host list")
+
 // decodeHosts returns the entries of a host list. One that can't be read, has no name or is of another
 // kind is left out. An address that can't be dialed is removed: the entry still says that the host
 // exists.
-func decodeHosts(b []byte) ([]accessor.Host, error) {
+func (c *Client) decodeHosts(b []byte) ([]accessor.Host, error) {
 	e, err := splitArray(b)
 	if err != nil {
 		return nil, err
 	}
 	l := make([]accessor.Host, 0, len(e))
-	for _, x := range e {
-		h := decodeHost(x)
+	var invalid []string
+	for i, x := range e {
+		h, err := decodeHost(x)
+		if err != nil {
+			invalid = append(invalid, fmt.Sprintf("entry %d: %.80s", i+1, err))
+		}
 		if h.Name == "" || h.Kind != accessor.EntryHost && h.Kind != accessor.BackendServer {
+			invalid = append(invalid, fmt.Sprintf("entry %d names no host", i+1))
 			continue
 		}
-		if !isAddress(h.Address) {
+		if h.Address != "" && !isAddress(h.Address) {
+			invalid = append(invalid, fmt.Sprintf("address of %.80s is %.80q", h.Name, h.Address))
 			h.Address = ""
 		}
 		l = append(l, h)
 	}
+	c.reportInvalid(strings.Join(invalid, "; "))
 	return l, nil
 }
 
-// decodeHost returns the fields of an entry that can be read. It is zero for one that isn't an object.
-func decodeHost(b []byte) accessor.Host {
+// maximumInvalidBytes bounds the description of a host list's invalid entries.
+const maximumInvalidBytes = 500
+
+// reportInvalid reports the description of a list's invalid entries unless it is that of the list before. The list is
+// read again and again.
+func (c *Client) reportInvalid(description string) {
+	description = description[:min(len(description), maximumInvalidBytes)]
+	c.mu.Lock()
+	changed := description != c.invalid
+	c.invalid = description
+	c.mu.Unlock()
+	if changed && description != "" && c.OnInvalid != nil {
+		c.OnInvalid(errors.Annotatef(errInvalidEntry, "%s", description))
+	}
+}
+
+// decodeHost returns the fields of an entry that can be read, and what is wrong with the others. The entry is zero
+// if it isn't an object.
+func decodeHost(b []byte) (accessor.Host, error) {
 	var h accessor.Host
-	// Unmarshal decodes the other fields too if one is of another type.
-	if err := json.Unmarshal(b, &h); err != nil && !errors.HasType[*json.UnmarshalTypeError](err) {
-		return accessor.Host{}
+	err := json.Unmarshal(b, &h)
+	if err != nil && !errors.HasType[*json.UnmarshalTypeError](err) {
+		return accessor.Host{}, err
 	}
-	return h
+	return h, err // the other fields are decoded if one is of another type
 }
 
 // isAddress reports whether a is a host and a port.
--- a/internal/platform/requester/matching_test.go
+++ b/internal/platform/requester/matching_test.go
@@ -128,7 +128,13 @@
 		strings.Repeat("[", 20000) + strings.Repeat("]", 20000),
 	} {
 		c := answering(t, http.StatusOK, `[`+strings.Replace(host, "%", "a", 1)+`,`+o+`,`+strings.Replace(host, "%", "b", 1)+`]`)
+		reports := 0
+		c.OnInvalid = func(error) { reports++ }
+		_, _ = c.Hosts(t.Context())
 		l, err := c.Hosts(t.Context())
+		if used := len(l) == 3 && l[1].Address != ""; err == nil && reports != 1 && !used {
+			t.Errorf("entry %.60s: %d reports of two lists", o, reports)
+		}
 		if err != nil || len(l) < 2 || l[0].Name != "a" || l[len(l)-1].Name != "b" {
 			t.Errorf("entry %.60s: %d hosts, error %v", o, len(l), err)
 		}
--- a/internal/platform/requester/requester.go
+++ b/internal/platform/requester/requester.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -42,6 +43,12 @@
 	Timeout time.Duration
 	// Wait is how long the service may hold one watch, DefaultWait if unset.
 	Wait time.Duration
+	// OnInvalid, if not nil, is called when other entries of the host list than before can't be read.
+	OnInvalid func(error)
+
+	mu sync.Mutex
+	// invalid describes the entries of the last host list that couldn't be read.
+	invalid string
 }
 
 var _ accessor.Platform = (*Client)(nil)
@@ -117,7 +124,7 @@
 	defer cancel()
 	b, err := c.read(ctx, http.MethodGet, "/hosts", nil)
 	if err == nil {
-		l, err = decodeHosts(b)
+		l, err = c.decodeHosts(b)
 	}
 	return l, errors.Annotatef(err, "get host list of platform %s", c.Address)
 }
