--- a/internal/caller/server/attempt.go
+++ b/internal/caller/server/attempt.go
@@ -170,9 +170,9 @@
 	}
 }
 
-// holdsAnswer reports whether the answer is held from its CommandComplete on until it is known
-// whether it must wait for the majority, or that it is the batch's own. The former applies to whatever may commit, and to reads, for
-// which only the log position in the answer shows whether they must wait.
+// holdsAnswer reports whether the answer is held from its CommandComplete on, until it is known that it
+// is the batch's own, or whether it must wait for the majority. The latter applies to whatever may
+// commit, and to reads, for which only the log position in the answer shows whether they must wait.
 func (a *attempt) holdsAnswer() bool {
 	s := a.session
 	if a.asksProof() {
--- a/internal/proxy/executor/request.go
+++ b/internal/proxy/executor/request.go
@@ -34,8 +34,8 @@
 }
 
 const (
-	// maximumPlainShape is the longest shape, in bytes, that is part of its name on servers.
-	maximumPlainShape = 40
+	// maximumPlainShapeBytes is the longest shape that is part of its name on servers.
+	maximumPlainShapeBytes = 40
 	// namePlain and nameDigest follow the letter of the access in a name.
 	namePlain  = "_"
 	nameDigest = "h_"
@@ -56,7 +56,7 @@
 }
 
 func isPlainShape(s string) bool {
-	return len(s) <= maximumPlainShape && !strings.ContainsFunc(s, func(r rune) bool {
+	return len(s) <= maximumPlainShapeBytes && !strings.ContainsFunc(s, func(r rune) bool {
 		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '.' && r != '_' && r != '-'
 	})
 }
