--- a/internal/backend/commander/surplus_test.go
+++ b/internal/backend/commander/surplus_test.go
@@ -10,16 +10,16 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// stutterer answers each status query with the next position. It sends some answers once more: with
+// repeater answers each status query with the next position. It sends some answers once more: with
 // the answer itself, while the connection is idle, or before the next answer.
-type stutterer struct {
+type repeater struct {
 	position atomic.Int64
 	// when says when the surplus is sent.
 	when  string
 	conns atomic.Int64
 }
 
-func (s *stutterer) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+func (s *repeater) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -38,7 +38,7 @@
 	return near, nil
 }
 
-func (s *stutterer) serve(c net.Conn) {
+func (s *repeater) serve(c net.Conn) {
 	defer c.Close()
 	b := pgproto3.NewBackend(c, c)
 	if _, err := b.ReceiveStartupMessage(); err != nil {
@@ -92,7 +92,7 @@
 func TestStatusOfAnEarlierPoll(t *testing.T) {
 	for _, when := range []string{"at once", "idle", "before"} {
 		t.Run(when, func(t *testing.T) {
-			s := &stutterer{when: when}
+			s := &repeater{when: when}
 			c := &Client{Name: "db-1", Address: "127.0.0.1:1", User: "control", Dial: s.dial}
 			t.Cleanup(func() { _ = c.Close(context.Background()) })
 			good := 0
--- a/internal/pool/lender/surplus_test.go
+++ b/internal/pool/lender/surplus_test.go
@@ -19,11 +19,11 @@
 	"github.com/cuminwick/cuminwick/internal/wire/framer"
 )
 
-// stutteringOpener opens connections to a server that answers each query with a CommandComplete of
+// repeatingOpener opens connections to a server that answers each query with a CommandComplete of
 // the query's text, twice.
-type stutteringOpener struct{}
+type repeatingOpener struct{}
 
-func (stutteringOpener) Open(ctx context.Context, _, _ string) (*dialer.Conn, error) {
+func (repeatingOpener) Open(ctx context.Context, _, _ string) (*dialer.Conn, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -34,11 +34,11 @@
 		return nil, err
 	}
 	far, err := l.Accept()
-	go stutter(far)
+	go repeatAnswers(far)
 	return &dialer.Conn{Conn: near, Reader: framer.Reader{Source: bufio.NewReader(near)}}, err
 }
 
-func stutter(c net.Conn) {
+func repeatAnswers(c net.Conn) {
 	defer c.Close()
 	r := framer.Reader{Source: bufio.NewReader(c), MaximumBytes: 1 << 10}
 	for {
@@ -68,7 +68,7 @@
 func TestSurplusAnswerNeverReachesNextCaller(t *testing.T) {
 	for _, returnIfIdle := range []bool{false, true} {
 		l := &Lender{
-			Keeper: &keeper.Keeper{Server: declarer.BackendServer{Name: "a", Connections: 4, ReservedConnections: 3}, Opener: stutteringOpener{}},
+			Keeper: &keeper.Keeper{Server: declarer.BackendServer{Name: "a", Connections: 4, ReservedConnections: 3}, Opener: repeatingOpener{}},
 			Gate:   &gate.Gate{BackendServer: "a", Queue: admitter.Queue{Slots: 2}},
 		}
 		defer l.Keeper.Close()
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -76,15 +76,15 @@
 	KindReload Kind = iota + kindEnd
 	// KindStall suspends an entry host's process for less than half a second, as on a busy machine.
 	KindStall
-	// KindStutter is a backend server that sends some answers twice, see Stutters.
-	KindStutter
+	// KindRepeat is a backend server that sends some answers twice, see Repetitions.
+	KindRepeat
 )
 
 // names holds the name of each Kind, in the order of the constants.
 var names = [...]string{
 	"kill", "pause", "stop", "isolate", "silence", "store-silent", "store-busy", "store-reset", "store-slow",
 	"store-loses", "store-forgets", "store-watches-silent", "primary-crash", "server-mute", "server-silence", "replica-deaf",
-	"server-refuses", "server-unheard", "orders-late", "holder-kill", "primary-blink", "two-crash", "reload", "stall", "stutter",
+	"server-refuses", "server-unheard", "orders-late", "holder-kill", "primary-blink", "two-crash", "reload", "stall", "server-repeats",
 }
 
 // String returns the kind's name in kebab case.
@@ -206,14 +206,14 @@
 	return byTime(l)
 }
 
-// Stutters returns one fault for each of two thirds of the servers, in order of time, which lasts from the first half
+// Repetitions returns one fault for each of two thirds of the servers, in order of time, which lasts from the first half
 // of the soak until its end.
-func Stutters(seed uint64, length time.Duration, servers int) []Fault {
+func Repetitions(seed uint64, length time.Duration, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 4))
 	var l []Fault
 	for _, i := range r.Perm(servers)[:(2*servers+2)/3] {
 		at := randomDuration(r, length/2)
-		l = append(l, Fault{Kind: KindStutter, At: at, Duration: length - at, Target: i})
+		l = append(l, Fault{Kind: KindRepeat, At: at, Duration: length - at, Target: i})
 	}
 	return byTime(l)
 }
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -79,10 +79,10 @@
 }
 
 // Some servers must answer twice and some must not, or the soak would not tell them apart.
-func TestStutters(t *testing.T) {
+func TestRepetitions(t *testing.T) {
 	for seed := range uint64(50) {
-		p := Stutters(seed, 10*time.Second, 6)
-		if !slices.Equal(p, Stutters(seed, 10*time.Second, 6)) {
+		p := Repetitions(seed, 10*time.Second, 6)
+		if !slices.Equal(p, Repetitions(seed, 10*time.Second, 6)) {
 			t.Fatalf("seed %d gives different plans", seed)
 		}
 		targets := make(map[int]bool)
--- a/internal/soak/replicator/connection.go
+++ b/internal/soak/replicator/connection.go
@@ -63,7 +63,7 @@
 		if !ok || c.send(a) != nil {
 			return
 		}
-		c.stutter(a)
+		c.repeat(a)
 	}
 }
 
--- a/internal/soak/replicator/stutter.go
+++ b/internal/soak/replicator/repetition.go
@@ -8,16 +8,16 @@
 )
 
 const (
-	// stutterPercent is the share of answers that a server which stutters sends a second time, within
-	// maximumStutterDelay.
-	stutterPercent      = 2
-	maximumStutterDelay = 500 * time.Millisecond
+	// repeatPercent is the share of answers that a server that repeats answers sends a second time, within
+	// maximumRepeatDelay.
+	repeatPercent      = 2
+	maximumRepeatDelay = 500 * time.Millisecond
 	// specialPercent is the share of second answers that are cut in, and that of those that are signed anew, where
 	// servers do so.
 	specialPercent = 15
 )
 
-// Repetition is how servers that stutter send second answers: whole and unchanged, and some otherwise.
+// Repetition is how servers that repeat answers send second answers: whole and unchanged, and some otherwise.
 type Repetition struct {
 	// CutIn sends some in the middle of the next answer, SignAnew some with a signature of their own.
 	CutIn, SignAnew bool
@@ -48,14 +48,14 @@
 	return err
 }
 
-// stutter sends some answers a second time while the server stutters. The server's state doesn't change by
+// repeat sends some answers a second time while the server repeats answers. The server's state doesn't change by
 // that.
-func (c *connection) stutter(a reply) {
+func (c *connection) repeat(a reply) {
 	if !c.responder.Group.repeats(c) {
 		return
 	}
 	g := c.responder.Group
-	how, after := c.random.IntN(100), time.Duration(c.random.Int64N(int64(maximumStutterDelay)))
+	how, after := c.random.IntN(100), time.Duration(c.random.Int64N(int64(maximumRepeatDelay)))
 	if g.Repetition.SignAnew && how >= 100-specialPercent && a.execution != nil && a.signature != "-" {
 		a.signature = g.signAnew(a.execution)
 	}
@@ -72,7 +72,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.answers.All++
-	if !c.responder.Server.stutters || c.random.IntN(100) >= stutterPercent {
+	if !c.responder.Server.repeating || c.random.IntN(100) >= repeatPercent {
 		return false
 	}
 	g.answers.Repeated++
--- a/internal/soak/replicator/replicator.go
+++ b/internal/soak/replicator/replicator.go
@@ -36,8 +36,8 @@
 	log     []Record
 	// paused is the term of the server's pause, zero if it receives.
 	paused uint64
-	// down, mute, deaf and stutters are the current faults, see ServerFault.
-	down, mute, deaf, stutters bool
+	// down, mute, deaf and repeating are the current faults, see ServerFault.
+	down, mute, deaf, repeating bool
 }
 
 // Group is a database group. Its exported fields are set before use.
@@ -137,8 +137,8 @@
 // ServerFault is the faults of a server; the zero value is none.
 type ServerFault struct {
 	// Down is a server that does not run, Mute one that accepts statements and answers none, Deaf a
-	// replica that receives no replication, Stutters one that sends some answers twice.
-	Down, Mute, Deaf, Stutters bool
+	// replica that receives no replication, Repeats one that sends some answers twice.
+	Down, Mute, Deaf, Repeats bool
 }
 
 // SetFault replaces the faults of a server; the zero value ends them.
@@ -148,7 +148,7 @@
 	if x.Down {
 		s.paused = 0
 	}
-	s.down, s.mute, s.deaf, s.stutters = x.Down, x.Mute, x.Deaf, x.Stutters
+	s.down, s.mute, s.deaf, s.repeating = x.Down, x.Mute, x.Deaf, x.Repeats
 	g.changed.Broadcast()
 }
 
--- a/internal/soak/runner/answers_test.go
+++ b/internal/soak/runner/answers_test.go
@@ -39,7 +39,7 @@
 
 // causesOf returns whether servers answer twice and whether texts are odd in the soak with the seed: only texts,
 // both, or only answers.
-func causesOf(seed uint64) (stutter, odd bool) { return seed%3 != 0, seed%3 != 2 }
+func causesOf(seed uint64) (repeats, odd bool) { return seed%3 != 0, seed%3 != 2 }
 
 // repetitionOf returns how servers answer twice in the soak with the seed: in three seeds out of nine whole and
 // unchanged only.
@@ -60,10 +60,10 @@
 		deployment: d, random: rand.New(rand.NewPCG(seed, 1)), injector: &injector{deployment: d},
 		calm: *answerLength, pipelinePercent: pipelinePercent,
 	}
-	stutter, odd := causesOf(seed)
+	repeats, odd := causesOf(seed)
 	d.repetition, d.oddErrors = repetitionOf(seed), odd
-	if stutter {
-		s.plan = planner.Stutters(seed, *answerLength, groups*serversPerGroup)
+	if repeats {
+		s.plan = planner.Repetitions(seed, *answerLength, groups*serversPerGroup)
 	}
 	if odd {
 		s.oddPercent = oddPercent
--- a/internal/soak/runner/faults_test.go
+++ b/internal/soak/runner/faults_test.go
@@ -58,7 +58,7 @@
 			defer h.faultLock.Unlock()
 			x.host(h)
 		}
-	case planner.KindPrimaryCrash, planner.KindPrimaryBlink, planner.KindServerMute, planner.KindServerSilence, planner.KindReplicaDeaf, planner.KindStutter:
+	case planner.KindPrimaryCrash, planner.KindPrimaryBlink, planner.KindServerMute, planner.KindServerSilence, planner.KindReplicaDeaf, planner.KindRepeat:
 		x.lockServer(x.targetServer(), x.server)
 	case planner.KindServerRefuses, planner.KindServerUnheard:
 		x.lockServer(x.targetServer(), x.path)
@@ -154,7 +154,7 @@
 // any server of the group otherwise. It returns nil if there is none.
 func (x *injection) targetServer() *server {
 	d := x.injector.deployment
-	if x.fault.Kind == planner.KindStutter {
+	if x.fault.Kind == planner.KindRepeat {
 		return d.servers[x.fault.Target%len(d.servers)]
 	}
 	g := d.groups[x.fault.Target%groups]
@@ -187,8 +187,8 @@
 		g.SetFault(s.Server, replicator.ServerFault{Deaf: true})
 		time.Sleep(x.fault.Duration)
 		g.SetFault(s.Server, replicator.ServerFault{})
-	case planner.KindStutter:
-		g.SetFault(s.Server, replicator.ServerFault{Stutters: true})
+	case planner.KindRepeat:
+		g.SetFault(s.Server, replicator.ServerFault{Repeats: true})
 		time.Sleep(x.fault.Duration)
 		g.SetFault(s.Server, replicator.ServerFault{})
 	case planner.KindServerSilence:
