refactor(test): one place opens a connection to a scripted owner's server

Two stand-ins of the lender's tests opened their loopback connection each for itself; the second had no check of the accepted side.

--- a/internal/pool/lender/giveback_test.go
+++ b/internal/pool/lender/giveback_test.go
@@ -24,6 +24,11 @@
 }
 
 func (a statusOpener) Open(context.Context, string, string) (*dialer.Conn, error) {
+	return openServer(a.run)
+}
+
+// openServer opens a connection to a server.
+func openServer(serve func(net.Conn)) (*dialer.Conn, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -34,8 +39,12 @@
 		return nil, err
 	}
 	far, err := l.Accept()
-	go a.run(far)
-	return &dialer.Conn{Conn: near, Reader: framer.Reader{Source: bufio.NewReader(near)}}, err
+	if err != nil {
+		near.Close()
+		return nil, err
+	}
+	go serve(far)
+	return &dialer.Conn{Conn: near, Reader: framer.Reader{Source: bufio.NewReader(near)}}, nil
 }
 
 func (a statusOpener) run(c net.Conn) {
--- a/internal/pool/lender/surplus_test.go
+++ b/internal/pool/lender/surplus_test.go
@@ -23,19 +23,8 @@
 // the query's text, twice.
 type repeatingOpener struct{}
 
-func (repeatingOpener) Open(ctx context.Context, _, _ string) (*dialer.Conn, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	defer l.Close()
-	near, err := new(net.Dialer).DialContext(ctx, "tcp", l.Addr().String())
-	if err != nil {
-		return nil, err
-	}
-	far, err := l.Accept()
-	go repeatAnswers(far)
-	return &dialer.Conn{Conn: near, Reader: framer.Reader{Source: bufio.NewReader(near)}}, err
+func (repeatingOpener) Open(context.Context, string, string) (*dialer.Conn, error) {
+	return openServer(repeatAnswers)
 }
 
 func repeatAnswers(c net.Conn) {
