--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -21,6 +21,7 @@
 var plays = map[string]play{
 	"restart-forgets": playRestartForgets,
 	"stale-token":     playStaleToken,
+	"return-to-group": playReturnToGroup,
 }
 
 // errUsage is returned for an unknown case.
