--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -19,9 +19,10 @@
 type play func(root string, r *record, disturbed bool) (verdict, error)
 
 var plays = map[string]play{
-	"restart-forgets": playRestartForgets,
-	"stale-token":     playStaleToken,
-	"return-to-group": playReturnToGroup,
+	"restart-forgets":  playRestartForgets,
+	"stale-token":      playStaleToken,
+	"return-to-group":  playReturnToGroup,
+	"unknown-customer": playUnknownCustomer,
 }
 
 // errUsage is returned for an unknown case.
