--- a/review/stage-2/deployment.go
+++ b/review/stage-2/deployment.go
@@ -32,7 +32,7 @@
 func (r *record) lineAt(t time.Time, format string, a ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f  %s\n", t.Sub(r.began).Seconds(), fmt.Sprintf(format, a...))
+	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", t.Sub(r.began).Seconds(), fmt.Sprintf(format, a...))
 }
 
 // order is one POST /promote that has arrived.
