--- a/review/stage-2/restartforgets.go
+++ b/review/stage-2/restartforgets.go
@@ -91,7 +91,7 @@
 		return verdict{}, err
 	}
 	defer d.end()
-	g, err := d.addGroup("records-321", zones...)
+	g, err := d.addGroup("records-321", zones[0], zones[0], zones[2])
 	if err != nil {
 		return verdict{}, err
 	}
