--- a/review/stage-2/host.go
+++ b/review/stage-2/host.go
@@ -29,6 +29,9 @@
 	exited     chan struct{}
 }
 
+// errPorts is returned if the ports that were found free aren't different ones.
+var errPorts = errors.New("free ports coincide")
+
 // program is the program of the deploy file.
 const program = "target/cuminwick-platform"
 
@@ -42,6 +45,20 @@
 	return l.Addr().(*net.TCPAddr).Port, nil
 }
 
+// freePair returns the first of two ports in a row on which nobody listens.
+func freePair(ip string) (int, error) {
+	for {
+		n, err := freePort(ip)
+		if err != nil {
+			return 0, err
+		}
+		if l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, n+1)); err == nil {
+			l.Close()
+			return n, nil
+		}
+	}
+}
+
 // settingsText returns the settings file of a host, with the bounds of a small deployment.
 func settingsText(h *host, d *deployment, store string, ports [3]int) string {
 	var b strings.Builder
@@ -69,10 +86,15 @@
 	}
 	var ports [3]int
 	for i := range ports {
-		if ports[i], err = freePort(h.ip); err != nil {
+		if ports[i], err = freePair(h.ip); err != nil {
 			return err
 		}
 	}
+	for i := range ports[:2] {
+		if d := ports[i] - ports[2]; d == 0 || d == 1 || ports[0] == ports[1] {
+			return errPorts
+		}
+	}
 	h.front, h.readiness = fmt.Sprintf("%s:%d", h.ip, ports[0]), fmt.Sprintf("%s:%d", h.ip, ports[1])
 	h.settings = filepath.Join(d.directory, h.name+".conf")
 	if err := os.WriteFile(h.settings, []byte(settingsText(h, d, store, ports)), 0o600); err != nil {
