feat(cachesyncer): holds of calls to the store are logged when they begin and end

A host that has lost the store logged "store isn't asked" as the error of "platform lost", once: not whose word it goes by, not which call it waits for, not for how long. A call that hangs showed only when it had ended, 15 s later.

"calls to the platform held back" now tells the kind of object, the hosts that have lost the store, the call that was made last, how long ago it began and whether it has a result, and for how long calls are held back. "no longer held back" tells whether the store or another host answers, after what time and how many calls. One line each for a hold, however many calls it holds back.

No decision changes. TestHoldsAreReportedOnce.

--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 	"github.com/cuminwick/cuminwick/internal/proxy/runner"
@@ -31,12 +34,26 @@
 func (f *feeder) attach(h *runner.Host, reportInvalid func(error)) {
 	f.host = h
 	f.holder.Now, f.holder.HostsAhead = f.now, h.HostsAhead
+	f.holder.OnHold, f.holder.OnRelease = f.logHold, f.logRelease
 	c := &platform.Reader{Store: f.store, Kind: platform.KindConfiguration, Conceal: platform.ConcealKeys, OnInvalid: reportInvalid}
 	h.Configurations = &platform.Source[*declarer.Configuration]{Reader: f.reader(c, h.ConfigurationTiming()), Parse: f.parseConfiguration, OnInvalid: reportInvalid, KeepLastValid: true}
 	h.Servers = &platform.Source[declarer.Server]{Reader: f.reader(&platform.Reader{Store: f.store, Kind: platform.KindServers}, h.ServersTiming()), Parse: platform.ParseServer, OnInvalid: reportInvalid}
 	h.Hosts = &platform.Source[declarer.Host]{Reader: f.reader(&platform.Reader{Store: f.store, Kind: platform.KindHosts}, h.HostsTiming()), Parse: platform.ParseHost, OnInvalid: reportInvalid}
 }
 
+// logHold logs what the calls to the store that begin to be held back wait for.
+func (f *feeder) logHold(x cachesyncer.Hold) {
+	f.host.Log.WithFields(log.Fields{
+		"kind": x.Kind, "lost-by": strings.Join(x.Hosts, ","), "last-kind": x.LastKind, "last-ago": x.LastAgo.String(),
+		"awaited": x.Awaited, "for": x.For.String(),
+	}).Warn("calls to the platform held back")
+}
+
+// logRelease logs that calls to the store are no longer held back.
+func (f *feeder) logRelease(x cachesyncer.Release) {
+	f.host.Log.WithFields(log.Fields{"answered": x.Answered, "after": x.After.String(), "calls": x.Calls}).Info("calls to the platform no longer held back")
+}
+
 // parseConfiguration decodes a configuration. Without the setting it isn't ranked: operators give their
 // routes priorities also where these are to order nothing.
 func (f *feeder) parseConfiguration(e cachesyncer.Entry) (*declarer.Configuration, error) {
--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -31,6 +33,9 @@
 	Now func() time.Duration
 	// HostsAhead returns the number of hosts before this one in its region's order.
 	HostsAhead func() int
+	// OnHold, if not nil, is called when calls begin to be held back, and OnRelease when they no longer are.
+	OnHold    func(Hold)
+	OnRelease func(Release)
 
 	mu sync.Mutex
 	// nextCheck is until when calls are held back, answeredAt when the store last answered this host,
@@ -43,6 +48,46 @@
 	// and ended is closed when a call ends, nil while nothing waits for that.
 	checking bool
 	ended    chan struct{}
+	// last is the last call that began.
+	last call
+	// held is the hold in progress, nil if there is none.
+	held *held
+}
+
+// call is a call to the store.
+type call struct {
+	kind  string
+	began time.Duration
+}
+
+// held is a hold in progress.
+type held struct {
+	since time.Duration
+	calls int
+}
+
+// Hold says why calls to the store begin to be held back.
+type Hold struct {
+	// Kind is the kind of object whose call is held back.
+	Kind string
+	// Hosts are the upstream hosts that have lost the store.
+	Hosts []string
+	// LastKind is the kind of object that was asked for last, and LastAgo how long ago that call began.
+	LastKind string
+	LastAgo  time.Duration
+	// Awaited is set if that call has no result yet.
+	Awaited bool
+	// For is how long calls are held back, zero until the result of that call.
+	For time.Duration
+}
+
+// Release says how long calls to the store were held back, and why they no longer are.
+type Release struct {
+	// Answered is set if the store answers, otherwise another host is read from.
+	Answered bool
+	After    time.Duration
+	// Calls counts the calls that were held back.
+	Calls int
 }
 
 // loss is the time in which an upstream host has said that it has lost the store.
@@ -77,13 +122,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.losses, host)
+	h.release(false)
 }
 
 // begin reports whether the store may be called now. If so, recordCall must be called afterwards. While
 // upstream hosts say that they have lost the store, begin waits for the result of a call that began since.
-func (h *Holder) begin(ctx context.Context) bool {
+func (h *Holder) begin(ctx context.Context, kind string) bool {
 	for {
-		admitted, ended := h.tryBegin()
+		admitted, ended := h.tryBegin(kind)
 		if ended == nil {
 			return admitted
 		}
@@ -96,22 +142,48 @@
 }
 
 // tryBegin is begin without a wait. It returns a channel if the result of a call has to be awaited.
-func (h *Holder) tryBegin() (admitted bool, ended <-chan struct{}) {
+func (h *Holder) tryBegin(kind string) (admitted bool, ended <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
 	case h.holds():
+		h.recordHeld(kind)
 		return false, nil
 	case h.isStale() && h.checking:
+		h.recordHeld(kind)
 		if h.ended == nil {
 			h.ended = make(chan struct{})
 		}
 		return false, h.ended
 	}
 	h.checking = h.isStale()
+	h.last = call{kind: kind, began: h.Now()}
 	return true, nil
 }
 
+// recordHeld records that a call is held back. The mutex is held.
+func (h *Holder) recordHeld(kind string) {
+	now := h.Now()
+	if h.held == nil {
+		h.held = &held{since: now}
+		if h.OnHold != nil {
+			h.OnHold(Hold{Kind: kind, Hosts: slices.Sorted(maps.Keys(h.losses)), LastKind: h.last.kind, LastAgo: now - h.last.began, Awaited: h.checking, For: max(0, h.nextCheck-now)})
+		}
+	}
+	h.held.calls++
+}
+
+// release ends the hold in progress, if there is one. The mutex is held.
+func (h *Holder) release(answered bool) {
+	if h.held == nil {
+		return
+	}
+	if h.OnRelease != nil {
+		h.OnRelease(Release{Answered: answered, After: h.Now() - h.held.since, Calls: h.held.calls})
+	}
+	h.held = nil
+}
+
 // recordCall records whether the store has answered a call.
 func (h *Holder) recordCall(answered bool) {
 	h.mu.Lock()
@@ -124,6 +196,7 @@
 	now := h.Now()
 	if answered {
 		h.nextCheck, h.answeredAt, h.lastStale = 0, now, 0
+		h.release(true)
 		return
 	}
 	h.nextCheck = now + h.drawInterval()
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,13 +141,13 @@
 // which began before the upstream host lost the store.
 func TestEarlierLongPollIsNotAwaited(t *testing.T) {
 	h := &Holder{Now: func() time.Duration { return time.Minute }, HostsAhead: manyAhead}
-	if !h.begin(t.Context()) {
+	if !h.begin(t.Context(), "k") {
 		t.Fatal("long poll is held back")
 	}
 	h.recordStale("a")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if !h.begin(ctx) {
+	if !h.begin(ctx, "k") {
 		t.Error("a call waits for the long poll")
 	}
 }
@@ -166,11 +167,11 @@
 				if c.stale {
 					h.recordStale("a")
 				}
-				if !h.begin(t.Context()) {
+				if !h.begin(t.Context(), "k") {
 					t.Error("first call is held back")
 				}
 				time.AfterFunc(time.Second, func() { h.recordCall(c.answered) })
-				if got := h.begin(t.Context()); got != c.want || time.Since(began) > 0 != c.waits {
+				if got := h.begin(t.Context(), "k"); got != c.want || time.Since(began) > 0 != c.waits {
 					t.Errorf("second call admitted %t after %v", got, time.Since(began))
 				}
 				time.Sleep(2 * time.Second)
@@ -178,3 +179,37 @@
 		})
 	}
 }
+
+// Guards against an outage after which the log doesn't tell what a host waited for.
+func TestHoldsAreReportedOnce(t *testing.T) {
+	now := time.Minute
+	var holds []Hold
+	var releases []Release
+	h := &Holder{
+		Now: func() time.Duration { return now }, HostsAhead: manyAhead,
+		OnHold: func(x Hold) { holds = append(holds, x) }, OnRelease: func(x Release) { releases = append(releases, x) },
+	}
+	h.recordStale("b")
+	h.recordStale("a")
+	h.begin(t.Context(), "first")
+	now += time.Second
+	h.recordCall(false)
+	for range 3 {
+		now += time.Second
+		h.recordStale("a")
+		h.begin(t.Context(), "second")
+	}
+	now += time.Second
+	h.recordCall(true)
+	h.recordCall(true)
+	if len(holds) != 1 || len(releases) != 1 {
+		t.Fatalf("%d holds, %d releases", len(holds), len(releases))
+	}
+	x := holds[0]
+	if x.Kind != "second" || !slices.Equal(x.Hosts, []string{"a", "b"}) || x.LastKind != "first" || x.LastAgo != 2*time.Second || x.Awaited || x.For <= 0 {
+		t.Errorf("hold %+v", x)
+	}
+	if want := (Release{Answered: true, After: 3 * time.Second, Calls: 3}); releases[0] != want {
+		t.Errorf("release %+v, want %+v", releases[0], want)
+	}
+}
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -64,7 +64,7 @@
 		s.Mirror.ApplyRemoteList(p)
 		return s.recordRevision(p, nil)
 	}
-	if !s.Holder.begin(ctx) {
+	if !s.Holder.begin(ctx, s.Kind) {
 		return Page{}, s.lost()
 	}
 	p, err = s.Mirror.List(ctx)
@@ -101,7 +101,7 @@
 	case errors.Is(err, errNoAnswer):
 		wait = storeCheckWait
 	}
-	if !s.Holder.begin(ctx) {
+	if !s.Holder.begin(ctx, s.Kind) {
 		return Page{}, s.lost()
 	}
 	wait = max(storeCheckWait, wait-(s.Mirror.Now()-began))
