fix(cachesyncer): the wait after a call that failed counts from its request

Cause: a host whose upstream hosts have lost the store holds its next call back for 2.5 to 3 s, counted from the end of the one that failed.

Change: the mirror records when it sent the last request, and the wait counts from there. A call that waited for longer than that is followed by the next one at once.

TestHoldCountsFromRequest fails with the count from the end ("held back 4 s after the last request").

--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -100,7 +100,9 @@
 	fromStore bool
 	// receivingSince is when the answer now being received began, zero if there is none.
 	receivingSince time.Duration
-	changed        chan struct{}
+	// asked is when the last request to the store was sent.
+	asked   time.Duration
+	changed chan struct{}
 	// attempted reports that a first call was answered or has failed.
 	attempted bool
 	// pause is the current pause after a change, and pauseUntil when it ends.
@@ -110,6 +112,7 @@
 
 // List reads all objects from the store.
 func (m *Mirror) List(ctx context.Context) (Page, error) {
+	m.recordAsked()
 	p, err := m.Store.List(watchdog.WithObserver(ctx, m.recordProgress))
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -214,6 +217,7 @@
 func (m *Mirror) poll(ctx context.Context, after uint64, t pollTimes) (p Page, silent bool, err error) {
 	c, cancel := watchdog.WithStallTimeout(ctx, t.answer+WatchSlack, StallTimeout)
 	defer cancel()
+	m.recordAsked()
 	p, err = m.Store.Watch(watchdog.WithObserver(c, m.recordProgress), after, t.store)
 	stalled := err != nil && ctx.Err() == nil && errors.Is(context.Cause(c), watchdog.ErrStalled)
 	m.mu.Lock()
@@ -234,6 +238,7 @@
 	if m.OnSilent != nil {
 		m.OnSilent()
 	}
+	m.recordAsked()
 	p, err := m.Store.List(watchdog.WithObserver(ctx, m.recordProgress))
 	if err != nil {
 		return Page{}, err
@@ -246,6 +251,20 @@
 	return m.changesTo(p), nil
 }
 
+// recordAsked records that a request to the store is sent now.
+func (m *Mirror) recordAsked() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asked = m.Now()
+}
+
+// lastAsked returns when the last request to the store was sent.
+func (m *Mirror) lastAsked() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.asked
+}
+
 // recordProgress records that more of the store's answer has arrived: another host that asked
 // the store now would not have it sooner. This extends the mirror's validity only for a limited
 // time, because the path to the store may be slow from this host alone.
--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -44,17 +44,17 @@
 	nextCheck, answeredAt, lastStale, staleAt time.Duration
 	// losses holds the upstream hosts that have lost the store, by name.
 	losses map[string]loss
-	// checking is set while a call is in progress that began after an upstream host had lost the store,
+	// check is the call in progress that began after an upstream host had lost the store, nil if there is none,
 	// and ended is closed when a call ends, nil while nothing waits for that.
-	checking bool
-	ended    chan struct{}
+	check *call
+	ended chan struct{}
 	// last is the last call that began.
 	last call
 	// held is the hold in progress, nil if there is none.
 	held *held
 }
 
-// call is a call to the store.
+// call is a call to the store for a kind of object.
 type call struct {
 	kind  string
 	began time.Duration
@@ -125,40 +125,44 @@
 	h.release(false)
 }
 
-// begin reports whether the store may be called now. If so, recordCall must be called afterwards. While
-// upstream hosts say that they have lost the store, begin waits for the result of a call that began since.
-func (h *Holder) begin(ctx context.Context, kind string) bool {
+// begin returns a call to the store, nil if that may not be called now. end must be called with the call
+// afterwards. While upstream hosts say that they have lost the store, begin waits for the result of a call that
+// began since.
+func (h *Holder) begin(ctx context.Context, kind string) *call {
 	for {
-		admitted, ended := h.tryBegin(kind)
+		c, ended := h.tryBegin(kind)
 		if ended == nil {
-			return admitted
+			return c
 		}
 		select {
 		case <-ended:
 		case <-ctx.Done():
-			return false
+			return nil
 		}
 	}
 }
 
 // tryBegin is begin without a wait. It returns a channel if the result of a call has to be awaited.
-func (h *Holder) tryBegin(kind string) (admitted bool, ended <-chan struct{}) {
+func (h *Holder) tryBegin(kind string) (c *call, ended <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case h.holds():
-		h.recordHeld(kind)
-		return false, nil
-	case h.isStale() && h.checking:
+	case h.isStale() && h.check != nil:
 		h.recordHeld(kind)
 		if h.ended == nil {
 			h.ended = make(chan struct{})
 		}
-		return false, h.ended
+		return nil, h.ended
+	case h.holds():
+		h.recordHeld(kind)
+		return nil, nil
+	}
+	c = &call{kind: kind, began: h.Now()}
+	h.last = *c
+	if h.isStale() {
+		h.check = c
 	}
-	h.checking = h.isStale()
-	h.last = call{kind: kind, began: h.Now()}
-	return true, nil
+	return c, nil
 }
 
 // recordHeld records that a call is held back. The mutex is held.
@@ -167,7 +171,7 @@
 	if h.held == nil {
 		h.held = &held{since: now}
 		if h.OnHold != nil {
-			h.OnHold(Hold{Kind: kind, Hosts: slices.Sorted(maps.Keys(h.losses)), LastKind: h.last.kind, LastAgo: now - h.last.began, Awaited: h.checking, For: max(0, h.nextCheck-now)})
+			h.OnHold(Hold{Kind: kind, Hosts: slices.Sorted(maps.Keys(h.losses)), LastKind: h.last.kind, LastAgo: now - h.last.began, Awaited: h.check != nil, For: max(0, h.nextCheck-now)})
 		}
 	}
 	h.held.calls++
@@ -184,11 +188,14 @@
 	h.held = nil
 }
 
-// recordCall records whether the store has answered a call.
-func (h *Holder) recordCall(answered bool) {
+// end records whether the store has answered a call. asked is when the store was asked something that it would
+// have answered at once, or when the call began: it has been silent at least since then.
+func (h *Holder) end(c *call, answered bool, asked time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.checking = false
+	if h.check == c {
+		h.check = nil
+	}
 	if h.ended != nil {
 		close(h.ended)
 		h.ended = nil
@@ -199,7 +206,7 @@
 		h.release(true)
 		return
 	}
-	h.nextCheck = now + h.drawInterval()
+	h.nextCheck = max(h.nextCheck, asked+h.drawInterval())
 }
 
 // drawInterval returns how long the next call is held back.
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -11,6 +11,12 @@
 // manyAhead is the number of hosts ahead of one that leaves it to others to check the store.
 func manyAhead() int { return promptCheckers + 1 }
 
+// report records the result of a call that begins and ends now.
+func report(h *Holder, answered bool) {
+	now := h.Now()
+	h.end(&call{kind: "k", began: now}, answered, now)
+}
+
 // Guards against a change that stays unknown for longer than it may after an outage of the store, as the host that
 // this one reads through is cut off when the store is back.
 func TestFirstHostsCheckStoreSoon(t *testing.T) {
@@ -20,7 +26,7 @@
 			now := time.Minute
 			h := &Holder{Now: func() time.Duration { return now }, HostsAhead: func() int { return ahead }}
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 			for range within / time.Second {
 				now += time.Second
 				h.recordStale("a")
@@ -32,6 +38,23 @@
 	}
 }
 
+// Guards against a host that waits after the store's return since its last call, made long before, has ended only
+// now.
+func TestHoldCountsFromRequest(t *testing.T) {
+	now := time.Minute
+	h := &Holder{Now: func() time.Duration { return now }, HostsAhead: func() int { return 1 }}
+	h.recordStale("a")
+	c := h.begin(t.Context(), "k")
+	for range 4 {
+		now += time.Second
+		h.recordStale("a")
+	}
+	h.end(c, false, c.began)
+	if h.holds() {
+		t.Error("held back 4 s after the last request")
+	}
+}
+
 // A host reads the store itself, as the one that it would read from is cut off. Guards against a change
 // that stays unknown for seconds, after a single call of this host was not answered: what the host that is
 // cut off says tells nothing about the store.
@@ -39,15 +62,15 @@
 	var now time.Duration
 	h := &Holder{Now: func() time.Duration { return now }, HostsAhead: manyAhead}
 	now = time.Second
-	h.recordCall(true)
+	report(h, true)
 	now = 2 * time.Second
 	h.recordStale("cut off")
 	for now = 3 * time.Second; now < 8*time.Second; now += time.Second {
 		h.recordStale("cut off")
-		h.recordCall(true)
+		report(h, true)
 	}
 	h.recordStale("cut off")
-	h.recordCall(false)
+	report(h, false)
 	if h.holds() {
 		t.Error("calls are held back")
 	}
@@ -59,50 +82,50 @@
 		want bool
 	}{
 		"both lost the store": {func(h *Holder, now *time.Duration) {
-			h.recordCall(true)
+			report(h, true)
 			*now += time.Second
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 		}, true},
 		"never answered": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 		}, true},
 		"only this host lost it": {func(h *Holder, now *time.Duration) {
-			h.recordCall(true)
-			h.recordCall(false)
+			report(h, true)
+			report(h, false)
 		}, false},
 		"the store has answered since": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 			*now += time.Second
-			h.recordCall(true)
+			report(h, true)
 		}, false},
 		"the other is back": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 			*now += 3 * time.Second
 		}, false},
 		"lost again after it was back": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
 			*now += time.Second
 			h.recordCurrent("a")
-			h.recordCall(true)
+			report(h, true)
 			*now += time.Second
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 		}, true},
 		"lost again long after": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
 			*now += time.Second
-			h.recordCall(true)
+			report(h, true)
 			*now += time.Minute
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 		}, true},
 		"a call failed in an earlier loss": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 			*now += time.Second
 			h.recordCurrent("a")
 			*now += 3 * time.Second
@@ -110,7 +133,7 @@
 		}, false},
 		"the loss goes on": {func(h *Holder, now *time.Duration) {
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 			for range 4 {
 				*now += time.Second
 				h.recordStale("a")
@@ -119,11 +142,11 @@
 		"one of two is cut off": {func(h *Holder, now *time.Duration) {
 			h.recordStale("cut off")
 			*now += time.Second
-			h.recordCall(true)
+			report(h, true)
 			*now += time.Second
 			h.recordStale("cut off")
 			h.recordStale("a")
-			h.recordCall(false)
+			report(h, false)
 		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -141,13 +164,13 @@
 // which began before the upstream host lost the store.
 func TestEarlierLongPollIsNotAwaited(t *testing.T) {
 	h := &Holder{Now: func() time.Duration { return time.Minute }, HostsAhead: manyAhead}
-	if !h.begin(t.Context(), "k") {
+	if h.begin(t.Context(), "k") == nil {
 		t.Fatal("long poll is held back")
 	}
 	h.recordStale("a")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if !h.begin(ctx, "k") {
+	if h.begin(ctx, "k") == nil {
 		t.Error("a call waits for the long poll")
 	}
 }
@@ -167,11 +190,12 @@
 				if c.stale {
 					h.recordStale("a")
 				}
-				if !h.begin(t.Context(), "k") {
+				first := h.begin(t.Context(), "k")
+				if first == nil {
 					t.Error("first call is held back")
 				}
-				time.AfterFunc(time.Second, func() { h.recordCall(c.answered) })
-				if got := h.begin(t.Context(), "k"); got != c.want || time.Since(began) > 0 != c.waits {
+				time.AfterFunc(time.Second, func() { h.end(first, c.answered, h.Now()) })
+				if got := h.begin(t.Context(), "k") != nil; got != c.want || time.Since(began) > 0 != c.waits {
 					t.Errorf("second call admitted %t after %v", got, time.Since(began))
 				}
 				time.Sleep(2 * time.Second)
@@ -191,17 +215,17 @@
 	}
 	h.recordStale("b")
 	h.recordStale("a")
-	h.begin(t.Context(), "first")
+	c := h.begin(t.Context(), "first")
 	now += time.Second
-	h.recordCall(false)
+	h.end(c, false, now)
 	for range 3 {
 		now += time.Second
 		h.recordStale("a")
 		h.begin(t.Context(), "second")
 	}
 	now += time.Second
-	h.recordCall(true)
-	h.recordCall(true)
+	report(h, true)
+	report(h, true)
 	if len(holds) != 1 || len(releases) != 1 {
 		t.Fatalf("%d holds, %d releases", len(holds), len(releases))
 	}
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -64,11 +64,12 @@
 		s.Mirror.ApplyRemoteList(p)
 		return s.recordRevision(p, nil)
 	}
-	if !s.Holder.begin(ctx, s.Kind) {
+	c := s.Holder.begin(ctx, s.Kind)
+	if c == nil {
 		return Page{}, s.lost()
 	}
 	p, err = s.Mirror.List(ctx)
-	s.Holder.recordCall(err == nil)
+	s.Holder.end(c, err == nil, s.Mirror.lastAsked())
 	return s.recordRevision(p, err)
 }
 
@@ -101,14 +102,15 @@
 	case errors.Is(err, errNoAnswer):
 		wait = storeCheckWait
 	}
-	if !s.Holder.begin(ctx, s.Kind) {
+	c := s.Holder.begin(ctx, s.Kind)
+	if c == nil {
 		return Page{}, s.lost()
 	}
 	wait = max(storeCheckWait, wait-(s.Mirror.Now()-began))
 	// The next host in the region's order after those that have lost the store reads in their place.
 	behindStale = behindStale && !errors.Is(err, errNoHost)
 	p, err = s.Mirror.watch(ctx, after, wait, behindStale)
-	s.Holder.recordCall(err == nil || errors.Is(err, ErrCompacted))
+	s.Holder.end(c, err == nil || errors.Is(err, ErrCompacted), s.Mirror.lastAsked())
 	return s.recordRevision(p, err)
 }
 
