fix(cachesyncer): no call waits for one that hangs

Cause: while upstream hosts say that they have lost the store, a call waits for the result of the one that is under way, whichever kind of object that is for. Such a call had no limit of its own: a list read in place of a long poll that wasn't answered went on until the end of the long poll's time, 15 s for the entry hosts, and a call after a failure waited for its answer for as long as a long poll, 14.7 s. A question asked in an outage is never answered, which says nothing about whether the outage goes on.

Change: such a list begins to be answered within 0.7 s or is given up; a call after a failure within half of the tightest limit of a change, where the next one begins. Others wait for its result for 0.7 s at most from its beginning and are then held back for the usual time, also counted from its beginning.

Tests: TestHangingCallIsNotAwaited (waits for 1 h before, which is the test's end of time) and TestCallsToSilentStoreEndInTime (14.7 and 15.4 s before). TestCallWaitsForResultOfAnother has its result 1 ns before the end of the wait in place of after 1 s: what it guards, one call a loss in place of one a kind, holds as before while results come in the time of a store that answers.

--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -67,7 +67,7 @@
 // reader returns the reader of the kind of object that r reads from the store.
 func (f *feeder) reader(r *platform.Reader, p runner.ReadTiming) cachesyncer.Reader {
 	kind := r.Kind
-	m := &cachesyncer.Mirror{Store: r, Now: f.now, TTL: p.TTL, MinimumPause: p.MinimumPause, MaximumPause: p.MaximumPause}
+	m := &cachesyncer.Mirror{Store: r, Now: f.now, TTL: p.TTL, MinimumPause: p.MinimumPause, MaximumPause: p.MaximumPause, CheckTimeout: f.host.CheckInterval}
 	m.OnSilent = func() {
 		f.host.Log.WithField("kind", kind).Warn("watch of the platform not answered, reading the list")
 	}
--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -87,6 +87,9 @@
 	// would otherwise cost one call.
 	MinimumPause time.Duration
 	MaximumPause time.Duration
+	// CheckTimeout returns how long the first call after a failure may take until its answer begins. The next one may
+	// be made after that.
+	CheckTimeout func() time.Duration
 	// OnSilent, if not nil, is called when the list is read since a long poll wasn't answered.
 	OnSilent func()
 
@@ -198,18 +201,18 @@
 }
 
 // pollTimes returns the times of a long poll if it and the list after it may take wait. After a failure
-// the store waits for storeCheckWait only, but a slow store gets as much time for its answer as otherwise.
+// the store waits for storeCheckWait only, but a slow store gets as much time for its answer as the next call can wait.
 func (m *Mirror) pollTimes(wait time.Duration) pollTimes {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	short := min(wait, storeCheckWait)
+	if !m.current {
+		return pollTimes{store: short, answer: max(short, m.CheckTimeout()-WatchSlack)}
+	}
 	if !m.fromStore {
 		return pollTimes{store: short, answer: short}
 	}
 	long := max(wait-listReserve, short, wait/2)
-	if !m.current {
-		return pollTimes{store: short, answer: long}
-	}
 	return pollTimes{store: long, answer: long}
 }
 
@@ -233,13 +236,15 @@
 }
 
 // listChanges reads all objects from the store and returns what has changed after the revision, which
-// is that of the mirror.
+// is that of the mirror. The answer must begin within listReserve, however long the long poll might have lasted.
 func (m *Mirror) listChanges(ctx context.Context, after uint64) (Page, error) {
 	if m.OnSilent != nil {
 		m.OnSilent()
 	}
 	m.recordAsked()
-	p, err := m.Store.List(watchdog.WithObserver(ctx, m.recordProgress))
+	c, cancel := watchdog.WithStallTimeout(ctx, listReserve, StallTimeout)
+	defer cancel()
+	p, err := m.Store.List(watchdog.WithObserver(c, m.recordProgress))
 	if err != nil {
 		return Page{}, err
 	}
--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -14,6 +14,9 @@
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
 
+// checkTimeout is how long a call to the store may take after a failure.
+const checkTimeout = 1500 * time.Millisecond
+
 const errLost = errors.ConstError("store doesn't answer")
 
 // store answers from a list of names.
@@ -58,7 +61,7 @@
 
 func newMirror(s *store) *Mirror {
 	began := time.Now()
-	return &Mirror{Store: s, TTL: func() time.Duration { return 2 * time.Second }, Now: func() time.Duration { return time.Since(began) }}
+	return &Mirror{Store: s, TTL: func() time.Duration { return 2 * time.Second }, CheckTimeout: func() time.Duration { return checkTimeout }, Now: func() time.Duration { return time.Since(began) }}
 }
 
 func names(p Page) []string {
--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -17,6 +17,9 @@
 	// promptCheckInterval, or a little more, instead: those before them may be cut off themselves when it is back.
 	promptCheckers      = 4
 	promptCheckInterval = 2500 * time.Millisecond
+	// resultWait is how long a call waits for the result of one for another kind of object, from the beginning of that
+	// one. If the store answers it at all, its answer begins by then.
+	resultWait = 700 * time.Millisecond
 	// staleMemory is how long the answer of an upstream host that it has lost the store is taken to
 	// hold.
 	staleMemory = 2 * time.Second
@@ -127,42 +130,61 @@
 
 // begin returns a call to the store, nil if that may not be called now. end must be called with the call
 // afterwards. While upstream hosts say that they have lost the store, begin waits for the result of a call that
-// began since.
+// began since, for resultWait from its beginning.
 func (h *Holder) begin(ctx context.Context, kind string) *call {
 	for {
-		c, ended := h.tryBegin(kind)
-		if ended == nil {
+		c, x := h.tryBegin(kind)
+		if x.ended == nil {
 			return c
 		}
-		select {
-		case <-ended:
-		case <-ctx.Done():
+		if !x.await(ctx) {
 			return nil
 		}
 	}
 }
 
-// tryBegin is begin without a wait. It returns a channel if the result of a call has to be awaited.
-func (h *Holder) tryBegin(kind string) (c *call, ended <-chan struct{}) {
+// pendingResult is the result of a call in progress.
+type pendingResult struct {
+	// ended is closed when the call has ended, nil if there is no result to wait for, and wait is how long to wait.
+	ended <-chan struct{}
+	wait  time.Duration
+}
+
+// await waits for the result. It returns false if ctx ended first.
+func (r pendingResult) await(ctx context.Context) bool {
+	t := time.NewTimer(r.wait)
+	defer t.Stop()
+	select {
+	case <-r.ended:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// tryBegin is begin without a wait.
+func (h *Holder) tryBegin(kind string) (*call, pendingResult) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case h.isStale() && h.check != nil:
+	now, stale := h.Now(), h.isStale()
+	if stale && h.check != nil && now-h.check.began < resultWait {
 		h.recordHeld(kind)
 		if h.ended == nil {
 			h.ended = make(chan struct{})
 		}
-		return nil, h.ended
-	case h.holds():
+		return nil, pendingResult{ended: h.ended, wait: h.check.began + resultWait - now}
+	}
+	if h.holds() {
 		h.recordHeld(kind)
-		return nil, nil
+		return nil, pendingResult{}
 	}
-	c = &call{kind: kind, began: h.Now()}
+	c := &call{kind: kind, began: now}
 	h.last = *c
-	if h.isStale() {
-		h.check = c
+	if stale {
+		h.check, h.nextCheck = c, now+h.drawInterval()
 	}
-	return c, nil
+	return c, pendingResult{}
 }
 
 // recordHeld records that a call is held back. The mutex is held.
@@ -206,7 +228,9 @@
 		h.release(true)
 		return
 	}
-	h.nextCheck = max(h.nextCheck, asked+h.drawInterval())
+	if h.nextCheck <= now {
+		h.nextCheck = asked + h.drawInterval()
+	}
 }
 
 // drawInterval returns how long the next call is held back.
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -194,7 +194,7 @@
 				if first == nil {
 					t.Error("first call is held back")
 				}
-				time.AfterFunc(time.Second, func() { h.end(first, c.answered, h.Now()) })
+				time.AfterFunc(resultWait-1, func() { h.end(first, c.answered, h.Now()) })
 				if got := h.begin(t.Context(), "k") != nil; got != c.want || time.Since(began) > 0 != c.waits {
 					t.Errorf("second call admitted %t after %v", got, time.Since(began))
 				}
@@ -237,3 +237,25 @@
 		t.Errorf("release %+v, want %+v", releases[0], want)
 	}
 }
+
+// Guards against a host that asks nothing for as long as a call for another kind of object hangs.
+func TestHangingCallIsNotAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		h := &Holder{Now: func() time.Duration { return time.Minute + time.Since(began) }, HostsAhead: func() int { return 1 }}
+		h.recordStale("a")
+		if h.begin(t.Context(), "hanging") == nil {
+			t.Fatal("first call is held back")
+		}
+		if h.begin(t.Context(), "k") != nil || time.Since(began) > resultWait {
+			t.Errorf("second call has an answer after %v", time.Since(began))
+		}
+		for time.Since(began) < 3*time.Second {
+			time.Sleep(100 * time.Millisecond)
+			h.recordStale("a")
+		}
+		if h.begin(t.Context(), "k") == nil {
+			t.Error("call is held back 3 s after the hanging one began")
+		}
+	})
+}
--- a/internal/proxy/cachesyncer/silent_test.go
+++ b/internal/proxy/cachesyncer/silent_test.go
@@ -128,6 +128,45 @@
 	})
 }
 
+// deafStore doesn't answer at all.
+type deafStore struct{ silentStore }
+
+func (s *deafStore) List(ctx context.Context) (Page, error) {
+	<-ctx.Done()
+	return Page{}, ctx.Err()
+}
+
+// Guards against a call that hangs for as long as a long poll may last, though it isn't one or the long poll has ended.
+func TestCallsToSilentStoreEndInTime(t *testing.T) {
+	const wait = 15 * time.Second
+	for name, c := range map[string]struct {
+		prepare func(m *Mirror)
+		want    time.Duration
+	}{
+		"after a failure":              {func(m *Mirror) { m.RecordLost() }, checkTimeout},
+		"after another host's answer":  {func(m *Mirror) { m.ApplyRemoteChanges(Page{Revision: 5}) }, storeCheckWait + WatchSlack + listReserve},
+		"long poll and list":           {func(*Mirror) {}, wait + WatchSlack},
+		"failure after another host's": {func(m *Mirror) { m.ApplyRemoteChanges(Page{Revision: 5}); m.RecordLost() }, checkTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, m := newSilentMirror(t)
+				m.Store = &deafStore{silentStore: *s}
+				c.prepare(m)
+				ctx, cancel := watchdog.WithStallTimeout(t.Context(), wait+WatchSlack, StallTimeout)
+				defer cancel()
+				began := time.Now()
+				if _, err := m.Watch(ctx, 5, wait); err == nil {
+					t.Error("silent store has answered")
+				}
+				if d := time.Since(began); d > c.want {
+					t.Errorf("ended after %v, want %v", d, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a list that is older than what is known: its changes would bring removed objects back.
 func TestOlderListInPlaceOfLongPollIsRejected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/proxy/runner/pace.go
+++ b/internal/proxy/runner/pace.go
@@ -42,17 +42,27 @@
 	return ReadTiming{TTL: ttl(constant(hostsWait)), MinimumPause: minimumHostsPause, MaximumPause: maximumHostsPause}
 }
 
+// CheckInterval returns the time between two calls to a store that doesn't answer: half of the tightest limit of a
+// change. The other half is for the hosts that are asked before the store, the answer, and putting it in force.
+func (h *Host) CheckInterval() time.Duration {
+	b := h.bounds()
+	return min(h.configurationLimit(), b.DrainLimit) / 2
+}
+
 func ttl(wait func() time.Duration) func() time.Duration {
 	return func() time.Duration { return wait() + watchSlack }
 }
 
-func (h *Host) configWait() time.Duration {
+func (h *Host) configWait() time.Duration { return h.configurationLimit() * waitTenths / 10 }
+
+// configurationLimit returns the time within which a change of the configuration, customers' keys included, must be
+// in force.
+func (h *Host) configurationLimit() time.Duration {
 	b := h.bounds()
-	l := b.ConfigurationLimit
 	if b.KeyLimit > 0 {
-		l = min(l, b.KeyLimit)
+		return min(b.ConfigurationLimit, b.KeyLimit)
 	}
-	return l * waitTenths / 10
+	return b.ConfigurationLimit
 }
 
 func (h *Host) serversWait() time.Duration { return h.bounds().DrainLimit * waitTenths / 10 }
