fix(cachesyncer): a host that has lost the store waits for no changes at other hosts

What callers would see: after an outage of the store, a host whose neighbours don't answer goes on with the configuration of before for a second longer.

Cause: before each call to the store a host asks up to three others. The first one is asked to wait for changes for a second, and a host without power is given up after 1.3 s, also while this host isn't current and an answer without a change would be news.

Change: while the last call wasn't answered, other hosts are asked for what they have, and a current one answers at once. It takes 0.1 to 0.4 s for each that doesn't answer, 1.2 s at most before the store is asked, in place of 2.1 s.

--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -330,6 +330,13 @@
 	}
 }
 
+// isLost reports whether the last call was not answered.
+func (m *Mirror) isLost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.current
+}
+
 // isFresh reports whether the mirror's data counts as current. The mutex is held.
 func (m *Mirror) isFresh() bool {
 	return m.current && m.Now()-m.lastAnswer <= m.ttl
--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -333,6 +333,23 @@
 	})
 }
 
+// Guards against a host that has lost the store and asks it a second later than it could, since it waits for changes at
+// one that doesn't answer either.
+func TestLostHostWaitsForNoChangesAtOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 5, names: []string{"a"}}
+		x := newSelection(s, network{}, "dark", "dark too", "dark as well")
+		x.Remote = darkness{}
+		time.Sleep(time.Second)
+		x.Mirror.RecordLost()
+		start := time.Now()
+		_, err := x.Watch(t.Context(), 5, 3*time.Second)
+		if d := time.Since(start); err != nil || d > maximumRemotes*remoteConnectTimeout+storeCheckWait {
+			t.Errorf("store read after %v: %v", d, err)
+		}
+	})
+}
+
 // darkness is a network on which no host answers.
 type darkness struct{}
 
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -84,8 +84,9 @@
 // lists of many hosts at once.
 func (s *Selector) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
 	behindStale, began := false, s.Mirror.Now()
+	lost := s.Mirror.isLost()
 	p, err := s.readFromHosts(func(h declarer.Host, retry bool) (p Page, err error) {
-		if retry {
+		if retry || lost {
 			p, err = s.checkRemote(ctx, h, after)
 		} else {
 			p, err = s.watchRemote(ctx, h, after, min(wait, remoteWait))
@@ -163,7 +164,7 @@
 }
 
 // checkRemote returns the changes that another host has, without waiting for more: the attempt
-// with the previous host has already taken time.
+// with the previous host has already taken time, or this host hasn't been current for a while.
 func (s *Selector) checkRemote(ctx context.Context, h declarer.Host, after uint64) (Page, error) {
 	c, cancel := watchdog.WithStallTimeout(ctx, remoteConnectTimeout, remoteSlack)
 	defer cancel()
