fix(runner): hosts behind many that are cut off read through another one, not the store

What callers would see: with the first hosts of a large region cut off from the store, the others call it more than it allows, and it turns calls away that carry changes.

Cause: before each call to the store a host asks three others, those first in its order. Where all of these have lost the store it reads what is new there itself, and again a moment later for the next three, as each answer is waited for by nobody.

Change: when the first two have lost the store, the third is drawn from all hosts that may be read through, and the host keeps to it for 5 s unless it fails. It still comes before this one in the order, so that no two read from each other.

TestDetourIsKeptUntilItFails.

--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -87,7 +87,7 @@
 		f.host.Log.WithField("kind", kind).Warn("watch of the platform not answered, reading the list")
 	}
 	f.servers[kind] = &platform.FeedServer{Kind: kind, Mirror: m, OnSend: f.sent}
-	return &cachesyncer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.UpstreamHost, Failed: f.host.UpstreamFailed, Holder: &f.holder}
+	return &cachesyncer.Selector{Kind: kind, Mirror: m, Remote: f.remote, Host: f.host.UpstreamHost, Failed: f.host.UpstreamFailed, Detour: f.host.UpstreamDetour, Holder: &f.holder}
 }
 
 // lastValue returns an object's value as last read, nil if it is unknown.
--- a/internal/proxy/assembler/outage_test.go
+++ b/internal/proxy/assembler/outage_test.go
@@ -157,10 +157,15 @@
 	if l := f.outdated(others, version, 1); len(l) > 0 {
 		t.Errorf("%d of %d hosts outdated %v after the return of the store: %v", len(l), len(others), contactLimit, l)
 	}
-	t.Logf("%d calls of %d hosts in the outage, %d in %v after it", calls, hosts, f.attempts.Load()-before-calls, contactLimit)
+	after := f.attempts.Load() - before - calls
+	t.Logf("%d calls of %d hosts in the outage, %d in %v after it", calls, hosts, after, contactLimit)
 	if most := int64(2*hosts) + int64(10*outage.Seconds()); calls > most {
 		t.Errorf("%d calls of %d hosts in the outage, want %d at most", calls, hosts, most)
 	}
+	// One a second for each host and kind of object.
+	if most := int64(3 * hosts * int(contactLimit.Seconds())); after > most {
+		t.Errorf("%d calls of %d hosts after the outage, want %d at most", after, hosts, most)
+	}
 }
 
 // setAway takes the store away, or brings it back. A silent store leaves calls without an answer, any other answers that
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -50,6 +50,9 @@
 	// host that did not answer or whose mirror is stale.
 	Host   func(kind string) (declarer.Host, bool)
 	Failed func(h declarer.Host, kind string, err error)
+	// Detour, if not nil, returns any host that Host may return, in no order, false if there is none. Host returns it
+	// for a while, unless it fails.
+	Detour func(kind string) (declarer.Host, bool)
 	// Holder holds back calls to the store.
 	Holder *Holder
 
@@ -125,10 +128,16 @@
 )
 
 // readFromHosts returns the first answer of another host. It calls ask with retry set if
-// another host failed before.
+// another host failed before. If the others have all lost the store, the last one is a detour: the first hosts in the
+// order may be cut off from the store, and all hosts behind them would otherwise read it themselves.
 func (s *Selector) readFromHosts(ask func(h declarer.Host, retry bool) (Page, error)) (Page, error) {
+	stale := 0
 	for i := range maximumRemotes {
-		h, ok := s.Host(s.Kind)
+		next := s.Host
+		if stale == maximumRemotes-1 && s.Detour != nil {
+			next = s.Detour
+		}
+		h, ok := next(s.Kind)
 		if !ok {
 			return Page{}, errNoHost
 		}
@@ -138,6 +147,7 @@
 			return p, err
 		}
 		if errors.Is(err, ErrStale) {
+			stale++
 			s.Holder.recordStale(h.Name)
 		}
 		s.Failed(h, s.Kind, err)
--- a/internal/proxy/runner/readers.go
+++ b/internal/proxy/runner/readers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	hostsPerUpstream = 25
 	// upstreamRetryDelay is how long a host that did not answer is skipped as an upstream host.
 	upstreamRetryDelay = 3 * time.Second
+	// detourTime is how long a host reads through another one than the first in its order, after the first ones had lost
+	// the store.
+	detourTime = 5 * time.Second
 	// regionLeaders is how many of a region's first hosts begin to read at once when the store is back.
 	regionLeaders = 3
 	// staleRetryDelay is the same for a host that has lost the store: when it has regained it, the
@@ -95,11 +99,36 @@
 	return l
 }
 
+// detour is a host that is read through in place of the first one in the order, until a time.
+type detour struct {
+	host  declarer.Host
+	until time.Time
+}
+
+// takeDetour draws a host through which to read a kind of object for detourTime, false if there is none.
+func (r *roster) takeDetour(kind string) (declarer.Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := slices.DeleteFunc(slices.Clone(r.upstreams), func(h declarer.Host) bool { return r.isSkipped(h.Name, kind) })
+	if len(l) == 0 {
+		return declarer.Host{}, false
+	}
+	d := detour{host: l[rand.IntN(len(l))], until: time.Now().Add(detourTime)}
+	if r.detours == nil {
+		r.detours = make(map[string]detour)
+	}
+	r.detours[kind] = d
+	return d.host, true
+}
+
 // upstream returns the host from which to read a kind of object, false if this host reads the store
 // itself.
 func (r *roster) upstream(kind string) (declarer.Host, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if d := r.detours[kind]; time.Now().Before(d.until) && !r.isSkipped(d.host.Name, kind) && slices.Contains(r.upstreams, d.host) {
+		return d.host, true
+	}
 	for _, h := range r.upstreams {
 		if !r.isSkipped(h.Name, kind) {
 			return h, true
@@ -172,6 +201,9 @@
 	return ahead < regionLeaders || zoneAhead < zoneUpstreams(zone)
 }
 
+// UpstreamDetour returns any host from which a kind of object may be read. UpstreamHost returns it for a while.
+func (h *Host) UpstreamDetour(kind string) (declarer.Host, bool) { return h.roster.takeDetour(kind) }
+
 // UpstreamHost returns the host from which to read a kind of object, false if this host reads the
 // platform's store itself.
 func (h *Host) UpstreamHost(kind string) (declarer.Host, bool) { return h.roster.upstream(kind) }
--- a/internal/proxy/runner/readers_test.go
+++ b/internal/proxy/runner/readers_test.go
@@ -258,3 +258,34 @@
 		t.Errorf("reads through %q, which has no power", h.Name)
 	}
 }
+
+// Guards against hosts that read the store themselves, call after call, since the first ones in their order are cut off from
+// it.
+func TestDetourIsKeptUntilItFails(t *testing.T) {
+	hosts := zoneHosts("a", 6)
+	orderUpstreams(hosts)
+	r := newRoster(hosts[5], hosts)
+	r.skipFor(hosts[0].Name, "k", staleRetryDelay)
+	r.skipFor(hosts[1].Name, "k", staleRetryDelay)
+	d, ok := r.takeDetour("k")
+	if !ok || d == hosts[0] || d == hosts[1] || d == hosts[5] {
+		t.Fatalf("detour through %q", d.Name)
+	}
+	r.forgetStale()
+	if h, _ := r.upstream("k"); h != d {
+		t.Errorf("reads through %q after a detour through %q", h.Name, d.Name)
+	}
+	if h, _ := r.upstream("other"); h != hosts[0] {
+		t.Errorf("another kind is read through %q", h.Name)
+	}
+	r.skipFor(d.Name, "k", staleRetryDelay)
+	if h, _ := r.upstream("k"); h != hosts[0] {
+		t.Errorf("reads through %q after the detour has failed", h.Name)
+	}
+	for _, h := range hosts[:5] {
+		r.skip(h.Name)
+	}
+	if h, ok := r.takeDetour("k"); ok {
+		t.Errorf("detour through %q, which has no power", h.Name)
+	}
+}
--- a/internal/proxy/runner/roster.go
+++ b/internal/proxy/runner/roster.go
@@ -57,6 +57,8 @@
 	counterHosts map[counterKey][]declarer.Host
 	// skippedUntil holds until when a host is skipped as an upstream host.
 	skippedUntil map[skipKey]time.Time
+	// detours holds the hosts that are read through in place of the first ones, by kind of object.
+	detours map[string]detour
 }
 
 func (r *roster) reset(l []declarer.Host) {
