fix(cachesyncer): what an upstream host can't confirm isn't served as current

Cause: two of a zone's three hosts are cut off from the store. The first one learns of that after 2.2 s and says so. The second one, which reads through it, asks the store itself, in vain, but until its call has failed it still serves what it has read before as current, and the third one believes it and waits there for changes. So a loss passes along a chain of hosts at the sum of what each of them waits.

Change: from the moment in which its upstream hosts have said that they lost the store until the store has begun to answer this host, what was read before is unconfirmed. A request of another host waits for that answer for 0.25 s, as it does for the first one after a start, and is then told that the store is lost. A large answer that arrives counts as one from its first part on, so that nobody asks the store for it again.

TestUnconfirmedDataIsNotServed fails before in its three cases (answered at once, without the change). TestReaderFailureDoesNotLoadStore passes.

--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -101,6 +101,9 @@
 	current         bool
 	// fromStore reports that the last answer came from the store, not from another host.
 	fromStore bool
+	// unconfirmed reports that the hosts that were read through have lost the store, and that it hasn't answered this
+	// host's call since.
+	unconfirmed bool
 	// receivingSince is when the answer now being received began, zero if there is none.
 	receivingSince time.Duration
 	// asked is when the last request to the store was sent.
@@ -280,6 +283,10 @@
 	if m.receivingSince == 0 {
 		m.receivingSince = now
 	}
+	if m.unconfirmed {
+		m.unconfirmed = false
+		m.notify()
+	}
 	if m.current && now-m.receivingSince <= m.TTL() {
 		m.lastAnswer = now
 	}
@@ -306,6 +313,7 @@
 // store. The mutex is held.
 func (m *Mirror) recordAnswer(ttl time.Duration, fromStore bool) {
 	m.lastAnswer, m.ttl, m.fromStore, m.current, m.attempted = m.Now(), ttl, fromStore, true, true
+	m.unconfirmed = false
 	m.notify()
 }
 
@@ -318,7 +326,7 @@
 
 // recordFailure records that the store did not answer. The mutex is held.
 func (m *Mirror) recordFailure() {
-	m.current, m.attempted = false, true
+	m.current, m.attempted, m.unconfirmed = false, true, false
 	m.notify()
 }
 
@@ -337,18 +345,28 @@
 	return !m.current
 }
 
+// recordUnconfirmed records that the hosts that were read through have lost the store, which is asked next. Other hosts
+// wait for its answer for a moment: if they took what was read before for current, the loss would be known to a
+// chain of hosts as late as the sum of what each of them waits.
+func (m *Mirror) recordUnconfirmed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unconfirmed = true
+}
+
 // isFresh reports whether the mirror's data counts as current. The mutex is held.
 func (m *Mirror) isFresh() bool {
-	return m.current && m.Now()-m.lastAnswer <= m.ttl
+	return m.current && !m.unconfirmed && m.Now()-m.lastAnswer <= m.ttl
 }
 
-// firstReadWait is how long a request of another host waits for this host's first answer from
-// the store. When a zone starts, all of its hosts would otherwise read from the store.
-const firstReadWait = 250 * time.Millisecond
+// resultWaitOfOthers is how long a request of another host waits for this host's first answer from
+// the store, or for the one that confirms what it has. When a zone starts or loses the host that it reads through, all of
+// its hosts would otherwise read from the store.
+const resultWaitOfOthers = 250 * time.Millisecond
 
 // ServeList returns all objects to another host, or ErrStale.
 func (m *Mirror) ServeList(ctx context.Context) (Page, error) {
-	m.awaitFirstRead(ctx, firstReadWait)
+	m.awaitResult(ctx, resultWaitOfOthers)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.isFresh() {
@@ -357,12 +375,13 @@
 	return Page{Revision: m.revision, Entries: m.listObjects()}, nil
 }
 
-// awaitFirstRead waits until the first call to the store was answered or has failed.
-func (m *Mirror) awaitFirstRead(ctx context.Context, wait time.Duration) {
+// awaitResult waits until a call to the store was answered or has failed, if it is the first one or the one that
+// confirms what was read before.
+func (m *Mirror) awaitResult(ctx context.Context, wait time.Duration) {
 	m.mu.Lock()
-	attempted, changed := m.attempted, m.nextChange()
+	known, changed := m.attempted && !m.unconfirmed, m.nextChange()
 	m.mu.Unlock()
-	if attempted {
+	if known {
 		return
 	}
 	t := time.NewTimer(wait)
@@ -385,7 +404,7 @@
 // ServeWatch waits for changes on behalf of another host. It returns ErrStale or ErrCompacted
 // if it can't serve them.
 func (m *Mirror) ServeWatch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
-	m.awaitFirstRead(ctx, wait)
+	m.awaitResult(ctx, max(wait, resultWaitOfOthers))
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for over := false; ; {
--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/clock/watchdog"
 	"github.com/cuminwick/cuminwick/internal/proxy/declarer"
 )
@@ -417,7 +418,7 @@
 func TestMirrorIsAwaitedAtStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMirror(&store{revision: 5, names: []string{"a"}})
-		time.AfterFunc(firstReadWait-1, func() { _, _ = m.List(t.Context()) })
+		time.AfterFunc(resultWaitOfOthers-1, func() { _, _ = m.List(t.Context()) })
 		p, err := m.ServeList(t.Context())
 		expect(t, "list", p, err, "a")
 		m = newMirror(&store{revision: 5, names: []string{"a"}})
@@ -425,9 +426,9 @@
 		p, err = m.ServeWatch(t.Context(), 5, time.Second)
 		expect(t, "changes", p, err)
 		m = newMirror(&store{err: errLost})
-		time.AfterFunc(firstReadWait/2, func() { _, _ = m.List(t.Context()) })
+		time.AfterFunc(resultWaitOfOthers/2, func() { _, _ = m.List(t.Context()) })
 		start := time.Now()
-		if _, err := m.ServeList(t.Context()); !errors.Is(err, ErrStale) || time.Since(start) != firstReadWait/2 {
+		if _, err := m.ServeList(t.Context()); !errors.Is(err, ErrStale) || time.Since(start) != resultWaitOfOthers/2 {
 			t.Errorf("mirror of a host that does not reach the store: %v after %v", err, time.Since(start))
 		}
 	})
@@ -504,6 +505,57 @@
 	})
 }
 
+// Guards against a loss that a chain of hosts learns of one after the other: each would take what the one before it had
+// read for current until that one's own call to the store has failed.
+func TestUnconfirmedDataIsNotServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer time.Duration
+		want   error
+	}{
+		"the store answers":          {answer: resultWaitOfOthers / 2},
+		"the store is silent":        {answer: time.Hour, want: ErrStale},
+		"the store answers too late": {answer: 2 * resultWaitOfOthers, want: ErrStale},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &lateStore{store: store{revision: 5, names: []string{"a"}}, answer: c.answer}
+				away := newMirror(&s.store)
+				x := newSelection(&s.store, network{"away": away}, "away")
+				x.Mirror.Store = s
+				time.Sleep(time.Second)
+				_, _ = away.List(t.Context())
+				_, _ = x.List(t.Context())
+				away.RecordLost()
+				s.put(Entry{Name: "b"})
+				time.AfterFunc(0, func() { _, _ = x.Watch(t.Context(), 5, time.Second) })
+				time.Sleep(1)
+				began := time.Now()
+				p, err := x.Mirror.ServeWatch(t.Context(), 5, 0)
+				if !errors.Is(err, c.want) || time.Since(began) > resultWaitOfOthers {
+					t.Errorf("%v after %v, want %v", err, time.Since(began), c.want)
+				}
+				if c.want == nil {
+					expect(t, "changes", p, err, "b")
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// lateStore answers watch calls after a time.
+type lateStore struct {
+	store
+	answer time.Duration
+}
+
+func (s *lateStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+	if err := scheduler.Pause(ctx, s.answer); err != nil {
+		return Page{}, err
+	}
+	return s.store.Watch(ctx, after, wait)
+}
+
 // Hosts read from each other in a chain. The last one must get each change as soon as the first
 // has it, without calling the store, and must get an error when the first loses the store.
 func TestChangesPropagateThroughChain(t *testing.T) {
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -106,6 +106,9 @@
 	case errors.Is(err, errNoAnswer):
 		wait = storeCheckWait
 	}
+	if behindStale {
+		s.Mirror.recordUnconfirmed()
+	}
 	c := s.Holder.begin(ctx, s.Kind)
 	if c == nil {
 		return Page{}, s.lost()
