fix(cachesyncer): long polls from before an outage are made again once the store answers others

What callers would see: nothing for the configuration; the list of entry hosts of before the outage for up to 14 s after it.

Cause: a long poll that is under way when the store goes silent isn't answered when that is back, and is waited for until its end: 14.7 s for the entry hosts, 3.9 s for the servers, though calls for other kinds of object are answered.

Change: when the store answers a call that began after a call had failed, those from before that failure are given up, unless a part of their answer has arrived, and made again at once with a short wait. What the host has counts as current meanwhile, as it would have without that.

TestLongPollFromBeforeOutageIsMadeAgain fails before (14.7 s, without the change of the outage).

--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -185,6 +185,9 @@
 		// read the list from the store itself.
 		return p, err
 	}
+	if err != nil && errors.Is(context.Cause(ctx), errSuperseded) {
+		return p, err // the next call follows at once
+	}
 	if err != nil || after != m.revision {
 		// Without the state that the changes are based on, the mirror is not current.
 		m.recordFailure()
--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -6,7 +6,10 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -60,8 +63,11 @@
 	// and ended is closed when a call ends, nil while nothing waits for that.
 	check *call
 	ended chan struct{}
-	// last is the last call that began.
-	last call
+	// last is the last call that began, and pending holds those in progress.
+	last    *call
+	pending map[*call]struct{}
+	// failedAt is when a call last failed.
+	failedAt time.Duration
 	// held is the hold in progress, nil if there is none.
 	held *held
 	// lostAt is when a call failed that the store hasn't answered since, zero if there is none, and noticedAt when
@@ -75,8 +81,22 @@
 type call struct {
 	kind  string
 	began time.Duration
+	// ctx ends with errSuperseded if the store answers later calls after a loss, and cancel ends it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// receiving is set once a part of the answer has arrived.
+	receiving atomic.Bool
 }
 
+// recordProgress records that a part of the answer has arrived.
+func (c *call) recordProgress() { c.receiving.Store(true) }
+
+// errSuperseded means that a call was given up since it is from before a loss of the store that is over.
+const errSuperseded = errors.ConstError("call is from before a loss of the store")
+
+// isSuperseded reports whether the call was given up, so that it is to be made again.
+func (c *call) isSuperseded() bool { return errors.Is(context.Cause(c.ctx), errSuperseded) }
+
 // held is a hold in progress.
 type held struct {
 	since time.Duration
@@ -147,7 +167,7 @@
 // began since, for resultWait from its beginning.
 func (h *Holder) begin(ctx context.Context, kind string) *call {
 	for {
-		c, x := h.tryBegin(kind)
+		c, x := h.tryBegin(ctx, kind)
 		if x.ended == nil {
 			return c
 		}
@@ -178,7 +198,7 @@
 }
 
 // tryBegin is begin without a wait.
-func (h *Holder) tryBegin(kind string) (*call, pendingResult) {
+func (h *Holder) tryBegin(ctx context.Context, kind string) (*call, pendingResult) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now, stale := h.Now(), h.isStale()
@@ -194,7 +214,11 @@
 		return nil, pendingResult{}
 	}
 	c := &call{kind: kind, began: now}
-	h.last = *c
+	c.ctx, c.cancel = context.WithCancelCause(ctx)
+	if h.pending == nil {
+		h.pending = make(map[*call]struct{})
+	}
+	h.last, h.pending[c] = c, struct{}{}
 	if stale {
 		h.check, h.nextCheck = c, now+h.drawInterval()
 	}
@@ -206,13 +230,23 @@
 	now := h.Now()
 	if h.held == nil {
 		h.held = &held{since: now}
-		if h.OnHold != nil {
-			h.OnHold(Hold{Kind: kind, Hosts: slices.Sorted(maps.Keys(h.losses)), LastKind: h.last.kind, LastAgo: now - h.last.began, Awaited: h.check != nil, For: max(0, h.nextCheck-now)})
-		}
+		h.reportHold(kind, now)
 	}
 	h.held.calls++
 }
 
+// reportHold reports that a hold begins. The mutex is held.
+func (h *Holder) reportHold(kind string, now time.Duration) {
+	if h.OnHold == nil {
+		return
+	}
+	x := Hold{Kind: kind, Hosts: slices.Sorted(maps.Keys(h.losses)), Awaited: h.check != nil, For: max(0, h.nextCheck-now)}
+	if h.last != nil {
+		x.LastKind, x.LastAgo = h.last.kind, now-h.last.began
+	}
+	h.OnHold(x)
+}
+
 // release ends the hold in progress, if there is one. The mutex is held.
 func (h *Holder) release(answered bool) {
 	if h.held == nil {
@@ -229,6 +263,9 @@
 func (h *Holder) end(c *call, answered bool, asked time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	superseded := c.isSuperseded()
+	c.cancel(context.Canceled)
+	delete(h.pending, c)
 	if h.check == c {
 		h.check = nil
 	}
@@ -241,6 +278,10 @@
 		h.recordAnswer(c, now)
 		return
 	}
+	if superseded {
+		return
+	}
+	h.failedAt = now
 	if h.nextCheck <= now {
 		h.nextCheck = asked + h.drawInterval()
 	}
@@ -256,11 +297,25 @@
 	told := h.noticedAt > 0 && now-h.noticedAt < h.CheckInterval()
 	h.nextCheck, h.answeredAt, h.lastStale, h.lostAt = 0, now, 0, 0
 	h.release(true)
+	h.supersede(c)
 	if lost && !told && h.OnRegained != nil {
 		h.OnRegained()
 	}
 }
 
+// supersede gives up the calls from before the last failure, which c, now answered, came after: the store may have lost
+// them, and a long poll would be waited for until its end. The mutex is held.
+func (h *Holder) supersede(c *call) {
+	if c.began < h.failedAt {
+		return
+	}
+	for x := range h.pending {
+		if x.began < h.failedAt && !x.receiving.Load() {
+			x.cancel(errSuperseded)
+		}
+	}
+}
+
 // RecordNotice records that the store answers another host, and reports whether this host, which has lost it, asks it
 // now. A host that the store turns away nevertheless, or another one's answers that come and go, cost one call in the
 // shortest time between two.
@@ -298,7 +353,7 @@
 // givesWay reports whether calls for the other kinds of object go first, as the last one was for this kind: the store may
 // answer those only. The mutex is held.
 func (h *Holder) givesWay(kind string, now time.Duration) bool {
-	return h.lostAt > 0 && h.last.kind == kind && now < h.nextCheck+h.CheckInterval()/2
+	return h.lostAt > 0 && h.last != nil && h.last.kind == kind && now < h.nextCheck+h.CheckInterval()/2
 }
 
 // isStale reports whether an upstream host has said lately that it has lost the store. The mutex is held.
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -28,7 +28,8 @@
 // report records the result of a call that begins and ends now.
 func report(h *Holder, answered bool) {
 	now := h.Now()
-	h.end(&call{kind: "k", began: now}, answered, now)
+	c, cancel := context.WithCancelCause(context.Background())
+	h.end(&call{kind: "k", began: now, ctx: c, cancel: cancel}, answered, now)
 }
 
 // Guards against a change that stays unknown for longer than it may after an outage of the store, as the hosts that
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -109,16 +109,27 @@
 	if behindStale {
 		s.Mirror.recordUnconfirmed()
 	}
-	c := s.Holder.begin(ctx, s.Kind)
-	if c == nil {
-		return Page{}, s.lost()
-	}
 	wait = max(storeCheckWait, wait-(s.Mirror.Now()-began))
 	// The next host in the region's order after those that have lost the store reads in their place.
 	behindStale = behindStale && !errors.Is(err, errNoHost)
-	p, err = s.Mirror.watch(ctx, after, wait, behindStale)
-	s.Holder.end(c, err == nil || errors.Is(err, ErrCompacted), s.Mirror.lastAsked())
-	return s.recordRevision(p, err)
+	return s.recordRevision(s.watchStore(ctx, after, wait, behindStale))
+}
+
+// watchStore waits for changes at the store. A call that is superseded is made again at once.
+func (s *Selector) watchStore(ctx context.Context, after uint64, wait time.Duration, behindStale bool) (Page, error) {
+	for {
+		c := s.Holder.begin(ctx, s.Kind)
+		if c == nil {
+			return Page{}, s.lost()
+		}
+		p, err := s.Mirror.watch(watchdog.WithObserver(c.ctx, c.recordProgress), after, wait, behindStale)
+		superseded := err != nil && c.isSuperseded()
+		s.Holder.end(c, err == nil || errors.Is(err, ErrCompacted), s.Mirror.lastAsked())
+		if !superseded {
+			return p, err
+		}
+		wait = storeCheckWait
+	}
 }
 
 const (
--- a/internal/proxy/cachesyncer/silent_test.go
+++ b/internal/proxy/cachesyncer/silent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -167,6 +168,95 @@
 	}
 }
 
+// outageStore leaves the calls that are made while it is away without an answer, and those in progress then.
+type outageStore struct {
+	store
+	mu   sync.Mutex
+	lost chan struct{}
+}
+
+// leave takes the store away.
+func (s *outageStore) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.lost)
+}
+
+// comeBack brings the store back with object b.
+func (s *outageStore) comeBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = make(chan struct{})
+	s.revision, s.names = 6, append(s.names, "b")
+}
+
+// outage returns a channel that is closed when the store is away.
+func (s *outageStore) outage() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
+func (s *outageStore) List(ctx context.Context) (Page, error) {
+	select {
+	case <-s.outage():
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	default:
+		return s.store.List(ctx)
+	}
+}
+
+func (s *outageStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+	lost := s.outage()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-lost:
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	case <-t.C:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := Page{Revision: s.revision}
+	if s.revision > after {
+		p.Entries = []Entry{{Name: "b", Revision: s.revision}}
+	}
+	return p, nil
+}
+
+// Guards against a change that stays unknown until the end of a long poll that the store has lost in an outage, though
+// other calls have been answered since, and against a host that calls itself lost meanwhile.
+func TestLongPollFromBeforeOutageIsMadeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 15 * time.Second
+		s := &outageStore{store: store{revision: 5, names: []string{"a"}}, lost: make(chan struct{})}
+		long := newSelection(&s.store, network{})
+		short := newSelection(&s.store, network{})
+		long.Mirror.Store, short.Mirror.Store = s, s
+		long.Mirror.TTL = func() time.Duration { return wait + WatchSlack }
+		short.Holder = long.Holder
+		time.Sleep(time.Second)
+		_, _ = long.List(t.Context())
+		_, _ = short.List(t.Context())
+		began := time.Now()
+		time.AfterFunc(500*time.Millisecond, s.leave)
+		time.AfterFunc(2500*time.Millisecond, s.comeBack)
+		time.AfterFunc(0, func() {
+			for range 10 {
+				_, _ = short.Watch(t.Context(), 5, time.Second)
+			}
+		})
+		p, err := long.Watch(t.Context(), 5, wait)
+		expect(t, "changes", p, err, "b")
+		if d := time.Since(began); d > 2500*time.Millisecond+2*checkTimeout {
+			t.Errorf("changes after %v", d)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against a list that is older than what is known: its changes would bring removed objects back.
 func TestOlderListInPlaceOfLongPollIsRejected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
