perf(cachesyncer): a region's hosts ask an unavailable store twelve times a second in place of eight

In a region of 149 hosts of which a third are cut off, one of the others asks within 1.5 s, but for one in 100,000 outages by calculation (within 2 s, 3 in 100,000 before); 18 hosts ask every 1.5 s each with a limit of 3 s, 12 before.

--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -15,7 +15,7 @@
 const (
 	// checksPerSecond is how many calls to the store the hosts of a region make in a second while all of them have lost
 	// it. A region whose hosts ask less often than that takes no turns.
-	checksPerSecond = 8
+	checksPerSecond = 12
 	// announceAfter is how long the store must have been lost for this host to tell others that it is back. After a
 	// shorter loss they learn of that from the hosts that they read through.
 	announceAfter = time.Second
