fix(runner): kinds of object are asked for in turn while the store doesn't answer

What callers would see: a host goes on with the configuration of before for 6 s, while it asks for servers and entry hosts again and again.

Cause: while calls fail, a gate admits one call at a time for all kinds. Whose timer fires first goes first, and one kind can come too late each time.

Change: who waits at the gate is admitted in turn.

--- a/internal/proxy/runner/gate.go
+++ b/internal/proxy/runner/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,10 +26,25 @@
 	nextCall time.Time
 	// reopened is closed when the store answers again or the next call is admitted earlier.
 	reopened chan struct{}
+	// queue holds the callers that wait, the first one in front. Each is admitted in its turn: one that always came too
+	// late would get no call through.
+	queue []*waiter
+}
+
+// waiter is a caller that waits at a gate.
+type waiter struct {
+	// first is closed when the caller comes to the front of the queue.
+	first chan struct{}
 }
 
 // await waits until a call is admitted. It returns the error of ctx if that ends first.
 func (g *gate) await(ctx context.Context) error {
+	c := g.enter()
+	defer g.leave(c)
+	select {
+	case <-c.first:
+	case <-ctx.Done():
+	}
 	for ctx.Err() == nil {
 		d, reopened := g.delay()
 		if d <= 0 {
@@ -45,6 +61,29 @@
 	return ctx.Err()
 }
 
+// enter adds a caller at the end of the queue.
+func (g *gate) enter() *waiter {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := &waiter{first: make(chan struct{})}
+	g.queue = append(g.queue, c)
+	if len(g.queue) == 1 {
+		close(c.first)
+	}
+	return c
+}
+
+// leave removes a caller from the queue.
+func (g *gate) leave(c *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first := g.queue[0]
+	g.queue = slices.DeleteFunc(g.queue, func(x *waiter) bool { return x == c })
+	if len(g.queue) > 0 && g.queue[0] != first {
+		close(g.queue[0].first)
+	}
+}
+
 // open reports whether calls are admitted without delay.
 func (g *gate) open() bool {
 	g.mu.Lock()
--- a/internal/proxy/runner/gate_test.go
+++ b/internal/proxy/runner/gate_test.go
@@ -77,3 +77,39 @@
 		}
 	})
 }
+
+// Guards against one kind of object that isn't asked for as long as calls for others fail: which caller is admitted must
+// not depend on whose timer fires first.
+func TestGateAdmitsCallersInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers, calls = 3, 60
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		g := &gate{}
+		g.recordFailure()
+		var counts [callers]atomic.Int64
+		for i := range callers {
+			go func() {
+				for g.await(ctx) == nil {
+					counts[i].Add(1)
+					time.Sleep(time.Duration(i) * 150 * time.Millisecond)
+					g.recordFailure()
+				}
+			}()
+		}
+		for total := int64(0); total < calls; {
+			time.Sleep(time.Second)
+			total = 0
+			for i := range counts {
+				total += counts[i].Load()
+			}
+		}
+		for i := range counts {
+			if n := counts[i].Load(); n < calls/callers-1 {
+				t.Errorf("caller %d was admitted %d times of %d", i, n, calls)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
