fix(cachesyncer): a host that has lost its upstream host believes only a newer confirmation

What callers would see: of a region whose first hosts are cut off from the store, the others go on with the configuration of before for 4 to 7 s, though the store would answer them.

Cause: when its upstream host says that it has lost the store, a host asks others. One that has read through the same lost host and hasn't heard of the loss yet says that it is current. Each such word counts for 2 s, and hosts that believe each other pass it on: a loss reaches the last one at the sum of these times.

Change: a page without changes says how long ago the store confirmed it (age-ms; a host of an earlier version leaves it out and ignores it). When the host that it last read through has lost the store, a host believes another one only if its confirmation is newer, by 0.1 s, than what it had from the lost one, and what it serves itself is unconfirmed from that moment on, not only once all others have been asked. A host that receives an answer of the store is believed.

--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -38,11 +38,17 @@
 type Page struct {
 	Entries  []Entry `json:"entries"`
 	Revision uint64  `json:"as-of"`
+	// AgeMilliseconds is how long ago the store confirmed that there are no changes after the revision, in a page without
+	// entries that another host has sent. It is zero if that is unknown.
+	AgeMilliseconds int64 `json:"age-ms,omitempty"`
 	// Invalid describes the entries that couldn't be read. Those whose name can't be told are left out of
 	// Entries, the others have no readable value.
 	Invalid []error `json:"-"`
 }
 
+// age returns how long ago the store confirmed the page, zero if that is unknown.
+func (p Page) age() time.Duration { return time.Duration(p.AgeMilliseconds) * time.Millisecond }
+
 // Reader reads one kind of object.
 type Reader interface {
 	// List returns all objects and the revision from which to watch.
@@ -99,10 +105,12 @@
 	// was answered, and ttl how long the data of that answer counts as current.
 	lastAnswer, ttl time.Duration
 	current         bool
+	// confirmed is when the store last confirmed what the mirror holds, to this host or to the one that was read from.
+	confirmed time.Duration
 	// fromStore reports that the last answer came from the store, not from another host.
 	fromStore bool
-	// unconfirmed reports that the hosts that were read through have lost the store, and that it hasn't answered this
-	// host's call since.
+	// unconfirmed reports that the host that was read through has lost the store, and that neither another one nor the
+	// store has confirmed since what the mirror holds.
 	unconfirmed bool
 	// receivingSince is when the answer now being received began, zero if there is none.
 	receivingSince time.Duration
@@ -128,7 +136,7 @@
 		return p, err
 	}
 	m.replaceAll(p)
-	m.recordAnswer(m.TTL(), true)
+	m.recordAnswer(m.TTL(), true, 0)
 	return p, nil
 }
 
@@ -137,7 +145,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.replaceAll(p)
-	m.recordAnswer(remoteTTL, false)
+	m.recordAnswer(remoteTTL, false, p.age())
 }
 
 // ApplyRemoteChanges applies changes that were read from another host.
@@ -145,7 +153,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.addChanges(p)
-	m.recordAnswer(remoteTTL, false)
+	m.recordAnswer(remoteTTL, false, p.age())
 }
 
 // Watch reads changes from the store. The pause after a change is part of wait. The first call
@@ -194,7 +202,7 @@
 		return p, err
 	}
 	m.addChanges(p)
-	m.recordAnswer(m.TTL(), true)
+	m.recordAnswer(m.TTL(), true, 0)
 	return p, nil
 }
 
@@ -312,11 +320,11 @@
 	m.pauseUntil = now + m.pause
 }
 
-// recordAnswer records an answer, how long it counts as current, and whether it came from the
-// store. The mutex is held.
-func (m *Mirror) recordAnswer(ttl time.Duration, fromStore bool) {
+// recordAnswer records an answer, how long it counts as current, whether it came from the store, and how long ago the
+// store confirmed it. The mutex is held.
+func (m *Mirror) recordAnswer(ttl time.Duration, fromStore bool, age time.Duration) {
 	m.lastAnswer, m.ttl, m.fromStore, m.current, m.attempted = m.Now(), ttl, fromStore, true, true
-	m.unconfirmed = false
+	m.confirmed, m.unconfirmed = max(m.confirmed, m.lastAnswer-age), false
 	m.notify()
 }
 
@@ -348,13 +356,21 @@
 	return !m.current
 }
 
-// recordUnconfirmed records that the hosts that were read through have lost the store, which is asked next. Other hosts
-// wait for its answer for a moment: if they took what was read before for current, the loss would be known to a
-// chain of hosts as late as the sum of what each of them waits.
-func (m *Mirror) recordUnconfirmed() {
+// setUnconfirmed records whether the host that was read through has lost the store, so that others and the store are
+// asked. Other hosts wait for an answer for a moment: if they took what was read before for current, the loss would be known
+// to a chain of hosts as late as the sum of what each of them waits.
+func (m *Mirror) setUnconfirmed(unconfirmed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unconfirmed = unconfirmed
+	m.notify()
+}
+
+// lastConfirmed returns when the store last confirmed what the mirror holds.
+func (m *Mirror) lastConfirmed() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.unconfirmed = true
+	return m.confirmed
 }
 
 // isFresh reports whether the mirror's data counts as current. The mutex is held.
@@ -436,7 +452,20 @@
 	case after < m.compactedPage:
 		return Page{}, nil, ErrCompacted
 	}
-	return Page{Revision: m.revision, Entries: m.changesAfter(after)}, m.nextChange(), nil
+	p := Page{Revision: m.revision, Entries: m.changesAfter(after)}
+	if len(p.Entries) == 0 {
+		p.AgeMilliseconds = m.ageMilliseconds()
+	}
+	return p, m.nextChange(), nil
+}
+
+// ageMilliseconds returns how long ago the store confirmed what the mirror holds, or began an answer that is still
+// arriving: nobody who asked now would have that sooner. The mutex is held.
+func (m *Mirror) ageMilliseconds() int64 {
+	if m.receivingSince > 0 {
+		return 1
+	}
+	return max(1, (m.Now() - m.confirmed).Milliseconds())
 }
 
 // Value returns an object's value as last read, nil if the object does not exist.
--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -543,6 +543,44 @@
 	}
 }
 
+// Guards against a host that believes others which have read through the same lost host as it has, and learn of the loss
+// later, one after the other.
+func TestHostBelievesOnlyNewerConfirmation(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirm   func(ctx context.Context, x *Mirror)
+		fromStore bool
+	}{
+		"of the lost host": {func(context.Context, *Mirror) {}, true},
+		"of the store":     {func(ctx context.Context, x *Mirror) { _, _ = x.Watch(ctx, 5, 0) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{revision: 5, names: []string{"a"}}
+				lost := newMirror(s)
+				n := network{"lost": lost}
+				other, x := newSelection(s, n, "lost"), newSelection(s, n, "lost", "other")
+				n["other"] = other.Mirror
+				time.Sleep(time.Second)
+				_, _ = lost.List(t.Context())
+				for _, y := range []*selection{other, x} {
+					_, _ = y.List(t.Context())
+					_, _ = y.Watch(t.Context(), 5, 0)
+				}
+				time.Sleep(500 * time.Millisecond)
+				c.confirm(t.Context(), other.Mirror)
+				lost.RecordLost()
+				before := s.calls
+				if _, err := x.Watch(t.Context(), 5, time.Second); err != nil {
+					t.Error(err)
+				}
+				if asked := s.calls > before; asked != c.fromStore {
+					t.Errorf("store asked %t, want %t", asked, c.fromStore)
+				}
+			})
+		})
+	}
+}
+
 // lateStore answers watch calls after a time.
 type lateStore struct {
 	store
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -28,6 +28,9 @@
 	// maximumRemotes is how many hosts are tried before the store. It bounds the delay of a change
 	// when many hosts are partitioned at the same time.
 	maximumRemotes = 3
+	// doubtMargin is by how much a confirmation must be newer than one that is doubted. An age is wrong by the time that the
+	// page travels.
+	doubtMargin = 100 * time.Millisecond
 	// storeCheckWait is the wait of a call to the store that only fetches pending changes, in
 	// place of a host that did not answer.
 	storeCheckWait = time.Millisecond
@@ -58,6 +61,10 @@
 
 	// newestRevision is the newest revision that was returned.
 	newestRevision uint64
+	// source is the host that was last read through, empty for the store. When it has lost the store, doubted becomes the
+	// time at which that had last confirmed what this host knows.
+	source  string
+	doubted time.Duration
 }
 
 // List returns all objects.
@@ -71,6 +78,7 @@
 	if c == nil {
 		return Page{}, s.lost()
 	}
+	s.source = ""
 	p, err = s.Mirror.List(ctx)
 	s.Holder.end(c, err == nil, s.Mirror.lastAsked())
 	return s.recordRevision(p, err)
@@ -106,9 +114,6 @@
 	case errors.Is(err, errNoAnswer):
 		wait = storeCheckWait
 	}
-	if behindStale {
-		s.Mirror.recordUnconfirmed()
-	}
 	wait = max(storeCheckWait, wait-(s.Mirror.Now()-began))
 	// The next host in the region's order after those that have lost the store reads in their place.
 	behindStale = behindStale && !errors.Is(err, errNoHost)
@@ -122,6 +127,7 @@
 		if c == nil {
 			return Page{}, s.lost()
 		}
+		s.source = ""
 		p, err := s.Mirror.watch(watchdog.WithObserver(c.ctx, c.recordProgress), after, wait, behindStale)
 		superseded := err != nil && c.isSuperseded()
 		s.Holder.end(c, err == nil || errors.Is(err, ErrCompacted), s.Mirror.lastAsked())
@@ -156,19 +162,40 @@
 			return Page{}, errNoHost
 		}
 		p, err := ask(h, i > 0)
+		if err == nil && s.isDoubtful(p) {
+			err = ErrStale
+		}
 		if err == nil || errors.Is(err, ErrCompacted) || errors.Is(err, errOlderList) {
 			s.Holder.recordCurrent(h.Name)
+			s.source = h.Name
+			s.Mirror.setUnconfirmed(false)
 			return p, err
 		}
 		if errors.Is(err, ErrStale) {
 			stale++
 			s.Holder.recordStale(h.Name)
+			s.recordDoubt(h.Name)
 		}
 		s.Failed(h, s.Kind, err)
 	}
 	return Page{}, errNoAnswer
 }
 
+// recordDoubt records that a host has lost the store. If this host has read through it, what it knows is unconfirmed.
+func (s *Selector) recordDoubt(host string) {
+	if host != s.source {
+		return
+	}
+	s.source, s.doubted = "", s.Mirror.lastConfirmed()
+	s.Mirror.setUnconfirmed(true)
+}
+
+// isDoubtful reports whether a page without entries says no more than what this host knew when a host that it read through
+// had lost the store: the host that sent it may have read through the same one, and learns of the loss later.
+func (s *Selector) isDoubtful(p Page) bool {
+	return p.AgeMilliseconds > 0 && s.doubted > 0 && s.Mirror.Now()-p.age() <= s.doubted+doubtMargin
+}
+
 // listRemote returns the list of another host.
 func (s *Selector) listRemote(ctx context.Context, h declarer.Host) (Page, error) {
 	c, cancel := watchdog.WithStallTimeout(ctx, remoteConnectTimeout, remoteSlack)
