test(assembler): a model of hosts, a store that is away, and calls that hang

TestHostsFollowStoreAfterOutage draws a region of 3 to 12 hosts, an outage of the store (silent, busy, resetting, slow), how many of the first hosts are cut off at its end, and up to four incidents around it: a host cut off from the store, turned away, apart from another host, frozen, new, or with calls and connections that hang. Hosts, feeds and notices are the program's own, in virtual time. It checks at each 50 ms that each host in touch has every change of the configuration older than 3 s and of a server older than 7 s, and the number of calls in the outage.

--- a/internal/proxy/assembler/growth_test.go
+++ b/internal/proxy/assembler/growth_test.go
@@ -180,6 +180,8 @@
 		Counter: reporter.NewMetrics(reporter.Gauges{}),
 		Log:     &log.Logger{Handler: discard.New()},
 	}
+	draws := rand.New(rand.NewPCG(xxhash.Sum64String(name), 0))
+	m.feeder.holder.Draw = func(n time.Duration) time.Duration { return time.Duration(draws.Int64N(int64(n))) }
 	m.feeder.attach(m.host, func(error) {})
 	f.hosts = append(f.hosts, m)
 	go m.run(ctx)
--- a/internal/proxy/assembler/network_test.go
+++ b/internal/proxy/assembler/network_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -65,8 +66,8 @@
 	mu          sync.Mutex
 	machines    map[string]*machine
 	regionLinks map[string]*link
-	// cut holds the pairs of addresses, in order, between which nothing arrives.
-	cut   map[[2]string]bool
+	// cuts counts the reasons for which nothing arrives between a pair of addresses, in order.
+	cuts  map[[2]string]int
 	open  []net.Conn
 	ended chan struct{}
 }
@@ -74,7 +75,7 @@
 func newNetwork(rate float64) *network {
 	return &network{
 		intraRegionDelay: time.Millisecond, interRegionDelay: 8 * time.Millisecond, rate: rate,
-		machines: make(map[string]*machine), regionLinks: make(map[string]*link), cut: make(map[[2]string]bool), ended: make(chan struct{}),
+		machines: make(map[string]*machine), regionLinks: make(map[string]*link), cuts: make(map[[2]string]int), ended: make(chan struct{}),
 	}
 }
 
@@ -134,18 +135,23 @@
 	m.off = !on
 }
 
-// separate cuts two machines off from each other, or connects them again: connections on which something was sent
-// meanwhile stay silent.
+// separate cuts two machines off from each other, or ends one of the cuts between them: connections on which something was
+// sent meanwhile stay silent.
 func (n *network) separate(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut[[2]string{min(a, b), max(a, b)}] = cut
+	k := [2]string{min(a, b), max(a, b)}
+	if cut {
+		n.cuts[k]++
+	} else {
+		n.cuts[k]--
+	}
 }
 
 func (n *network) isCut(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[[2]string{min(a, b), max(a, b)}]
+	return n.cuts[[2]string{min(a, b), max(a, b)}] > 0
 }
 
 // storeDialer connects one machine to the store.
@@ -168,8 +174,35 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.open = append(d.open, c)
-	return c, nil
+	x := &storeConn{Conn: c}
+	d.open = append(d.open, x)
+	return x, nil
+}
+
+// hang lets nothing more arrive on the machine's open connections to the store, without closing them.
+func (d *storeDialer) hang() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.open {
+		c.(*storeConn).hung.Store(true)
+	}
+	d.open = nil
+}
+
+// storeConn is a connection to the store that may hang.
+type storeConn struct {
+	net.Conn
+	hung atomic.Bool
+}
+
+// Read returns nothing more once the connection hangs, until it is closed.
+func (c *storeConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.hung.Load() {
+			return n, err
+		}
+	}
 }
 
 func (d *storeDialer) isRefused() bool {
--- a/internal/proxy/assembler/outage_test.go
+++ b/internal/proxy/assembler/outage_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,21 +60,23 @@
 	}
 }
 
-// lastServer returns the entry of the backend server as the host has last read it.
-func (m *member) lastServer() string {
-	return string(m.feeder.servers[platform.KindServers].Mirror.Value(serverName))
+// lastSequence returns the sequence in the entry of the backend server as the host has last read it.
+func (m *member) lastSequence() (uint64, bool) {
+	var x struct {
+		Sequence uint64 `json:"sequence"`
+	}
+	err := json.Unmarshal(m.feeder.servers[platform.KindServers].Mirror.Value(serverName), &x)
+	return x.Sequence, err == nil
 }
 
-// silence cuts all hosts off from the store, or only the given ones, or connects them again.
-func (f *fleet) silence(cut bool, hosts ...*member) {
-	if hosts == nil {
-		hosts = f.hosts
-	}
-	for _, m := range hosts {
-		f.network.separate(m.machine.address, storeAddress, cut)
-	}
+// silence cuts a host off from the store, or connects it again.
+func (f *fleet) silence(m *member, cut bool) {
+	f.network.separate(m.machine.address, storeAddress, cut)
 }
 
+// setSilent lets nothing arrive at the store or leave it, or ends that.
+func (f *fleet) setSilent(silent bool) { f.network.machines[storeAddress].setPower(!silent) }
+
 // byOrder returns three hosts or more in their order as upstream hosts.
 func (f *fleet) byOrder() []*member {
 	views := make([][]string, 3)
@@ -99,7 +101,7 @@
 		if c := m.host.Board.Configuration(); c == nil || c.Version < version {
 			l = append(l, m.host.Name+" configuration")
 		}
-		if !strings.Contains(m.lastServer(), fmt.Sprintf(`"sequence":%d`, sequence)) {
+		if n, ok := m.lastSequence(); !ok || n < sequence {
 			l = append(l, m.host.Name+" servers")
 		}
 	}
@@ -143,14 +145,11 @@
 	const outage, earlier = 6800 * time.Millisecond, 700 * time.Millisecond
 	time.Sleep(outage - earlier)
 	for _, m := range cut {
-		m.store.refuse(true)
+		f.silence(m, true)
 	}
 	time.Sleep(earlier)
 	calls := f.attempts.Load() - before
 	f.setAway(silent, false)
-	if silent && len(cut) > 0 {
-		f.silence(true, cut...)
-	}
 	version := f.grow(1)
 	f.setServer(1)
 	time.Sleep(contactLimit)
@@ -173,7 +172,7 @@
 func (f *fleet) setAway(silent, away bool) {
 	switch {
 	case silent:
-		f.silence(away)
+		f.setSilent(away)
 	case away:
 		f.store.SetFault(storekeeper.Fault{Mode: storekeeper.ModeBusy})
 	default:
