--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -78,13 +78,15 @@
 	KindStall
 	// KindRepeat is a backend server that sends some answers twice, see Repetitions.
 	KindRepeat
+	// KindStoreCut leaves the calls of an entry host to the store without an answer, see Outages.
+	KindStoreCut
 )
 
 // names holds the name of each Kind, in the order of the constants.
 var names = [...]string{
 	"kill", "pause", "stop", "isolate", "silence", "store-silent", "store-busy", "store-reset", "store-slow",
 	"store-loses", "store-forgets", "store-watches-silent", "primary-crash", "server-mute", "server-silence", "replica-deaf",
-	"server-refuses", "server-unheard", "orders-late", "holder-kill", "primary-blink", "two-crash", "reload", "stall", "server-repeats",
+	"server-refuses", "server-unheard", "orders-late", "holder-kill", "primary-blink", "two-crash", "reload", "stall", "server-repeats", "store-cut",
 }
 
 // String returns the kind's name in kebab case.
@@ -217,3 +219,36 @@
 	}
 	return byTime(l)
 }
+
+const (
+	// outageInterval is the time between two outages of the store, and minimumOutage the minimum time of one; the maximum is
+	// twice that.
+	outageInterval = 9 * time.Second
+	minimumOutage  = 2 * time.Second
+	// cutLead is how long before the end of an outage hosts are cut off from the store.
+	cutLead = 700 * time.Millisecond
+	// longestCut is the maximum time of such a cut.
+	longestCut = 6 * time.Second
+)
+
+// Outages returns outages of the store in order of time. Shortly before the end of each, a third of the hosts or fewer are
+// cut off from the store, some of them beside a pause or a kill of another host.
+func Outages(seed uint64, length time.Duration, hosts int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 5))
+	kinds := []Kind{KindStoreSilent, KindStoreBusy, KindStoreReset}
+	var l []Fault
+	for at := firstFault; at < length; at += outageInterval {
+		f := randomFault(r, at)
+		f.Kind, f.Duration = kinds[r.IntN(len(kinds))], minimumOutage+randomDuration(r, minimumOutage)
+		l = append(l, f)
+		end := at + f.Duration
+		cut := r.Perm(hosts)
+		for _, i := range cut[:1+r.IntN(max(1, hosts/3))] {
+			l = append(l, Fault{Kind: KindStoreCut, At: end - cutLead, Duration: cutLead + randomDuration(r, longestCut), Target: i})
+		}
+		if r.IntN(2) == 0 {
+			l = append(l, Fault{Kind: []Kind{KindPause, KindKill}[r.IntN(2)], At: end - randomDuration(r, minimumOutage), Duration: minimumDuration + randomDuration(r, time.Second), Target: cut[hosts-1]})
+		}
+	}
+	return byTime(l)
+}
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -97,3 +97,32 @@
 		}
 	}
 }
+
+// Hosts must be cut off across the end of an outage, or the soak of outages would not cover it.
+func TestOutages(t *testing.T) {
+	const hosts = 6
+	seen := make(map[Kind]bool)
+	for seed := range uint64(50) {
+		p := Outages(seed, 20*time.Second, hosts)
+		if !slices.Equal(p, Outages(seed, 20*time.Second, hosts)) {
+			t.Fatalf("seed %d gives different plans", seed)
+		}
+		var end time.Duration
+		cuts := 0
+		for _, f := range p {
+			seen[f.Kind] = true
+			switch f.Kind {
+			case KindStoreSilent, KindStoreBusy, KindStoreReset:
+				end, cuts = f.At+f.Duration, 0
+			case KindStoreCut:
+				cuts++
+				if f.At >= end || f.At+f.Duration < end || cuts > hosts/3 {
+					t.Errorf("seed %d: %v, outage until %v", seed, f, end)
+				}
+			}
+		}
+	}
+	if len(seen) != 6 {
+		t.Errorf("%d kinds of fault in 50 seeds, want 6", len(seen))
+	}
+}
--- a/internal/soak/runner/deployment_test.go
+++ b/internal/soak/runner/deployment_test.go
@@ -301,7 +301,7 @@
 		return err
 	}
 	d.network.SetPlace(l.Addr().String(), disturber.Place{AvailabilityZone: "store", Region: "one"})
-	s := &http.Server{Handler: storekeeper.Handler{Store: d.store, RewriteAddress: (&addressRewriter{network: d.network, from: h.place, paths: d.pathsOf(i)}).rewrite}, ReadHeaderTimeout: time.Minute}
+	s := &http.Server{Handler: storekeeper.Handler{Store: d.store, RewriteAddress: (&addressRewriter{network: d.network, from: h.place, paths: d.pathsOf(i)}).rewrite, Cut: h.storeCut.Load}, ReadHeaderTimeout: time.Minute}
 	go (&storeService{server: s, listener: l}).run()
 	store, err := d.network.ProxyAddress(h.place, l.Addr().String())
 	if err != nil {
--- a/internal/soak/runner/faults_test.go
+++ b/internal/soak/runner/faults_test.go
@@ -50,6 +50,13 @@
 		h.signal(syscall.SIGSTOP)
 		time.Sleep(f.Duration)
 		h.signal(syscall.SIGCONT)
+	case planner.KindStoreCut:
+		began := time.Now()
+		h := d.hosts[f.Target%len(d.hosts)]
+		h.storeCut.Store(true)
+		time.Sleep(f.Duration)
+		h.storeCut.Store(false)
+		x.record(began)
 	case planner.KindReload:
 		d.hosts[f.Target%len(d.hosts)].reload()
 	case planner.KindKill, planner.KindPause, planner.KindStop, planner.KindIsolate, planner.KindSilence:
--- a/internal/soak/runner/process_test.go
+++ b/internal/soak/runner/process_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -44,6 +45,9 @@
 	directory string
 	settings  string
 
+	// storeCut is set while the host's calls to the store are left without an answer.
+	storeCut atomic.Bool
+
 	// faultLock is held by the active fault of the host, so that its faults do not overlap.
 	faultLock sync.Mutex
 
--- a/internal/soak/storekeeper/handler.go
+++ b/internal/soak/storekeeper/handler.go
@@ -21,12 +21,17 @@
 	// RewriteAddress returns the address at which this host reaches an address in an object's spec, so
 	// that faults of the network can affect one host alone. Nil leaves addresses unchanged.
 	RewriteAddress func(address string) string
+	// Cut, if not nil, reports whether this host's calls are left without an answer.
+	Cut func() bool
 }
 
 // ServeHTTP answers one request, or applies the store's fault to it.
 func (v Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f := v.Store.currentFault()
 	time.Sleep(f.Delay)
+	if v.Cut != nil && v.Cut() {
+		f.Mode = ModeSilent
+	}
 	switch f.Mode {
 	case ModeSilent:
 		<-r.Context().Done()
