--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -528,7 +528,7 @@
 				away.RecordLost()
 				s.put(Entry{Name: "b"})
 				time.AfterFunc(0, func() { _, _ = x.Watch(t.Context(), 5, time.Second) })
-				time.Sleep(1)
+				time.Sleep(time.Millisecond)
 				began := time.Now()
 				p, err := x.Mirror.ServeWatch(t.Context(), 5, 0)
 				if !errors.Is(err, c.want) || time.Since(began) > resultWaitOfOthers {
