fix(cachesyncer): only news are announced, and an answer of the store ends a doubt

It announces a return only if calls were held back until now or one failed within the last two seconds.

--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -47,10 +47,13 @@
 	h.Hosts = &platform.Source[declarer.Host]{Reader: f.reader(&platform.Reader{Store: f.store, Kind: platform.KindHosts}, h.HostsTiming()), Parse: platform.ParseHost, OnInvalid: reportInvalid}
 }
 
+// loggedHosts is how many hosts a log line names at most.
+const loggedHosts = 5
+
 // logHold logs what the calls to the store that begin to be held back wait for.
 func (f *feeder) logHold(x cachesyncer.Hold) {
 	f.host.Log.WithFields(log.Fields{
-		"kind": x.Kind, "lost-by": strings.Join(x.Hosts, ","), "last-kind": x.LastKind, "last-ago": x.LastAgo.String(),
+		"kind": x.Kind, "lost-by": strings.Join(x.Hosts[:min(loggedHosts, len(x.Hosts))], ","), "lost-by-count": len(x.Hosts), "last-kind": x.LastKind, "last-ago": x.LastAgo.String(),
 		"awaited": x.Awaited, "for": x.For.String(),
 	}).Warn("calls to the platform held back")
 }
--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -75,6 +75,8 @@
 	ErrCompacted = errors.ConstError("changes aren't kept so long")
 	// ErrStale means that a host's mirror is not current with the store.
 	ErrStale = errors.ConstError("host has lost the store")
+	// ErrUnconfirmed means that a host may have read through one that has lost the store, and not know that yet.
+	ErrUnconfirmed = errors.ConstError("host has what the lost one had")
 )
 
 // Mirror reads one kind of object from the store and keeps what it has read to serve it to
@@ -378,14 +380,14 @@
 	return m.current && !m.unconfirmed && m.Now()-m.lastAnswer <= m.ttl
 }
 
-// resultWaitOfOthers is how long a request of another host waits for this host's first answer from
+// peerResultWait is how long a request of another host waits for this host's first answer from
 // the store, or for the one that confirms what it has. When a zone starts or loses the host that it reads through, all of
 // its hosts would otherwise read from the store.
-const resultWaitOfOthers = 250 * time.Millisecond
+const peerResultWait = 250 * time.Millisecond
 
 // ServeList returns all objects to another host, or ErrStale.
 func (m *Mirror) ServeList(ctx context.Context) (Page, error) {
-	m.awaitResult(ctx, resultWaitOfOthers)
+	m.awaitResult(ctx, peerResultWait)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.isFresh() {
@@ -423,7 +425,7 @@
 // ServeWatch waits for changes on behalf of another host. It returns ErrStale or ErrCompacted
 // if it can't serve them.
 func (m *Mirror) ServeWatch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
-	m.awaitResult(ctx, max(wait, resultWaitOfOthers))
+	m.awaitResult(ctx, max(wait, peerResultWait))
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for over := false; ; {
--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -418,7 +418,7 @@
 func TestMirrorIsAwaitedAtStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMirror(&store{revision: 5, names: []string{"a"}})
-		time.AfterFunc(resultWaitOfOthers-1, func() { _, _ = m.List(t.Context()) })
+		time.AfterFunc(peerResultWait-1, func() { _, _ = m.List(t.Context()) })
 		p, err := m.ServeList(t.Context())
 		expect(t, "list", p, err, "a")
 		m = newMirror(&store{revision: 5, names: []string{"a"}})
@@ -426,9 +426,9 @@
 		p, err = m.ServeWatch(t.Context(), 5, time.Second)
 		expect(t, "changes", p, err)
 		m = newMirror(&store{err: errLost})
-		time.AfterFunc(resultWaitOfOthers/2, func() { _, _ = m.List(t.Context()) })
+		time.AfterFunc(peerResultWait/2, func() { _, _ = m.List(t.Context()) })
 		start := time.Now()
-		if _, err := m.ServeList(t.Context()); !errors.Is(err, ErrStale) || time.Since(start) != resultWaitOfOthers/2 {
+		if _, err := m.ServeList(t.Context()); !errors.Is(err, ErrStale) || time.Since(start) != peerResultWait/2 {
 			t.Errorf("mirror of a host that does not reach the store: %v after %v", err, time.Since(start))
 		}
 	})
@@ -512,9 +512,9 @@
 		answer time.Duration
 		want   error
 	}{
-		"the store answers":          {answer: resultWaitOfOthers / 2},
+		"the store answers":          {answer: peerResultWait / 2},
 		"the store is silent":        {answer: time.Hour, want: ErrStale},
-		"the store answers too late": {answer: 2 * resultWaitOfOthers, want: ErrStale},
+		"the store answers too late": {answer: 2 * peerResultWait, want: ErrStale},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -531,7 +531,7 @@
 				time.Sleep(time.Millisecond)
 				began := time.Now()
 				p, err := x.Mirror.ServeWatch(t.Context(), 5, 0)
-				if !errors.Is(err, c.want) || time.Since(began) > resultWaitOfOthers {
+				if !errors.Is(err, c.want) || time.Since(began) > peerResultWait {
 					t.Errorf("%v after %v, want %v", err, time.Since(began), c.want)
 				}
 				if c.want == nil {
--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -107,7 +107,7 @@
 type Hold struct {
 	// Kind is the kind of object whose call is held back.
 	Kind string
-	// Hosts are the upstream hosts that have lost the store.
+	// Hosts are the upstream hosts that have lately said that they have lost the store.
 	Hosts []string
 	// LastKind is the kind of object that was asked for last, and LastAgo how long ago that call began.
 	LastKind string
@@ -240,7 +240,12 @@
 	if h.OnHold == nil {
 		return
 	}
-	x := Hold{Kind: kind, Hosts: slices.Sorted(maps.Keys(h.losses)), Awaited: h.check != nil, For: max(0, h.nextCheck-now)}
+	x := Hold{Kind: kind, Awaited: h.check != nil, For: max(0, h.nextCheck-now)}
+	for _, n := range slices.Sorted(maps.Keys(h.losses)) {
+		if now-h.losses[n].last < staleMemory {
+			x.Hosts = append(x.Hosts, n)
+		}
+	}
 	if h.last != nil {
 		x.LastKind, x.LastAgo = h.last.kind, now-h.last.began
 	}
@@ -290,19 +295,27 @@
 	}
 }
 
-// recordAnswer records that the store has answered a call. The answer to one that began before the loss, as a long poll
-// does, doesn't tell that the store takes further calls. The mutex is held.
+// recordAnswer records that the store has answered a call. The mutex is held.
 func (h *Holder) recordAnswer(c *call, now time.Duration) {
-	lost := h.lostAt > 0 && c.began >= h.lostAt+announceAfter
-	told := h.noticedAt > 0 && now-h.noticedAt < h.CheckInterval()
+	news := h.isNews(c, now)
 	h.nextCheck, h.answeredAt, h.lastStale, h.lostAt = 0, now, 0, 0
 	h.release(true)
 	h.supersede(c)
-	if lost && !told && h.OnRegained != nil {
+	if news && h.OnRegained != nil {
 		h.OnRegained()
 	}
 }
 
+// isNews reports whether other hosts are to be told that the store answers a call: it was lost until now, and nobody else
+// has told so. The answer to a call that began before the loss, as a long poll does, doesn't tell that the store takes
+// further ones. The mutex is held.
+func (h *Holder) isNews(c *call, now time.Duration) bool {
+	lost := h.lostAt > 0 && c.began >= h.lostAt+announceAfter
+	lately := h.held != nil || now-h.failedAt < staleMemory
+	told := h.noticedAt > 0 && now-h.noticedAt < h.CheckInterval()
+	return lost && lately && !told
+}
+
 // supersede gives up the calls from before the last failure, which c, now answered, came after: the store may have lost
 // them, and a long poll would be waited for until its end. The mutex is held.
 func (h *Holder) supersede(c *call) {
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -277,6 +277,7 @@
 	for range 3 {
 		now += time.Second
 		h.recordStale("a")
+		h.recordStale("b")
 		h.begin(t.Context(), "second")
 	}
 	now += time.Second
@@ -354,12 +355,15 @@
 		lost   time.Duration
 		notice bool
 		early  bool
-		want   int
+		// current is set if another host has been read through since.
+		current bool
+		want    int
 	}{
 		"first host that is answered": {lost: 5 * time.Second, want: 1},
 		"told by another":             {lost: 5 * time.Second, notice: true},
 		"a single failed call":        {lost: announceAfter / 2},
 		"a call of before the loss":   {lost: 5 * time.Second, early: true},
+		"read through another host":   {lost: 5 * time.Second, current: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Minute
@@ -369,13 +373,22 @@
 			earlier := h.begin(t.Context(), "long poll")
 			h.recordStale("a")
 			report(h, false)
-			now += c.lost
+			for end := now + c.lost; now < end; {
+				now += announceAfter / 2
+				h.recordStale("a")
+			}
+			if h.begin(t.Context(), "k") != nil {
+				t.Error("call isn't held back")
+			}
 			if c.notice {
 				h.RecordNotice()
 			}
 			if c.early {
 				h.end(earlier, true, now)
 			}
+			if c.current {
+				h.recordCurrent("b")
+			}
 			report(h, true)
 			report(h, true)
 			if n != c.want {
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -78,9 +78,8 @@
 	if c == nil {
 		return Page{}, s.lost()
 	}
-	s.source = ""
 	p, err = s.Mirror.List(ctx)
-	s.Holder.end(c, err == nil, s.Mirror.lastAsked())
+	s.endCall(c, err == nil)
 	return s.recordRevision(p, err)
 }
 
@@ -127,10 +126,9 @@
 		if c == nil {
 			return Page{}, s.lost()
 		}
-		s.source = ""
 		p, err := s.Mirror.watch(watchdog.WithObserver(c.ctx, c.recordProgress), after, wait, behindStale)
 		superseded := err != nil && c.isSuperseded()
-		s.Holder.end(c, err == nil || errors.Is(err, ErrCompacted), s.Mirror.lastAsked())
+		s.endCall(c, err == nil || errors.Is(err, ErrCompacted))
 		if !superseded {
 			return p, err
 		}
@@ -138,6 +136,15 @@
 	}
 }
 
+// endCall ends a call to the store. Its answer ends the doubt about what other hosts say.
+func (s *Selector) endCall(c *call, answered bool) {
+	s.source = ""
+	if answered {
+		s.doubted = 0
+	}
+	s.Holder.end(c, answered, s.Mirror.lastAsked())
+}
+
 const (
 	// errOlderList means that a list is older than what was already returned.
 	errOlderList = errors.ConstError("list is older than what is known")
@@ -163,7 +170,7 @@
 		}
 		p, err := ask(h, i > 0)
 		if err == nil && s.isDoubtful(p) {
-			err = ErrStale
+			err = ErrUnconfirmed
 		}
 		if err == nil || errors.Is(err, ErrCompacted) || errors.Is(err, errOlderList) {
 			s.Holder.recordCurrent(h.Name)
@@ -171,7 +178,7 @@
 			s.Mirror.setUnconfirmed(false)
 			return p, err
 		}
-		if errors.Is(err, ErrStale) {
+		if errors.Is(err, ErrStale) || errors.Is(err, ErrUnconfirmed) {
 			stale++
 			s.Holder.recordStale(h.Name)
 			s.recordDoubt(h.Name)
--- a/internal/proxy/runner/readers.go
+++ b/internal/proxy/runner/readers.go
@@ -238,7 +238,7 @@
 // the store, for the kind it was asked for.
 func (h *Host) UpstreamFailed(x declarer.Host, kind string, err error) {
 	skipped, d := "", upstreamRetryDelay
-	if errors.Is(err, cachesyncer.ErrStale) {
+	if errors.Is(err, cachesyncer.ErrStale) || errors.Is(err, cachesyncer.ErrUnconfirmed) {
 		skipped, d = kind, staleRetryDelay
 	}
 	if h.roster.skipFor(x.Name, skipped, d) {
