--- a/internal/proxy/announcer/announcer_test.go
+++ b/internal/proxy/announcer/announcer_test.go
@@ -53,6 +53,8 @@
 		a.Announce()
 		a.Announce() // while the first one is in progress
 		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		if len(l.told) != count-darkCount {
 			t.Errorf("%d hosts told, want %d", len(l.told), count-darkCount)
 		}
