--- a/internal/proxy/runner/gate_test.go
+++ b/internal/proxy/runner/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -88,14 +89,15 @@
 		g := &gate{}
 		g.recordFailure()
 		var counts [callers]atomic.Int64
+		var running sync.WaitGroup
 		for i := range callers {
-			go func() {
+			running.Go(func() {
 				for g.await(ctx) == nil {
 					counts[i].Add(1)
 					time.Sleep(time.Duration(i) * 150 * time.Millisecond)
 					g.recordFailure()
 				}
-			}()
+			})
 		}
 		for total := int64(0); total < calls; {
 			time.Sleep(time.Second)
@@ -110,6 +112,6 @@
 			}
 		}
 		cancel()
-		synctest.Wait()
+		running.Wait()
 	})
 }
