fix(cachesyncer): a call from before a notice doesn't outlast it

What callers saw: in a region of 149 hosts whose first third was cut off, a host could stay with the configuration and the servers of before an outage for a whole turn, up to 12 s after the store's return, although another host had told it that the store answers.

Cause: the notice lets the host ask at once. If a call that it had made while the store was silent failed after that, before the host's next question, the holder took the failure as the newest word on the store and held back all calls until the next turn.

The host was the first one behind those cut off, so it had nobody to read through. A notice that came before the host's first call had failed was lost in the same way.

Change: a failure postpones the next question only if the store was asked after the last notice. That is one more call for each notice that lets a host ask, at most one in the shortest time between two.

TestNoticeOutlastsEarlierCall fails before, in both of its cases.

--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -71,8 +71,10 @@
 	// held is the hold in progress, nil if there is none.
 	held *held
 	// lostAt is when a call failed that the store hasn't answered since, zero if there is none, and noticedAt when
-	// another host last told that the store answers it.
+	// another host last told that the store answers it, and this host was to ask it because of that.
 	lostAt, noticedAt time.Duration
+	// heardAt is when any notice was last received.
+	heardAt time.Duration
 	// aligned is set if other hosts make their next call at the same time as this one.
 	aligned bool
 }
@@ -287,7 +289,8 @@
 		return
 	}
 	h.failedAt = now
-	if h.nextCheck <= now {
+	// What was asked before a notice tells nothing about the store after it.
+	if h.nextCheck <= now && asked >= h.heardAt {
 		h.nextCheck = asked + h.drawInterval()
 	}
 	if h.lostAt == 0 {
@@ -336,6 +339,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Now()
+	h.heardAt = now
 	if h.lostAt == 0 && h.held == nil || h.noticedAt > 0 && now-h.noticedAt < h.CheckInterval() {
 		return false
 	}
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -349,6 +349,44 @@
 	}
 }
 
+// Guards against a notice without effect, since a call from before it fails after it: the host would wait for its turn.
+func TestNoticeOutlastsEarlierCall(t *testing.T) {
+	for name, lost := range map[string]bool{"host that knows that it has lost the store": true, "host that doesn't know yet": false} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Minute
+			h := newHolder(manyHosts, func() time.Duration { return now })
+			if lost {
+				h.recordStale("a")
+				report(h, false)
+			}
+			for now < h.nextCheck {
+				now += staleMemory / 2
+				h.recordStale("a")
+			}
+			c := h.begin(t.Context(), "k")
+			asked := now
+			now += checkInterval / 2
+			h.recordStale("a")
+			if h.RecordNotice() != lost {
+				t.Errorf("asked for the notice: %t, want %t", !lost, lost)
+			}
+			now += checkInterval / 2
+			h.end(c, false, asked)
+			c = h.begin(t.Context(), "k")
+			if c == nil {
+				t.Fatal("call is held back after a notice")
+			}
+			asked = now
+			now += checkInterval / 10
+			h.recordStale("a")
+			h.end(c, false, asked)
+			if h.begin(t.Context(), "k") != nil {
+				t.Error("store is asked again at once")
+			}
+		})
+	}
+}
+
 // Guards against as many announcements as hosts after each outage, and against none.
 func TestReturnIsAnnouncedOnce(t *testing.T) {
 	for name, c := range map[string]struct {
