fix(cachesyncer): the store's own answer outweighs hosts that are cut off

What callers saw: a host that the store had just answered held back its calls for up to a turn, 3.7 s in a region of 46 hosts and 12 s with 149, so that a host that had started after an outage had no configuration for 4 s.

Cause: a host that says it has lost the store counts if it was heard to lose it after the store's last answer to this host. When it was lost isn't known of one that is asked for the first time, so a host that had been cut off for long counted as a new loss.

A new host is answered 5 ms after its first question, hears of two losses 10 ms later and holds back config and servers "for 3.69 s".

Change: until a call fails, or for the shortest time between two questions, the store's own answer counts for more than what other hosts say.

TestOwnAnswerOutweighsLossOfOthers fails before.

--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -373,5 +373,10 @@
 	return h.lostAt > 0 && h.last != nil && h.last.kind == kind && now < h.nextCheck+h.CheckInterval()/2
 }
 
-// isStale reports whether an upstream host has said lately that it has lost the store. The mutex is held.
-func (h *Holder) isStale() bool { return h.lastStale > 0 && h.Now()-h.lastStale < staleMemory }
+// isStale reports whether an upstream host has said lately that it has lost the store. Until the next call fails, the
+// store's own answer counts for more: a host that is cut off may be asked for the first time after it. The mutex is held.
+func (h *Holder) isStale() bool {
+	now := h.Now()
+	answered := h.lostAt == 0 && h.answeredAt > 0 && now-h.answeredAt < h.CheckInterval()
+	return !answered && h.lastStale > 0 && now-h.lastStale < staleMemory
+}
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -349,6 +349,24 @@
 	}
 }
 
+// Guards against a host that the store has just answered, and that is held back since it then asks hosts that are cut off
+// for the first time.
+func TestOwnAnswerOutweighsLossOfOthers(t *testing.T) {
+	now := time.Minute
+	h := newHolder(manyHosts, func() time.Duration { return now })
+	report(h, true)
+	h.recordStale("cut off")
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if h.begin(ended, "k") == nil || h.begin(ended, "other") == nil {
+		t.Error("call is held back")
+	}
+	report(h, false)
+	if h.begin(ended, "k") != nil {
+		t.Error("call isn't held back after a failure")
+	}
+}
+
 // Guards against a notice without effect, since a call from before it fails after it: the host would wait for its turn.
 func TestNoticeOutlastsEarlierCall(t *testing.T) {
 	for name, lost := range map[string]bool{"host that knows that it has lost the store": true, "host that doesn't know yet": false} {
