fix(cachesyncer): no call waits for a long poll of another kind

What callers saw: as before, a host behind hosts that are cut off read some kinds of object late, although the store answered it.

Cause: the first call after another host's loss is the question whose result decides on those for the other kinds. Of a host that follows the store itself it was a long poll, up to 15 s for the entry hosts. A store that has no changes doesn't answer that, which looked like a store that is lost: the other kinds waited for 0.7 s and then for a turn.

Change: such a question asks for what there is, without a wait. A slow store gets as much time for its answer as after a failure.

TestLongPollIsNoQuestionThatOthersWaitFor fails before.

--- a/internal/proxy/cachesyncer/cachesyncer.go
+++ b/internal/proxy/cachesyncer/cachesyncer.go
@@ -216,16 +216,17 @@
 	answer time.Duration
 }
 
-// pollTimes returns the times of a long poll if it and the list after it may take wait. After a failure
-// the store waits for storeCheckWait only, but a slow store gets as much time for its answer as the next call can wait.
+// pollTimes returns the times of a long poll if it and the list after it may take wait. After a failure, or when that is
+// all of wait, the store waits for storeCheckWait only, but a slow store gets as much time for its answer as the next call
+// can wait.
 func (m *Mirror) pollTimes(wait time.Duration) pollTimes {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	short := min(wait, storeCheckWait)
-	if !m.current {
+	switch {
+	case !m.current, m.fromStore && wait <= storeCheckWait:
 		return pollTimes{store: short, answer: max(short, m.CheckTimeout()-WatchSlack)}
-	}
-	if !m.fromStore {
+	case !m.fromStore:
 		return pollTimes{store: short, answer: short}
 	}
 	long := max(wait-listReserve, short, wait/2)
--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -83,6 +83,8 @@
 type call struct {
 	kind  string
 	began time.Duration
+	// brief is set if calls for other kinds of object wait for the result: the store is to answer at once.
+	brief bool
 	// ctx ends with errSuperseded if the store answers later calls after a loss, and cancel ends it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -215,7 +217,7 @@
 		h.recordHeld(kind)
 		return nil, pendingResult{}
 	}
-	c := &call{kind: kind, began: now}
+	c := &call{kind: kind, began: now, brief: stale}
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if h.pending == nil {
 		h.pending = make(map[*call]struct{})
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -367,6 +367,33 @@
 	}
 }
 
+// Guards against a host that reads some kinds of object late, as a long poll for another kind counts as a question that the
+// store doesn't answer.
+func TestLongPollIsNoQuestionThatOthersWaitFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &outageStore{store: store{revision: 5, names: []string{"a"}}, lost: make(chan struct{})}
+		time.Sleep(time.Second)
+		x := newSelection(&s.store, network{"cut off": newMirror(&s.store)}, "cut off")
+		y := newSelection(&s.store, network{"cut off": newMirror(&s.store)}, "cut off")
+		x.Mirror.Store, y.Mirror.Store, y.Holder = s, s, x.Holder
+		_, _ = x.Mirror.List(t.Context())
+		time.Sleep(2 * checkInterval)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			for revision := uint64(5); ctx.Err() == nil; {
+				p, _ := x.Watch(ctx, revision, time.Minute)
+				revision = max(revision, p.Revision)
+			}
+		}()
+		time.Sleep(time.Second)
+		p, err := y.List(t.Context())
+		expect(t, "list", p, err, "a")
+		cancel()
+		time.Sleep(2 * time.Minute) // until the last long poll has ended
+	})
+}
+
 // Guards against a notice without effect, since a call from before it fails after it: the host would wait for its turn.
 func TestNoticeOutlastsEarlierCall(t *testing.T) {
 	for name, lost := range map[string]bool{"host that knows that it has lost the store": true, "host that doesn't know yet": false} {
--- a/internal/proxy/cachesyncer/selector.go
+++ b/internal/proxy/cachesyncer/selector.go
@@ -126,6 +126,9 @@
 		if c == nil {
 			return Page{}, s.lost()
 		}
+		if c.brief {
+			wait = storeCheckWait
+		}
 		p, err := s.Mirror.watch(watchdog.WithObserver(c.ctx, c.recordProgress), after, wait, behindStale)
 		superseded := err != nil && c.isSuperseded()
 		s.endCall(c, err == nil || errors.Is(err, ErrCompacted))
