--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"github.com/juju/errors"
 )
 
 const (
@@ -79,58 +74,6 @@
 	aligned bool
 }
 
-// call is a call to the store for a kind of object.
-type call struct {
-	kind  string
-	began time.Duration
-	// brief is set if calls for other kinds of object wait for the result: the store is to answer at once.
-	brief bool
-	// ctx ends with errSuperseded if the store answers later calls after a loss, and cancel ends it.
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	// receiving is set once a part of the answer has arrived.
-	receiving atomic.Bool
-}
-
-// recordProgress records that a part of the answer has arrived.
-func (c *call) recordProgress() { c.receiving.Store(true) }
-
-// errSuperseded means that a call was given up since it is from before a loss of the store that is over.
-const errSuperseded = errors.ConstError("call is from before a loss of the store")
-
-// isSuperseded reports whether the call was given up, so that it is to be made again.
-func (c *call) isSuperseded() bool { return errors.Is(context.Cause(c.ctx), errSuperseded) }
-
-// held is a hold in progress.
-type held struct {
-	since time.Duration
-	calls int
-}
-
-// Hold says why calls to the store begin to be held back.
-type Hold struct {
-	// Kind is the kind of object whose call is held back.
-	Kind string
-	// Hosts are the upstream hosts that have lately said that they have lost the store.
-	Hosts []string
-	// LastKind is the kind of object that was asked for last, and LastAgo how long ago that call began.
-	LastKind string
-	LastAgo  time.Duration
-	// Awaited is set if that call has no result yet.
-	Awaited bool
-	// For is how long calls are held back, zero until the result of that call.
-	For time.Duration
-}
-
-// Release says how long calls to the store were held back, and why they no longer are.
-type Release struct {
-	// Answered is set if the store answers, otherwise another host is read from.
-	Answered bool
-	After    time.Duration
-	// Calls counts the calls that were held back.
-	Calls int
-}
-
 // loss is the time in which an upstream host has said that it has lost the store.
 type loss struct{ since, last time.Duration }
 
@@ -181,26 +124,6 @@
 	}
 }
 
-// pendingResult is the result of a call in progress.
-type pendingResult struct {
-	// ended is closed when the call has ended, nil if there is no result to wait for, and wait is how long to wait.
-	ended <-chan struct{}
-	wait  time.Duration
-}
-
-// await waits for the result. It returns false if ctx ended first.
-func (r pendingResult) await(ctx context.Context) bool {
-	t := time.NewTimer(r.wait)
-	defer t.Stop()
-	select {
-	case <-r.ended:
-	case <-t.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
 // tryBegin is begin without a wait.
 func (h *Holder) tryBegin(ctx context.Context, kind string) (*call, pendingResult) {
 	h.mu.Lock()
@@ -229,44 +152,6 @@
 	return c, pendingResult{}
 }
 
-// recordHeld records that a call is held back. The mutex is held.
-func (h *Holder) recordHeld(kind string) {
-	now := h.Now()
-	if h.held == nil {
-		h.held = &held{since: now}
-		h.reportHold(kind, now)
-	}
-	h.held.calls++
-}
-
-// reportHold reports that a hold begins. The mutex is held.
-func (h *Holder) reportHold(kind string, now time.Duration) {
-	if h.OnHold == nil {
-		return
-	}
-	x := Hold{Kind: kind, Awaited: h.check != nil, For: max(0, h.nextCheck-now)}
-	for _, n := range slices.Sorted(maps.Keys(h.losses)) {
-		if now-h.losses[n].last < staleMemory {
-			x.Hosts = append(x.Hosts, n)
-		}
-	}
-	if h.last != nil {
-		x.LastKind, x.LastAgo = h.last.kind, now-h.last.began
-	}
-	h.OnHold(x)
-}
-
-// release ends the hold in progress, if there is one. The mutex is held.
-func (h *Holder) release(answered bool) {
-	if h.held == nil {
-		return
-	}
-	if h.OnRelease != nil {
-		h.OnRelease(Release{Answered: answered, After: h.Now() - h.held.since, Calls: h.held.calls})
-	}
-	h.held = nil
-}
-
 // end records whether the store has answered a call. asked is when the store was asked something that it would
 // have answered at once, or when the call began: it has been silent at least since then.
 func (h *Holder) end(c *call, answered bool, asked time.Duration) {
