--- a/internal/proxy/cachesyncer/cachesyncer_test.go
+++ b/internal/proxy/cachesyncer/cachesyncer_test.go
@@ -269,6 +269,14 @@
 	return x
 }
 
+// run watches until ctx ends.
+func (x *selection) run(ctx context.Context, revision uint64) {
+	for ctx.Err() == nil {
+		p, _ := x.Watch(ctx, revision, time.Minute)
+		revision = max(revision, p.Revision)
+	}
+}
+
 func TestSelectorReadsThroughAnotherHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{revision: 5, names: []string{"a"}}
--- a/internal/proxy/cachesyncer/holder_test.go
+++ b/internal/proxy/cachesyncer/holder_test.go
@@ -380,12 +380,7 @@
 		time.Sleep(2 * checkInterval)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go func() {
-			for revision := uint64(5); ctx.Err() == nil; {
-				p, _ := x.Watch(ctx, revision, time.Minute)
-				revision = max(revision, p.Revision)
-			}
-		}()
+		go x.run(ctx, 5)
 		time.Sleep(time.Second)
 		p, err := y.List(t.Context())
 		expect(t, "list", p, err, "a")
