refactor(scheduler): one wait for a channel, a time or the end of a context

Change: scheduler.Await beside Pause. In the holder, the question whether another host has just told that the store answers is asked in one place, and its callbacks say that its mutex is held. Behaviour is the same.

Result: TestAwait, and the tests of cachesyncer and runner pass with -race.

--- a/internal/clock/scheduler/pause.go
+++ b/internal/clock/scheduler/pause.go
@@ -18,3 +18,17 @@
 	}
 	return ctx.Err()
 }
+
+// Await waits until done is closed, for d at most, or until ctx ends, and returns the error of ctx if that ended first. It is
+// meant for the same code as Pause.
+func Await(ctx context.Context, done <-chan struct{}, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
--- a/internal/clock/scheduler/scheduler_test.go
+++ b/internal/clock/scheduler/scheduler_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
 )
 
 // withScheduler calls f with a running scheduler, in virtual time.
@@ -130,3 +131,33 @@
 		})
 	}
 }
+
+func TestAwait(t *testing.T) {
+	const wait = time.Second
+	closed := make(chan struct{})
+	close(closed)
+	for name, c := range map[string]struct {
+		done   <-chan struct{}
+		cancel bool
+		after  time.Duration
+		want   error
+	}{
+		"done":      {done: closed},
+		"not done":  {after: wait},
+		"cancelled": {cancel: true, want: context.Canceled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if c.cancel {
+					cancel()
+				}
+				began := time.Now()
+				if err := Await(ctx, c.done, wait); !errors.Is(err, c.want) || time.Since(began) != c.after {
+					t.Errorf("%v after %v, want %v after %v", err, time.Since(began), c.want, c.after)
+				}
+			})
+		})
+	}
+}
--- a/internal/proxy/cachesyncer/call.go
+++ b/internal/proxy/cachesyncer/call.go
@@ -36,16 +36,3 @@
 	ended <-chan struct{}
 	wait  time.Duration
 }
-
-// await waits for the result. It returns false if ctx ended first.
-func (r pendingResult) await(ctx context.Context) bool {
-	t := time.NewTimer(r.wait)
-	defer t.Stop()
-	select {
-	case <-r.ended:
-	case <-t.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
--- a/internal/proxy/cachesyncer/holder.go
+++ b/internal/proxy/cachesyncer/holder.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 )
 
 const (
@@ -41,7 +43,7 @@
 	// Draw, if not nil, replaces rand.N.
 	Draw func(n time.Duration) time.Duration
 	// OnRegained, if not nil, is called when the store answers this host again, unless another host has just told that
-	// it does.
+	// it does. Like OnHold and OnRelease it must not call the Holder, whose mutex is held.
 	OnRegained func()
 	// OnHold, if not nil, is called when calls begin to be held back, and OnRelease when they no longer are.
 	OnHold    func(Hold)
@@ -118,7 +120,7 @@
 		if x.ended == nil {
 			return c
 		}
-		if !x.await(ctx) {
+		if scheduler.Await(ctx, x.ended, x.wait) != nil {
 			return nil
 		}
 	}
@@ -202,8 +204,13 @@
 func (h *Holder) isNews(c *call, now time.Duration) bool {
 	lost := h.lostAt > 0 && c.began >= h.lostAt+announceAfter
 	lately := h.held != nil || now-h.failedAt < staleMemory
-	told := h.noticedAt > 0 && now-h.noticedAt < h.CheckInterval()
-	return lost && lately && !told
+	return lost && lately && !h.isNoticed(now)
+}
+
+// isNoticed reports whether another host has told that the store answers it less than the shortest time between two calls
+// ago. The mutex is held.
+func (h *Holder) isNoticed(now time.Duration) bool {
+	return h.noticedAt > 0 && now-h.noticedAt < h.CheckInterval()
 }
 
 // supersede gives up the calls from before the last failure, which c, now answered, came after: the store may have lost
@@ -227,7 +234,7 @@
 	defer h.mu.Unlock()
 	now := h.Now()
 	h.heardAt = now
-	if h.lostAt == 0 && h.held == nil || h.noticedAt > 0 && now-h.noticedAt < h.CheckInterval() {
+	if h.lostAt == 0 && h.held == nil || h.isNoticed(now) {
 		return false
 	}
 	h.noticedAt, h.nextCheck, h.aligned = now, 0, true
--- a/internal/proxy/cachesyncer/serving.go
+++ b/internal/proxy/cachesyncer/serving.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"time"
+
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 )
 
 // isFresh reports whether the mirror's data counts as current. The mutex is held.
@@ -36,13 +38,7 @@
 	if known {
 		return
 	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	_ = scheduler.Await(ctx, changed, wait) // the caller looks at what there is
 }
 
 // nextChange returns a channel that is closed by the next notify. The mutex is held.
--- a/internal/proxy/runner/follower.go
+++ b/internal/proxy/runner/follower.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/juju/errors"
 
+	"github.com/cuminwick/cuminwick/internal/clock/scheduler"
 	"github.com/cuminwick/cuminwick/internal/clock/watchdog"
 	"github.com/cuminwick/cuminwick/internal/proxy/cachesyncer"
 )
@@ -105,13 +106,7 @@
 	if f.startAfter == nil {
 		return
 	}
-	t := time.NewTimer(f.startTimeout)
-	defer t.Stop()
-	select {
-	case <-f.startAfter:
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	_ = scheduler.Await(ctx, f.startAfter, f.startTimeout) // run looks at ctx next
 }
 
 func (f *follower[T]) list(ctx context.Context) (uint64, error) {
