fix(announcer): the log says why a host couldn't be told

What operators saw: "other hosts told that the platform answers" with the number of hosts that weren't, and no error of any of them.

Cause: the errors were counted and dropped.

Change: the line has the first error. One line an announcement, as before.

Result: tests of the package pass with -race; no behaviour but the log changes.

--- a/internal/proxy/announcer/announcer.go
+++ b/internal/proxy/announcer/announcer.go
@@ -52,7 +52,11 @@
 		go t.run()
 	}
 	t.pending.Wait()
-	a.Log.WithFields(log.Fields{"hosts": len(hosts), "not-told": t.failed.Load()}).Info("other hosts told that the platform answers")
+	l := a.Log.WithFields(log.Fields{"hosts": len(hosts), "not-told": t.failed})
+	if t.err != nil {
+		l = l.WithError(t.err)
+	}
+	l.Info("other hosts told that the platform answers")
 }
 
 // tellers tell the hosts of one announcement.
@@ -60,7 +64,11 @@
 	announcer *Announcer
 	queue     <-chan declarer.Host
 	pending   sync.WaitGroup
-	failed    atomic.Int64
+
+	mu sync.Mutex
+	// failed counts the hosts that couldn't be told, and err is the first error.
+	failed int
+	err    error
 }
 
 func (t *tellers) run() {
@@ -70,7 +78,16 @@
 		err := t.announcer.Tell(c, h)
 		cancel()
 		if err != nil {
-			t.failed.Add(1)
+			t.recordFailure(err)
 		}
 	}
 }
+
+func (t *tellers) recordFailure(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failed == 0 {
+		t.err = err
+	}
+	t.failed++
+}
