test(soak): the seeds and the directory of a soak are set up in one place

Cause: five soaks repeated the loop over seeds, as parallel tests, and the creation of their directory.

Change: soakSeeds and newDirectory. Names of tests, flags, seeds and directories are the same.

--- a/internal/soak/runner/answers_test.go
+++ b/internal/soak/runner/answers_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -28,13 +27,7 @@
 // Guards against answers that reach another statement, statements that nobody sent and values of other sessions, as
 // servers answer twice and texts hold parts of line ends.
 func TestAnswersBelongToTheirStatements(t *testing.T) {
-	for i := range *answerSeeds {
-		seed := *first + uint64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			soakAnswers(t, seed)
-		})
-	}
+	soakSeeds(t, *answerSeeds, soakAnswers)
 }
 
 // causesOf returns whether servers answer twice and whether texts are odd in the soak with the seed: only texts,
@@ -48,13 +41,9 @@
 }
 
 func soakAnswers(t *testing.T, seed uint64) {
-	directory, err := os.MkdirTemp("", fmt.Sprintf("soak-answers-%d-", seed))
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := &deployment{directory: directory, seed: seed, hostCount: *hosts, statementTime: shortStatement}
+	d := &deployment{directory: newDirectory(t, "soak-answers", seed), seed: seed, hostCount: *hosts, statementTime: shortStatement}
 	d.customers, d.connections = kindOfSoak(seed)
 	s := &soakRun{
 		deployment: d, random: rand.New(rand.NewPCG(seed, 1)), injector: &injector{deployment: d},
--- a/internal/soak/runner/entries_test.go
+++ b/internal/soak/runner/entries_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -28,23 +27,13 @@
 // Guards against entries of another writer that keep hosts from servers which appear after them, or that hosts take
 // for servers: too deep, with numbers out of range, or with fields of other types.
 func TestFreshServersAreUsedBesideOddEntries(t *testing.T) {
-	for i := range *entrySeeds {
-		seed := *first + uint64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			soakEntries(t, seed)
-		})
-	}
+	soakSeeds(t, *entrySeeds, soakEntries)
 }
 
 func soakEntries(t *testing.T, seed uint64) {
-	directory, err := os.MkdirTemp("", fmt.Sprintf("soak-entries-%d-", seed))
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := &deployment{directory: directory, seed: seed, hostCount: *hosts, statementTime: shortStatement, entries: &oddEntries{}}
+	d := &deployment{directory: newDirectory(t, "soak-entries", seed), seed: seed, hostCount: *hosts, statementTime: shortStatement, entries: &oddEntries{}}
 	d.customers, d.connections = kindOfSoak(seed)
 	r := rand.New(rand.NewPCG(seed, 5))
 	for _, i := range r.Perm(len(oddFields))[:len(oddFields)/2] {
--- a/internal/soak/runner/outages_test.go
+++ b/internal/soak/runner/outages_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -20,23 +18,13 @@
 // Guards against hosts that don't follow the store after an outage, or go back to what they had, as others are cut off from
 // it, paused or killed when it ends, while operators change the configuration.
 func TestHostsRecoverFromOutages(t *testing.T) {
-	for i := range *outageSeeds {
-		seed := *first + uint64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			soakOutages(t, seed)
-		})
-	}
+	soakSeeds(t, *outageSeeds, soakOutages)
 }
 
 func soakOutages(t *testing.T, seed uint64) {
-	directory, err := os.MkdirTemp("", fmt.Sprintf("soak-outages-%d-", seed))
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := &deployment{directory: directory, hostCount: stoppedHosts, statementTime: shortStatement}
+	d := &deployment{directory: newDirectory(t, "soak-outages", seed), hostCount: stoppedHosts, statementTime: shortStatement}
 	_, d.connections = kindOfSoak(seed)
 	s := &soakRun{
 		deployment: d, random: rand.New(rand.NewPCG(seed, 1)), injector: &injector{deployment: d},
--- a/internal/soak/runner/soak_test.go
+++ b/internal/soak/runner/soak_test.go
@@ -43,7 +43,13 @@
 // Run it by hand with fresh seeds: go test ./internal/soak/runner -run TestSoak -soak.seeds 50
 // -soak.first N -parallel 4
 func TestSoak(t *testing.T) {
-	for i := range *seeds {
+	soakSeeds(t, *seeds, soak)
+}
+
+// soakSeeds soaks with each of n seeds, in tests of their own.
+func soakSeeds(t *testing.T, n int, soak func(t *testing.T, seed uint64)) {
+	t.Helper()
+	for i := range n {
 		seed := *first + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
@@ -52,15 +58,20 @@
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
-	// The logs of a failed soak are kept.
-	directory, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+// newDirectory returns a new directory for a soak, which is kept with its logs if that fails.
+func newDirectory(t *testing.T, kind string, seed uint64) string {
+	t.Helper()
+	d, err := os.MkdirTemp("", fmt.Sprintf("%s-%d-", kind, seed))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return d
+}
+
+func soak(t *testing.T, seed uint64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := &deployment{directory: directory, hostCount: *hosts, statementTime: shortStatement, ranked: isRanked(seed), operated: isOperated(seed), uneven: isUneven(seed), synchronous: synchronousReplicas(seed), unfenced: isUnfenced(seed)}
+	d := &deployment{directory: newDirectory(t, "soak", seed), hostCount: *hosts, statementTime: shortStatement, ranked: isRanked(seed), operated: isOperated(seed), uneven: isUneven(seed), synchronous: synchronousReplicas(seed), unfenced: isUnfenced(seed)}
 	d.customers, d.connections = kindOfSoak(seed)
 	s := &soakRun{deployment: d, random: rand.New(rand.NewPCG(seed, 1)), injector: &injector{deployment: d}, plan: planOf(seed)}
 	s.test(ctx, t, seed)
--- a/internal/soak/runner/stops_test.go
+++ b/internal/soak/runner/stops_test.go
@@ -27,23 +27,13 @@
 // Guards against requests that a server runs and whose callers get no whole answer, as their host was stopped as
 // planned: callers keep their sessions and open new ones until the process has ended.
 func TestStopsAnswerAcceptedRequests(t *testing.T) {
-	for i := range *stopSeeds {
-		seed := *first + uint64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			soakStops(t, seed)
-		})
-	}
+	soakSeeds(t, *stopSeeds, soakStops)
 }
 
 func soakStops(t *testing.T, seed uint64) {
-	directory, err := os.MkdirTemp("", fmt.Sprintf("soak-stops-%d-", seed))
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := &deployment{directory: directory, hostCount: stoppedHosts, statementTime: usualStatement}
+	d := &deployment{directory: newDirectory(t, "soak-stops", seed), hostCount: stoppedHosts, statementTime: usualStatement}
 	_, d.connections = kindOfSoak(seed)
 	s := &soakRun{
 		deployment: d, random: rand.New(rand.NewPCG(seed, 1)), injector: &injector{deployment: d},
