--- a/internal/bench/definer/definer.go
+++ b/internal/bench/definer/definer.go
@@ -1,4 +1,4 @@
-// Package definer defines the deployments, loads, scenarios and policies of the bench as plain data.
+// Package definer defines the deployments, loads, scenarios and policies of experiments as plain data.
 package definer
 
 import (
--- a/internal/group/driver/polls_test.go
+++ b/internal/group/driver/polls_test.go
@@ -83,7 +83,7 @@
 
 // Guards against late acknowledgements and needless polls when commits arrive now and then. The host
 // learns the replica's replication delay and polls after it. An acknowledgement thus usually takes
-// no longer than a replication delay and a round trip, at most one more round trip and poll interval,
+// a replication delay and a round trip or less, at most one more round trip and poll interval,
 // with little more than one poll of each of the two nearest servers.
 func TestPollsOfCommits(t *testing.T) {
 	const commits, learning = 400, 100
--- a/internal/host/runner/ascender_test.go
+++ b/internal/host/runner/ascender_test.go
@@ -19,7 +19,7 @@
 
 // Guards against handling a message under an older revision than that of its sender, so that one
 // request is processed under two configurations. A message must wait until the revision is in force
-// at this host, but no longer, since the caller of the request waits too. If the revision never
+// at this host, and then be handled at once, since the caller of the request waits too. If the revision never
 // comes into force, the message must be refused in bounded time.
 func TestMessageWaitsForItsRevision(t *testing.T) {
 	tests := []struct {
--- a/internal/limit/admitter/late.go
+++ b/internal/limit/admitter/late.go
@@ -12,7 +12,7 @@
 	place int
 }
 
-// refuseLate refuses the waiting requests of less important levels than e that can no longer meet their
+// refuseLate refuses the waiting requests of less important levels than e that can't meet their
 // objective or deadline after the arrival of e, the last ones first. They would wait in vain.
 func (q *Queue) refuseLate(e *Entry, now time.Duration) {
 	l := e.level
--- a/internal/limit/retrier/retrier.go
+++ b/internal/limit/retrier/retrier.go
@@ -35,7 +35,7 @@
 	Burst float64
 
 	mu sync.Mutex
-	// spent is the number of retries taken from Burst and not earned back yet.
+	// spent is the number of retries of Burst that are used and haven't been earned back.
 	spent float64
 }
 
--- a/internal/pool/exchanger/exchanger.go
+++ b/internal/pool/exchanger/exchanger.go
@@ -138,7 +138,7 @@
 	return x.result, x.callerErr
 }
 
-// settle waits until a cancel request for an earlier batch can no longer affect this one.
+// settle waits until a cancel request for an earlier batch can't affect this one.
 func (x *Exchange) settle(ctx context.Context) error {
 	if x.Conn.FinishCancel == nil {
 		return nil
--- a/internal/proxy/assembler/feeder.go
+++ b/internal/proxy/assembler/feeder.go
@@ -58,7 +58,7 @@
 	}).Warn("calls to the platform held back")
 }
 
-// logRelease logs that calls to the store are no longer held back.
+// logRelease logs that a hold of calls to the store has ended.
 func (f *feeder) logRelease(x cachesyncer.Release) {
 	f.host.Log.WithFields(log.Fields{"answered": x.Answered, "after": x.After.String(), "calls": x.Calls}).Info("calls to the platform no longer held back")
 }
--- a/internal/proxy/assembler/network_test.go
+++ b/internal/proxy/assembler/network_test.go
@@ -160,7 +160,7 @@
 
 	mu      sync.Mutex
 	refused bool
-	open    []net.Conn
+	open    []*storeConn
 }
 
 // Dial opens a connection to the store unless that refuses the machine.
@@ -184,7 +184,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range d.open {
-		c.(*storeConn).hung.Store(true)
+		c.hung.Store(true)
 	}
 	d.open = nil
 }
